Let the admission window grow with the room that latency leaves

Answers in good time now raise it by the part of the latency target that is still free: fast while the servers idle, hardly near the target.

--- a/policy.go
+++ b/policy.go
@@ -37,7 +37,7 @@
 	retryPurse  = 10    // most that can be saved up
 	aimFill     = 0.5   // mean latency over aim that admission steers to
 	shedding    = 4.0   // part of aimFill given up when all is shed, for each unit of unevenness
-	windowUp    = 0.02  // window gained by an answer in good time
+	windowUp    = 1.0   // window gained by an answer in good time, times the part of the target that is free
 	windowDown  = 0.1   // window lost by a late one
 	windowStart = 5.0   // own calls admitted per server before anything is known
 	leastReach  = 4.0   // servers that a copy draws from at least
@@ -906,7 +906,7 @@
 }
 
 // steer moves the window so that the mean latency stays at a set part of the aim: crowded servers choke, so
-// the crowd must wait or be refused here. It grows slowly: those let in show only when answered.
+// the crowd must wait or be refused here. Those let in show only when answered.
 func (b *Balancer) steer(r *request, e Outcome) {
 	if b.set.Tier > 0 || e.Ending == Withdrawn || e.Ending == Void || e.Ending == Failure {
 		return
@@ -921,13 +921,17 @@
 	// better. The floor keeps bare work that fills much of the aim from being taken for a crowd.
 	// Where copies outnumber servers, windows of a call or two rounded up at every copy would choke the
 	// servers: while it falls, the draw makes all copies hold to it. Else rounding up lets bursts through.
+	// What is still missing to the target says how much room is left: a small fixed gain would turn callers
+	// away for half a minute while the servers idle, and a large one would overshoot.
 	p.part = 0
-	if p.fill > aimFill*(1-p.shed*min(1, shedding*p.unevenness())) {
+	target := aimFill * (1 - p.shed*min(1, shedding*p.unevenness()))
+	if p.fill > target {
 		p.window -= windowDown
 		p.part = b.rng.Float64()
-	} else if float64(p.inFlight+1) >= 0.8*p.window {
-		p.window += windowUp
-		p.base += windowUp / windowFloor
+	} else if over < target && float64(p.inFlight+1) >= 0.8*p.window {
+		up := windowUp * (1 - p.fill/target)
+		p.window += up
+		p.base += up / windowFloor
 	}
 	// A list that grows in a surge says nothing of the tiers below, which would choke under a floor that
 	// grew with it: base follows the list down at once, and up by answers in good time.
--- a/policy_test.go
+++ b/policy_test.go
@@ -440,6 +440,29 @@
 	}
 }
 
+// Servers far from crowded must not see callers turned away for half a minute while a full window creeps up;
+// near the target the window must creep.
+func TestWindowGrowsWithTheRoomLeft(t *testing.T) {
+	grown := func(fill float64) float64 {
+		b := newBalancer(t, nil)
+		b.Handle(msec, ServerList{Full: true, Servers: servers(4)})
+		p := b.pools[0]
+		p.window, p.fill = 20, fill
+		sent := time.Duration(float64(b.set.Classes[0].Aim) * fill)
+		r := &request{class: b.classes["get"], attempts: []*attempt{{sent: time.Second - sent}}}
+		b.now = time.Second
+		for range 40 {
+			p.inFlight = int(p.window) // in full use
+			b.steer(r, Outcome{Ending: Success})
+		}
+		return p.window - 20
+	}
+	if far, near := grown(0.2*aimFill), grown(0.98*aimFill); far < 20 || near > 2 || near <= 0 {
+		t.Errorf("40 answers grew a window of 20 by %.1f far from the target, want 20 or more, "+
+			"and by %.1f near it, want little", far, near)
+	}
+}
+
 func TestSettingsErrorsNameTheField(t *testing.T) {
 	for want, change := range map[string]func(*Settings){
 		"Classes is empty":  func(s *Settings) { s.Classes = nil },
