Log what became of calls and attempts, and why attempts got no answer

Each node now writes a line of counts every five seconds in which something happened, and at most one line a second about an attempt whose connection broke or never came up, with the uses, age and idle time of that connection.

--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -59,6 +59,11 @@
 	load        *deckrelay.Load
 	contentType string
 	body        []byte
+
+	// For the log: why there is no answer, and what the attempt's connection had behind it.
+	err       error
+	uses      int
+	age, idle time.Duration
 }
 
 // sender carries attempts to servers. No method may block.
@@ -85,6 +90,7 @@
 	targets map[string]*target
 	wakes   wakeHeap
 	usable  atomic.Bool // some listed server is in service
+	tally   tally
 }
 
 func newLoop(ck clock, log *slog.Logger, bal *deckrelay.Balancer) *loop {
@@ -98,6 +104,9 @@
 func (l *loop) run() {
 	timer := time.NewTimer(time.Hour)
 	defer timer.Stop()
+	report := time.NewTicker(tallyEvery)
+	defer report.Stop()
+	defer func() { l.tally.write(l.log, len(l.calls)) }()
 	for {
 		// News of the servers goes ahead of waiting traffic: the grace of a drain is running.
 		select {
@@ -122,12 +131,15 @@
 			l.takeCall(c)
 		case c := <-l.gone:
 			if !c.closed.Swap(true) {
+				l.tally.left++
 				l.handle(deckrelay.ClientGone{ID: c.req.ID})
 				l.forget(c)
 			}
 		case r := <-l.results:
 			l.takeResult(r)
 		case <-timer.C:
+		case <-report.C:
+			l.tally.write(l.log, len(l.calls))
 		case <-l.stop:
 			return
 		}
@@ -160,6 +172,7 @@
 		return
 	}
 	l.calls[c.req.ID] = c
+	l.tally.taken++
 	l.handle(c.req)
 }
 
@@ -186,6 +199,11 @@
 	if c == nil || c.closed.Swap(true) {
 		return
 	}
+	if a.status == http.StatusServiceUnavailable {
+		l.tally.refused[tried(c)]++
+	} else {
+		l.tally.failed[tried(c)]++
+	}
 	c.reply <- a
 	l.forget(c)
 }
@@ -200,7 +218,9 @@
 func (l *loop) takeResult(r result) {
 	c := r.att.call
 	c.out--
+	l.tally.note(l.log, l.clock.now(), r)
 	if r.ending == deckrelay.Success && !c.closed.Swap(true) {
+		l.tally.served++
 		c.reply <- answer{status: http.StatusOK, contentType: r.contentType, body: r.body}
 	}
 	l.handle(deckrelay.Outcome{ID: c.req.ID, Attempt: r.att.n, Server: r.att.target.id, Ending: r.ending,
--- a/internal/node/servers.go
+++ b/internal/node/servers.go
@@ -77,6 +77,11 @@
 	br      *bufio.Reader
 	replies chan reply
 
+	// For the log; the attempt's own.
+	since, parked time.Duration // when it came up, and when it was last put by
+	uses          int           // requests asked on it
+	idled         time.Duration // before the last of them
+
 	// guarded by pool.mu
 	place    *list.Element // in pool.idle; nil: in use
 	asked    bool          // a request is on its way
@@ -108,6 +113,13 @@
 		return ended(deckrelay.Void)
 	}
 	var c *conn
+	without := func(e deckrelay.Ending, err error) result {
+		r := result{att: att, ending: e, err: err}
+		if c != nil {
+			r.uses, r.age, r.idle = c.uses, p.clock.now()-c.since, c.idled
+		}
+		return r
+	}
 	for asked := false; !asked; {
 		var fresh bool
 		var err error
@@ -116,7 +128,7 @@
 			return ended(deckrelay.Void) // the lack is the node's own: it says nothing of the server
 		}
 		if err != nil {
-			return ended(deckrelay.Unreachable)
+			return without(deckrelay.Unreachable, err)
 		}
 		// Connecting takes time: the request may be over by now, or the server may have been told to drain.
 		if !p.maySend(att) {
@@ -124,19 +136,19 @@
 			return ended(deckrelay.Void)
 		}
 		if asked = p.ask(c); fresh && !asked {
-			return ended(deckrelay.Unreachable)
+			return without(deckrelay.Unreachable, errClosed)
 		}
 	}
 	if _, err := c.Write(p.message(att)); err != nil {
 		p.close(c)
-		return ended(deckrelay.Unreachable) // the last byte was not written
+		return without(deckrelay.Unreachable, err) // the last byte was not written
 	}
 	r := <-c.replies
 	switch {
 	case errors.Is(r.err, os.ErrDeadlineExceeded):
 		return ended(deckrelay.TimedOut) // the reader has closed the connection
 	case r.err != nil:
-		return ended(deckrelay.Broken)
+		return without(deckrelay.Broken, r.err)
 	}
 	res := result{att: att, ending: ending(r.resp), load: load(r.resp.Header),
 		contentType: r.resp.Header.Get("Content-Type"), body: r.body}
@@ -213,6 +225,8 @@
 	return l
 }
 
+var errClosed = errors.New("closed by the server before it was asked")
+
 var errFull = errors.New("no socket left for another connection")
 
 // ask notes that a request is about to be written. It fails if the connection broke or brought bytes that
@@ -221,6 +235,8 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	c.asked = !c.dead
+	c.uses++
+	c.idled = p.clock.now() - c.parked
 	return c.asked
 }
 
@@ -262,6 +278,8 @@
 		return nil, false, err
 	}
 	c = &conn{Conn: nc, pool: p, target: t, replies: make(chan reply, 1), deadline: deadline}
+	c.since = p.clock.now()
+	c.parked = c.since
 	c.br = bufio.NewReaderSize(c, 4<<10)
 	p.open[c] = true
 	nc.SetDeadline(deadline)
@@ -285,6 +303,7 @@
 		return
 	}
 	c.asked = false
+	c.parked = p.clock.now()
 	c.deadline = time.Now().Add(p.idleFor)
 	c.SetDeadline(c.deadline)
 	c.place = p.idle.PushBack(c)
--- /dev/null
+++ b/internal/node/tally.go
@@ -0,0 +1,52 @@
+package node
+
+import (
+	"log/slog"
+	"time"
+
+	"deckrelay"
+)
+
+const (
+	tallyEvery = 5 * time.Second // between two log lines of counts
+	breakEvery = time.Second     // between two log lines of broken attempts
+)
+
+// tally counts what became of calls and attempts since the last log line: of a bad stretch it tells whether
+// callers were turned away before or after an attempt, and how the attempts ended.
+type tally struct {
+	taken, served, left int
+	refused, failed     [2]int // before any attempt; after one
+	endings             [deckrelay.Void + 1]int
+	nextBreak           time.Duration // until then no further broken attempt is logged
+}
+
+// tried is the index of a count split by whether an attempt was made.
+func tried(c *call) int { return min(c.attempts, 1) }
+
+// write logs the counts, if there are any, and starts anew.
+func (t *tally) write(log *slog.Logger, out int) {
+	fresh := tally{nextBreak: t.nextBreak}
+	if *t == fresh {
+		return
+	}
+	e := &t.endings
+	log.Info("counts", "taken", t.taken, "served", t.served, "left", t.left,
+		"refused_unsent", t.refused[0], "refused_sent", t.refused[1],
+		"failed_unsent", t.failed[0], "failed_sent", t.failed[1], "open", out,
+		"ok", e[deckrelay.Success], "error", e[deckrelay.Failure], "full", e[deckrelay.Overloaded],
+		"timeout", e[deckrelay.TimedOut], "connect", e[deckrelay.Unreachable], "reset", e[deckrelay.Broken],
+		"void", e[deckrelay.Void])
+	*t = fresh
+}
+
+// note counts an ending and logs a broken or unmade connection, though not each of a run of them.
+func (t *tally) note(log *slog.Logger, now time.Duration, r result) {
+	t.endings[r.ending]++
+	if r.err == nil || now < t.nextBreak {
+		return
+	}
+	t.nextBreak = now + breakEvery
+	log.Warn("attempt without an answer", "server", r.att.target.id, "err", r.err,
+		"uses", r.uses, "age", r.age, "idle", r.idle)
+}
