Give up safe attempts in time for another, by latencies learned from the first call

A machine that is cut off accepts requests and says nothing. A safe attempt is now waited for as long as nearly all answers of its class take (mean plus five deviations), once 16 are known and if another may follow.

That needs the latencies to be known: a class started from a quarter of the aim, which is right for the first tier, and a copy far down the chain sees too few calls to unlearn it in 20 s. The first answer now replaces the guess, as with TCP's round trips.

--- a/internal/node/servers.go
+++ b/internal/node/servers.go
@@ -146,7 +146,7 @@
 	r := <-c.replies
 	switch {
 	case errors.Is(r.err, os.ErrDeadlineExceeded):
-		return ended(deckrelay.TimedOut) // the reader has closed the connection
+		return without(deckrelay.TimedOut, errNoAnswer) // the reader has closed the connection
 	case r.err != nil:
 		return without(deckrelay.Broken, r.err)
 	}
@@ -225,7 +225,10 @@
 	return l
 }
 
-var errClosed = errors.New("closed by the server before it was asked")
+var (
+	errClosed   = errors.New("closed by the server before it was asked")
+	errNoAnswer = errors.New("no answer in time")
+)
 
 var errFull = errors.New("no socket left for another connection")
 
--- a/internal/node/tally.go
+++ b/internal/node/tally.go
@@ -9,7 +9,7 @@
 
 const (
 	tallyEvery = 5 * time.Second // between two log lines of counts
-	breakEvery = time.Second     // between two log lines of broken attempts
+	breakEvery = time.Second     // between two log lines of unanswered attempts
 )
 
 // tally counts what became of calls and attempts since the last log line: of a bad stretch it tells whether
@@ -18,7 +18,7 @@
 	taken, served, left int
 	refused, failed     [2]int // before any attempt; after one
 	endings             [deckrelay.Void + 1]int
-	nextBreak           time.Duration // until then no further broken attempt is logged
+	nextBreak           time.Duration // until then no further unanswered attempt is logged
 }
 
 // tried is the index of a count split by whether an attempt was made.
@@ -40,7 +40,7 @@
 	*t = fresh
 }
 
-// note counts an ending and logs a broken or unmade connection, though not each of a run of them.
+// note counts an ending and logs an attempt that got no answer, though not each of a run of them.
 func (t *tally) note(log *slog.Logger, now time.Duration, r result) {
 	t.endings[r.ending]++
 	if r.err == nil || now < t.nextBreak {
@@ -48,5 +48,5 @@
 	}
 	t.nextBreak = now + breakEvery
 	log.Warn("attempt without an answer", "server", r.att.target.id, "err", r.err,
-		"uses", r.uses, "age", r.age, "idle", r.idle)
+		"after", now-r.att.started, "uses", r.uses, "age", r.age, "idle", r.idle)
 }
--- a/internal/node/tally_test.go
+++ b/internal/node/tally_test.go
@@ -14,7 +14,7 @@
 func TestTallyTellsEndingsAndBoundsItsLines(t *testing.T) {
 	var out bytes.Buffer
 	log, tl := slog.New(slog.NewTextHandler(&out, nil)), &tally{}
-	att := &attempt{call: &call{attempts: 1}, target: &target{id: "s-1"}}
+	att := &attempt{call: &call{attempts: 1}, target: &target{id: "s-1"}, started: breakEvery / 2}
 	for i := range 10 { // ten in one interval
 		tl.note(log, breakEvery+breakEvery/10*time.Duration(i), result{att: att, ending: deckrelay.Broken, err: errors.New("reset"), uses: 3})
 	}
@@ -23,7 +23,7 @@
 	if n := strings.Count(out.String(), "attempt without an answer"); n != 2 {
 		t.Errorf("%d lines of broken attempts, want one for each interval with some, 2:\n%s", n, out.String())
 	}
-	if !strings.Contains(out.String(), "server=s-1 err=reset uses=3") {
+	if !strings.Contains(out.String(), "server=s-1 err=reset after=500ms uses=3") {
 		t.Errorf("no word of the connection:\n%s", out.String())
 	}
 	out.Reset()
--- a/policy.go
+++ b/policy.go
@@ -24,6 +24,7 @@
 	chance      = 0.08  // a run of errors likelier than this by the peers' error share is luck
 	tailSpread  = 3.0   // deviations above the mean at which a wait counts as overlong
 	copySpread  = 4.0   // the same for a second copy, which costs a server's work
+	trySpread   = 5.0   // the same for an attempt that is given up for another one
 	copyAim     = 0.4   // part of the aim before which no second copy goes
 	copyFill    = 0.5   // part of the window above which no second copies are sent
 	copyShed    = 0.02  // share answered without an attempt above which no second copies are sent
@@ -101,6 +102,7 @@
 	Class
 	pool          *pool
 	mean, dev     float64 // latency of successes, in ns
+	samples       float64 // successes that they rest on
 	arrive, serve float64 // decayed counts
 	longestTry    time.Duration
 }
@@ -442,12 +444,23 @@
 	s.open = append(s.open, a)
 	p.inFlight++
 	p.peak = max(float64(p.inFlight), p.peak-memory/4*(p.peak-float64(p.inFlight)))
-	b.do(Send{ID: r.id, Server: s.ID, Timeout: max(r.deadline-b.now, b.set.Tick)})
+	b.do(Send{ID: r.id, Server: s.ID, Timeout: max(b.patience(r), b.set.Tick)})
 	if b.mayCopy(r) {
 		b.wakeAt(r, b.now+r.class.copyAfter())
 	}
 }
 
+// patience is how long an attempt is waited for: to the deadline, unless another may follow. A machine that
+// is cut off takes requests and says nothing: what has waited there to the end has no time left for another.
+func (b *Balancer) patience(r *request) time.Duration {
+	c, left := r.class, r.deadline-b.now
+	if wait := c.longest(trySpread); c.Effect == Safe && c.samples >= 1/memory && b.tokens >= 1 &&
+		b.maySendAgain(r) && left-wait > time.Duration(c.mean) {
+		return wait
+	}
+	return left
+}
+
 // longest is the wait for an answer that most of a class's answers stay well under, the more the larger the
 // spread.
 func (c *class) longest(spread float64) time.Duration {
@@ -483,8 +496,7 @@
 		return last
 	}
 	aim := r.class.Aim
-	hold := max(aim/4, aim-time.Duration(r.class.mean+2*r.class.dev))
-	return min(last, r.arrived+hold)
+	return min(last, r.arrived+max(aim/4, aim-r.class.longest(2)))
 }
 
 // release sends held requests while their pools have room, the most valuable first.
@@ -765,8 +777,12 @@
 		b.tokens = min(retryPurse, b.tokens+retryEarn)
 		b.lastOK, s.lastOK = b.now, b.now
 		s.judgeSpeed(c, took)
-		c.dev += memory * (math.Abs(took-c.mean) - c.dev)
-		c.mean += memory * (took - c.mean)
+		if c.samples++; c.samples == 1 {
+			c.mean, c.dev = took, took/2 // in place of the guess, as TCP does with a first round trip
+		}
+		w := max(memory, 1/c.samples)
+		c.dev += w * (math.Abs(took-c.mean) - c.dev)
+		c.mean += w * (took - c.mean)
 		s.streak, s.refusals = 0, 0
 		b.errors = max(0.01, b.errors-memory*b.errors)
 		if s.goods++; s.goods >= minSamples && s.level > 0 {
--- a/policy_test.go
+++ b/policy_test.go
@@ -463,6 +463,52 @@
 	}
 }
 
+// A copy far down the chain gets few calls a second: what its first answers tell of a class must outweigh the
+// guess made from the aim, which is for all tiers together.
+func TestFirstAnswersOutweighTheGuess(t *testing.T) {
+	b := newBalancer(t, func(s *Settings) { s.Tier = 2 })
+	b.Handle(0, ServerList{Full: true, Servers: servers(4)})
+	now := time.Duration(0)
+	for i := range 10 {
+		id := fmt.Sprint(i)
+		s := sends(b.Handle(now, Request{ID: id, Class: "get", Deadline: now + time.Second}))
+		now += 10 * msec
+		settle(b, now, id, s[0], Success)
+	}
+	if c := b.classes["get"]; c.longest(tailSpread) > 100*msec {
+		t.Errorf("after ten answers of 10 ms each, an answer is overlong only after %v", c.longest(tailSpread))
+	}
+}
+
+// A machine that is cut off takes requests and says nothing. What may be sent again must not wait there until
+// its time is up; what must never run twice has nothing else to wait for.
+func TestSafeAttemptsLeaveTimeForAnother(t *testing.T) {
+	for class, early := range map[string]bool{"get": true, "pay": false} {
+		b := newBalancer(t, func(s *Settings) { s.Tier = 1 })
+		b.Handle(0, ServerList{Full: true, Servers: servers(4)})
+		now := time.Duration(0)
+		send := func(id string) Send {
+			return sends(b.Handle(now, Request{ID: id, Class: class, Deadline: now + time.Second}))[0]
+		}
+		if s := send("first"); s.Timeout != time.Second {
+			t.Errorf("%s: waited for %v on a guess, want to the deadline", class, s.Timeout)
+		}
+		for i := range 20 {
+			s := send(fmt.Sprint(i))
+			now += 20 * msec
+			settle(b, now, s.ID, s, Success)
+		}
+		s := send("cut off")
+		if got := s.Timeout < 500*msec; got != early {
+			t.Fatalf("%s: waited for %v of a second, answers take 20 ms", class, s.Timeout)
+		}
+		now += s.Timeout
+		if next := sends(settle(b, now, s.ID, s, TimedOut)); early && (len(next) != 1 || next[0].Server == s.Server) {
+			t.Errorf("%s: %v after the time-out, want one send to another server", class, next)
+		}
+	}
+}
+
 func TestSettingsErrorsNameTheField(t *testing.T) {
 	for want, change := range map[string]func(*Settings){
 		"Classes is empty":  func(s *Settings) { s.Classes = nil },
@@ -556,6 +602,7 @@
 	b := newBalancer(t, func(s *Settings) { s.Tier = 1 })
 	b.Handle(msec, ServerList{Full: true, Servers: servers(10)})
 	wide(b)
+	b.classes["get"].samples = 1 / memory // its answers took a quarter of the aim until now
 	now, id := msec, 0
 	full := map[string]bool{"s00": true, "s02": true, "s03": true, "s05": true, "s06": true, "s08": true}
 	refused := func(n int) (count int) {
