Steer admission by what uncrowded answers take, not by half of the aim alone

On case2020 the first tier went on refusing 16 to 30% although errors from below had fallen. Printed at each answer: with nobody turned away answers filled 0.46 of the aim, and the window shrank as soon as their mean passed 0.50, so the bare work of three tiers was nearly taken for a crowd. Answers that come while less than 2% is shed now teach what bare work takes, and the target is 1.4 times that where it is more than half of the aim, 0.7 at most.

Ruled out: endings other than answers (10 resets and 2 failed connects against 626 answers at one node), and the fall of the target with shedding (0.46 to 0.50 throughout).

--- a/policy.go
+++ b/policy.go
@@ -10,7 +10,6 @@
 	"math/rand/v2"
 	"reflect"
 	"slices"
-	"sort"
 	"strconv"
 	"strings"
 	"time"
@@ -27,7 +26,7 @@
 	trySpread   = 5.0   // the same for an attempt that is given up for another one
 	copyAim     = 0.4   // part of the aim before which no second copy goes
 	copyFill    = 0.5   // part of the window above which no second copies are sent
-	copyShed    = 0.02  // share answered without an attempt above which no second copies are sent
+	spareShed   = 0.02  // share answered without an attempt above which there is no room to spare
 	minSamples  = 3     // good endings in a row that end a trial
 	mostOut     = 0.2   // share of the list that health may exclude; beyond that all are drawn
 	ejection    = 12    // mean latencies that a first ejection, or a lack of room, lasts
@@ -36,7 +35,9 @@
 	retryEarn   = 0.15  // further attempts earned by a success
 	unsentCost  = 0.1   // what a further attempt costs when the last one never ran
 	retryPurse  = 10    // most that can be saved up
-	aimFill     = 0.5   // mean latency over aim that admission steers to
+	aimFill     = 0.5   // mean latency over aim that admission steers to,
+	bareRise    = 1.4   // or, where it is more, so many times that of answers while there is room to spare,
+	mostFill    = 0.7   // up to this
 	shedding    = 4.0   // part of aimFill given up when all is shed, for each unit of unevenness
 	windowUp    = 1.0   // window gained by an answer in good time, times the part of the target that is free
 	windowDown  = 0.1   // window lost by a late one
@@ -84,6 +85,7 @@
 	fair         float64 // servers of its own for each copy of this tier
 	window       float64 // how many of them are admitted at once (first tier)
 	fill         float64 // mean latency over aim
+	bare, spared float64 // the same of answers while there was room to spare, and their count
 	peak         float64 // inFlight, quick to rise and slow to fall
 	base         float64 // servers of this copy's share that the window's floor counts
 	part         float64 // of a call, drawn while the window falls: rounds it up or down
@@ -205,7 +207,9 @@
 	case Outcome:
 		b.takeOutcome(e)
 	case Started:
-		b.takeStarted(e)
+		if r := b.requests[e.ID]; r != nil {
+			r.streaming = true
+		}
 	case ClientGone:
 		if r := b.requests[e.ID]; r != nil {
 			b.close(r)
@@ -285,7 +289,7 @@
 		}
 	}
 	// The shared order: every copy sorts by id, which all see alike.
-	sort.Slice(ready, func(i, j int) bool { return ready[i].ID < ready[j].ID })
+	slices.SortFunc(ready, func(s, t *server) int { return strings.Compare(s.ID, t.ID) })
 	for _, p := range b.pools {
 		before := len(p.ready)
 		p.ready = slices.DeleteFunc(slices.Clone(ready), func(s *server) bool { return !p.open(s) })
@@ -522,12 +526,6 @@
 	}
 }
 
-func (b *Balancer) takeStarted(e Started) {
-	if r := b.requests[e.ID]; r != nil {
-		r.streaming = true
-	}
-}
-
 func (b *Balancer) takeOutcome(e Outcome) {
 	r := b.requests[e.ID]
 	if r == nil || e.Attempt < 0 || e.Attempt >= len(r.attempts) || r.attempts[e.Attempt].ended {
@@ -699,7 +697,7 @@
 			sick = append(sick, i)
 		}
 	}
-	sort.SliceStable(sick, func(i, j int) bool { return list[sick[i]].streak > list[sick[j]].streak })
+	slices.SortStableFunc(sick, func(i, j int) int { return list[j].streak - list[i].streak })
 	shed := r.class.pool.shed
 	most := int(mostOut * (1 - shed) * float64(len(list)))
 	if shed < mostOut {
@@ -776,7 +774,9 @@
 	case Success:
 		b.tokens = min(retryPurse, b.tokens+retryEarn)
 		b.lastOK, s.lastOK = b.now, b.now
-		s.judgeSpeed(c, took)
+		// A slow server is not ejected: its own calls stay out for long, and the lower count wins.
+		s.slow += ownMemory * (math.Log(max(took, 1)/c.mean) - s.slow)
+		s.samples++
 		if c.samples++; c.samples == 1 {
 			c.mean, c.dev = took, took/2 // in place of the guess, as TCP does with a first round trip
 		}
@@ -806,13 +806,6 @@
 	}
 }
 
-// judgeSpeed compares a latency with the class's mean. A slow server is not ejected: its own calls stay
-// out for long, and the lower count wins.
-func (s *server) judgeSpeed(c *class, took float64) {
-	s.slow += ownMemory * (math.Log(max(took, 1)/c.mean) - s.slow)
-	s.samples++
-}
-
 // ---- Slow start ----
 
 // warmEnough thins the draw of a cold server to the share of a warm one's capacity that it surely has, and
@@ -877,7 +870,7 @@
 // of several tiers would multiply, only the first has a window to tell a crowd by, and none has room to
 // spare while requests are shed.
 func (b *Balancer) mayCopy(r *request) bool {
-	return b.set.SecondCopies && b.set.Tier == 0 && r.class.pool.shed < copyShed &&
+	return b.set.SecondCopies && b.set.Tier == 0 && r.class.pool.shed < spareShed &&
 		r.class.Effect != Unsafe && r.out == 1 && r.line == nil && b.maySendAgain(r)
 }
 
@@ -934,13 +927,18 @@
 	}
 	p.fill += 2 / (p.window + 16) * (min(over, 1) - p.fill)
 	// The more is shed and the less alike the servers are, the surer it is that some choke: then leaner is
-	// better. The floor keeps bare work that fills much of the aim from being taken for a crowd.
+	// better. Bare work that fills much of the aim must not be taken for a crowd: it raises the target, and the
+	// floor holds where nothing is known of it.
 	// Where copies outnumber servers, windows of a call or two rounded up at every copy would choke the
 	// servers: while it falls, the draw makes all copies hold to it. Else rounding up lets bursts through.
 	// What is still missing to the target says how much room is left: a small fixed gain would turn callers
 	// away for half a minute while the servers idle, and a large one would overshoot.
 	p.part = 0
-	target := aimFill * (1 - p.shed*min(1, shedding*p.unevenness()))
+	if e.Ending == Success && p.shed < spareShed {
+		p.spared++
+		p.bare += max(memory/4, 1/p.spared) * (over - p.bare)
+	}
+	target := min(max(aimFill, bareRise*p.bare), mostFill) * (1 - p.shed*min(1, shedding*p.unevenness()))
 	if p.fill > target {
 		p.window -= windowDown
 		p.part = b.rng.Float64()
--- a/policy_test.go
+++ b/policy_test.go
@@ -447,7 +447,7 @@
 		b := newBalancer(t, nil)
 		b.Handle(msec, ServerList{Full: true, Servers: servers(4)})
 		p := b.pools[0]
-		p.window, p.fill = 20, fill
+		p.window, p.fill, p.shed = 20, fill, spareShed
 		sent := time.Duration(float64(b.set.Classes[0].Aim) * fill)
 		r := &request{class: b.classes["get"], attempts: []*attempt{{sent: time.Second - sent}}}
 		b.now = time.Second
@@ -509,6 +509,33 @@
 	}
 }
 
+// Work that takes half of the aim with nobody turned away is no crowd; the same latency after quicker answers
+// is one, and so is one near the whole aim.
+func TestBareWorkIsNoCrowd(t *testing.T) {
+	for _, tc := range []struct {
+		name        string
+		before, now float64 // latency over aim
+		falls       bool
+	}{{"long from the start", 0.55, 0.55, false}, {"long by a crowd", 0.2, 0.55, true}, {"near the aim", 0.8, 0.8, true}} {
+		b := newBalancer(t, nil)
+		b.Handle(msec, ServerList{Full: true, Servers: servers(4)})
+		p, aim := b.pools[0], float64(b.set.Classes[0].Aim)
+		p.window = 60
+		answers := func(over float64) {
+			r := &request{class: b.classes["get"], attempts: []*attempt{{sent: 0}}}
+			b.now = time.Duration(over * aim)
+			for range 200 {
+				b.steer(r, Outcome{Ending: Success})
+			}
+		}
+		answers(tc.before)
+		p.window, p.shed = 60, 0.2
+		if answers(tc.now); p.window < 60 != tc.falls {
+			t.Errorf("%s: window from 60 to %.1f", tc.name, p.window)
+		}
+	}
+}
+
 func TestSettingsErrorsNameTheField(t *testing.T) {
 	for want, change := range map[string]func(*Settings){
 		"Classes is empty":  func(s *Settings) { s.Classes = nil },
