--- a/policy.go
+++ b/policy.go
@@ -927,8 +927,8 @@
 	}
 	p.fill += 2 / (p.window + 16) * (min(over, 1) - p.fill)
 	// The more is shed and the less alike the servers are, the surer it is that some choke: then leaner is
-	// better. Bare work that fills much of the aim must not be taken for a crowd: it raises the target, and the
-	// floor holds where nothing is known of it.
+	// better. Bare work that fills much of the aim must not be taken for a crowd: it raises the target, and
+	// the floor holds where nothing is known of it.
 	// Where copies outnumber servers, windows of a call or two rounded up at every copy would choke the
 	// servers: while it falls, the draw makes all copies hold to it. Else rounding up lets bursts through.
 	// What is still missing to the target says how much room is left: a small fixed gain would turn callers
