Let one server be ruled out however much is shed

Health saw it, but on a list of four nothing may be ruled out once a fifth of the requests is shed, and the calls stuck at the dead server filled the window and caused that shedding. One server may now always be ruled out.

Ruled out: connecting (the server's machine accepts), and the health rule itself, which ejects the server at the first time-out.

--- a/policy.go
+++ b/policy.go
@@ -687,8 +687,9 @@
 
 // ruledOut marks the servers that health keeps out. When many look bad to one node, the fault is likelier
 // its own or the tier below's, and those left would take all the load: only the worst are kept out, up to a
-// share of the list that falls as more is shed: time-outs in overload show load rather than ill health. While
-// little is shed one may be, however short the list: a server that errs at once would win most draws.
+// share of the list that falls as more is shed: time-outs in overload show load rather than ill health. One
+// may be, however short the list and however much is shed: a server that errs at once would win most draws,
+// and one that is cut off would fill the window and so bring about the shedding that kept it in.
 func (b *Balancer) ruledOut(r *request, list []*server) []bool {
 	out := make([]bool, len(list))
 	var sick []int
@@ -698,11 +699,7 @@
 		}
 	}
 	slices.SortStableFunc(sick, func(i, j int) int { return list[j].streak - list[i].streak })
-	shed := r.class.pool.shed
-	most := int(mostOut * (1 - shed) * float64(len(list)))
-	if shed < mostOut {
-		most = max(most, 1)
-	}
+	most := max(int(mostOut*(1-r.class.pool.shed)*float64(len(list))), 1)
 	for _, i := range sick[:min(len(sick), most)] {
 		out[i] = true
 	}
