Do not eject a server for one error that may come from below

The rule compared a run of bad endings with the peers' share of them, about 2%, and took what is less likely than 8% for ill health: a single error was enough, where hundreds of calls a second must see some, most of them passed on from the tiers below.

Ruled out: one error rate in common at the four (errors 2 to 5% of answers, each server serving between them).

--- a/policy.go
+++ b/policy.go
@@ -20,7 +20,8 @@
 	alpha       = 0.5   // share of the list in the left group
 	memory      = 0.06  // weight of a new sample in pooled averages (about 16 samples)
 	ownMemory   = 0.25  // weight of a new sample in a single server's averages
-	chance      = 0.08  // a run of errors likelier than this by the peers' error share is luck
+	chance      = 0.08  // a run of time-outs likelier than this by the peers' share of bad endings is luck
+	errorChance = 0.001 // the same for a run that ends in an error or a reset, which says less of the server
 	tailSpread  = 3.0   // deviations above the mean at which a wait counts as overlong
 	copySpread  = 4.0   // the same for a second copy, which costs a server's work
 	trySpread   = 5.0   // the same for an attempt that is given up for another one
@@ -465,8 +466,7 @@
 	return left
 }
 
-// longest is the wait for an answer that most of a class's answers stay well under, the more the larger the
-// spread.
+// longest is a wait that most of a class's answers stay well under, the more the larger the spread.
 func (c *class) longest(spread float64) time.Duration {
 	return time.Duration(c.mean + spread*c.dev)
 }
@@ -793,9 +793,13 @@
 	case Failure, Broken, TimedOut:
 		s.streak++
 		s.goods = 0
-		// Errors that strike everywhere come from the tier below; ejecting on them would leave
-		// nobody. A run counts only if the peers' error share makes it unlikely.
-		if b.now >= s.until && math.Pow(b.errors, float64(s.streak)) < chance {
+		// Errors that strike everywhere come from the tier below; ejecting on them would leave nobody. A
+		// run counts only if the peers' share makes it unlikely, and by the hundredth call one error is not.
+		luck := errorChance
+		if e.Ending == TimedOut {
+			luck = chance
+		}
+		if b.now >= s.until && math.Pow(b.errors, float64(s.streak)) < luck {
 			s.until = b.now + time.Duration(ejection*c.mean)<<s.level // doubles while trials fail
 			s.level = min(s.level+1, maxLevel)
 		}
--- a/policy_test.go
+++ b/policy_test.go
@@ -199,6 +199,30 @@
 }
 
 // In a list so short that its share rounds to nothing, one bad server can still be left out.
+// In a chain a stray error is mostly passed on from below: ejecting the server for it takes a sound one's
+// capacity away. Some in a row while its peers serve, or a time-out, tell of the server.
+func TestOneErrorDoesNotEject(t *testing.T) {
+	for _, tc := range []struct {
+		endings []Ending
+		ejected bool
+	}{{[]Ending{Failure}, false}, {[]Ending{Broken}, false}, {[]Ending{Failure, Success, Failure}, false},
+		{[]Ending{Failure, Failure, Failure}, true}, {[]Ending{TimedOut}, true}} {
+		b := newBalancer(t, nil)
+		b.Handle(0, ServerList{Full: true, Servers: servers(4)})
+		b.now = 20 * msec // what each call takes
+		s, r := b.pools[0].ready[0], &request{class: b.classes["get"]}
+		for _, e := range tc.endings {
+			for i := range 9 {
+				b.judge(&attempt{req: r, srv: b.pools[0].ready[1+i%3]}, Outcome{Ending: Success})
+			}
+			b.judge(&attempt{req: r, srv: s}, Outcome{Ending: e})
+		}
+		if got := s.until > b.now; got != tc.ejected {
+			t.Errorf("after endings %v: ejected %v, want %v", tc.endings, got, tc.ejected)
+		}
+	}
+}
+
 func TestOneOfFourIsEjected(t *testing.T) {
 	b := newBalancer(t, nil)
 	b.Handle(0, ServerList{Full: true, Servers: servers(4)})
