--- a/internal/node/callers_test.go
+++ b/internal/node/callers_test.go
@@ -136,7 +136,7 @@
 	})
 	begin := time.Now()
 	status, header, _ := do(t, newRequest(t, startWith(t, full).url, "unsafe", "1", "x"))
-	if status != http.StatusServiceUnavailable || header.Get("Retry-After") != "0.002" {
+	if status != http.StatusServiceUnavailable || header.Get("Retry-After") != "1.2" {
 		t.Errorf("refused with %d, Retry-After %q", status, header.Get("Retry-After"))
 	}
 	status, header, _ = do(t, newRequest(t, startWith(t, broken).url, "unsafe", "1", "x"))
--- a/policy.go
+++ b/policy.go
@@ -26,6 +26,7 @@
 	trySpread   = 5.0   // the same for an attempt that is given up for another one
 	copyAim     = 0.4   // part of the aim before which no second copy goes
 	copyFill    = 0.5   // part of the window above which no second copies are sent
+	comeBack    = 10    // part of the aim after which a refused client should ask again
 	spareShed   = 0.02  // share answered without an attempt above which there is no room to spare
 	minSamples  = 3     // good endings in a row that end a trial
 	mostOut     = 0.2   // share of the list that health may exclude; beyond that all are drawn
@@ -981,9 +982,9 @@
 		r.class.pool.shed += memory / 4 * (1 - r.class.pool.shed)
 	}
 	if harmless {
-		// A client sent away for long comes back when its aim is mostly over, and its late answer
-		// takes the room of one in time; the window, not the clients' absence, holds the load off.
-		b.do(Refuse{ID: r.id, RetryAfter: min(b.set.MaxRetryAfter, b.set.Tick)})
+		// A client sent away for long comes back when its aim is mostly over, and its late answer takes the
+		// room of one in time. One that comes back at once finds the same crowd and burns its few tries.
+		b.do(Refuse{ID: r.id, RetryAfter: min(b.set.MaxRetryAfter, r.class.Aim/comeBack)})
 	} else {
 		b.do(Fail{ID: r.id})
 	}
--- a/policy_test.go
+++ b/policy_test.go
@@ -724,7 +724,8 @@
 	}
 }
 
-// A refused client is not sent away for long: it would come back when its aim is mostly over.
+// A refused client is not sent away for long, or it would come back when its aim is mostly over, nor for no
+// time, or it would use up its tries on the crowd that it was refused for.
 func TestRefusalsBringClientsBackSoon(t *testing.T) {
 	b := newBalancer(t, nil)
 	b.Handle(msec, ServerList{Full: true, Servers: servers(2)})
@@ -733,8 +734,8 @@
 	b.Handle(2*msec, r)
 	for _, a := range b.Handle(600*msec, Timer{Token: "r:a"}) {
 		if f, ok := a.(Refuse); ok {
-			if limit := b.set.Classes[0].Aim / 10; f.RetryAfter > limit {
-				t.Errorf("RetryAfter %v, want at most %v", f.RetryAfter, limit)
+			if limit := b.set.Classes[0].Aim / 10; f.RetryAfter > limit || f.RetryAfter < limit/2 {
+				t.Errorf("RetryAfter %v, want at most %v and at least half of that", f.RetryAfter, limit)
 			}
 			return
 		}
