Follow a moved discovery in one call, so that all nodes do not swamp it

Discovery works through its calls in turn, about 240 ms each, and drops what waits over two seconds; on a move every one of 23 nodes fetched the whole list and then opened a watch, and each failure brought the next call. A node that got no list went on with servers that were gone and did not know the new ones: after its restart one refused 375 of 453 requests. After a move a node now opens one watch from version 0, which brings all changes or the whole list, however the new address counts. After a line of no use it still fetches the list.

Ruled out: the old address closing early (the watch ends by the move itself) and the module's waits between calls, unchanged.

--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -133,7 +133,9 @@
 		moved := last != "" && addr != last
 		last = addr
 		if moved {
-			d.lost, wait = true, retryMin // another address may count its versions in its own way
+			// Another address may count its versions in its own way: all of its changes are asked for. The whole
+			// list as a call of its own would double the queue at a service that all nodes move to at once.
+			d.seq, wait = 0, retryMin
 		}
 		if d.asked && !moved {
 			select {
