Let a full server's room grow with its answers

Printed at bad endings: one of four front servers held 57 calls, all of which ran out of time. A refusal limits a server to the own calls it had, for about twelve mean latencies, 13 s and more at the front; the servers that had not refused took all the rest and choked. A server that answers with all the calls that it had room for now gets room for one more; one that refuses again is limited again.

Ruled out: health that misses a slow server, the first guess. It was ejected at its first time-out, when the calls were already there.

--- a/policy.go
+++ b/policy.go
@@ -774,6 +774,9 @@
 		w := max(memory, 1/c.samples)
 		c.dev += w * (math.Abs(took-c.mean) - c.dev)
 		c.mean += w * (took - c.mean)
+		if s.calls+1 >= s.room { // it answers with all that it had room for: its queue has moved on
+			s.room++
+		}
 		s.streak, s.refusals = 0, 0
 		b.errors = max(0.01, b.errors-memory*b.errors)
 		if s.goods++; s.goods >= minSamples && s.level > 0 {
--- a/policy_test.go
+++ b/policy_test.go
@@ -560,6 +560,31 @@
 	}
 }
 
+// A refusal tells of a queue at one moment. A server that goes on answering with all the calls that it then had
+// must be given more again, or those that never refused take all the load.
+func TestRoomGrowsWithAnswers(t *testing.T) {
+	b := newBalancer(t, nil)
+	b.Handle(0, ServerList{Full: true, Servers: servers(4)})
+	b.now = 20 * msec
+	s, r := b.pools[0].ready[0], &request{class: b.classes["get"]}
+	s.calls = 2
+	b.judge(&attempt{req: r, srv: s}, Outcome{Ending: Overloaded})
+	if b.roomy(s) != 2 {
+		t.Fatalf("room for %d calls after a refusal at 2", b.roomy(s))
+	}
+	s.calls = 0 // both are answered, the second with the server idle but for it
+	b.judge(&attempt{req: r, srv: s}, Outcome{Ending: Success})
+	if b.roomy(s) != 2 {
+		t.Errorf("room for %d calls after an answer below the room, want 2", b.roomy(s))
+	}
+	for s.calls = 1; s.calls < 4; s.calls++ {
+		b.judge(&attempt{req: r, srv: s}, Outcome{Ending: Success})
+	}
+	if got := b.roomy(s); got != 5 {
+		t.Errorf("room for %d calls after three answers at the room, want 5", got)
+	}
+}
+
 func TestSettingsErrorsNameTheField(t *testing.T) {
 	for want, change := range map[string]func(*Settings){
 		"Classes is empty":  func(s *Settings) { s.Classes = nil },
