--- a/check.sh
+++ b/check.sh
@@ -19,6 +19,6 @@
 # Without a configuration the node says so in one line and exits 1; the tests start it with one.
 status=0
 said=$(ROUTER_CONFIG= sh -c "$run" 2>&1) || status=$?
-[ "$status" = 1 ] && [ "$(printf '%s\n' "$said" | grep -c '^quaywick: ')" = 1 ] ||
+[ "$status" = 1 ] && [ "$(printf '%s\n' "$said" | grep -c '^hookwalk: ')" = 1 ] ||
     { echo "deploy: the node without a configuration exited $status: $said" >&2; exit 1; }
 go test -race -count=1 ./...
--- a/cmd/quaywick/main.go
+++ b/cmd/hookwalk/main.go
@@ -1,4 +1,4 @@
-// Command quaywick is one load-balancer node: it takes requests, lets package deckrelay decide where
+// Command hookwalk is one load-balancer node: it takes requests, lets package deckrelay decide where
 // they go, and answers them. ROUTER_CONFIG names its configuration file.
 package main
 
@@ -22,7 +22,7 @@
 	hangups := make(chan os.Signal, 1)
 	signal.Notify(hangups, syscall.SIGHUP)
 	if err := run(hangups); err != nil {
-		fmt.Fprintf(os.Stderr, "quaywick: %v\n", err)
+		fmt.Fprintf(os.Stderr, "hookwalk: %v\n", err)
 		os.Exit(1)
 	}
 }
--- a/cmd/quaywick/main_test.go
+++ b/cmd/hookwalk/main_test.go
@@ -16,7 +16,7 @@
 
 // TestMain lets the test binary stand in for the program.
 func TestMain(m *testing.M) {
-	if os.Getenv("QUAYWICK_AS_PROGRAM") != "" {
+	if os.Getenv("HOOKWALK_AS_PROGRAM") != "" {
 		main()
 		os.Exit(0)
 	}
@@ -30,7 +30,7 @@
 		t.Fatal(err)
 	}
 	c := exec.Command(os.Args[0])
-	c.Env = append(os.Environ(), "QUAYWICK_AS_PROGRAM=1", "ROUTER_CONFIG="+path)
+	c.Env = append(os.Environ(), "HOOKWALK_AS_PROGRAM=1", "ROUTER_CONFIG="+path)
 	return c
 }
 
@@ -173,7 +173,7 @@
 			if exit, ok := err.(*exec.ExitError); !ok || exit.ExitCode() != 1 {
 				t.Errorf("ended with %v, want exit 1", err)
 			}
-			if lines := strings.Count(stderr.String(), "\n"); lines != 1 || !strings.HasPrefix(stderr.String(), "quaywick: ") {
+			if lines := strings.Count(stderr.String(), "\n"); lines != 1 || !strings.HasPrefix(stderr.String(), "hookwalk: ") {
 				t.Errorf("said %q, want one line", stderr.String())
 			}
 		})
