--- a/cmd/hookwalk/main.go
+++ b/cmd/hookwalk/main.go
@@ -1,10 +1,14 @@
 // Command hookwalk is one load-balancer node: it takes requests, lets package deckrelay decide where
-// they go, and answers them. ROUTER_CONFIG names its configuration file.
+// they go, and answers them. ROUTER_CONFIG names its configuration file. Subcommands start a drill at a
+// running node.
 package main
 
 import (
 	"context"
+	"errors"
+	"flag"
 	"fmt"
+	"io"
 	"log/slog"
 	"math"
 	"os"
@@ -15,24 +19,85 @@
 	"syscall"
 
 	"deckrelay/internal/node"
+	"deckrelay/internal/settings"
+)
+
+const usage = `Usage:
+  hookwalk [--settings FILE]    run a node; ROUTER_CONFIG names its configuration, FILE switches features on
+  hookwalk drill start --file FILE [--name NAME] [--addr HOST:PORT]
+                                start a drill of the settings file FILE at a running node (ROUTER_LISTEN)
+`
+
+// Exit codes.
+const (
+	exitFailed = 1
+	exitUsage  = 2
 )
 
 func main() {
+	args := os.Args[1:]
+	if len(args) > 0 && args[0] == "drill" {
+		os.Exit(drill(args[1:], os.Stdout, os.Stderr))
+	}
+	os.Exit(serve(args))
+}
+
+// newFlags are the flags of a command; with wrong ones it says what is wrong and how it is used.
+func newFlags(stderr io.Writer) *flag.FlagSet {
+	flags := flag.NewFlagSet("hookwalk", flag.ContinueOnError)
+	flags.SetOutput(stderr)
+	flags.Usage = func() { io.WriteString(stderr, usage) }
+	return flags
+}
+
+// parse reads a command's flags, which are all that it takes. If done, the command ends with this code.
+func parse(flags *flag.FlagSet, args []string) (code int, done bool) {
+	switch err := flags.Parse(args); {
+	case errors.Is(err, flag.ErrHelp):
+		return 0, true
+	case err != nil:
+		return exitUsage, true
+	case flags.NArg() > 0:
+		fmt.Fprintf(flags.Output(), "hookwalk: unexpected argument %q\n", flags.Arg(0))
+		flags.Usage()
+		return exitUsage, true
+	}
+	return 0, false
+}
+
+// failed says in one line why a command could not do its work.
+func failed(stderr io.Writer, err error) (code int) {
+	fmt.Fprintf(stderr, "hookwalk: %v\n", err)
+	return exitFailed
+}
+
+// serve is the node.
+func serve(args []string) (code int) {
 	// Uncaught, SIGHUP ends a process: it is caught before anything that takes time.
 	hangups := make(chan os.Signal, 1)
 	signal.Notify(hangups, syscall.SIGHUP)
-	if err := run(hangups); err != nil {
-		fmt.Fprintf(os.Stderr, "hookwalk: %v\n", err)
-		os.Exit(1)
+	flags := newFlags(os.Stderr)
+	file := flags.String("settings", "", "")
+	if code, done := parse(flags, args); done {
+		return code
+	}
+	if err := run(hangups, *file); err != nil {
+		return failed(os.Stderr, err)
 	}
+	return 0
 }
 
-func run(hangups <-chan os.Signal) error {
+func run(hangups <-chan os.Signal, file string) error {
 	path := os.Getenv("ROUTER_CONFIG")
 	cfg, err := node.LoadConfig(path)
 	if err != nil {
 		return err
 	}
+	if file != "" {
+		if cfg.Features, err = settings.Load(file); err != nil {
+			return err
+		}
+	}
 	if cfg.MemoryMB > 0 {
 		debug.SetMemoryLimit(int64(cfg.MemoryMB) << 20 * 3 / 4) // the rest is for stacks of the kernel and sockets
 	}
--- a/cmd/hookwalk/main_test.go
+++ b/cmd/hookwalk/main_test.go
@@ -23,13 +23,31 @@
 	os.Exit(m.Run())
 }
 
-func program(t *testing.T, config string) *exec.Cmd {
+// written is a file that holds a text.
+func written(t *testing.T, name, text string) (path string) {
 	t.Helper()
-	path := filepath.Join(t.TempDir(), "config.json")
-	if err := os.WriteFile(path, []byte(config), 0o600); err != nil {
+	path = filepath.Join(t.TempDir(), name)
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	c := exec.Command(os.Args[0])
+	return path
+}
+
+// ends runs a program to its end and returns its exit code and what it said.
+func ends(t *testing.T, c *exec.Cmd) (code int, stdout, stderr string) {
+	t.Helper()
+	var out, errs strings.Builder
+	c.Stdout, c.Stderr = &out, &errs
+	if err := c.Run(); err != nil && c.ProcessState == nil {
+		t.Fatal(err)
+	}
+	return c.ProcessState.ExitCode(), out.String(), errs.String()
+}
+
+func program(t *testing.T, config string, args ...string) *exec.Cmd {
+	t.Helper()
+	path := written(t, "config.json", config)
+	c := exec.Command(os.Args[0], args...)
 	c.Env = append(os.Environ(), "HOOKWALK_AS_PROGRAM=1", "ROUTER_CONFIG="+path)
 	return c
 }
@@ -155,6 +173,88 @@
 	terminate(t, c, lines)
 }
 
+// endsInOneLine wants exit 1 and one line that says a text.
+func endsInOneLine(t *testing.T, c *exec.Cmd, want string) {
+	t.Helper()
+	code, _, said := ends(t, c)
+	if code != 1 || strings.Count(said, "\n") != 1 || !strings.HasPrefix(said, "hookwalk: ") || !strings.Contains(said, want) {
+		t.Errorf("exit %d, said %q, want exit 1 and one line with %q", code, said, want)
+	}
+}
+
+func TestBadSettings(t *testing.T) {
+	for text, want := range map[string]string{
+		"\nfire {}":                         ":2: unknown block fire",
+		`drill "a" { class = 3 }`:           ":1: class must be a string",
+		"\n\ndrill \"a\" { class = \"b\" }": `:3: drill a: class "b" is not one of the node's classes`,
+	} {
+		path := written(t, "hookwalk.hcl", text)
+		endsInOneLine(t, program(t, fmt.Sprintf(config, "127.0.0.1:1"), "--settings", path), path+want)
+	}
+	endsInOneLine(t, program(t, fmt.Sprintf(config, "127.0.0.1:1"), "--settings", "/nowhere.hcl"), "/nowhere.hcl")
+}
+
+func TestUsage(t *testing.T) {
+	for args, want := range map[string]int{
+		"start": 2, "drill": 2, "drill stop": 2, "drill start": 2, "drill start --file": 2, "--fast": 2,
+		"drill start --file x --addr a:1 more": 2, "-h": 0, "drill -h": 0, "drill start -h": 0,
+	} {
+		c := program(t, "", strings.Fields(args)...)
+		c.Env = append(c.Env, "ROUTER_LISTEN=")
+		if code, _, said := ends(t, c); code != want || !strings.Contains(said, "Usage:\n") {
+			t.Errorf("%s: exit %d, said %q, want exit %d and the usage", args, code, said, want)
+		}
+	}
+}
+
+// The drill command, against the program itself: it starts the drill of its file and says why it can't.
+func TestDrillCommand(t *testing.T) {
+	const drills = `drill "away" { class = "a" secret = "crush-pad-7" share = 100 abort_status = 500 }
+drill "locked" { class = "a" }`
+	agent, _ := watchable(t)
+	file := written(t, "hookwalk.hcl", drills)
+	c := program(t, fmt.Sprintf(config, agent), "--settings", file)
+	lines, url := serving(t, c)
+	addr := strings.TrimPrefix(url, "http://")
+	command := func(args ...string) *exec.Cmd {
+		c := program(t, "", append([]string{"drill", "start"}, args...)...)
+		c.Env = append(c.Env, "ROUTER_LISTEN="+addr)
+		return c
+	}
+	endsInOneLine(t, command("--file", file), "several drills")
+	endsInOneLine(t, command("--file", file, "--name", "locked"), "drill locked has no secret")
+	endsInOneLine(t, command("--file", file, "--name", "other"), "no drill other")
+	endsInOneLine(t, command("--file", written(t, "empty.hcl", "")), "no drill")
+	endsInOneLine(t, command("--file", file, "--name", "away", "--addr", "127.0.0.1:1"), "drill away: ")
+	wrong := written(t, "wrong.hcl", strings.Replace(drills, "pad-7", "pad-8", 1))
+	endsInOneLine(t, command("--file", wrong, "--name", "away"), "403 Forbidden")
+	code, said, _ := ends(t, command("--file", file, "--name", "away"))
+	if code != 0 || said != "drill=away started\n" {
+		t.Errorf("exit %d, said %q", code, said)
+	}
+	r, err := http.NewRequest(http.MethodPost, url+"/api", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for name, value := range map[string]string{"X-Call-Id": "id-1", "X-Call-Class": "a", "X-Budget": "900m"} {
+		r.Header.Set(name, value)
+	}
+	resp, err := http.DefaultClient.Do(r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	resp.Body.Close()
+	if resp.StatusCode != http.StatusInternalServerError {
+		t.Errorf("answered %d, want the drill's 500", resp.StatusCode)
+	}
+	for lines.Scan() && !strings.Contains(lines.Text(), "id=id-1") {
+	}
+	if !strings.Contains(lines.Text(), " drill=away") {
+		t.Errorf("said %q", lines.Text())
+	}
+	terminate(t, c, lines)
+}
+
 func TestBadConfiguration(t *testing.T) {
 	for name, text := range map[string]string{
 		"empty":       "",
@@ -166,16 +266,7 @@
 		"bad limits":  strings.Replace(fmt.Sprintf(config, "127.0.0.1:1"), `"sockets":1024`, `"sockets":-1`, 1),
 	} {
 		t.Run(name, func(t *testing.T) {
-			var stderr strings.Builder
-			c := program(t, text)
-			c.Stderr = &stderr
-			err := c.Run()
-			if exit, ok := err.(*exec.ExitError); !ok || exit.ExitCode() != 1 {
-				t.Errorf("ended with %v, want exit 1", err)
-			}
-			if lines := strings.Count(stderr.String(), "\n"); lines != 1 || !strings.HasPrefix(stderr.String(), "hookwalk: ") {
-				t.Errorf("said %q, want one line", stderr.String())
-			}
+			endsInOneLine(t, program(t, text), "")
 		})
 	}
 }
--- a/internal/node/callers.go
+++ b/internal/node/callers.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"deckrelay"
+	"deckrelay/internal/drills"
 )
 
 const (
@@ -29,7 +30,9 @@
 	effects  map[string]deckrelay.Effect // of the classes, by name
 	arrivals chan<- *call
 	gone     chan<- *call
+	starts   chan<- string // of drills, by name
 	stopped  <-chan struct{}
+	drills   *drills.Keys
 	ready    func() bool
 	closing  func() bool          // every answer ends its connection
 	cutoff   func() time.Duration // the clock time by which the node answers all, once it is told to stop; else 0
@@ -44,6 +47,10 @@
 		w.WriteHeader(status)
 		return
 	}
+	if h.drills.Asked(r) {
+		h.startDrill(w, r)
+		return
+	}
 	c, status, err := h.read(w, r)
 	if err != nil {
 		w.Header().Set("Connection", "close") // the body may not have been read to its end
@@ -66,6 +73,28 @@
 	}
 }
 
+// startDrill starts the drill whose key a request has.
+func (h *callers) startDrill(w http.ResponseWriter, r *http.Request) {
+	if r.ContentLength != 0 || h.closing() {
+		w.Header().Set("Connection", "close") // a body is not read, and what comes of it is not waited for
+		http.NewResponseController(w).SetReadDeadline(time.Now().Add(bodyTime))
+	}
+	name, err := h.drills.Match(r.Header)
+	switch {
+	case errors.Is(err, drills.ErrNone):
+		http.Error(w, err.Error(), http.StatusNotFound)
+		return
+	case err != nil:
+		http.Error(w, err.Error(), http.StatusForbidden)
+		return
+	}
+	select {
+	case h.starts <- name:
+		fmt.Fprintf(w, "drill=%s started\n", name)
+	case <-h.stopped:
+	}
+}
+
 // single are the headers that say what a request is: of one that comes twice, the node and a server could
 // each believe another.
 var single = []string{"X-Call-Id", "X-Call-Class", "X-Budget", "X-Route-Hash", "X-Caller", "X-Again",
@@ -169,9 +198,9 @@
 	return time.Duration(v), nil
 }
 
-// hopByHop are the headers that concern one connection, or that the node sets anew.
+// hopByHop are the headers that concern one connection, that the node sets anew, or that are for it alone.
 var hopByHop = []string{"Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding",
-	"Upgrade", "Expect", "X-Budget"}
+	"Upgrade", "Expect", "X-Budget", drills.Header}
 
 func forwardable(h http.Header) http.Header {
 	out := h.Clone()
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -6,10 +6,12 @@
 	"fmt"
 	"net"
 	"os"
+	"slices"
 	"strconv"
 	"time"
 
 	"deckrelay"
+	"deckrelay/internal/settings"
 	"deckrelay/internal/wire"
 )
 
@@ -24,6 +26,7 @@
 	Sockets   int
 	Known     roster // the servers as this node last had them
 	Settings  deckrelay.Settings
+	Features  settings.File // what the project's own settings file switches on
 
 	connectTimeout time.Duration // a connection not up by then is given up
 	connIdle       time.Duration // a server closes a connection idle for this long
@@ -100,4 +103,17 @@
 	return c, nil
 }
 
+// moduleSettings are the platform's settings with what the features have the module decide.
+func (c Config) moduleSettings() (deckrelay.Settings, error) {
+	set := c.Settings
+	for _, d := range c.Features.Drills {
+		if !slices.ContainsFunc(set.Classes, func(k deckrelay.Class) bool { return k.Name == d.Class }) {
+			return set, fmt.Errorf("%s: drill %s: class %q is not one of the node's classes", d.Pos, d.Name, d.Class)
+		}
+		set.Drills = append(set.Drills, deckrelay.Drill{Name: d.Name, Class: d.Class, Share: d.Share,
+			Delay: d.Delay, AbortStatus: d.AbortStatus, Duration: d.Duration})
+	}
+	return set, nil
+}
+
 func millis(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
--- /dev/null
+++ b/internal/node/drills_test.go
@@ -0,0 +1,256 @@
+package node
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"deckrelay/internal/drills"
+	"deckrelay/internal/settings"
+)
+
+// logText is what a node logs.
+type logText struct {
+	mu   sync.Mutex
+	text bytes.Buffer
+}
+
+func (l *logText) Write(b []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.text.Write(b)
+}
+
+func (l *logText) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.text.String()
+}
+
+// lines are the lines that contain a text.
+func (l *logText) lines(with string) (found []string) {
+	for line := range strings.Lines(l.String()) {
+		if strings.Contains(line, with) {
+			found = append(found, line)
+		}
+	}
+	return found
+}
+
+// startLogged runs a node with features switched on, before the backends.
+func startLogged(t *testing.T, features settings.File, backends ...*backend) (*running, *logText) {
+	t.Helper()
+	cfg, out := configWith(t, backends...), &logText{}
+	cfg.Features = features
+	return start(t, cfg, func(n *Node) {
+		n.log = slog.New(slog.NewTextHandler(out, nil))
+		n.loop.log = n.log
+	}), out
+}
+
+const secret = "crush-pad-7"
+
+func stall(change func(*settings.Drill)) settings.File {
+	d := settings.Drill{Name: "stall", Secret: secret, Class: "unsafe", Share: 100, Duration: 10 * time.Minute}
+	change(&d)
+	return settings.File{Drills: []settings.Drill{d}}
+}
+
+// startDrill posts to /drills with some keys.
+func startDrill(t *testing.T, url string, keys ...string) int {
+	t.Helper()
+	r, err := http.NewRequest(http.MethodPost, url+drills.Path, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, k := range keys {
+		r.Header.Add(drills.Header, k)
+	}
+	status, _, _ := do(t, r)
+	return status
+}
+
+// The operators' check: of 1,000 requests about 10% carry the mark, and each of them is answered.
+func TestATenthIsDrilled(t *testing.T) {
+	n, out := startLogged(t, stall(func(d *settings.Drill) { d.Share, d.Delay = 10, 20*time.Millisecond }), newBackend(t, ok))
+	if status := startDrill(t, n.url, secret); status != http.StatusOK {
+		t.Fatalf("started with %d", status)
+	}
+	var wg sync.WaitGroup
+	for caller := range 10 {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			for i := range 100 {
+				r := newRequest(t, n.url, "unsafe", fmt.Sprintf("%d-%d", caller, i), "x")
+				resp, err := http.DefaultClient.Do(r)
+				if err != nil {
+					t.Errorf("not answered: %v", err)
+					return
+				}
+				io.Copy(io.Discard, resp.Body)
+				resp.Body.Close()
+				if resp.StatusCode != http.StatusOK {
+					t.Errorf("answered %d", resp.StatusCode)
+				}
+			}
+		}()
+	}
+	wg.Wait()
+	marked := out.lines("msg=drilled")
+	if len(marked) < 70 || len(marked) > 130 {
+		t.Errorf("%d of 1000 were drilled, want about 100", len(marked))
+	}
+	for _, line := range marked {
+		if !strings.HasSuffix(line, " drill=stall\n") || !strings.Contains(line, " class=unsafe ") {
+			t.Errorf("said %q", line)
+		}
+	}
+	n.stop()
+	<-n.done
+	if want := fmt.Sprintf("hookwalk.drill.applied=%d ", len(marked)); len(out.lines(want)) == 0 {
+		// the counts of a slow run may lie in two lines
+		if len(out.lines("hookwalk.drill.applied=")) < 2 {
+			t.Errorf("want %q in %v", want, out.lines("msg=counts"))
+		}
+	}
+	if strings.Contains(out.String(), secret) {
+		t.Error("the secret is in the log")
+	}
+}
+
+func TestWhoMayStartADrill(t *testing.T) {
+	b := newBackend(t, ok)
+	none := startWith(t, b)
+	if status := startDrill(t, none.url, secret); status != http.StatusNotFound {
+		t.Errorf("without drills: %d", status)
+	}
+	if status := startDrill(t, none.url); status != http.StatusBadRequest {
+		t.Errorf("without drills and a key it is any request without an id, and got %d", status)
+	}
+	locked, _ := startLogged(t, stall(func(d *settings.Drill) { d.Secret = "" }), b)
+	for _, keys := range [][]string{nil, {""}, {secret}} {
+		if status := startDrill(t, locked.url, keys...); status != http.StatusNotFound {
+			t.Errorf("without a secret, keys %q: %d", keys, status)
+		}
+	}
+	n, out := startLogged(t, stall(func(*settings.Drill) {}), b)
+	for _, keys := range [][]string{nil, {""}, {"crush-pad-"}, {secret + "7"}, {secret, secret}} {
+		if status := startDrill(t, n.url, keys...); status != http.StatusForbidden {
+			t.Errorf("keys %q: %d", keys, status)
+		}
+	}
+	if len(out.lines("drill started")) != 0 {
+		t.Error("a wrong key started it")
+	}
+	for range 2 {
+		if status := startDrill(t, n.url, secret); status != http.StatusOK {
+			t.Errorf("the key: %d", status)
+		}
+	}
+	if got := out.lines(`msg="drill started" drill=stall`); len(got) != 2 {
+		t.Errorf("said %q", got)
+	}
+	if b.requests() != 0 {
+		t.Error("a start went to a server")
+	}
+}
+
+func TestAbortedRequestsReachNoServer(t *testing.T) {
+	for status, advice := range map[int]string{503: "1.2", 500: ""} {
+		b := newBackend(t, ok)
+		n, out := startLogged(t, stall(func(d *settings.Drill) { d.AbortStatus, d.Delay = status, time.Hour }), b)
+		startDrill(t, n.url, secret)
+		got, header, _ := do(t, newRequest(t, n.url, "unsafe", "1", "x"))
+		if got != status || header.Get("Retry-After") != advice || b.requests() != 0 {
+			t.Errorf("answered %d, Retry-After %q, %d attempts", got, header.Get("Retry-After"), b.requests())
+		}
+		if len(out.lines("id=1 class=unsafe drill=stall")) != 1 {
+			t.Errorf("said %s", out)
+		}
+		if got, _, _ := do(t, newRequest(t, n.url, "keyed", "2", "x")); got != http.StatusOK {
+			t.Errorf("another class was answered %d", got)
+		}
+	}
+}
+
+// Clients and the end of the node find a delayed request like any other: the one that left is forgotten, the
+// others are served at once.
+func TestDelayedRequestsOnTheWayOut(t *testing.T) {
+	b := newBackend(t, ok)
+	n, out := startLogged(t, stall(func(d *settings.Drill) { d.Delay = time.Hour }), b)
+	startDrill(t, n.url, secret)
+	ctx, leave := context.WithCancel(context.Background())
+	left := make(chan struct{})
+	go func() {
+		defer close(left)
+		http.DefaultClient.Do(newRequest(t, n.url, "unsafe", "leaves", "x").WithContext(ctx))
+	}()
+	eventually(t, "it is delayed", func() bool { return len(out.lines("id=leaves")) == 1 })
+	leave()
+	<-left
+	eventually(t, "its id is free", func() bool { // 409 as long as it is not
+		ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+		defer cancel()
+		_, err := http.DefaultClient.Do(newRequest(t, n.url, "unsafe", "leaves", "x").WithContext(ctx))
+		return err != nil && len(out.lines("id=leaves")) == 2
+	})
+	held := make(chan int, 1)
+	go func() {
+		status, _, _ := do(t, newRequest(t, n.url, "unsafe", "held", "x"))
+		held <- status
+	}()
+	eventually(t, "it is delayed", func() bool { return len(out.lines("id=held")) == 1 })
+	if b.requests() != 0 {
+		t.Error("a delayed request was sent")
+	}
+	n.stop()
+	if status := <-held; status != http.StatusOK {
+		t.Errorf("when the node left it was answered %d", status)
+	}
+	if err := <-n.done; err != nil {
+		t.Errorf("ended with %v", err)
+	}
+}
+
+func TestDrillKeyGoesToNoServer(t *testing.T) {
+	b := newBackend(t, ok)
+	n := startWith(t, b)
+	r := newRequest(t, n.url, "unsafe", "1", "x")
+	r.Header.Set(drills.Header, secret)
+	if status, _, _ := do(t, r); status != http.StatusOK || b.seen[0].Header.Get(drills.Header) != "" {
+		t.Errorf("answered %d, the server got %v", status, b.seen[0].Header)
+	}
+}
+
+func TestDrillOfAnUnknownClass(t *testing.T) {
+	cfg := testConfig(t, "pushed")
+	cfg.Features = stall(func(d *settings.Drill) { d.Class, d.Pos = "new", "a.hcl:3" })
+	if _, err := New(cfg, quiet()); err == nil || !strings.Contains(err.Error(), `a.hcl:3: drill stall: class "new"`) {
+		t.Errorf("said %v", err)
+	}
+}
+
+// A start that brings a body, or half of one, is answered and holds nothing up.
+func TestStartWithABody(t *testing.T) {
+	n, _ := startLogged(t, stall(func(*settings.Drill) {}), newBackend(t, ok))
+	c, err := net.Dial("tcp", strings.TrimPrefix(n.url, "http://"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	fmt.Fprintf(c, "POST /drills HTTP/1.1\r\nHost: n\r\nX-Drill-Key: %s\r\nContent-Length: 1000\r\n\r\nhalf", secret)
+	c.SetDeadline(time.Now().Add(20 * time.Second))
+	got, err := io.ReadAll(c)
+	if err != nil || !strings.HasPrefix(string(got), "HTTP/1.1 200 ") {
+		t.Errorf("answered %q, %v", got, err)
+	}
+}
--- a/internal/node/fakes_test.go
+++ b/internal/node/fakes_test.go
@@ -16,7 +16,7 @@
 	"time"
 )
 
-const settings = `{"balancers":1,"me":0,"tier":0,"registry-mode":%q,"tick-ms":2,"zone":"z",
+const platformSettings = `{"balancers":1,"me":0,"tier":0,"registry-mode":%q,"tick-ms":2,"zone":"z",
  "blend":{"whole":0.55,"worst-class":0.3},"callers":{"marks-retry":true},
  "limits":{"conn-idle-ms":30000,"connect-timeout-ms":2000,"max-attempts":6,"max-retry-after-ms":1200,"retry-after":true},
  "rules":{"ask-within-ms":1000,"cold-from":0.12,"fall-multiple":3,"warm-after-ms":20000},
@@ -31,7 +31,7 @@
 	}
 	c, err := parseConfig(fmt.Appendf(nil, `{"name":"n0","listen":"127.0.0.1:0","discovery":"127.0.0.1:1",
 	 "seed":"8c1f30d27a5be964","limits":{"cores":1,"memory_mb":192,"sockets":1024},"known":%s,"settings":%s}`,
-		k, fmt.Sprintf(settings, mode)))
+		k, fmt.Sprintf(platformSettings, mode)))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -42,6 +42,7 @@
 
 	attempts int
 	out      int
+	drill    string // the drill that it is part of
 }
 
 // answer is the final answer to a call.
@@ -84,6 +85,8 @@
 	arrivals chan *call
 	gone     chan *call
 	results  chan result
+	starts   chan string   // drills to start
+	leaving  chan struct{} // closed when a node with drills begins to leave
 	stop     chan struct{}
 
 	calls   map[string]*call
@@ -96,7 +99,7 @@
 func newLoop(ck clock, log *slog.Logger, bal *deckrelay.Balancer) *loop {
 	return &loop{clock: ck, log: log, bal: bal,
 		lists: make(chan news), arrivals: make(chan *call), gone: make(chan *call),
-		results: make(chan result), stop: make(chan struct{}),
+		results: make(chan result), starts: make(chan string), leaving: make(chan struct{}), stop: make(chan struct{}),
 		calls: map[string]*call{}, targets: map[string]*target{}}
 }
 
@@ -107,6 +110,7 @@
 	report := time.NewTicker(tallyEvery)
 	defer report.Stop()
 	defer func() { l.tally.write(l.log, len(l.calls)) }()
+	leaving := l.leaving
 	for {
 		// News of the servers goes ahead of waiting traffic: the grace of a drain is running.
 		select {
@@ -137,6 +141,12 @@
 			}
 		case r := <-l.results:
 			l.takeResult(r)
+		case name := <-l.starts:
+			l.log.Info("drill started", "drill", name)
+			l.handle(deckrelay.DrillStart{Name: name})
+		case <-leaving:
+			leaving = nil
+			l.handle(deckrelay.Leaving{})
 		case <-timer.C:
 		case <-report.C:
 			l.tally.write(l.log, len(l.calls))
@@ -157,6 +167,10 @@
 			l.answer(a.ID, answer{status: http.StatusServiceUnavailable, retryAfter: a.RetryAfter})
 		case deckrelay.Fail:
 			l.answer(a.ID, answer{status: http.StatusBadGateway})
+		case deckrelay.Drilled:
+			l.mark(a)
+		case deckrelay.Abort:
+			l.answer(a.ID, answer{status: a.Status, retryAfter: a.RetryAfter})
 		case deckrelay.Wake:
 			heap.Push(&l.wakes, a)
 		case deckrelay.Subscribe:
@@ -176,6 +190,15 @@
 	l.handle(c.req)
 }
 
+// mark notes that a call is part of a drill.
+func (l *loop) mark(a deckrelay.Drilled) {
+	if c := l.calls[a.ID]; c != nil {
+		c.drill = a.Drill
+		l.tally.drilled++
+		l.log.Info("drilled", "id", a.ID, "class", c.req.Class, "drill", a.Drill)
+	}
+}
+
 func (l *loop) send(now time.Duration, a deckrelay.Send) {
 	c := l.calls[a.ID]
 	if c == nil {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"deckrelay"
+	"deckrelay/internal/drills"
 )
 
 const (
@@ -49,7 +50,11 @@
 
 // New wires a node. It opens nothing yet.
 func New(cfg Config, logger *slog.Logger) (*Node, error) {
-	bal, err := deckrelay.New(cfg.Settings, cfg.Seed)
+	set, err := cfg.moduleSettings()
+	if err != nil {
+		return nil, fmt.Errorf("settings: %w", err)
+	}
+	bal, err := deckrelay.New(set, cfg.Seed)
 	if err != nil {
 		return nil, fmt.Errorf("settings: %w", err)
 	}
@@ -111,7 +116,8 @@
 	in := newInbound(ln, n.inbound)
 	server := &http.Server{
 		Handler: &callers{clock: n.loop.clock, effects: effects(n.cfg.Settings), arrivals: n.loop.arrivals,
-			gone: n.loop.gone, stopped: n.loop.stop, ready: n.ready,
+			gone: n.loop.gone, starts: n.loop.starts, stopped: n.loop.stop, ready: n.ready,
+			drills:  drills.NewKeys(n.cfg.Features.Drills),
 			closing: func() bool { return n.state.Load() >= closing },
 			cutoff:  func() time.Duration { return time.Duration(n.cutoff.Load()) }},
 		ReadHeaderTimeout: headTime,
@@ -157,6 +163,9 @@
 	n.log.Info("leaving")
 	n.cutoff.Store(int64(n.loop.clock.now() + kill - killMargin))
 	n.state.Store(leaving)
+	if len(n.cfg.Features.Drills) > 0 { // an event that changes nothing would still be one more than before
+		close(n.loop.leaving)
+	}
 	time.Sleep(max(frontNotice, kill-lastAnswers))
 	n.state.Store(closing)
 	time.Sleep(lastCalls)
--- a/internal/node/tally.go
+++ b/internal/node/tally.go
@@ -16,6 +16,7 @@
 // callers were turned away before or after an attempt, and how the attempts ended.
 type tally struct {
 	taken, served, left int
+	drilled             int
 	refused, failed     [2]int // before any attempt; after one
 	endings             [deckrelay.Void + 1]int
 	nextBreak           time.Duration // until then no further unanswered attempt is logged
@@ -31,7 +32,11 @@
 		return
 	}
 	e := &t.endings
-	log.Info("counts", "taken", t.taken, "served", t.served, "left", t.left,
+	var drills []any
+	if t.drilled > 0 {
+		drills = []any{"hookwalk.drill.applied", t.drilled}
+	}
+	log.With(drills...).Info("counts", "taken", t.taken, "served", t.served, "left", t.left,
 		"refused_unsent", t.refused[0], "refused_sent", t.refused[1],
 		"failed_unsent", t.failed[0], "failed_sent", t.failed[1], "open", out,
 		"ok", e[deckrelay.Success], "error", e[deckrelay.Failure], "full", e[deckrelay.Overloaded],
