--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -6,6 +6,7 @@
 import (
 	"errors"
 	"fmt"
+	"net"
 	"os"
 	"slices"
 	"strconv"
@@ -15,7 +16,8 @@
 
 // File is a whole settings file.
 type File struct {
-	Drills []Drill
+	Drills  []Drill
+	Figures *Figures // nil: off
 }
 
 // Drill is a rehearsal that can be started.
@@ -30,6 +32,14 @@
 	Duration    time.Duration
 }
 
+// Figures says how figures are reported, and where to.
+type Figures struct {
+	Format    string // statsd or influx
+	File, UDP string // "": not there; neither: standard error
+	Flush     time.Duration
+	MaxBatch  int // bytes
+}
+
 const (
 	maxFile = 1 << 20
 	maxText = 256 // bytes of a label or a secret
@@ -63,6 +73,8 @@
 		switch b.kind {
 		case "drill":
 			f.takeDrill(r)
+		case "figures":
+			f.takeFigures(r)
 		default:
 			return File{}, fault(name, b.line, "unknown block %s", b.kind)
 		}
@@ -104,6 +116,25 @@
 	f.Drills = append(f.Drills, d)
 }
 
+func (f *File) takeFigures(r *reader) {
+	r.once(f.Figures != nil)
+	f.Figures = &Figures{
+		Format:   r.oneOf("format", "statsd", "influx"),
+		File:     r.text("file", ""),
+		UDP:      r.text("udp", ""),
+		Flush:    r.millis("flush_ms", time.Second, 10*time.Millisecond, time.Minute),
+		MaxBatch: r.whole("max_batch_bytes", 1400, 64, 65507),
+	}
+	if line, ok := r.has("file"); ok && f.Figures.File == "" {
+		r.fail(line, "file must name a file")
+	}
+	if line, ok := r.has("udp"); ok {
+		if host, port, err := net.SplitHostPort(f.Figures.UDP); err != nil || host == "" || port == "" {
+			r.fail(line, "udp must be HOST:PORT")
+		}
+	}
+}
+
 // printable says that a text may stand in a header as it is.
 func printable(s string) bool {
 	return s != "" && len(s) <= maxText && s == strings.TrimSpace(s) &&
@@ -144,6 +175,16 @@
 	return r.block.label
 }
 
+// once is for blocks of which there is one at most; they have no label.
+func (r *reader) once(again bool) {
+	switch {
+	case again:
+		r.fail(r.block.line, "block %s is there already", r.block.kind)
+	case r.block.hasLabel:
+		r.fail(r.block.line, "block %s has no label", r.block.kind)
+	}
+}
+
 // has tells where a setting stands.
 func (r *reader) has(name string) (line int, ok bool) {
 	for _, s := range r.block.settings {
@@ -176,6 +217,16 @@
 	return byDefault
 }
 
+// oneOf takes one of some words, the first by default.
+func (r *reader) oneOf(name string, words ...string) string {
+	v := r.text(name, words[0])
+	if !slices.Contains(words, v) {
+		line, _ := r.has(name)
+		r.fail(line, "%s must be one of %s", name, strings.Join(words, ", "))
+	}
+	return v
+}
+
 func (r *reader) number(name string, byDefault, least, most float64) float64 {
 	text, line, ok := get[number](r, name, "a number")
 	if !ok {
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -41,6 +41,18 @@
 	}
 }
 
+func TestFigures(t *testing.T) {
+	for text, want := range map[string]Figures{
+		`figures {}`: {Format: "statsd", Flush: time.Second, MaxBatch: 1400},
+		`figures { format = "influx" file = "/f" udp = "[::1]:8125" flush_ms = 50 max_batch_bytes = 512 }`: {Format: "influx",
+			File: "/f", UDP: "[::1]:8125", Flush: 50 * time.Millisecond, MaxBatch: 512},
+	} {
+		if f, err := Parse("f", []byte(text)); err != nil || f.Figures == nil || *f.Figures != want {
+			t.Errorf("%s: %+v, %v", text, f.Figures, err)
+		}
+	}
+}
+
 func TestNothingNamedIsAllOff(t *testing.T) {
 	for _, text := range []string{"", "\n\t # nothing", "/**/", "//"} {
 		if f, err := Parse("f", []byte(text)); err != nil || !reflect.DeepEqual(f, File{}) {
@@ -70,6 +82,14 @@
 	"duration":          {`drill "a" { class = "x" duration_s = 601 }`, "f:1: ", "duration_s must be from 1 to 600"},
 	"abort":             {`drill "a" { class = "x" abort_status = 502 }`, "f:1: ", "abort_status must be 503 or 500"},
 	"abort unset":       {`drill "a" { class = "x" abort_status = 0 }`, "f:1: ", "abort_status must be 503 or 500"},
+	"figures twice":     {"figures {}\nfigures {}", "f:2: ", "block figures is there already"},
+	"figures, label":    {`figures "a" {}`, "f:1: ", "has no label"},
+	"format":            {"figures {\n format = \"csv\" }", "f:2: ", "format must be one of statsd, influx"},
+	"flush":             {`figures { flush_ms = 9 }`, "f:1: ", "flush_ms must be from 10 to 60000"},
+	"batch":             {`figures { max_batch_bytes = 70000 }`, "f:1: ", "max_batch_bytes must be from 64 to 65507"},
+	"half a byte":       {`figures { max_batch_bytes = 64.5 }`, "f:1: ", "must be a whole number"},
+	"udp":               {`figures { udp = "8125" }`, "f:1: ", "udp must be HOST:PORT"},
+	"file":              {`figures { file = "" }`, "f:1: ", "file must name a file"},
 	"not a number":      {`drill "a" { share = 1e2 }`, "f:1: ", "want a string, a number or a list"},
 	"word":              {`drill "a" { share = ten }`, "f:1: ", `found "ten"`},
 	"no value":          {`drill "a" { share = }`, "f:1: ", "want a string, a number or a list"},
