--- a/cmd/hookwalk/main_test.go
+++ b/cmd/hookwalk/main_test.go
@@ -232,27 +232,87 @@
 	if code != 0 || said != "drill=away started\n" {
 		t.Errorf("exit %d, said %q", code, said)
 	}
+	if status := ask(t, url, "id-1"); status != http.StatusInternalServerError {
+		t.Errorf("answered %d, want the drill's 500", status)
+	}
+	for lines.Scan() && !strings.Contains(lines.Text(), "id=id-1") {
+	}
+	if !strings.Contains(lines.Text(), " drill=away") {
+		t.Errorf("said %q", lines.Text())
+	}
+	terminate(t, c, lines)
+}
+
+// ask sends a request of class a and returns the answer's status.
+func ask(t *testing.T, url, id string, headers ...string) int {
+	t.Helper()
 	r, err := http.NewRequest(http.MethodPost, url+"/api", nil)
 	if err != nil {
 		t.Fatal(err)
 	}
-	for name, value := range map[string]string{"X-Call-Id": "id-1", "X-Call-Class": "a", "X-Budget": "900m"} {
+	for name, value := range map[string]string{"X-Call-Id": id, "X-Call-Class": "a", "X-Budget": "900m"} {
 		r.Header.Set(name, value)
 	}
+	for i := 0; i < len(headers); i += 2 {
+		r.Header.Set(headers[i], headers[i+1])
+	}
 	resp, err := http.DefaultClient.Do(r)
 	if err != nil {
 		t.Fatal(err)
 	}
 	resp.Body.Close()
-	if resp.StatusCode != http.StatusInternalServerError {
-		t.Errorf("answered %d, want the drill's 500", resp.StatusCode)
+	return resp.StatusCode
+}
+
+// The operators' check: loopback traffic, and standard error tells of it, to the last flush. Log lines and
+// figures don't mix.
+func TestFiguresOnStandardError(t *testing.T) {
+	agent, _ := watchable(t)
+	c := program(t, fmt.Sprintf(config, agent), "--settings", written(t, "hookwalk.hcl", `figures { flush_ms = 60000 }
+drill "away" { class = "a" secret = "crush-pad-7" share = 100 abort_status = 503 }`))
+	lines, url := serving(t, c)
+	if code, _, said := ends(t, program(t, "", "drill", "start", "--file", written(t, "drill.hcl",
+		`drill "away" { class = "a" secret = "crush-pad-7" }`), "--addr", strings.TrimPrefix(url, "http://"))); code != 0 {
+		t.Fatalf("the drill did not start: %s", said)
 	}
-	for lines.Scan() && !strings.Contains(lines.Text(), "id=id-1") {
+	for i := range 20 {
+		if status := ask(t, url, fmt.Sprint(i), "X-Caller", "okanagan-ridge"); status != http.StatusServiceUnavailable {
+			t.Errorf("answered %d", status)
+		}
 	}
-	if !strings.Contains(lines.Text(), " drill=away") {
-		t.Errorf("said %q", lines.Text())
+	if status := ask(t, url, "x", "X-Call-Class", "new"); status != http.StatusBadRequest {
+		t.Errorf("an unknown class was answered %d", status)
+	}
+	if err := c.Process.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	known := regexp.MustCompile(`^(time=\S+ level=\S+ msg=.*|hookwalk\.[a-z_.]+:[0-9.]+\|(c|g|ms)\|#class:\S+,tenant:\S+)$`)
+	got := map[string]int{}
+	for lines.Scan() {
+		got[lines.Text()]++
+		if !known.MatchString(lines.Text()) || strings.Contains(lines.Text(), "crush-pad") {
+			t.Errorf("said %q", lines.Text())
+		}
+	}
+	if err := c.Wait(); err != nil {
+		t.Errorf("ended with %v", err)
+	}
+	const tags = "|#class:a,tenant:okanagan-ridge"
+	for _, want := range []string{"requests:20|c" + tags, "refused:20|c" + tags, "drill.applied:20|c" + tags,
+		"requests:1|c|#class:other,tenant:none", "turned_away:1|c|#class:other,tenant:none"} {
+		if got["hookwalk."+want] != 1 {
+			t.Errorf("no %s in %v", want, got)
+		}
+	}
+	times := 0
+	for line, n := range got {
+		if strings.HasPrefix(line, "hookwalk.latency:") && strings.HasSuffix(line, "|ms"+tags) {
+			times += n
+		}
+	}
+	if times != 20 {
+		t.Errorf("%d latencies, want 20: %v", times, got)
 	}
-	terminate(t, c, lines)
 }
 
 func TestBadConfiguration(t *testing.T) {
--- a/internal/node/callers.go
+++ b/internal/node/callers.go
@@ -13,6 +13,7 @@
 
 	"deckrelay"
 	"deckrelay/internal/drills"
+	"deckrelay/internal/figures"
 )
 
 const (
@@ -33,6 +34,7 @@
 	starts   chan<- string // of drills, by name
 	stopped  <-chan struct{}
 	drills   *drills.Keys
+	figures  *figures.Reporter // nil: off
 	ready    func() bool
 	closing  func() bool          // every answer ends its connection
 	cutoff   func() time.Duration // the clock time by which the node answers all, once it is told to stop; else 0
@@ -51,26 +53,34 @@
 		h.startDrill(w, r)
 		return
 	}
+	h.measured(w, r)
+}
+
+// serve answers a caller's request and returns the status, gaveUp if the client left.
+func (h *callers) serve(w http.ResponseWriter, r *http.Request, tags figures.Tags) (status int) {
 	c, status, err := h.read(w, r)
 	if err != nil {
 		w.Header().Set("Connection", "close") // the body may not have been read to its end
 		http.Error(w, err.Error(), status)
-		return
+		return status
 	}
+	c.tags = tags
 	select {
 	case h.arrivals <- c:
 	case <-h.stopped: // the node ends, and this connection was cut
-		return
+		return gaveUp
 	}
 	select {
 	case a := <-c.reply:
 		h.write(w, a)
+		return a.status
 	case <-r.Context().Done():
 		select {
 		case h.gone <- c:
 		case <-h.stopped:
 		}
 	}
+	return gaveUp
 }
 
 // startDrill starts the drill whose key a request has.
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -28,6 +28,7 @@
 	Settings  deckrelay.Settings
 	Features  settings.File // what the project's own settings file switches on
 
+	tenants        []string      // by name
 	connectTimeout time.Duration // a connection not up by then is given up
 	connIdle       time.Duration // a server closes a connection idle for this long
 }
@@ -85,24 +86,37 @@
 	if c.Settings, err = wire.ParseSettings(raw.Settings); err != nil {
 		return Config{}, err
 	}
-	// The module has no use for the settings of connections; they are the node's.
-	var conns struct {
+	// The module has no use for the settings of connections and tenants; they are the node's.
+	var own struct {
+		Tenants []struct {
+			Name string `json:"name"`
+		} `json:"tenants"`
 		Limits struct {
 			ConnectTimeout float64 `json:"connect-timeout-ms"`
 			ConnIdle       float64 `json:"conn-idle-ms"`
 		} `json:"limits"`
 	}
-	if err := json.Unmarshal(raw.Settings, &conns); err != nil {
+	if err := json.Unmarshal(raw.Settings, &own); err != nil {
 		return Config{}, fmt.Errorf("settings: %w", err)
 	}
-	c.connectTimeout = millis(conns.Limits.ConnectTimeout)
-	c.connIdle = millis(conns.Limits.ConnIdle)
+	for _, t := range own.Tenants {
+		c.tenants = append(c.tenants, t.Name)
+	}
+	c.connectTimeout = millis(own.Limits.ConnectTimeout)
+	c.connIdle = millis(own.Limits.ConnIdle)
 	if c.connectTimeout <= 0 || c.connIdle <= 0 {
 		return Config{}, errors.New("settings: limits.connect-timeout-ms and limits.conn-idle-ms must be above 0")
 	}
 	return c, nil
 }
 
+func (c Config) classNames() (names []string) {
+	for _, k := range c.Settings.Classes {
+		names = append(names, k.Name)
+	}
+	return names
+}
+
 // moduleSettings are the platform's settings with what the features have the module decide.
 func (c Config) moduleSettings() (deckrelay.Settings, error) {
 	set := c.Settings
--- a/internal/node/drills_test.go
+++ b/internal/node/drills_test.go
@@ -45,15 +45,20 @@
 	return found
 }
 
+// withLog has a node log to out.
+func withLog(out io.Writer) func(*Node) {
+	return func(n *Node) {
+		n.log = slog.New(slog.NewTextHandler(out, nil))
+		n.loop.log = n.log
+	}
+}
+
 // startLogged runs a node with features switched on, before the backends.
 func startLogged(t *testing.T, features settings.File, backends ...*backend) (*running, *logText) {
 	t.Helper()
 	cfg, out := configWith(t, backends...), &logText{}
 	cfg.Features = features
-	return start(t, cfg, func(n *Node) {
-		n.log = slog.New(slog.NewTextHandler(out, nil))
-		n.loop.log = n.log
-	}), out
+	return start(t, cfg, withLog(out)), out
 }
 
 const secret = "crush-pad-7"
--- /dev/null
+++ b/internal/node/figures.go
@@ -0,0 +1,63 @@
+package node
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"deckrelay/internal/figures"
+)
+
+// gaveUp is in place of a status for a request whose client left.
+const gaveUp = 0
+
+// measured serves a request and counts it.
+func (h *callers) measured(w http.ResponseWriter, r *http.Request) {
+	f, begin := h.figures, h.clock.now()
+	tags := f.Tags(r.Header.Get("X-Call-Class"), r.Header.Get("X-Caller"))
+	f.Count(tags, figures.Requests)
+	f.Add(tags, figures.OpenRequests, 1)
+	if c := connOf(r); c != nil {
+		c.tag(tags)
+	}
+	status := h.serve(w, r, tags)
+	f.Add(tags, figures.OpenRequests, -1)
+	f.Count(tags, counterOf(status))
+	h.latency(tags, status, h.clock.now()-begin)
+}
+
+// latency notes how long an answer took, if the module gave it: what is turned down at the door takes no time.
+func (h *callers) latency(tags figures.Tags, status int, took time.Duration) {
+	switch counterOf(status) {
+	case figures.Served, figures.Refused, figures.Failed:
+		h.figures.Latency(tags, took)
+	}
+}
+
+func counterOf(status int) figures.Counter {
+	switch {
+	case status == gaveUp:
+		return figures.Left
+	case status == http.StatusOK:
+		return figures.Served
+	case status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests:
+		return figures.Refused
+	case status < http.StatusInternalServerError:
+		return figures.TurnedAway
+	}
+	return figures.Failed
+}
+
+type connKey struct{}
+
+// withConn lets requests find the connection that they came on.
+func withConn(ctx context.Context, c net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, c)
+}
+
+// connOf gives the connection of a request, or nil where no feature needs it.
+func connOf(r *http.Request) *inConn {
+	c, _ := r.Context().Value(connKey{}).(*inConn)
+	return c
+}
--- a/internal/node/inbound.go
+++ b/internal/node/inbound.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"deckrelay/internal/figures"
 )
 
 // restMin is how long a connection without an open request is left alone when places run short. A caller
@@ -18,7 +20,8 @@
 type inbound struct {
 	net.Listener
 	most    int
-	changed chan struct{} // a place may be free
+	figures *figures.Reporter // nil: off
+	changed chan struct{}     // a place may be free
 	done    chan struct{}
 	end     func()
 
@@ -33,12 +36,13 @@
 	in    *inbound
 	place *list.Element // in in.rests; nil: a request is open
 	since time.Time     // it rests
+	tags  figures.Tags  // of its last request
 	gone  bool
 }
 
-func newInbound(ln net.Listener, most int) *inbound {
+func newInbound(ln net.Listener, most int, reporter *figures.Reporter) *inbound {
 	done := make(chan struct{})
-	return &inbound{Listener: ln, most: most, changed: make(chan struct{}, 1), done: done,
+	return &inbound{Listener: ln, most: most, figures: reporter, changed: make(chan struct{}, 1), done: done,
 		end: sync.OnceFunc(func() { close(done) }), rests: list.New()}
 }
 
@@ -69,6 +73,7 @@
 		return nil, err
 	}
 	c := &inConn{Conn: nc, in: in}
+	in.figures.Add(c.tags, figures.OpenConnections, 1)
 	in.rest(c)
 	return c, nil
 }
@@ -121,6 +126,18 @@
 	}
 }
 
+// tag counts a connection under the tags of its last request.
+func (c *inConn) tag(t figures.Tags) {
+	c.in.mu.Lock()
+	defer c.in.mu.Unlock()
+	if c.gone || c.tags == t {
+		return
+	}
+	c.in.figures.Add(c.tags, figures.OpenConnections, -1)
+	c.in.figures.Add(t, figures.OpenConnections, 1)
+	c.tags = t
+}
+
 func (in *inbound) signal() {
 	select {
 	case in.changed <- struct{}{}:
@@ -155,6 +172,7 @@
 	defer c.in.mu.Unlock()
 	if !c.gone {
 		c.gone = true
+		c.in.figures.Add(c.tags, figures.OpenConnections, -1)
 		c.in.open--
 		c.in.signal()
 	}
--- a/internal/node/inbound_test.go
+++ b/internal/node/inbound_test.go
@@ -45,7 +45,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	in := newInbound(ln, 2)
+	in := newInbound(ln, 2, nil)
 	accepted := make(chan *inConn)
 	go func() {
 		defer close(accepted)
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"deckrelay"
+	"deckrelay/internal/figures"
 )
 
 // clock is monotonic and reads as Unix time at the start, so a server's boot time is a clock time.
@@ -38,6 +39,7 @@
 	body     []byte
 	deadline time.Duration
 	reply    chan answer // takes the one final answer without blocking
+	tags     figures.Tags
 	closed   atomic.Bool // answered or given up by the client: nothing more may be sent for it
 
 	attempts int
@@ -94,6 +96,7 @@
 	wakes   wakeHeap
 	usable  atomic.Bool // some listed server is in service
 	tally   tally
+	figures *figures.Reporter // nil: off
 }
 
 func newLoop(ck clock, log *slog.Logger, bal *deckrelay.Balancer) *loop {
@@ -195,6 +198,7 @@
 	if c := l.calls[a.ID]; c != nil {
 		c.drill = a.Drill
 		l.tally.drilled++
+		l.figures.Count(c.tags, figures.Drilled)
 		l.log.Info("drilled", "id", a.ID, "class", c.req.Class, "drill", a.Drill)
 	}
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -7,12 +7,14 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"deckrelay"
 	"deckrelay/internal/drills"
+	"deckrelay/internal/figures"
 )
 
 const (
@@ -64,6 +66,9 @@
 	n := &Node{cfg: cfg, log: logger, most: killMost}
 	ck := newClock()
 	n.loop = newLoop(ck, logger, bal)
+	if f := cfg.Features.Figures; f != nil {
+		n.loop.figures = figures.New(*f, cfg.classNames(), cfg.tenants, os.Stderr, logger)
+	}
 	n.inbound = (cfg.Sockets - reserved) * 5 / 8
 	n.pool = newPool(ck, cfg, cfg.Sockets-reserved-n.inbound, n.loop.results)
 	n.loop.sender = n.pool
@@ -113,11 +118,13 @@
 	grace := time.AfterFunc(firstList, func() { n.heard.Store(true) })
 	defer grace.Stop()
 
-	in := newInbound(ln, n.inbound)
+	in := newInbound(ln, n.inbound, n.loop.figures)
+	lastFigures := n.report()
 	server := &http.Server{
 		Handler: &callers{clock: n.loop.clock, effects: effects(n.cfg.Settings), arrivals: n.loop.arrivals,
 			gone: n.loop.gone, starts: n.loop.starts, stopped: n.loop.stop, ready: n.ready,
 			drills:  drills.NewKeys(n.cfg.Features.Drills),
+			figures: n.loop.figures,
 			closing: func() bool { return n.state.Load() >= closing },
 			cutoff:  func() time.Duration { return time.Duration(n.cutoff.Load()) }},
 		ReadHeaderTimeout: headTime,
@@ -126,6 +133,9 @@
 		MaxHeaderBytes:    16 << 10,
 		ErrorLog:          slog.NewLogLogger(n.log.Handler(), slog.LevelWarn),
 	}
+	if n.loop.figures != nil {
+		server.ConnContext = withConn
+	}
 	failed := make(chan error, 1)
 	go func() { failed <- server.Serve(in) }()
 	n.log.Info("serving", "name", n.cfg.Name, "listen", ln.Addr().String(), "tier", n.cfg.Settings.Tier)
@@ -144,10 +154,26 @@
 	n.pool.shut()
 	close(n.loop.stop)
 	owned.Wait()
+	lastFigures()
 	n.log.Info("stopped")
 	return err
 }
 
+// report writes figures, where they are on, until the function that it returns is called; that one sees to it
+// that the last are written.
+func (n *Node) report() (end func()) {
+	r := n.loop.figures
+	if r == nil {
+		return func() {}
+	}
+	stop := make(chan struct{})
+	go r.Run(stop)
+	return func() {
+		close(stop)
+		r.Wait()
+	}
+}
+
 // ready says that the node can serve: it knows a server in service, from discovery itself if that answers.
 func (n *Node) ready() bool {
 	return n.heard.Load() && n.loop.usable.Load() && n.state.Load() == serving
