--- /dev/null
+++ b/deploy/hookwalk.hcl
@@ -0,0 +1,6 @@
+# What Benchland Harvest Systems has on in service: see docs/features.md.
+
+figures {
+  format   = "statsd"
+  flush_ms = 1000
+}
