--- /dev/null
+++ b/internal/proxyproto/proxyproto_test.go
@@ -0,0 +1,122 @@
+package proxyproto
+
+import (
+	"bufio"
+	"encoding/binary"
+	"errors"
+	"io"
+	"net/netip"
+	"strings"
+	"testing"
+	"testing/iotest"
+)
+
+// binaryHeader is a header of version 2.
+func binaryHeader(command, family byte, payload string) string {
+	b := append([]byte(signature2), command, family)
+	return string(binary.BigEndian.AppendUint16(b, uint16(len(payload)))) + payload
+}
+
+var (
+	ip4 = string([]byte{10, 4, 0, 9, 10, 0, 0, 1, 1, 2, 3, 4})
+	ip6 = string(append(append(netip.MustParseAddr("fd00:12::9").AsSlice(), netip.MustParseAddr("fd00::1").AsSlice()...), 1, 2, 3, 4))
+)
+
+var sound = map[string]struct{ header, source string }{
+	"TCP4":           {"PROXY TCP4 10.4.0.9 10.0.0.1 5000 80\r\n", "10.4.0.9"},
+	"TCP6":           {"PROXY TCP6 fd00:12::9 fd00::1 5000 65535\r\n", "fd00:12::9"},
+	"TCP6, mapped":   {"PROXY TCP6 ::ffff:10.4.0.9 ::1 0 80\r\n", "10.4.0.9"},
+	"UNKNOWN":        {"PROXY UNKNOWN\r\n", ""},
+	"UNKNOWN, more":  {"PROXY UNKNOWN " + strings.Repeat("f", maxLine-16) + "\r\n", ""},
+	"2, TCP4":        {binaryHeader(0x21, 0x11, ip4), "10.4.0.9"},
+	"2, TCP6":        {binaryHeader(0x21, 0x21, ip6), "fd00:12::9"},
+	"2, with TLVs":   {binaryHeader(0x21, 0x11, ip4+"\x04\x00\x03abc"), "10.4.0.9"},
+	"2, many TLVs":   {binaryHeader(0x21, 0x21, ip6+strings.Repeat("x", maxPayload-36)), "fd00:12::9"},
+	"2, local":       {binaryHeader(0x20, 0x00, ""), ""},
+	"2, local, more": {binaryHeader(0x20, 0x11, ip4), ""},
+	"2, unspecified": {binaryHeader(0x21, 0x00, "\x04\x00\x01a"), ""},
+}
+
+// A header may come byte by byte, and nothing after it is taken.
+func TestSoundHeaders(t *testing.T) {
+	for name, c := range sound {
+		for _, rest := range []string{"GET / HTTP/1.1\r\n", "PROXY ", ""} {
+			r := bufio.NewReaderSize(iotest.OneByteReader(strings.NewReader(c.header+rest)), 16)
+			source, err := Read(r)
+			if err != nil || c.source == "" && source.IsValid() || c.source != "" && source.String() != c.source {
+				t.Errorf("%s: got %v, %v", name, source, err)
+			}
+			if left, err := io.ReadAll(r); err != nil || string(left) != rest {
+				t.Errorf("%s: %q is left, want %q", name, left, rest)
+			}
+		}
+		if is, may := Starts([]byte(c.header)); !is || may {
+			t.Errorf("%s does not begin with a header", name)
+		}
+		for n := range len(c.header) {
+			_, err := Read(bufio.NewReader(strings.NewReader(c.header[:n])))
+			if !errors.Is(err, io.ErrUnexpectedEOF) {
+				t.Fatalf("%s: of %d bytes it said %v", name, n, err)
+			}
+		}
+	}
+}
+
+func TestMalformedHeaders(t *testing.T) {
+	for name, header := range map[string]string{
+		"none":             "GET / HTTP/1.1\r\n",
+		"begins alike":     "PROPFIND / HTTP/1.1\r\n",
+		"lower case":       "proxy TCP4 10.4.0.9 10.0.0.1 5000 80\r\n",
+		"no CR":            "PROXY TCP4 10.4.0.9 10.0.0.1 5000 80\n",
+		"no end":           "PROXY TCP4 " + strings.Repeat("1", 200),
+		"one byte over":    "PROXY UNKNOWN " + strings.Repeat("f", maxLine-15) + "\r\n",
+		"no protocol":      "PROXY \r\n",
+		"UDP":              "PROXY UDP4 10.4.0.9 10.0.0.1 5000 80\r\n",
+		"few words":        "PROXY TCP4 10.4.0.9 10.0.0.1 5000\r\n",
+		"many words":       "PROXY TCP4 10.4.0.9 10.0.0.1 5000 80 \r\n",
+		"two spaces":       "PROXY TCP4  10.4.0.9 10.0.0.1 5000 80\r\n",
+		"other family":     "PROXY TCP4 fd00::1 fd00::2 5000 80\r\n",
+		"families mixed":   "PROXY TCP6 fd00::1 10.0.0.1 5000 80\r\n",
+		"zone":             "PROXY TCP6 fe80::1%eth0 fd00::2 5000 80\r\n",
+		"name":             "PROXY TCP4 localhost 10.0.0.1 5000 80\r\n",
+		"port":             "PROXY TCP4 10.4.0.9 10.0.0.1 65536 80\r\n",
+		"port, signed":     "PROXY TCP4 10.4.0.9 10.0.0.1 +500 80\r\n",
+		"port, zeros":      "PROXY TCP4 10.4.0.9 10.0.0.1 5000 080\r\n",
+		"2, version":       binaryHeader(0x11, 0x11, ip4),
+		"2, command":       binaryHeader(0x22, 0x11, ip4),
+		"2, family":        binaryHeader(0x21, 0x12, ip4),
+		"2, Unix":          binaryHeader(0x21, 0x31, strings.Repeat("x", 216)),
+		"2, short":         binaryHeader(0x21, 0x21, ip4),
+		"2, long":          binaryHeader(0x21, 0x11, ip4+strings.Repeat("x", maxPayload)),
+		"2, half a prefix": signature2[:8] + "GET /",
+	} {
+		if source, err := Read(bufio.NewReader(strings.NewReader(header))); !errors.Is(err, ErrMalformed) || source.IsValid() {
+			t.Errorf("%s: got %v, %v", name, source, err)
+		}
+	}
+}
+
+func TestStarts(t *testing.T) {
+	for head, want := range map[string][2]bool{"": {false, true}, "PROX": {false, true}, "PROXY": {false, true},
+		"PROXY ": {true, false}, "PROPF": {false, false}, "\r\n\r": {false, true}, "GET": {false, false}, signature2: {true, false}} {
+		if is, may := Starts([]byte(head)); is != want[0] || may != want[1] {
+			t.Errorf("%q: %v, %v", head, is, may)
+		}
+	}
+}
+
+// Whatever comes, a header is taken whole, refused as malformed or found cut short.
+func FuzzRead(f *testing.F) {
+	for _, c := range sound {
+		f.Add([]byte(c.header + "rest"))
+	}
+	f.Fuzz(func(t *testing.T, text []byte) {
+		source, err := Read(bufio.NewReaderSize(strings.NewReader(string(text)), 16))
+		if err != nil && (source.IsValid() || !errors.Is(err, ErrMalformed) && !errors.Is(err, io.ErrUnexpectedEOF)) {
+			t.Errorf("%q: %v, %v", text, source, err)
+		}
+		if is, _ := Starts(text); err == nil && !is {
+			t.Errorf("%q was taken for a header", text)
+		}
+	})
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"net/netip"
 	"os"
 	"slices"
 	"strconv"
@@ -16,8 +17,9 @@
 
 // File is a whole settings file.
 type File struct {
-	Drills  []Drill
-	Figures *Figures // nil: off
+	Drills    []Drill
+	Figures   *Figures   // nil: off
+	Addresses *Addresses // nil: off
 }
 
 // Drill is a rehearsal that can be started.
@@ -40,6 +42,13 @@
 	MaxBatch  int // bytes
 }
 
+// Addresses say whose requests are let in.
+type Addresses struct {
+	Allow, Deny  []netip.Prefix
+	ProxyFrom    []netip.Prefix
+	ProxyTimeout time.Duration
+}
+
 const (
 	maxFile = 1 << 20
 	maxText = 256 // bytes of a label or a secret
@@ -75,6 +84,8 @@
 			f.takeDrill(r)
 		case "figures":
 			f.takeFigures(r)
+		case "addresses":
+			f.takeAddresses(r)
 		default:
 			return File{}, fault(name, b.line, "unknown block %s", b.kind)
 		}
@@ -135,6 +146,12 @@
 	}
 }
 
+func (f *File) takeAddresses(r *reader) {
+	r.once(f.Addresses != nil)
+	f.Addresses = &Addresses{Allow: r.ranges("allow"), Deny: r.ranges("deny"), ProxyFrom: r.ranges("proxy_from"),
+		ProxyTimeout: r.millis("proxy_timeout_ms", 500*time.Millisecond, time.Millisecond, time.Second)}
+}
+
 // printable says that a text may stand in a header as it is.
 func printable(s string) bool {
 	return s != "" && len(s) <= maxText && s == strings.TrimSpace(s) &&
@@ -227,6 +244,26 @@
 	return v
 }
 
+// ranges takes a list of IPv4 and IPv6 ranges. An IPv4 range written as IPv6 is an IPv4 range.
+func (r *reader) ranges(name string) (list []netip.Prefix) {
+	texts, line, _ := get[[]string](r, name, "a list of strings")
+	for _, text := range texts {
+		p, err := netip.ParsePrefix(text)
+		if err != nil {
+			r.fail(line, "%s: %q is not a range such as 10.4.0.0/16", name, text)
+			continue
+		}
+		if p != p.Masked() {
+			r.fail(line, "%s: %s has address bits beyond its length: %s is meant, or a longer one", name, text, p.Masked())
+		}
+		if p.Addr().Is4In6() && p.Bits() >= 96 {
+			p = netip.PrefixFrom(p.Addr().Unmap(), p.Bits()-96)
+		}
+		list = append(list, p)
+	}
+	return list
+}
+
 func (r *reader) number(name string, byDefault, least, most float64) float64 {
 	text, line, ok := get[number](r, name, "a number")
 	if !ok {
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -1,6 +1,7 @@
 package settings
 
 import (
+	"net/netip"
 	"os"
 	"path/filepath"
 	"reflect"
@@ -53,6 +54,17 @@
 	}
 }
 
+func TestAddresses(t *testing.T) {
+	want := Addresses{Allow: []netip.Prefix{netip.MustParsePrefix("10.4.0.0/16"), netip.MustParsePrefix("fd00:12::/48")},
+		Deny: []netip.Prefix{netip.MustParsePrefix("10.4.9.0/24")}, ProxyTimeout: 500 * time.Millisecond}
+	f, err := Parse("f", []byte(`addresses { allow = ["10.4.0.0/16", "fd00:12::/48"] deny = [
+		"::ffff:10.4.9.0/120", # as IPv6
+	] proxy_from = [] }`))
+	if err != nil || !reflect.DeepEqual(*f.Addresses, want) {
+		t.Errorf("got %+v, %v", f.Addresses, err)
+	}
+}
+
 func TestNothingNamedIsAllOff(t *testing.T) {
 	for _, text := range []string{"", "\n\t # nothing", "/**/", "//"} {
 		if f, err := Parse("f", []byte(text)); err != nil || !reflect.DeepEqual(f, File{}) {
@@ -90,6 +102,12 @@
 	"half a byte":       {`figures { max_batch_bytes = 64.5 }`, "f:1: ", "must be a whole number"},
 	"udp":               {`figures { udp = "8125" }`, "f:1: ", "udp must be HOST:PORT"},
 	"file":              {`figures { file = "" }`, "f:1: ", "file must name a file"},
+	"addresses twice":   {"addresses {}\naddresses {}", "f:2: ", "block addresses is there already"},
+	"no range":          {"addresses {\n allow = [\"10.4.0.0\"] }", "f:2: ", `allow: "10.4.0.0" is not a range`},
+	"bits":              {`addresses { deny = ["10.4.0.1/16"] }`, "f:1: ", "deny: 10.4.0.1/16 has address bits"},
+	"text for list":     {`addresses { proxy_from = "10.4.0.0/16" }`, "f:1: ", "proxy_from must be a list of strings"},
+	"number in list":    {`addresses { proxy_from = [10] }`, "f:1: ", "want a string"},
+	"timeout":           {`addresses { proxy_timeout_ms = 0 }`, "f:1: ", "proxy_timeout_ms must be from 1 to 1000"},
 	"not a number":      {`drill "a" { share = 1e2 }`, "f:1: ", "want a string, a number or a list"},
 	"word":              {`drill "a" { share = ten }`, "f:1: ", `found "ten"`},
 	"no value":          {`drill "a" { share = }`, "f:1: ", "want a string, a number or a list"},
