--- /dev/null
+++ b/addresses_test.go
@@ -0,0 +1,71 @@
+package deckrelay
+
+import (
+	"net/netip"
+	"reflect"
+	"testing"
+	"time"
+)
+
+func ranges(list ...string) (all []netip.Prefix) {
+	for _, s := range list {
+		all = append(all, netip.MustParsePrefix(s))
+	}
+	return all
+}
+
+func TestAdmits(t *testing.T) {
+	none, some := &Addresses{}, &Addresses{Allow: ranges("10.4.0.0/16", "fd00:12::/48"), Deny: ranges("10.4.9.0/24")}
+	denies := &Addresses{Deny: ranges("10.4.9.0/24", "::1/128")}
+	for _, c := range []struct {
+		lists  *Addresses
+		client string
+		want   bool
+	}{
+		{nil, "192.0.2.1", true}, {nil, "", true},
+		{none, "192.0.2.1", true}, {none, "::1", true}, {none, "", true},
+		{some, "10.4.1.1", true}, {some, "::ffff:10.4.1.1", true}, {some, "fd00:12::7", true}, {some, "fd00:12::7%eth0", true},
+		{some, "10.5.1.1", false}, {some, "fd00:13::7", false}, {some, "", false},
+		{some, "10.4.9.1", false}, {some, "::ffff:10.4.9.1", false},
+		{denies, "10.4.9.1", false}, {denies, "10.4.8.1", true}, {denies, "::1", false}, {denies, "::2", true}, {denies, "", false},
+	} {
+		var client netip.Addr
+		if c.client != "" {
+			client = netip.MustParseAddr(c.client)
+		}
+		if got := c.lists.Admits(client); got != c.want {
+			t.Errorf("%+v lets %s in: %v", c.lists, c.client, got)
+		}
+	}
+}
+
+func TestTrusts(t *testing.T) {
+	fronts := &Addresses{ProxyFrom: ranges("127.0.0.2/32", "fd00::/64")}
+	for addr, want := range map[string]bool{"127.0.0.2": true, "::ffff:127.0.0.2": true, "127.0.0.1": false, "fd00::9": true, "fd01::9": false} {
+		if fronts.Trusts(netip.MustParseAddr(addr)) != want {
+			t.Errorf("trusts %s: %v", addr, !want)
+		}
+	}
+	if (*Addresses)(nil).Trusts(netip.MustParseAddr("::1")) || (&Addresses{}).Trusts(netip.Addr{}) {
+		t.Error("without a list somebody is trusted")
+	}
+}
+
+// A stranger is denied before anything is learned of its request, also with an id that is in use.
+func TestStrangersAreDenied(t *testing.T) {
+	b := newBalancer(t, func(s *Settings) { s.Addresses = &Addresses{Allow: ranges("10.4.0.0/16")} })
+	b.Handle(0, ServerList{Full: true, Servers: servers(4)})
+	friend := Request{ID: "r", Class: "pay", Deadline: time.Second, Client: netip.MustParseAddr("10.4.0.1")}
+	if acts := b.Handle(0, friend); len(sends(acts)) != 1 {
+		t.Errorf("a friend: %v", acts)
+	}
+	for _, id := range []string{"r", "s"} {
+		stranger := Request{ID: id, Class: "pay", Deadline: time.Second, Client: netip.MustParseAddr("10.5.0.1")}
+		if acts := b.Handle(0, stranger); !reflect.DeepEqual(acts, []Action{Deny{ID: id}}) {
+			t.Errorf("a stranger: %v", acts)
+		}
+	}
+	if len(b.requests) != 1 || b.classes["pay"].arrive != 1 {
+		t.Errorf("%d requests are held, %g counted", len(b.requests), b.classes["pay"].arrive)
+	}
+}
--- a/deckrelay.go
+++ b/deckrelay.go
@@ -1,6 +1,7 @@
 // Package deckrelay decides where a load balancer sends each request, when it tries again and
 // when it gives up. It does no I/O: the host feeds events to a Balancer and carries out the
-// actions it returns. This file is the whole interface; every decision is in policy.go and drill.go.
+// actions it returns. This file is the whole interface; every decision is in policy.go,
+// drill.go and addresses.go.
 //
 // A Balancer belongs to one goroutine. Its only clock is the now given to Handle, which must
 // never go back, and its only randomness is the seed given to New, so the same events always
@@ -9,7 +10,10 @@
 // attempts have ended.
 package deckrelay
 
-import "time"
+import (
+	"net/netip"
+	"time"
+)
 
 // Effect says what happens when a request runs more than once.
 type Effect int
@@ -71,7 +75,8 @@
 	WarmAfter    time.Duration // time after which it has all of it
 	FallMultiple float64       // a fresh server sent more than this times its capacity falls over; 0: unknown
 
-	Drills []Drill // rehearsals that can be started; nil: none
+	Drills    []Drill    // rehearsals that can be started; nil: none
+	Addresses *Addresses // whose requests are let in; nil: everybody's
 }
 
 // ServerState is what discovery says of a server.
@@ -136,6 +141,7 @@
 		Repeat   bool          // the client marked it as a repeat
 		Key      uint64        // what it is about, where HasKey
 		HasKey   bool
+		Client   netip.Addr // whose it is, where Addresses are set
 	}
 	// Outcome ends one attempt. Ended: the request has its final answer.
 	Outcome struct {
@@ -188,6 +194,8 @@
 	}
 	// Fail is a final answer that promises nothing.
 	Fail struct{ ID string }
+	// Deny is the final answer to a request whose client is not let in, whatever else has its id.
+	Deny struct{ ID string }
 	// Wake asks for a Timer with this token at the clock time At.
 	Wake struct {
 		At    time.Duration
@@ -208,6 +216,7 @@
 func (Send) action()      {}
 func (Refuse) action()    {}
 func (Fail) action()      {}
+func (Deny) action()      {}
 func (Wake) action()      {}
 func (Subscribe) action() {}
 func (Drilled) action()   {}
--- a/policy.go
+++ b/policy.go
@@ -1,5 +1,5 @@
-// The decisions of deckrelay, but for drills (drill.go). The interface (settings, events, actions) is in
-// deckrelay.go.
+// The decisions of deckrelay, but for drills (drill.go) and address lists (addresses.go). The interface
+// (settings, events, actions) is in deckrelay.go.
 //
 // Sections: constants, state, events, discovery, requests, the pick, eligibility, health,
 // slow start, further attempts, admission, answers.
@@ -368,6 +368,10 @@
 // ---- Requests ----
 
 func (b *Balancer) accept(e Request) {
+	if !b.set.Addresses.Admits(e.Client) {
+		b.do(Deny{ID: e.ID})
+		return
+	}
 	if b.requests[e.ID] != nil {
 		return
 	}
