--- /dev/null
+++ b/internal/node/addresses_test.go
@@ -0,0 +1,249 @@
+package node
+
+import (
+	"bufio"
+	"encoding/binary"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"deckrelay/internal/drills"
+	"deckrelay/internal/settings"
+)
+
+// front is an address that the tests' nodes trust.
+const front = "127.0.0.2"
+
+func lists(change func(*settings.Addresses)) settings.File {
+	a := settings.Addresses{ProxyFrom: []netip.Prefix{netip.MustParsePrefix(front + "/32")}, ProxyTimeout: time.Second}
+	change(&a)
+	return settings.File{Addresses: &a}
+}
+
+func prefixes(list ...string) (all []netip.Prefix) {
+	for _, s := range list {
+		all = append(all, netip.MustParsePrefix(s))
+	}
+	return all
+}
+
+// from connects to a node from an address of this machine.
+func from(t *testing.T, n *running, addr string) net.Conn {
+	t.Helper()
+	d := net.Dialer{LocalAddr: &net.TCPAddr{IP: net.ParseIP(addr)}}
+	c, err := d.Dial("tcp", strings.TrimPrefix(n.url, "http://"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	c.SetDeadline(time.Now().Add(20 * time.Second))
+	return c
+}
+
+func requestText(id string) string {
+	return "POST /api HTTP/1.1\r\nHost: n\r\nX-Call-Id: " + id + "\r\nX-Call-Class: unsafe\r\nX-Budget: 30000m\r\nContent-Length: 1\r\n\r\nx"
+}
+
+// answers sends texts one by one and returns the status of each answer; 0 is a close without one.
+func answers(t *testing.T, c net.Conn, texts ...string) (statuses []int) {
+	t.Helper()
+	br := bufio.NewReader(c)
+	for _, text := range texts {
+		io.WriteString(c, text)
+		resp, err := http.ReadResponse(br, nil)
+		if err != nil {
+			if ne, ok := err.(net.Error); ok && ne.Timeout() {
+				t.Fatalf("neither an answer nor a close: %v", err)
+			}
+			return append(statuses, 0)
+		}
+		io.Copy(io.Discard, resp.Body)
+		statuses = append(statuses, resp.StatusCode)
+	}
+	return statuses
+}
+
+// header2 is a PROXY header of version 2 for an IPv4 client, with a TLV.
+func header2(client string) string {
+	b := append([]byte("\r\n\r\n\x00\r\nQUIT\n"), 0x21, 0x11)
+	b = binary.BigEndian.AppendUint16(b, 12+4)
+	b = append(b, netip.MustParseAddr(client).AsSlice()...)
+	return string(append(b, 127, 0, 0, 1, 0, 80, 0, 80, 4, 0, 1, 'x'))
+}
+
+// The operators' check: headers of both versions, from trusted and untrusted addresses.
+func TestHeadersFromTrustedAndUntrusted(t *testing.T) {
+	b := newBackend(t, ok)
+	n, out := startLogged(t, lists(func(a *settings.Addresses) {
+		a.Allow, a.Deny = prefixes("10.4.0.0/16", "fd00:12::/48", "127.0.0.1/32"), prefixes("10.4.9.0/24")
+	}), b)
+	for i, c := range []struct {
+		source, header string
+		status         int
+		client         string
+	}{
+		{front, "PROXY TCP4 10.4.1.1 127.0.0.1 5000 80\r\n", 200, "10.4.1.1"},
+		{front, "PROXY TCP6 fd00:12::1 ::1 5000 80\r\n", 200, "fd00:12::1"},
+		{front, "PROXY TCP6 ::ffff:10.4.1.1 ::1 5000 80\r\n", 200, "10.4.1.1"},
+		{front, header2("10.4.1.1"), 200, "10.4.1.1"},
+		{front, "PROXY TCP4 10.4.9.1 127.0.0.1 5000 80\r\n", 403, "10.4.9.1"},
+		{front, header2("10.5.0.1"), 403, "10.5.0.1"},
+		{front, "PROXY UNKNOWN\r\n", 403, front}, // its own address stands
+		{front, "\r\n\r\n\x00\r\nQUIT\n\x20\x00\x00\x00", 403, front},
+		{front, "", 0, front},
+		{front, "PROXY TCP4 10.4.1.1\r\n", 0, front},
+		{front, "PROXY TCP4 " + strings.Repeat("1", 200), 0, front},
+		{"127.0.0.1", "", 200, "127.0.0.1"},
+		{"127.0.0.1", "PROXY TCP4 10.4.1.1 127.0.0.1 5000 80\r\n", 0, "127.0.0.1"},
+		{"127.0.0.1", header2("10.4.1.1"), 0, "127.0.0.1"},
+		{"127.0.0.3", "", 403, "127.0.0.3"},
+		{"127.0.0.3", header2("10.4.1.1"), 0, "127.0.0.3"},
+	} {
+		before, id := b.requests(), fmt.Sprint("id-", i)
+		// What follows the header at once must not be lost, and the connection is kept.
+		want := []int{c.status}
+		texts := []string{c.header + requestText(id)}
+		if c.status == 200 {
+			texts, want = append(texts, requestText(id+"-2")), append(want, 200)
+		}
+		if got := answers(t, from(t, n, c.source), texts...); fmt.Sprint(got) != fmt.Sprint(want) {
+			t.Errorf("%s, %q: answered %v, want %v", c.source, c.header, got, want)
+		}
+		if sent := b.requests() - before; c.status != 200 && sent != 0 || c.status == 200 && sent != 2 {
+			t.Errorf("%s, %q: %d attempts", c.source, c.header, sent)
+		}
+		switch c.status {
+		case 403:
+			if len(out.lines("msg=denied id="+id+" class=unsafe client="+c.client+"\n")) != 1 {
+				t.Errorf("%s is not logged as denied: %s", id, out)
+			}
+		case 0:
+			if got := out.lines(`msg="connection closed" client=` + c.client + " "); len(got) == 0 {
+				t.Errorf("%s, %q: its close is not logged: %s", c.source, c.header, out)
+			}
+		}
+	}
+}
+
+// The request that came last in a connection from a front is judged by the front's header, also piece by piece.
+func TestHeaderInPieces(t *testing.T) {
+	n, _ := startLogged(t, lists(func(a *settings.Addresses) { a.Allow = prefixes("10.4.0.0/16") }), newBackend(t, ok))
+	for _, header := range []string{"PROXY TCP4 10.4.1.1 127.0.0.1 5000 80\r\n", header2("10.4.1.1")} {
+		c := from(t, n, front)
+		if tc, ok := c.(*net.TCPConn); ok {
+			tc.SetNoDelay(true)
+		}
+		for _, b := range []byte(header) {
+			if _, err := c.Write([]byte{b}); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if got := answers(t, c, requestText("1")); got[0] != 200 {
+			t.Errorf("%q: answered %v", header, got)
+		}
+	}
+}
+
+// A front that is slow with its header is closed, and holds up nobody meanwhile.
+func TestLateHeader(t *testing.T) {
+	n, out := startLogged(t, lists(func(a *settings.Addresses) { a.ProxyTimeout = 200 * time.Millisecond }), newBackend(t, ok))
+	var slow []net.Conn
+	for i := range 50 {
+		c := from(t, n, front)
+		io.WriteString(c, "PROXY TCP4 10.4.1.1 127"[:i%20])
+		slow = append(slow, c)
+	}
+	begin := time.Now()
+	if got := answers(t, from(t, n, "127.0.0.1"), requestText("1")); got[0] != 200 {
+		t.Errorf("beside slow fronts: answered %v", got)
+	}
+	for _, c := range slow {
+		if got := answers(t, c, ""); got[0] != 0 {
+			t.Errorf("answered %v", got)
+		}
+	}
+	if took := time.Since(begin); took > 3*time.Second {
+		t.Errorf("closed after %v", took)
+	}
+	if got := out.lines(`msg="connection closed" client=` + front + " "); len(got) != 50 {
+		t.Errorf("%d closes are logged", len(got))
+	}
+}
+
+// With a header that comes late but in time, the peer still gets its answer or close within 3 s of connecting.
+func TestLateHeaderAndNoRequest(t *testing.T) {
+	n, _ := startLogged(t, lists(func(a *settings.Addresses) {}), newBackend(t, ok))
+	begin := time.Now()
+	c := from(t, n, front)
+	if got := answers(t, c, "PROXY UNKNOWN\r\nPOST /api HTTP/1.1\r\n"); got[0] != 0 && got[0] < 400 {
+		t.Errorf("answered %v", got)
+	}
+	if took := time.Since(begin); took > 3*time.Second {
+		t.Errorf("closed after %v", took)
+	}
+}
+
+func TestDeniedEverywhereButReady(t *testing.T) {
+	features := lists(func(a *settings.Addresses) { a.Deny = prefixes("127.0.0.3/32") })
+	features.Drills = stall(func(*settings.Drill) {}).Drills
+	n, out := startLogged(t, features, newBackend(t, ok))
+	get := func(path string) string { return "GET " + path + " HTTP/1.1\r\nHost: n\r\n\r\n" }
+	start := "POST /drills HTTP/1.1\r\nHost: n\r\n" + drills.Header + ": " + secret + "\r\nContent-Length: 0\r\n\r\n"
+	for text, want := range map[string]int{get("/ready"): 200, get("/api"): 403, start: 403,
+		strings.Replace(requestText("1"), "unsafe", "new", 1):        403,
+		"POST /api HTTP/1.1\r\nHost: n\r\nContent-Length: 9\r\n\r\n": 403} {
+		if got := answers(t, from(t, n, "127.0.0.3"), text); got[0] != want {
+			t.Errorf("%q: answered %v, want %d", text, got, want)
+		}
+	}
+	if got := out.lines("msg=denied "); len(got) != 4 {
+		t.Errorf("%d are logged as denied: %s", len(got), out)
+	}
+	if len(out.lines("drill started")) != 0 {
+		t.Error("a stranger started a drill")
+	}
+	if got := answers(t, from(t, n, "127.0.0.1"), start, requestText("2")); got[0] != 200 || got[1] != 200 {
+		t.Errorf("others were answered %v", got)
+	}
+	if len(out.lines("msg=drilled id=2 class=unsafe drill=stall client=127.0.0.1\n")) != 1 {
+		t.Errorf("the drilled request's client is not logged: %s", out)
+	}
+}
+
+// A stranger that uses another request's id gets its own answer, and the other one is left alone.
+func TestStrangerWithAnothersID(t *testing.T) {
+	release := make(chan struct{})
+	b := newBackend(t, func(_ int, c net.Conn, _ *http.Request) bool {
+		<-release
+		return respond(c, "200 OK", "done")
+	})
+	n, _ := startLogged(t, lists(func(a *settings.Addresses) { a.Deny = prefixes("127.0.0.3/32") }), b)
+	got := make(chan []int, 1)
+	c := from(t, n, "127.0.0.1")
+	go func() { got <- answers(t, c, requestText("1")) }()
+	eventually(t, "it is out", func() bool { return b.requests() == 1 })
+	if got := answers(t, from(t, n, "127.0.0.3"), requestText("1")); got[0] != 403 {
+		t.Errorf("the stranger was answered %v", got)
+	}
+	close(release)
+	if got := <-got; got[0] != 200 {
+		t.Errorf("the other one was answered %v", got)
+	}
+}
+
+// Log lines about attempts name the client too.
+func TestBrokenAttemptNamesItsClient(t *testing.T) {
+	b := newBackend(t, func(int, net.Conn, *http.Request) bool { return false })
+	n, out := startLogged(t, lists(func(*settings.Addresses) {}), b)
+	if got := answers(t, from(t, n, front), "PROXY TCP4 10.4.1.1 127.0.0.1 5000 80\r\n"+requestText("1")); got[0] != 502 {
+		t.Errorf("answered %v", got)
+	}
+	if got := out.lines("attempt without an answer"); len(got) != 1 || !strings.HasSuffix(got[0], " client=10.4.1.1\n") {
+		t.Errorf("said %q", got)
+	}
+}
--- a/internal/node/callers.go
+++ b/internal/node/callers.go
@@ -34,7 +34,8 @@
 	starts   chan<- string // of drills, by name
 	stopped  <-chan struct{}
 	drills   *drills.Keys
-	figures  *figures.Reporter // nil: off
+	figures  *figures.Reporter    // nil: off
+	lists    *deckrelay.Addresses // nil: everybody is let in
 	ready    func() bool
 	closing  func() bool          // every answer ends its connection
 	cutoff   func() time.Duration // the clock time by which the node answers all, once it is told to stop; else 0
@@ -49,7 +50,7 @@
 		w.WriteHeader(status)
 		return
 	}
-	if h.drills.Asked(r) {
+	if _, out := h.stranger(r); !out && h.drills.Asked(r) {
 		h.startDrill(w, r)
 		return
 	}
@@ -58,11 +59,19 @@
 
 // serve answers a caller's request and returns the status, gaveUp if the client left.
 func (h *callers) serve(w http.ResponseWriter, r *http.Request, tags figures.Tags) (status int) {
-	c, status, err := h.read(w, r)
-	if err != nil {
-		w.Header().Set("Connection", "close") // the body may not have been read to its end
-		http.Error(w, err.Error(), status)
-		return status
+	var c *call
+	client, out := h.stranger(r)
+	if out {
+		h.leaveUnread(w)
+		c = visit(r, client)
+	} else {
+		var err error
+		if c, status, err = h.read(w, r); err != nil {
+			w.Header().Set("Connection", "close") // the body may not have been read to its end
+			http.Error(w, err.Error(), status)
+			return status
+		}
+		c.req.Client = client
 	}
 	c.tags = tags
 	select {
@@ -83,11 +92,16 @@
 	return gaveUp
 }
 
+// leaveUnread ends a connection with the answer: a body is not read, and what comes of it is not waited for.
+func (h *callers) leaveUnread(w http.ResponseWriter) {
+	w.Header().Set("Connection", "close")
+	http.NewResponseController(w).SetReadDeadline(time.Now().Add(bodyTime))
+}
+
 // startDrill starts the drill whose key a request has.
 func (h *callers) startDrill(w http.ResponseWriter, r *http.Request) {
 	if r.ContentLength != 0 || h.closing() {
-		w.Header().Set("Connection", "close") // a body is not read, and what comes of it is not waited for
-		http.NewResponseController(w).SetReadDeadline(time.Now().Add(bodyTime))
+		h.leaveUnread(w)
 	}
 	name, err := h.drills.Match(r.Header)
 	switch {
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -127,6 +127,9 @@
 		set.Drills = append(set.Drills, deckrelay.Drill{Name: d.Name, Class: d.Class, Share: d.Share,
 			Delay: d.Delay, AbortStatus: d.AbortStatus, Duration: d.Duration})
 	}
+	if a := c.Features.Addresses; a != nil {
+		set.Addresses = &deckrelay.Addresses{Allow: a.Allow, Deny: a.Deny, ProxyFrom: a.ProxyFrom}
+	}
 	return set, nil
 }
 
--- a/internal/node/inbound.go
+++ b/internal/node/inbound.go
@@ -21,6 +21,7 @@
 	net.Listener
 	most    int
 	figures *figures.Reporter // nil: off
+	doors   *doors            // nil: nobody is judged
 	changed chan struct{}     // a place may be free
 	done    chan struct{}
 	end     func()
@@ -72,6 +73,9 @@
 		in.mu.Unlock()
 		return nil, err
 	}
+	if in.doors != nil {
+		nc = in.doors.open(nc)
+	}
 	c := &inConn{Conn: nc, in: in}
 	in.figures.Add(c.tags, figures.OpenConnections, 1)
 	in.rest(c)
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -40,6 +40,7 @@
 	deadline time.Duration
 	reply    chan answer // takes the one final answer without blocking
 	tags     figures.Tags
+	stranger bool        // the lists keep its client out; of its request there is only the id
 	closed   atomic.Bool // answered or given up by the client: nothing more may be sent for it
 
 	attempts int
@@ -92,6 +93,7 @@
 	stop     chan struct{}
 
 	calls   map[string]*call
+	visitor *call // that is being taken
 	targets map[string]*target
 	wakes   wakeHeap
 	usable  atomic.Bool // some listed server is in service
@@ -170,6 +172,8 @@
 			l.answer(a.ID, answer{status: http.StatusServiceUnavailable, retryAfter: a.RetryAfter})
 		case deckrelay.Fail:
 			l.answer(a.ID, answer{status: http.StatusBadGateway})
+		case deckrelay.Deny:
+			l.deny(a)
 		case deckrelay.Drilled:
 			l.mark(a)
 		case deckrelay.Abort:
@@ -183,6 +187,11 @@
 }
 
 func (l *loop) takeCall(c *call) {
+	l.visitor = c
+	if c.stranger {
+		l.handle(c.req)
+		return
+	}
 	// An id still in use would be taken by the module for the request that it has, and never answered.
 	if l.calls[c.req.ID] != nil {
 		c.reply <- answer{status: http.StatusConflict}
@@ -193,13 +202,25 @@
 	l.handle(c.req)
 }
 
+// deny answers a stranger. Its id may be that of another call.
+func (l *loop) deny(a deckrelay.Deny) {
+	c := l.visitor
+	if c.closed.Swap(true) {
+		return
+	}
+	l.tally.denied++
+	l.log.Info("denied", append([]any{"id", a.ID, "class", c.req.Class}, c.who()...)...)
+	c.reply <- answer{status: http.StatusForbidden}
+	l.forget(c)
+}
+
 // mark notes that a call is part of a drill.
 func (l *loop) mark(a deckrelay.Drilled) {
 	if c := l.calls[a.ID]; c != nil {
 		c.drill = a.Drill
 		l.tally.drilled++
 		l.figures.Count(c.tags, figures.Drilled)
-		l.log.Info("drilled", "id", a.ID, "class", c.req.Class, "drill", a.Drill)
+		l.log.Info("drilled", append([]any{"id", a.ID, "class", c.req.Class, "drill", a.Drill}, c.who()...)...)
 	}
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -36,8 +36,9 @@
 	loop    *loop
 	pool    *pool
 	disc    *discovery
-	inbound int         // connections from callers at once
-	heard   atomic.Bool // discovery has spoken, or had its time
+	lists   *deckrelay.Addresses // nil: everybody is let in
+	inbound int                  // connections from callers at once
+	heard   atomic.Bool          // discovery has spoken, or had its time
 	state   atomic.Int32
 	most    time.Duration // killMost, less in tests
 	cutoff  atomic.Int64  // once leaving: the clock time by which all must be answered
@@ -63,7 +64,7 @@
 	if cfg.Sockets == 0 {
 		cfg.Sockets = anyLimit
 	}
-	n := &Node{cfg: cfg, log: logger, most: killMost}
+	n := &Node{cfg: cfg, log: logger, most: killMost, lists: set.Addresses}
 	ck := newClock()
 	n.loop = newLoop(ck, logger, bal)
 	if f := cfg.Features.Figures; f != nil {
@@ -119,12 +120,16 @@
 	defer grace.Stop()
 
 	in := newInbound(ln, n.inbound, n.loop.figures)
+	if a := n.cfg.Features.Addresses; a != nil {
+		in.doors = &doors{lists: n.lists, timeout: a.ProxyTimeout, log: n.log}
+	}
 	lastFigures := n.report()
 	server := &http.Server{
 		Handler: &callers{clock: n.loop.clock, effects: effects(n.cfg.Settings), arrivals: n.loop.arrivals,
 			gone: n.loop.gone, starts: n.loop.starts, stopped: n.loop.stop, ready: n.ready,
 			drills:  drills.NewKeys(n.cfg.Features.Drills),
 			figures: n.loop.figures,
+			lists:   n.lists,
 			closing: func() bool { return n.state.Load() >= closing },
 			cutoff:  func() time.Duration { return time.Duration(n.cutoff.Load()) }},
 		ReadHeaderTimeout: headTime,
@@ -133,7 +138,7 @@
 		MaxHeaderBytes:    16 << 10,
 		ErrorLog:          slog.NewLogLogger(n.log.Handler(), slog.LevelWarn),
 	}
-	if n.loop.figures != nil {
+	if n.loop.figures != nil || n.lists != nil {
 		server.ConnContext = withConn
 	}
 	failed := make(chan error, 1)
--- a/internal/node/tally.go
+++ b/internal/node/tally.go
@@ -16,7 +16,7 @@
 // callers were turned away before or after an attempt, and how the attempts ended.
 type tally struct {
 	taken, served, left int
-	drilled             int
+	drilled, denied     int
 	refused, failed     [2]int // before any attempt; after one
 	endings             [deckrelay.Void + 1]int
 	nextBreak           time.Duration // until then no further unanswered attempt is logged
@@ -32,11 +32,14 @@
 		return
 	}
 	e := &t.endings
-	var drills []any
+	var features []any // only what is on has something to tell
 	if t.drilled > 0 {
-		drills = []any{"hookwalk.drill.applied", t.drilled}
+		features = append(features, "hookwalk.drill.applied", t.drilled)
 	}
-	log.With(drills...).Info("counts", "taken", t.taken, "served", t.served, "left", t.left,
+	if t.denied > 0 {
+		features = append(features, "denied", t.denied)
+	}
+	log.With(features...).Info("counts", "taken", t.taken, "served", t.served, "left", t.left,
 		"refused_unsent", t.refused[0], "refused_sent", t.refused[1],
 		"failed_unsent", t.failed[0], "failed_sent", t.failed[1], "open", out,
 		"ok", e[deckrelay.Success], "error", e[deckrelay.Failure], "full", e[deckrelay.Overloaded],
@@ -52,6 +55,6 @@
 		return
 	}
 	t.nextBreak = now + breakEvery
-	log.Warn("attempt without an answer", "server", r.att.target.id, "err", r.err,
-		"after", now-r.att.started, "uses", r.uses, "age", r.age, "idle", r.idle)
+	log.Warn("attempt without an answer", append([]any{"server", r.att.target.id, "err", r.err,
+		"after", now - r.att.started, "uses", r.uses, "age", r.age, "idle", r.idle}, r.att.call.who()...)...)
 }
