--- /dev/null
+++ b/checkpoint.go
@@ -0,0 +1,295 @@
+package deckrelay
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+)
+
+// saved is the whole state of a Balancer. Servers and requests stand in lists; what points to one has its place
+// there instead.
+type saved struct {
+	Now       time.Duration
+	Random    []byte
+	Servers   []savedServer
+	Mapped    int // so many of the servers are still known; the others only stand in attempts that have ended
+	Requests  []savedRequest
+	Classes   []savedClass
+	Pools     []savedPool
+	Lines     []savedLine
+	Errors    float64
+	LastOK    time.Duration
+	Tokens    float64
+	SubFails  int
+	SubWanted time.Duration
+	Leaving   bool
+	Drills    *savedDrills `json:",omitempty"`
+}
+
+type savedServer struct {
+	Server
+	Listed               bool
+	Calls                int
+	Open                 [][2]int // request, attempt
+	Streak, Level, Goods int
+	Until, LastOK        time.Duration
+	Room                 int
+	Full                 time.Duration
+	Refusals             int
+}
+
+type savedRequest struct {
+	ID        []byte // may be no UTF-8, of which JSON would make something else
+	Class     int
+	Arrived   time.Duration
+	Deadline  time.Duration
+	Attempts  []savedAttempt
+	Out       int
+	Repeat    bool
+	Line      *uint64
+	Answered  bool
+	Streaming bool
+	Wake      time.Duration
+	Resume    time.Duration
+}
+
+type savedAttempt struct {
+	Server        int
+	Sent          time.Duration
+	Zone          string
+	Cell          int
+	Ended, Unsent bool
+}
+
+type savedClass struct {
+	Mean, Dev, Samples, Arrive, Serve float64
+	LongestTry                        time.Duration
+}
+
+type savedPool struct {
+	Ready, Near, Held                                                            []int
+	InFlight                                                                     int
+	Spill, Nearby, Far, Fair, Window, Fill, Bare, Spared, Peak, Base, Part, Shed float64
+}
+
+type savedLine struct {
+	Key   uint64
+	Queue []int
+	Rest  time.Duration
+}
+
+type savedDrills struct {
+	Random  []byte
+	Until   []time.Duration
+	Delayed []int
+}
+
+// Checkpoint returns all that a Balancer has learned and holds. One that Restore makes of it goes on as this one
+// does.
+func (b *Balancer) Checkpoint() ([]byte, error) {
+	s := saved{Now: b.now, Errors: b.errors, LastOK: b.lastOK, Tokens: b.tokens, SubFails: b.subFails,
+		SubWanted: b.subWanted, Leaving: b.leaving}
+	var err error
+	if s.Random, err = b.src.MarshalBinary(); err != nil {
+		return nil, fmt.Errorf("checkpoint: %w", err)
+	}
+	servers := places[*server]{}
+	for _, id := range slices.Sorted(maps.Keys(b.servers)) {
+		servers.of(b.servers[id])
+	}
+	s.Mapped = len(servers.list)
+	requests := places[*request]{}
+	for _, id := range slices.Sorted(maps.Keys(b.requests)) {
+		requests.of(b.requests[id])
+	}
+	for _, r := range requests.list {
+		s.Requests = append(s.Requests, b.saveRequest(r, &servers))
+	}
+	for _, v := range servers.list {
+		o := savedServer{Server: v.Server, Listed: v.listed, Calls: v.calls, Streak: v.streak, Level: v.level,
+			Goods: v.goods, Until: v.until, LastOK: v.lastOK, Room: v.room, Full: v.full, Refusals: v.refusals}
+		for _, a := range v.open {
+			o.Open = append(o.Open, [2]int{requests.of(a.req), a.n})
+		}
+		s.Servers = append(s.Servers, o)
+	}
+	for _, c := range b.order {
+		s.Classes = append(s.Classes, savedClass{Mean: c.mean, Dev: c.dev, Samples: c.samples, Arrive: c.arrive,
+			Serve: c.serve, LongestTry: c.longestTry})
+	}
+	for _, p := range b.pools {
+		s.Pools = append(s.Pools, savedPool{Ready: servers.all(p.ready), Near: servers.all(p.near),
+			Held: requests.all(p.held), InFlight: p.inFlight, Spill: p.spill, Nearby: p.nearby, Far: p.far,
+			Fair: p.fair, Window: p.window, Fill: p.fill, Bare: p.bare, Spared: p.spared, Peak: p.peak,
+			Base: p.base, Part: p.part, Shed: p.shed})
+	}
+	for _, key := range slices.Sorted(maps.Keys(b.lines)) {
+		l := b.lines[key]
+		s.Lines = append(s.Lines, savedLine{Key: key, Queue: requests.all(l.queue), Rest: l.rest})
+	}
+	if d := b.drills; d != nil {
+		s.Drills = &savedDrills{Until: d.until, Delayed: requests.all(d.delayed)}
+		if s.Drills.Random, err = d.src.MarshalBinary(); err != nil {
+			return nil, fmt.Errorf("checkpoint: %w", err)
+		}
+	}
+	text, err := json.Marshal(s)
+	if err != nil {
+		return nil, fmt.Errorf("checkpoint: %w", err)
+	}
+	return text, nil
+}
+
+func (b *Balancer) saveRequest(r *request, servers *places[*server]) savedRequest {
+	o := savedRequest{ID: []byte(r.id), Class: slices.Index(b.order, r.class), Arrived: r.arrived, Deadline: r.deadline,
+		Out: r.out, Repeat: r.repeat, Answered: r.answered, Streaming: r.streaming, Wake: r.wake, Resume: r.resume}
+	if r.line != nil {
+		o.Line = &r.line.key
+	}
+	for _, a := range r.attempts {
+		o.Attempts = append(o.Attempts, savedAttempt{Server: servers.of(a.srv), Sent: a.sent, Zone: a.zone,
+			Cell: a.cell, Ended: a.ended, Unsent: a.unsent})
+	}
+	return o
+}
+
+// places numbers what it is asked for.
+type places[T comparable] struct {
+	list []T
+	at   map[T]int
+}
+
+func (p *places[T]) of(v T) int {
+	i, ok := p.at[v]
+	if !ok {
+		if p.at == nil {
+			p.at = map[T]int{}
+		}
+		i = len(p.list)
+		p.at[v] = i
+		p.list = append(p.list, v)
+	}
+	return i
+}
+
+func (p *places[T]) all(list []T) (at []int) {
+	for _, v := range list {
+		at = append(at, p.of(v))
+	}
+	return at
+}
+
+var errNoCheckpoint = errors.New("not a checkpoint of a Balancer with these settings")
+
+// Restore returns a Balancer that goes on from a checkpoint of one with the same settings.
+func Restore(set Settings, checkpoint []byte) (*Balancer, error) {
+	var s saved
+	if err := json.Unmarshal(checkpoint, &s); err != nil {
+		return nil, fmt.Errorf("%w: %w", errNoCheckpoint, err)
+	}
+	b, err := New(set, 0)
+	if err != nil {
+		return nil, err
+	}
+	if err := b.src.UnmarshalBinary(s.Random); err != nil {
+		return nil, fmt.Errorf("%w: %w", errNoCheckpoint, err)
+	}
+	if len(s.Classes) != len(b.order) || len(s.Pools) != len(b.pools) || (s.Drills != nil) != (b.drills != nil) ||
+		s.Mapped < 0 || s.Mapped > len(s.Servers) {
+		return nil, errNoCheckpoint
+	}
+	b.now, b.errors, b.lastOK, b.tokens = s.Now, s.Errors, s.LastOK, s.Tokens
+	b.subFails, b.subWanted, b.leaving = s.SubFails, s.SubWanted, s.Leaving
+	for i, c := range s.Classes {
+		k := b.order[i]
+		k.mean, k.dev, k.samples, k.arrive, k.serve, k.longestTry = c.Mean, c.Dev, c.Samples, c.Arrive, c.Serve, c.LongestTry
+	}
+	// Pointers go last: each list must be there before another one points into it.
+	f := &fetcher{}
+	servers := make([]*server, len(s.Servers))
+	for i, o := range s.Servers {
+		servers[i] = &server{Server: o.Server, listed: o.Listed, calls: o.Calls, streak: o.Streak, level: o.Level,
+			goods: o.Goods, until: o.Until, lastOK: o.LastOK, room: o.Room, full: o.Full, refusals: o.Refusals}
+		if i < s.Mapped {
+			b.servers[o.ID] = servers[i]
+		}
+	}
+	requests := make([]*request, len(s.Requests))
+	for i, o := range s.Requests {
+		requests[i] = b.loadRequest(o, servers, f)
+		b.requests[requests[i].id] = requests[i]
+	}
+	for _, l := range s.Lines {
+		b.lines[l.Key] = &line{key: l.Key, queue: fetch(f, requests, l.Queue), rest: l.Rest}
+	}
+	for i, o := range s.Requests {
+		if o.Line != nil {
+			requests[i].line = b.lines[*o.Line]
+			f.bad = f.bad || requests[i].line == nil
+		}
+	}
+	for i, o := range s.Servers {
+		for _, at := range o.Open {
+			r := fetch(f, requests, at[:1])
+			if len(r) == 1 {
+				servers[i].open = append(servers[i].open, fetch(f, r[0].attempts, at[1:])...)
+			}
+		}
+	}
+	for i, o := range s.Pools {
+		p := b.pools[i]
+		p.ready, p.near, p.held = fetch(f, servers, o.Ready), fetch(f, servers, o.Near), fetch(f, requests, o.Held)
+		for _, r := range p.held {
+			r.held = true
+		}
+		p.inFlight, p.spill, p.nearby, p.far = o.InFlight, o.Spill, o.Nearby, o.Far
+		p.fair, p.window, p.fill, p.bare, p.spared = o.Fair, o.Window, o.Fill, o.Bare, o.Spared
+		p.peak, p.base, p.part, p.shed = o.Peak, o.Base, o.Part, o.Shed
+	}
+	if d := s.Drills; d != nil {
+		if err := b.drills.src.UnmarshalBinary(d.Random); err != nil || len(d.Until) != len(b.drills.until) {
+			return nil, errNoCheckpoint
+		}
+		copy(b.drills.until, d.Until)
+		b.drills.delayed = fetch(f, requests, d.Delayed)
+		for _, r := range b.drills.delayed {
+			r.delayed = true
+		}
+	}
+	if f.bad {
+		return nil, errNoCheckpoint
+	}
+	return b, nil
+}
+
+func (b *Balancer) loadRequest(o savedRequest, servers []*server, f *fetcher) *request {
+	r := &request{id: string(o.ID), arrived: o.Arrived, deadline: o.Deadline, out: o.Out, repeat: o.Repeat,
+		answered: o.Answered, streaming: o.Streaming, wake: o.Wake, resume: o.Resume}
+	if c := fetch(f, b.order, []int{o.Class}); len(c) == 1 {
+		r.class = c[0]
+	}
+	for n, a := range o.Attempts {
+		if v := fetch(f, servers, []int{a.Server}); len(v) == 1 {
+			r.attempts = append(r.attempts, &attempt{req: r, srv: v[0], n: n, sent: a.Sent, zone: a.Zone,
+				cell: a.Cell, ended: a.Ended, unsent: a.Unsent})
+		}
+	}
+	return r
+}
+
+// fetcher notes whether a place was none.
+type fetcher struct{ bad bool }
+
+func fetch[T any](f *fetcher, list []T, at []int) (found []T) {
+	for _, i := range at {
+		if i < 0 || i >= len(list) {
+			f.bad = true
+			return nil
+		}
+		found = append(found, list[i])
+	}
+	return found
+}
--- /dev/null
+++ b/checkpoint_test.go
@@ -0,0 +1,105 @@
+package deckrelay
+
+import (
+	"bytes"
+	"fmt"
+	"reflect"
+	"strings"
+	"testing"
+	"time"
+)
+
+// timed is an event with its clock time.
+type timed struct {
+	at time.Duration
+	e  Event
+}
+
+// A Balancer that is made anew from checkpoints, again and again in the middle of random events, does just what one
+// does that runs through.
+func TestRestoredBalancerGoesOnAlike(t *testing.T) {
+	for seed := uint64(1); seed <= 6; seed++ {
+		set := ruleSettings()
+		set.Tier, set.AskDiscovery, set.SecondCopies = int(seed%2), seed%3 == 0, seed%4 == 0
+		if seed%2 == 0 {
+			set.Drills = ruleDrills
+		}
+		c := newChecker(set)
+		c.keep = true
+		want, _ := run(t, set, seed, 3000, c)
+		b, err := New(set, seed)
+		if err != nil {
+			t.Fatal(err)
+		}
+		var got []string
+		for i, s := range c.seen {
+			if i%37 == 0 {
+				b = restored(t, set, b)
+			}
+			for _, a := range b.Handle(s.at, s.e) {
+				got = append(got, fmt.Sprintf("%v %T%v", s.at, a, a))
+			}
+		}
+		if !reflect.DeepEqual(got, want) {
+			for i := range want {
+				if i >= len(got) || got[i] != want[i] {
+					t.Errorf("seed %d: action %d of %d was to be %s", seed, i, len(want), want[i])
+					break
+				}
+			}
+		}
+	}
+}
+
+// restored makes a Balancer anew, and wants its checkpoint to be the one that it was made from.
+func restored(t *testing.T, set Settings, b *Balancer) *Balancer {
+	t.Helper()
+	text, err := b.Checkpoint()
+	if err != nil {
+		t.Fatal(err)
+	}
+	n, err := Restore(set, text)
+	if err != nil {
+		t.Fatal(err)
+	}
+	again, err := n.Checkpoint()
+	if err != nil || !bytes.Equal(again, text) {
+		t.Fatalf("a checkpoint of what was restored differs, %v", err)
+	}
+	return n
+}
+
+// Whoever adds a field must say here that the checkpoint has it, or that it need not.
+func TestCheckpointKnowsEveryField(t *testing.T) {
+	for v, want := range map[any]int{&Balancer{}: 18, &pool{}: 18, &line{}: 3, &class{}: 8, &server{}: 12,
+		&request{}: 14, &attempt{}: 8, &rehearsal{}: 4} {
+		if n := reflect.TypeOf(v).Elem().NumField(); n != want {
+			t.Errorf("%T has %d fields, and the checkpoint was written for %d", v, n, want)
+		}
+	}
+}
+
+func TestWhatIsNoCheckpoint(t *testing.T) {
+	b := newBalancer(t, nil)
+	b.Handle(0, ServerList{Full: true, Servers: servers(2)})
+	b.Handle(0, Request{ID: "r", Class: "pay", Deadline: time.Second})
+	text, err := b.Checkpoint()
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, change := range [][2]string{{"{", "["}, {`"Random":"`, `"Random":"AAAA`}, {`"Ready":[0`, `"Ready":[7`},
+		{`"Class":2`, `"Class":9`}, {`"Server":`, `"Server":9`}, {`"Mapped":2`, `"Mapped":3`}} {
+		broken := strings.Replace(string(text), change[0], change[1], 1)
+		if broken == string(text) {
+			t.Errorf("no %s in %s", change[0], text)
+		}
+		if _, err := Restore(testSettings(), []byte(broken)); err == nil {
+			t.Errorf("with %s for %s it was taken", change[1], change[0])
+		}
+	}
+	set := testSettings()
+	set.Classes = set.Classes[:1]
+	if _, err := Restore(set, text); err == nil {
+		t.Error("other settings took it")
+	}
+}
--- a/rules_test.go
+++ b/rules_test.go
@@ -21,6 +21,8 @@
 	reqs   map[string]*tracked
 	order  []*tracked // of classes that keep their order, as they came
 	broken []string
+	keep   bool    // what it is told, in seen
+	seen   []timed // events
 }
 
 type tracked struct {
@@ -58,6 +60,13 @@
 }
 
 func (c *checker) event(now time.Duration, e Event) {
+	if c.keep {
+		if l, ok := e.(ServerList); ok { // its list is used again
+			l.Servers = slices.Clone(l.Servers)
+			e = l
+		}
+		c.seen = append(c.seen, timed{now, e})
+	}
 	switch e := e.(type) {
 	case ServerList:
 		if e.Full {
