--- /dev/null
+++ b/internal/capture/record.go
@@ -0,0 +1,278 @@
+// Package capture records all that goes into the decision module and what comes out, and replays it. A record is
+// one event with the actions that answered it, as length-prefixed JSON; a head, at the start of every stretch that
+// may be read by itself, has what the module was made of and all that it held then.
+package capture
+
+import (
+	"bytes"
+	"encoding/binary"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"strings"
+	"time"
+	"unicode/utf8"
+
+	"deckrelay"
+)
+
+// Version is that of the records. Another build of the same version may decide otherwise; that is what a replay
+// is for.
+const Version = "1"
+
+const (
+	linePrefix = "capture:"
+	prefixLen  = 4       // bytes of a record's length, big-endian
+	maxRecord  = 4 << 20 // of one record; more is no length
+)
+
+// Kinds of records.
+const (
+	kindHead       = "head"
+	kindRequest    = "request"
+	kindOutcome    = "outcome"
+	kindTimer      = "timer"
+	kindList       = "list"
+	kindListFailed = "list_failed"
+	kindStarted    = "started"
+	kindGone       = "client_gone"
+	kindDrill      = "drill"
+	kindLeaving    = "leaving"
+)
+
+// record is one event with its decision, or a head. Times are in ns; At is the module's clock.
+type record struct {
+	Seq      uint64           `json:"seq"` // of a head: that of the last event before it
+	At       time.Duration    `json:"at"`
+	Kind     string           `json:"kind"`
+	ID       string           `json:"id,omitempty"`
+	Class    string           `json:"class,omitempty"`
+	Tenant   string           `json:"tenant,omitempty"`
+	Budget   time.Duration    `json:"budget,omitempty"`
+	Deadline time.Duration    `json:"deadline,omitempty"`
+	Repeat   bool             `json:"repeat,omitempty"`
+	Key      uint64           `json:"key,omitempty"`
+	HasKey   bool             `json:"has_key,omitempty"`
+	Client   netip.Addr       `json:"client,omitzero"`
+	Attempt  int              `json:"attempt,omitempty"`
+	Server   string           `json:"server,omitempty"`
+	Ending   deckrelay.Ending `json:"ending,omitempty"`
+	Latency  time.Duration    `json:"latency,omitempty"`
+	Ended    bool             `json:"ended,omitempty"`
+	Load     *deckrelay.Load  `json:"load,omitempty"`
+	Name     string           `json:"name,omitempty"` // of a timer or a drill
+	Full     bool             `json:"full,omitempty"`
+	Cached   bool             `json:"cached,omitempty"`
+	Hosts    []host           `json:"hosts,omitempty"`
+	Decision []decision       `json:"decision,omitempty"`
+	Answer   int              `json:"answer,omitempty"` // the final answer that this event led to
+	Head     *head            `json:"head,omitempty"`
+}
+
+type host struct {
+	Host  string                `json:"host"`
+	Addr  string                `json:"addr,omitempty"`
+	Zone  string                `json:"zone,omitempty"`
+	Kind  string                `json:"kind,omitempty"`
+	Cell  int                   `json:"cell,omitempty"`
+	State deckrelay.ServerState `json:"state,omitempty"`
+	Boot  time.Duration         `json:"boot,omitempty"`
+}
+
+// decision is one action of the module.
+type decision struct {
+	Do     string        `json:"do"`
+	ID     string        `json:"id,omitempty"`
+	Server string        `json:"server,omitempty"`
+	For    time.Duration `json:"for,omitempty"` // a time-out, or the advice when to come back
+	At     time.Duration `json:"at,omitempty"`
+	Name   string        `json:"name,omitempty"` // of a timer or a drill
+	Status int           `json:"status,omitempty"`
+}
+
+// head is what a module was made of and what it holds.
+type head struct {
+	Version    string             `json:"version"`
+	Node       string             `json:"node"`
+	Began      int64              `json:"began"` // tells one run of a node from the next
+	Seed       uint64             `json:"seed"`
+	Settings   deckrelay.Settings `json:"settings"`
+	Checkpoint json.RawMessage    `json:"checkpoint"`
+}
+
+// Aside is what a node knows of an event that the module is not told.
+type Aside struct {
+	Tenant string
+	Budget time.Duration
+	Served bool              // the outcome is the client's answer
+	Addrs  map[string]string // of the hosts of a list
+}
+
+// newRecord describes an event. An unknown one could not be replayed.
+func newRecord(e deckrelay.Event, aside Aside) (record, error) {
+	switch e := e.(type) {
+	case deckrelay.Request:
+		return record{Kind: kindRequest, ID: plain(e.ID), Class: plain(e.Class), Tenant: plain(aside.Tenant), Budget: aside.Budget,
+			Deadline: e.Deadline, Repeat: e.Repeat, Key: e.Key, HasKey: e.HasKey, Client: e.Client}, nil
+	case deckrelay.Outcome:
+		r := record{Kind: kindOutcome, ID: plain(e.ID), Attempt: e.Attempt, Server: e.Server, Ending: e.Ending,
+			Latency: e.Latency, Ended: e.Ended, Load: e.Load}
+		if aside.Served {
+			r.Answer = http.StatusOK
+		}
+		return r, nil
+	case deckrelay.Timer:
+		return record{Kind: kindTimer, Name: plain(e.Token)}, nil
+	case deckrelay.ServerList:
+		r := record{Kind: kindList, Full: e.Full, Cached: e.Cached}
+		for _, s := range e.Servers {
+			r.Hosts = append(r.Hosts, host{Host: s.ID, Addr: aside.Addrs[s.ID], Zone: s.Zone, Kind: s.Kind,
+				Cell: s.Cell, State: s.State, Boot: s.Boot})
+		}
+		return r, nil
+	case deckrelay.ListFailed:
+		return record{Kind: kindListFailed}, nil
+	case deckrelay.Started:
+		return record{Kind: kindStarted, ID: plain(e.ID), Attempt: e.Attempt}, nil
+	case deckrelay.ClientGone:
+		return record{Kind: kindGone, ID: plain(e.ID)}, nil
+	case deckrelay.DrillStart:
+		return record{Kind: kindDrill, Name: e.Name}, nil
+	case deckrelay.Leaving:
+		return record{Kind: kindLeaving}, nil
+	}
+	return record{}, fmt.Errorf("no record of a %T", e)
+}
+
+// event is what the module was told.
+func (r *record) event() (deckrelay.Event, error) {
+	switch r.Kind {
+	case kindRequest:
+		return deckrelay.Request{ID: raw(r.ID), Class: raw(r.Class), Deadline: r.Deadline, Repeat: r.Repeat, Key: r.Key,
+			HasKey: r.HasKey, Client: r.Client}, nil
+	case kindOutcome:
+		return deckrelay.Outcome{ID: raw(r.ID), Attempt: r.Attempt, Server: r.Server, Ending: r.Ending,
+			Latency: r.Latency, Ended: r.Ended, Load: r.Load}, nil
+	case kindTimer:
+		return deckrelay.Timer{Token: raw(r.Name)}, nil
+	case kindList:
+		e := deckrelay.ServerList{Full: r.Full, Cached: r.Cached}
+		for _, h := range r.Hosts {
+			e.Servers = append(e.Servers, deckrelay.Server{ID: h.Host, Zone: h.Zone, Kind: h.Kind, Cell: h.Cell,
+				State: h.State, Boot: h.Boot})
+		}
+		return e, nil
+	case kindListFailed:
+		return deckrelay.ListFailed{}, nil
+	case kindStarted:
+		return deckrelay.Started{ID: raw(r.ID), Attempt: r.Attempt}, nil
+	case kindGone:
+		return deckrelay.ClientGone{ID: raw(r.ID)}, nil
+	case kindDrill:
+		return deckrelay.DrillStart{Name: r.Name}, nil
+	case kindLeaving:
+		return deckrelay.Leaving{}, nil
+	}
+	return nil, fmt.Errorf("unknown kind of record %q", r.Kind)
+}
+
+// plain is a text as JSON can hold it: callers may send bytes that are no UTF-8, and JSON would make one of
+// different ids. Each of them becomes U+FFFD and two hexadecimal digits.
+func plain(s string) string {
+	if utf8.ValidString(s) && !strings.ContainsRune(s, utf8.RuneError) {
+		return s
+	}
+	var b strings.Builder
+	for n := 0; s != ""; s = s[n:] {
+		var c rune
+		if c, n = utf8.DecodeRuneInString(s); c != utf8.RuneError {
+			b.WriteString(s[:n])
+			continue
+		}
+		for _, o := range []byte(s[:n]) {
+			fmt.Fprintf(&b, "%c%02x", utf8.RuneError, o)
+		}
+	}
+	return b.String()
+}
+
+// raw is the text that plain was made of.
+func raw(s string) string {
+	mark := string(utf8.RuneError)
+	if !strings.Contains(s, mark) {
+		return s
+	}
+	var b strings.Builder
+	for i, part := range strings.Split(s, mark) {
+		if i > 0 && len(part) >= 2 {
+			if o, err := strconv.ParseUint(part[:2], 16, 8); err == nil {
+				b.WriteByte(byte(o))
+				part = part[2:]
+			}
+		}
+		b.WriteString(part)
+	}
+	return b.String()
+}
+
+// What an action does, in a record.
+const (
+	doSend      = "send"
+	doRefuse    = "refuse"
+	doFail      = "fail"
+	doDeny      = "deny"
+	doAbort     = "abort"
+	doDrill     = "drill"
+	doWake      = "wake"
+	doSubscribe = "subscribe"
+)
+
+func newDecision(a deckrelay.Action) decision {
+	switch a := a.(type) {
+	case deckrelay.Send:
+		return decision{Do: doSend, ID: plain(a.ID), Server: a.Server, For: a.Timeout}
+	case deckrelay.Refuse:
+		return decision{Do: doRefuse, ID: plain(a.ID), For: a.RetryAfter, Status: http.StatusServiceUnavailable}
+	case deckrelay.Fail:
+		return decision{Do: doFail, ID: plain(a.ID), Status: http.StatusBadGateway}
+	case deckrelay.Deny:
+		return decision{Do: doDeny, ID: plain(a.ID), Status: http.StatusForbidden}
+	case deckrelay.Abort:
+		return decision{Do: doAbort, ID: plain(a.ID), For: a.RetryAfter, Status: a.Status}
+	case deckrelay.Drilled:
+		return decision{Do: doDrill, ID: plain(a.ID), Name: a.Drill}
+	case deckrelay.Wake:
+		return decision{Do: doWake, At: a.At, Name: plain(a.Token)}
+	case deckrelay.Subscribe:
+		return decision{Do: doSubscribe}
+	}
+	return decision{Do: fmt.Sprintf("%T", a)} // differs from all that this build records
+}
+
+func decisions(actions []deckrelay.Action) (list []decision) {
+	for _, a := range actions {
+		list = append(list, newDecision(a))
+	}
+	return list
+}
+
+// encode writes a record with its length into an empty buffer.
+func encode(buf *bytes.Buffer, r *record) error {
+	buf.Write(make([]byte, prefixLen))
+	enc := json.NewEncoder(buf)
+	enc.SetEscapeHTML(false)
+	if err := enc.Encode(r); err != nil {
+		return err
+	}
+	buf.Truncate(buf.Len() - 1) // the encoder's line end
+	if buf.Len()-prefixLen > maxRecord {
+		return errAbsurd
+	}
+	binary.BigEndian.PutUint32(buf.Bytes(), uint32(buf.Len()-prefixLen))
+	return nil
+}
+
+var errAbsurd = errors.New("a record of absurd length")
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -20,6 +20,7 @@
 	Drills    []Drill
 	Figures   *Figures   // nil: off
 	Addresses *Addresses // nil: off
+	Capture   *Capture   // nil: off
 }
 
 // Drill is a rehearsal that can be started.
@@ -49,6 +50,12 @@
 	ProxyTimeout time.Duration
 }
 
+// Capture says what is kept of the module's records beside standard error and memory.
+type Capture struct {
+	Folder    string // "": none
+	FileBytes int    // of one file there, at most
+}
+
 const (
 	maxFile = 1 << 20
 	maxText = 256 // bytes of a label or a secret
@@ -86,6 +93,8 @@
 			f.takeFigures(r)
 		case "addresses":
 			f.takeAddresses(r)
+		case "capture":
+			f.takeCapture(r)
 		default:
 			return File{}, fault(name, b.line, "unknown block %s", b.kind)
 		}
@@ -152,6 +161,14 @@
 		ProxyTimeout: r.millis("proxy_timeout_ms", 500*time.Millisecond, time.Millisecond, time.Second)}
 }
 
+func (f *File) takeCapture(r *reader) {
+	r.once(f.Capture != nil)
+	f.Capture = &Capture{Folder: r.text("folder", ""), FileBytes: r.whole("file_kb", 512, 64, 1<<20) << 10}
+	if line, ok := r.has("folder"); ok && f.Capture.Folder == "" {
+		r.fail(line, "folder must name a folder")
+	}
+}
+
 // printable says that a text may stand in a header as it is.
 func printable(s string) bool {
 	return s != "" && len(s) <= maxText && s == strings.TrimSpace(s) &&
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -65,6 +65,17 @@
 	}
 }
 
+func TestCapture(t *testing.T) {
+	for text, want := range map[string]Capture{
+		`capture {}`: {FileBytes: 512 << 10},
+		`capture { folder = "/var/lib/hookwalk" file_kb = 64 }`: {Folder: "/var/lib/hookwalk", FileBytes: 64 << 10},
+	} {
+		if f, err := Parse("f", []byte(text)); err != nil || f.Capture == nil || *f.Capture != want {
+			t.Errorf("%s: %+v, %v", text, f.Capture, err)
+		}
+	}
+}
+
 func TestNothingNamedIsAllOff(t *testing.T) {
 	for _, text := range []string{"", "\n\t # nothing", "/**/", "//"} {
 		if f, err := Parse("f", []byte(text)); err != nil || !reflect.DeepEqual(f, File{}) {
@@ -108,6 +119,9 @@
 	"text for list":     {`addresses { proxy_from = "10.4.0.0/16" }`, "f:1: ", "proxy_from must be a list of strings"},
 	"number in list":    {`addresses { proxy_from = [10] }`, "f:1: ", "want a string"},
 	"timeout":           {`addresses { proxy_timeout_ms = 0 }`, "f:1: ", "proxy_timeout_ms must be from 1 to 1000"},
+	"capture twice":     {"capture {}\ncapture {}", "f:2: ", "block capture is there already"},
+	"folder":            {`capture { folder = "" }`, "f:1: ", "folder must name a folder"},
+	"file_kb":           {`capture { file_kb = 63 }`, "f:1: ", "file_kb must be from 64"},
 	"not a number":      {`drill "a" { share = 1e2 }`, "f:1: ", "want a string, a number or a list"},
 	"word":              {`drill "a" { share = ten }`, "f:1: ", `found "ten"`},
 	"no value":          {`drill "a" { share = }`, "f:1: ", "want a string, a number or a list"},
