--- a/cmd/hookwalk/main.go
+++ b/cmd/hookwalk/main.go
@@ -1,6 +1,6 @@
 // Command hookwalk is one load-balancer node: it takes requests, lets package deckrelay decide where
 // they go, and answers them. ROUTER_CONFIG names its configuration file. Subcommands start a drill at a
-// running node.
+// running node and replay what one has captured.
 package main
 
 import (
@@ -26,6 +26,9 @@
   hookwalk [--settings FILE]    run a node; ROUTER_CONFIG names its configuration, FILE switches features on
   hookwalk drill start --file FILE [--name NAME] [--addr HOST:PORT]
                                 start a drill of the settings file FILE at a running node (ROUTER_LISTEN)
+  hookwalk replay --capture FILE
+                                play a capture, a .hwc file or a log with capture lines, and print what is
+                                decided otherwise; exit 0: nothing, 1: something, 2: it can't be played
 `
 
 // Exit codes.
@@ -36,8 +39,11 @@
 
 func main() {
 	args := os.Args[1:]
-	if len(args) > 0 && args[0] == "drill" {
+	switch {
+	case len(args) > 0 && args[0] == "drill":
 		os.Exit(drill(args[1:], os.Stdout, os.Stderr))
+	case len(args) > 0 && args[0] == "replay":
+		os.Exit(replay(args[1:], os.Stdout, os.Stderr))
 	}
 	os.Exit(serve(args))
 }
@@ -109,25 +115,33 @@
 	if err != nil {
 		return err
 	}
+	var dumps chan os.Signal // without a capture the signal does what it does to any program
+	if cfg.Features.Capture != nil {
+		dumps = make(chan os.Signal, 1)
+		signal.Notify(dumps, syscall.SIGUSR1)
+	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
 	ended, reloader := make(chan struct{}), sync.WaitGroup{}
 	reloader.Add(1)
 	go func() {
 		defer reloader.Done()
-		reload(n, log, path, hangups, ended)
+		listen(n, log, path, hangups, dumps, ended)
 	}()
 	defer reloader.Wait()
 	defer close(ended)
 	return n.Run(ctx)
 }
 
-// reload reads the configuration again at each SIGHUP until ended is closed. With a file that can't be
-// used, the node goes on with what it has.
-func reload(n *node.Node, log *slog.Logger, path string, hangups <-chan os.Signal, ended <-chan struct{}) {
+// listen reads the configuration again at each SIGHUP until ended is closed, and has what was captured written
+// out at each SIGUSR1. With a configuration that can't be used, the node goes on with what it has.
+func listen(n *node.Node, log *slog.Logger, path string, hangups, dumps <-chan os.Signal, ended <-chan struct{}) {
 	for {
 		select {
 		case <-hangups:
+		case <-dumps:
+			n.Dump()
+			continue
 		case <-ended:
 			return
 		}
--- a/cmd/hookwalk/main_test.go
+++ b/cmd/hookwalk/main_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"encoding/base64"
 	"fmt"
 	"net/http"
 	"net/http/httptest"
@@ -197,6 +198,7 @@
 func TestUsage(t *testing.T) {
 	for args, want := range map[string]int{
 		"start": 2, "drill": 2, "drill stop": 2, "drill start": 2, "drill start --file": 2, "--fast": 2,
+		"replay": 2, "replay --capture": 2, "replay --capture a b": 2, "replay -h": 0,
 		"drill start --file x --addr a:1 more": 2, "-h": 0, "drill -h": 0, "drill start -h": 0,
 	} {
 		c := program(t, "", strings.Fields(args)...)
@@ -315,6 +317,76 @@
 	}
 }
 
+// A node that is killed outright leaves a capture on standard error that replays; SIGUSR1 writes out what it
+// holds once more. The exit code tells of differences and of captures that can't be played.
+func TestCaptureAndReplay(t *testing.T) {
+	agent, _ := watchable(t)
+	dir := t.TempDir()
+	c := program(t, fmt.Sprintf(config, agent), "--settings", written(t, "hookwalk.hcl", fmt.Sprintf("figures { flush_ms = 10 }\ncapture { folder = %q }", dir)))
+	lines, url := serving(t, c)
+	var log strings.Builder
+	until := func(enough func(line string) bool) {
+		t.Helper()
+		for lines.Scan() {
+			log.WriteString(lines.Text() + "\n")
+			if enough(lines.Text()) {
+				return
+			}
+		}
+		t.Fatal("standard error ended")
+	}
+	for i := range 50 {
+		ask(t, url, fmt.Sprint(i), "X-Caller", "okanagan-ridge")
+	}
+	if err := c.Process.Signal(syscall.SIGUSR1); err != nil {
+		t.Fatal(err)
+	}
+	heads := 0
+	until(func(line string) bool { // the dump begins with the first head
+		raw, _ := base64.StdEncoding.DecodeString(strings.TrimPrefix(line, "capture:"))
+		if strings.Contains(string(raw), `"kind":"head"`) {
+			heads++
+		}
+		return heads == 1
+	})
+	ask(t, url, "last")
+	if err := c.Process.Kill(); err != nil {
+		t.Fatal(err)
+	}
+	for lines.Scan() {
+		log.WriteString(lines.Text() + "\n")
+	}
+	c.Wait()
+	replayed := func(name, text string) (code int, said, warned string) {
+		return ends(t, program(t, "", "replay", "--capture", written(t, name, text)))
+	}
+	code, said, warned := replayed("node.log", log.String())
+	if code != 0 || !regexp.MustCompile(`^[0-9]{2,} records compared, 0 differences, [0-9]+ skipped\n$`).MatchString(said) {
+		t.Errorf("the log: exit %d, %q, %q", code, said, warned)
+	}
+	file, err := os.ReadFile(filepath.Join(dir, "capture-0001.hwc"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if code, said, warned := replayed("a.hwc", string(file)); code != 0 || warned != "" || !strings.Contains(said, " 0 differences, 0 skipped\n") {
+		t.Errorf("the file: exit %d, %q, %q", code, said, warned)
+	}
+	if code, _, warned := replayed("a.hwc", string(file[:len(file)-1])); code != 0 || !strings.Contains(warned, "truncated record skipped") {
+		t.Errorf("a truncated file: exit %d, %q", code, warned)
+	}
+	other := strings.Replace(string(file), `"version":"1"`, `"version":"0"`, 1)
+	if code, _, warned := replayed("a.hwc", other); code != 2 || strings.Count(warned, "\n") != 1 || !strings.Contains(warned, `version "0"`) {
+		t.Errorf("another version: exit %d, %q", code, warned)
+	}
+	changed := strings.Replace(string(file), `"do":"refuse"`, `"do":"reject"`, 1)
+	if code, said, _ := replayed("a.hwc", changed); code != 1 || !regexp.MustCompile(`(?m)^[0-9]+ was 503 .*now 503`).MatchString(said) {
+		t.Errorf("a changed decision: exit %d, %q", code, said)
+	}
+	if code, _, warned := replayed("a.log", "no capture\n"); code != 2 || !strings.Contains(warned, "no records") {
+		t.Errorf("no capture: exit %d, %q", code, warned)
+	}
+}
+
 func TestBadConfiguration(t *testing.T) {
 	for name, text := range map[string]string{
 		"empty":       "",
--- a/internal/node/addresses.go
+++ b/internal/node/addresses.go
@@ -155,7 +155,7 @@
 
 // visit is the call of a stranger: nothing more of its request is read.
 func visit(r *http.Request, client netip.Addr) *call {
-	c := &call{reply: make(chan answer, 1), stranger: true}
+	c := &call{tenant: r.Header.Get("X-Caller"), reply: make(chan answer, 1), stranger: true}
 	c.req = deckrelay.Request{ID: r.Header.Get("X-Call-Id"), Class: r.Header.Get("X-Call-Class"), Client: client}
 	return c
 }
--- a/internal/node/callers.go
+++ b/internal/node/callers.go
@@ -173,7 +173,7 @@
 	if status, err := h.check(r); err != nil {
 		return nil, status, err
 	}
-	c := &call{method: r.Method, url: r.URL, host: r.Host, reply: make(chan answer, 1)}
+	c := &call{method: r.Method, url: r.URL, host: r.Host, tenant: r.Header.Get("X-Caller"), reply: make(chan answer, 1)}
 	c.req.ID = r.Header.Get("X-Call-Id")
 	c.req.Class = r.Header.Get("X-Call-Class")
 	c.req.Repeat = r.Header.Get("X-Again") == "1"
@@ -194,6 +194,7 @@
 	}
 	control.SetReadDeadline(time.Time{}) // from here on a read only watches for the client's leaving
 	c.header = forwardable(r.Header)
+	c.budget = budget
 	c.deadline = h.clock.now() + budget
 	if end := h.cutoff(); end > 0 {
 		c.deadline = min(c.deadline, end)
--- /dev/null
+++ b/internal/node/capture_test.go
@@ -0,0 +1,106 @@
+package node
+
+import (
+	"encoding/base64"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"deckrelay/internal/capture"
+	"deckrelay/internal/drills"
+	"deckrelay/internal/settings"
+)
+
+// What a node on real sockets records replays without a difference: servers that fail, a list that changes, a drill,
+// strangers, callers that leave and a drain are all in it, and no body, key or secret is.
+func TestCaptureOfANodeReplays(t *testing.T) {
+	faulty := func(n int, c net.Conn, r *http.Request) bool {
+		switch {
+		case n%5 == 1:
+			return respond(c, "503 Service Unavailable", "", "X-Rejected: 1")
+		case n%7 == 2:
+			return respond(c, "500 Internal Server Error", "")
+		case n%11 == 3:
+			return false
+		}
+		return respond(c, "200 OK", "done", "X-Load-Report: {\"busy_reqs\":1.5}")
+	}
+	features := lists(func(a *settings.Addresses) { a.Deny = prefixes("127.0.0.3/32") })
+	features.Drills = stall(func(d *settings.Drill) { d.Share, d.Delay = 30, 5*time.Millisecond }).Drills
+	features.Capture = &settings.Capture{FileBytes: 512 << 10}
+	cfg, out := configWith(t, newBackend(t, faulty), newBackend(t, faulty), newBackend(t, faulty)), &logText{}
+	cfg.Features = features
+	n := start(t, cfg, withLog(out), func(n *Node) { n.stderr = out })
+	startDrill(t, n.url, secret)
+	hosts := cfg.Known.Hosts
+	var wg sync.WaitGroup
+	for caller := range 8 {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			for i := range 25 {
+				class := []string{"keyed", "unsafe"}[i%2]
+				r := newRequest(t, n.url, class, fmt.Sprintf("%d-%d", caller, i), "the body")
+				r.Header.Set("X-Caller", "okanagan-ridge")
+				if resp, err := http.DefaultClient.Do(r); err == nil {
+					io.Copy(io.Discard, resp.Body)
+					resp.Body.Close()
+				}
+				if caller == 0 && i%5 == 0 { // the list changes beside it
+					hosts[0].Born++
+					n.loop.lists <- news{list: roster{Seq: int64(i), Hosts: hosts[:1]}}
+				}
+			}
+		}()
+	}
+	wg.Wait()
+	if got := answers(t, from(t, n, "127.0.0.3"), requestText("stranger")); got[0] != 403 {
+		t.Errorf("a stranger was answered %v", got)
+	}
+	n.stop()
+	if err := <-n.done; err != nil {
+		t.Errorf("ended with %v", err)
+	}
+	var said strings.Builder
+	result, err := capture.Replay("node.log", strings.NewReader(out.String()), &said, func(format string, args ...any) {
+		t.Errorf("warned "+format, args...)
+	})
+	if err != nil || said.Len() > 0 || result.Compared < 400 || result.Differences+result.Skipped != 0 {
+		t.Errorf("%+v, %v, said %.500s", result, err, &said)
+	}
+	text := records(t, out.String())
+	for _, never := range []string{"the body", "k-0-0", secret, drills.Header} {
+		if strings.Contains(text, never) || strings.Contains(out.String(), never) {
+			t.Errorf("%q is in it", never)
+		}
+	}
+	for _, want := range []string{`"tenant":"okanagan-ridge","budget":30000000000`, `"addr":"` + hosts[0].Dial + `"`, `"kind":"drill"`,
+		`"do":"deny"`, `"answer":200`, `"kind":"leaving"`, `"load":{"Busy":1.5`} {
+		if !strings.Contains(text, want) {
+			t.Errorf("no %s in it", want)
+		}
+	}
+}
+
+// records is the text of all records in a log.
+func records(t *testing.T, log string) string {
+	t.Helper()
+	var all strings.Builder
+	for line := range strings.Lines(log) {
+		text, ok := strings.CutPrefix(line, "capture:")
+		if !ok {
+			continue
+		}
+		raw, err := base64.StdEncoding.DecodeString(strings.TrimSpace(text))
+		if err != nil {
+			t.Fatal(err)
+		}
+		all.Write(raw)
+	}
+	return all.String()
+}
--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -33,6 +33,15 @@
 	Hosts []host `json:"hosts"`
 }
 
+// addrs are the hosts' addresses.
+func (l roster) addrs() map[string]string {
+	m := map[string]string{}
+	for _, h := range l.Hosts {
+		m[h.Host] = h.Dial
+	}
+	return m
+}
+
 type host struct {
 	Host   string  `json:"host"`
 	Dial   string  `json:"dial"`
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"deckrelay"
+	"deckrelay/internal/capture"
 	"deckrelay/internal/figures"
 )
 
@@ -39,6 +40,8 @@
 	body     []byte
 	deadline time.Duration
 	reply    chan answer // takes the one final answer without blocking
+	tenant   string
+	budget   time.Duration
 	tags     figures.Tags
 	stranger bool        // the lists keep its client out; of its request there is only the id
 	closed   atomic.Bool // answered or given up by the client: nothing more may be sent for it
@@ -89,6 +92,7 @@
 	gone     chan *call
 	results  chan result
 	starts   chan string   // drills to start
+	dumps    chan struct{} // wishes to see what the capture holds
 	leaving  chan struct{} // closed when a node with drills begins to leave
 	stop     chan struct{}
 
@@ -99,12 +103,14 @@
 	usable  atomic.Bool // some listed server is in service
 	tally   tally
 	figures *figures.Reporter // nil: off
+	capture *capture.Writer   // nil: off
+	aside   capture.Aside     // of the event that comes next
 }
 
 func newLoop(ck clock, log *slog.Logger, bal *deckrelay.Balancer) *loop {
 	return &loop{clock: ck, log: log, bal: bal,
 		lists: make(chan news), arrivals: make(chan *call), gone: make(chan *call),
-		results: make(chan result), starts: make(chan string), leaving: make(chan struct{}), stop: make(chan struct{}),
+		results: make(chan result), starts: make(chan string), dumps: make(chan struct{}), leaving: make(chan struct{}), stop: make(chan struct{}),
 		calls: map[string]*call{}, targets: map[string]*target{}}
 }
 
@@ -149,6 +155,8 @@
 		case name := <-l.starts:
 			l.log.Info("drill started", "drill", name)
 			l.handle(deckrelay.DrillStart{Name: name})
+		case <-l.dumps:
+			l.capture.Dump()
 		case <-leaving:
 			leaving = nil
 			l.handle(deckrelay.Leaving{})
@@ -164,7 +172,12 @@
 // handle gives one event to the module and carries out what it answers.
 func (l *loop) handle(e deckrelay.Event) {
 	now := l.clock.now()
-	for _, a := range l.bal.Handle(now, e) {
+	actions := l.bal.Handle(now, e)
+	if l.capture != nil {
+		l.capture.Event(now, e, actions, l.aside)
+		l.aside = capture.Aside{}
+	}
+	for _, a := range actions {
 		switch a := a.(type) {
 		case deckrelay.Send:
 			l.send(now, a)
@@ -189,6 +202,7 @@
 func (l *loop) takeCall(c *call) {
 	l.visitor = c
 	if c.stranger {
+		l.aside = c.aside()
 		l.handle(c.req)
 		return
 	}
@@ -199,9 +213,15 @@
 	}
 	l.calls[c.req.ID] = c
 	l.tally.taken++
+	l.aside = c.aside()
 	l.handle(c.req)
 }
 
+// aside is what a capture has of a call beside what the module is told.
+func (c *call) aside() capture.Aside {
+	return capture.Aside{Tenant: c.tenant, Budget: c.budget}
+}
+
 // deny answers a stranger. Its id may be that of another call.
 func (l *loop) deny(a deckrelay.Deny) {
 	c := l.visitor
@@ -269,6 +289,7 @@
 	l.tally.note(l.log, l.clock.now(), r)
 	if r.ending == deckrelay.Success && !c.closed.Swap(true) {
 		l.tally.served++
+		l.aside.Served = true
 		c.reply <- answer{status: http.StatusOK, contentType: r.contentType, body: r.body}
 	}
 	l.handle(deckrelay.Outcome{ID: c.req.ID, Attempt: r.att.n, Server: r.att.target.id, Ending: r.ending,
@@ -306,6 +327,9 @@
 			}
 		}
 	}
+	if l.capture != nil {
+		l.aside.Addrs = n.list.addrs()
+	}
 	l.handle(e)
 	l.usable.Store(len(l.targets) > 0)
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"log/slog"
 	"net"
 	"net/http"
@@ -13,6 +14,7 @@
 	"time"
 
 	"deckrelay"
+	"deckrelay/internal/capture"
 	"deckrelay/internal/drills"
 	"deckrelay/internal/figures"
 )
@@ -36,9 +38,10 @@
 	loop    *loop
 	pool    *pool
 	disc    *discovery
-	lists   *deckrelay.Addresses // nil: everybody is let in
-	inbound int                  // connections from callers at once
-	heard   atomic.Bool          // discovery has spoken, or had its time
+	set     deckrelay.Settings // the module's
+	stderr  io.Writer          // of figures and capture
+	inbound int                // connections from callers at once
+	heard   atomic.Bool        // discovery has spoken, or had its time
 	state   atomic.Int32
 	most    time.Duration // killMost, less in tests
 	cutoff  atomic.Int64  // once leaving: the clock time by which all must be answered
@@ -64,12 +67,9 @@
 	if cfg.Sockets == 0 {
 		cfg.Sockets = anyLimit
 	}
-	n := &Node{cfg: cfg, log: logger, most: killMost, lists: set.Addresses}
+	n := &Node{cfg: cfg, log: logger, most: killMost, set: set, stderr: os.Stderr}
 	ck := newClock()
 	n.loop = newLoop(ck, logger, bal)
-	if f := cfg.Features.Figures; f != nil {
-		n.loop.figures = figures.New(*f, cfg.classNames(), cfg.tenants, os.Stderr, logger)
-	}
 	n.inbound = (cfg.Sockets - reserved) * 5 / 8
 	n.pool = newPool(ck, cfg, cfg.Sockets-reserved-n.inbound, n.loop.results)
 	n.loop.sender = n.pool
@@ -112,6 +112,7 @@
 			f()
 		}()
 	}
+	n.switchOn()
 	own(n.loop.run)
 	n.loop.lists <- news{list: n.cfg.Known.whole(), cached: true}
 	watching, stopWatching := context.WithCancel(context.Background())
@@ -121,7 +122,7 @@
 
 	in := newInbound(ln, n.inbound, n.loop.figures)
 	if a := n.cfg.Features.Addresses; a != nil {
-		in.doors = &doors{lists: n.lists, timeout: a.ProxyTimeout, log: n.log}
+		in.doors = &doors{lists: n.set.Addresses, timeout: a.ProxyTimeout, log: n.log}
 	}
 	lastFigures := n.report()
 	server := &http.Server{
@@ -129,7 +130,7 @@
 			gone: n.loop.gone, starts: n.loop.starts, stopped: n.loop.stop, ready: n.ready,
 			drills:  drills.NewKeys(n.cfg.Features.Drills),
 			figures: n.loop.figures,
-			lists:   n.lists,
+			lists:   n.set.Addresses,
 			closing: func() bool { return n.state.Load() >= closing },
 			cutoff:  func() time.Duration { return time.Duration(n.cutoff.Load()) }},
 		ReadHeaderTimeout: headTime,
@@ -138,7 +139,7 @@
 		MaxHeaderBytes:    16 << 10,
 		ErrorLog:          slog.NewLogLogger(n.log.Handler(), slog.LevelWarn),
 	}
-	if n.loop.figures != nil || n.lists != nil {
+	if n.loop.figures != nil || n.set.Addresses != nil {
 		server.ConnContext = withConn
 	}
 	failed := make(chan error, 1)
@@ -160,10 +161,29 @@
 	close(n.loop.stop)
 	owned.Wait()
 	lastFigures()
+	n.loop.capture.Close()
 	n.log.Info("stopped")
 	return err
 }
 
+// switchOn begins what the settings file has on and the loop takes part in.
+func (n *Node) switchOn() {
+	if f := n.cfg.Features.Figures; f != nil {
+		n.loop.figures = figures.New(*f, n.cfg.classNames(), n.cfg.tenants, n.stderr, n.log)
+	}
+	if c := n.cfg.Features.Capture; c != nil {
+		n.loop.capture = capture.New(*c, n.cfg.Name, n.loop.bal, n.set, n.cfg.Seed, n.stderr, n.log)
+	}
+}
+
+// Dump writes what the capture holds in memory to standard error, while the node runs and has one.
+func (n *Node) Dump() {
+	select {
+	case n.loop.dumps <- struct{}{}:
+	case <-n.loop.stop:
+	}
+}
+
 // report writes figures, where they are on, until the function that it returns is called; that one sees to it
 // that the last are written.
 func (n *Node) report() (end func()) {
