--- a/internal/node/figures.go
+++ b/internal/node/figures.go
@@ -43,7 +43,7 @@
 		return figures.Served
 	case status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests:
 		return figures.Refused
-	case status < http.StatusInternalServerError:
+	case status < http.StatusInternalServerError || status == http.StatusHTTPVersionNotSupported:
 		return figures.TurnedAway
 	}
 	return figures.Failed
--- a/internal/node/figures_test.go
+++ b/internal/node/figures_test.go
@@ -97,7 +97,7 @@
 
 func TestCounterOfAStatus(t *testing.T) {
 	for status, want := range map[int]figures.Counter{200: figures.Served, 429: figures.Refused, 503: figures.Refused,
-		400: figures.TurnedAway, 409: figures.TurnedAway, 403: figures.TurnedAway, 500: figures.Failed,
+		400: figures.TurnedAway, 409: figures.TurnedAway, 505: figures.TurnedAway, 403: figures.TurnedAway, 500: figures.Failed,
 		502: figures.Failed, gaveUp: figures.Left} {
 		if got := counterOf(status); got != want {
 			t.Errorf("%d counts as %v, want %v", status, got, want)
