--- a/internal/node/addresses.go
+++ b/internal/node/addresses.go
@@ -160,10 +160,10 @@
 	return c
 }
 
-// who is what a log line tells of a call's client, where that is known.
-func (c *call) who() []any {
-	if !c.req.Client.IsValid() {
+// who is what a log line tells of a client, where that is known.
+func who(client netip.Addr) []any {
+	if !client.IsValid() {
 		return nil
 	}
-	return []any{"client", c.req.Client}
+	return []any{"client", client}
 }
--- a/internal/node/addresses_test.go
+++ b/internal/node/addresses_test.go
@@ -210,6 +210,9 @@
 	if got := answers(t, from(t, n, "127.0.0.1"), start, requestText("2")); got[0] != 200 || got[1] != 200 {
 		t.Errorf("others were answered %v", got)
 	}
+	if len(out.lines(`msg="drill started" drill=stall client=127.0.0.1`)) != 1 {
+		t.Errorf("who started the drill is not logged: %s", out)
+	}
 	if len(out.lines("msg=drilled id=2 class=unsafe drill=stall client=127.0.0.1\n")) != 1 {
 		t.Errorf("the drilled request's client is not logged: %s", out)
 	}
--- a/internal/node/callers.go
+++ b/internal/node/callers.go
@@ -6,6 +6,7 @@
 	"hash/fnv"
 	"io"
 	"net/http"
+	"net/netip"
 	"slices"
 	"strconv"
 	"strings"
@@ -31,7 +32,7 @@
 	effects  map[string]deckrelay.Effect // of the classes, by name
 	arrivals chan<- *call
 	gone     chan<- *call
-	starts   chan<- string // of drills, by name
+	starts   chan<- drillStart
 	stopped  <-chan struct{}
 	drills   *drills.Keys
 	figures  *figures.Reporter    // nil: off
@@ -50,8 +51,8 @@
 		w.WriteHeader(status)
 		return
 	}
-	if _, out := h.stranger(r); !out && h.drills.Asked(r) {
-		h.startDrill(w, r)
+	if client, out := h.stranger(r); !out && h.drills.Asked(r) {
+		h.startDrill(w, r, client)
 		return
 	}
 	h.measured(w, r)
@@ -99,7 +100,7 @@
 }
 
 // startDrill starts the drill whose key a request has.
-func (h *callers) startDrill(w http.ResponseWriter, r *http.Request) {
+func (h *callers) startDrill(w http.ResponseWriter, r *http.Request, client netip.Addr) {
 	if r.ContentLength != 0 || h.closing() {
 		h.leaveUnread(w)
 	}
@@ -111,9 +112,12 @@
 	case err != nil:
 		http.Error(w, err.Error(), http.StatusForbidden)
 		return
+	case h.cutoff() > 0:
+		http.Error(w, "the node is about to stop", http.StatusServiceUnavailable)
+		return
 	}
 	select {
-	case h.starts <- name:
+	case h.starts <- drillStart{name, client}:
 		fmt.Fprintf(w, "drill=%s started\n", name)
 	case <-h.stopped:
 	}
--- a/internal/node/drills_test.go
+++ b/internal/node/drills_test.go
@@ -8,6 +8,8 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"net/http/httptest"
+	"net/netip"
 	"strings"
 	"sync"
 	"testing"
@@ -236,6 +238,16 @@
 	}
 }
 
+func TestNoStartAtANodeThatLeaves(t *testing.T) {
+	h := &callers{drills: drills.NewKeys(stall(func(*settings.Drill) {}).Drills), closing: func() bool { return false },
+		cutoff: func() time.Duration { return 1 }}
+	r, w := httptest.NewRequest(http.MethodPost, drills.Path, nil), httptest.NewRecorder()
+	r.Header.Set(drills.Header, secret)
+	if h.startDrill(w, r, netip.Addr{}); w.Code != http.StatusServiceUnavailable {
+		t.Errorf("answered %d", w.Code)
+	}
+}
+
 func TestDrillOfAnUnknownClass(t *testing.T) {
 	cfg := testConfig(t, "pushed")
 	cfg.Features = stall(func(d *settings.Drill) { d.Class, d.Pos = "new", "a.hcl:3" })
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -9,6 +9,7 @@
 	"container/heap"
 	"log/slog"
 	"net/http"
+	"net/netip"
 	"net/url"
 	"sync/atomic"
 	"time"
@@ -48,7 +49,6 @@
 
 	attempts int
 	out      int
-	drill    string // the drill that it is part of
 }
 
 // answer is the final answer to a call.
@@ -73,6 +73,12 @@
 	age, idle time.Duration
 }
 
+// drillStart is a drill to start, and whose wish that is, where that is known.
+type drillStart struct {
+	name   string
+	client netip.Addr
+}
+
 // sender carries attempts to servers. No method may block.
 type sender interface {
 	start(*attempt)
@@ -91,8 +97,8 @@
 	arrivals chan *call
 	gone     chan *call
 	results  chan result
-	starts   chan string   // drills to start
-	dumps    chan struct{} // wishes to see what the capture holds
+	starts   chan drillStart
+	dumps    chan struct{} // takes a wish to see what the capture holds without blocking
 	leaving  chan struct{} // closed when a node with drills begins to leave
 	stop     chan struct{}
 
@@ -110,7 +116,8 @@
 func newLoop(ck clock, log *slog.Logger, bal *deckrelay.Balancer) *loop {
 	return &loop{clock: ck, log: log, bal: bal,
 		lists: make(chan news), arrivals: make(chan *call), gone: make(chan *call),
-		results: make(chan result), starts: make(chan string), dumps: make(chan struct{}), leaving: make(chan struct{}), stop: make(chan struct{}),
+		results: make(chan result), starts: make(chan drillStart), dumps: make(chan struct{}, 1),
+		leaving: make(chan struct{}), stop: make(chan struct{}),
 		calls: map[string]*call{}, targets: map[string]*target{}}
 }
 
@@ -152,9 +159,9 @@
 			}
 		case r := <-l.results:
 			l.takeResult(r)
-		case name := <-l.starts:
-			l.log.Info("drill started", "drill", name)
-			l.handle(deckrelay.DrillStart{Name: name})
+		case s := <-l.starts:
+			l.log.Info("drill started", append([]any{"drill", s.name}, who(s.client)...)...)
+			l.handle(deckrelay.DrillStart{Name: s.name})
 		case <-l.dumps:
 			l.capture.Dump()
 		case <-leaving:
@@ -229,7 +236,7 @@
 		return
 	}
 	l.tally.denied++
-	l.log.Info("denied", append([]any{"id", a.ID, "class", c.req.Class}, c.who()...)...)
+	l.log.Info("denied", append([]any{"id", a.ID, "class", c.req.Class}, who(c.req.Client)...)...)
 	c.reply <- answer{status: http.StatusForbidden}
 	l.forget(c)
 }
@@ -237,10 +244,9 @@
 // mark notes that a call is part of a drill.
 func (l *loop) mark(a deckrelay.Drilled) {
 	if c := l.calls[a.ID]; c != nil {
-		c.drill = a.Drill
 		l.tally.drilled++
 		l.figures.Count(c.tags, figures.Drilled)
-		l.log.Info("drilled", append([]any{"id", a.ID, "class", c.req.Class, "drill", a.Drill}, c.who()...)...)
+		l.log.Info("drilled", append([]any{"id", a.ID, "class", c.req.Class, "drill", a.Drill}, who(c.req.Client)...)...)
 	}
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -176,11 +176,12 @@
 	}
 }
 
-// Dump writes what the capture holds in memory to standard error, while the node runs and has one.
+// Dump has what the capture holds in memory written to standard error, where there is one. A wish that still
+// waits is enough.
 func (n *Node) Dump() {
 	select {
 	case n.loop.dumps <- struct{}{}:
-	case <-n.loop.stop:
+	default:
 	}
 }
 
--- a/internal/node/tally.go
+++ b/internal/node/tally.go
@@ -56,5 +56,5 @@
 	}
 	t.nextBreak = now + breakEvery
 	log.Warn("attempt without an answer", append([]any{"server", r.att.target.id, "err", r.err,
-		"after", now - r.att.started, "uses", r.uses, "age", r.age, "idle", r.idle}, r.att.call.who()...)...)
+		"after", now - r.att.started, "uses", r.uses, "age", r.age, "idle", r.idle}, who(r.att.call.req.Client)...)...)
 }
