--- a/internal/capture/capture_test.go
+++ b/internal/capture/capture_test.go
@@ -441,6 +441,8 @@
 		"cut behind the prefix": {"a.log", log + linePrefix, "truncated record skipped", ""},
 		"cut, then a new run":   {"a.log", strings.Join(lines[:5], "") + half + again.stderr.String(), "line 6: truncated record skipped", ""},
 		"cut, then a log line":  {"a.log", strings.Join(lines[:5], "") + half + "time=now\n" + again.stderr.String(), "line 6: truncated record skipped", ""},
+		"collected":             {"a.log", "[0.25] " + strings.ReplaceAll(strings.TrimSuffix(log, "\n"), "\n", "\n[0.25] ") + "\n", "", ""},
+		"said by a caller":      {"a.log", log + "time=now level=INFO msg=denied id=capture:AAAA\n" + `time=now msg=denied id="capture:*"` + "\n", "", ""},
 		"without its start":     {"a.log", strings.Join(lines[3:], ""), "could not be compared: no head", ""},
 		"with a gap":            {"a.log", strings.Join(lines[:5], "") + strings.Join(lines[9:], ""), "4 records are missing before record 9", ""},
 		"cut in the middle":     {"a.log", strings.Join(lines[:5], "") + half + "\n" + strings.Join(lines[6:], ""), "", "line 6: corrupt"},
--- a/internal/capture/reader.go
+++ b/internal/capture/reader.go
@@ -70,6 +70,13 @@
 	rest []byte // of the line
 }
 
+// isCapture tells a capture line, before which whoever collected the log may have put a time or a name, from a
+// log line in which a caller's words merely look like one.
+func isCapture(line []byte) bool {
+	before, _, found := bytes.Cut(line, []byte(linePrefix))
+	return found && !bytes.Contains(before, []byte("msg="))
+}
+
 // next finds the next capture line. One that was cut short has no end: another one may stand behind it.
 func (l *lines) next() ([]byte, string, error) {
 	for {
@@ -83,8 +90,8 @@
 				return nil, "", err
 			}
 			l.n++
-			if l.rest = text; !bytes.HasPrefix(text, []byte(linePrefix)) {
-				l.rest = nil
+			if l.rest = nil; isCapture(text) {
+				l.rest = text
 			}
 			continue
 		}
