--- a/internal/capture/capture_test.go
+++ b/internal/capture/capture_test.go
@@ -447,6 +447,7 @@
 		"with a gap":            {"a.log", strings.Join(lines[:5], "") + strings.Join(lines[9:], ""), "4 records are missing before record 9", ""},
 		"cut in the middle":     {"a.log", strings.Join(lines[:5], "") + half + "\n" + strings.Join(lines[6:], ""), "", "line 6: corrupt"},
 		"absurd length":         {"a.hwc", string(absurd), "", "absurd length"},
+		"absurd line":           {"a.log", log + linePrefix + strings.Repeat("A", maxLine+8<<10), "", "absurd length"},
 		"no length":             {"a.hwc", "\x00\x00\x00\x00" + string(file), "", "absurd length"},
 		"corrupt middle":        {"a.hwc", string(middle), "", "record "},
 		"no JSON":               {"a.hwc", "\x00\x00\x00\x02{]", "", "record 1: corrupt"},
--- a/internal/capture/reader.go
+++ b/internal/capture/reader.go
@@ -70,6 +70,26 @@
 	rest []byte // of the line
 }
 
+// maxLine is the longest line that a record can be, with room for what a collector puts before it.
+const maxLine = maxRecord*4/3 + 64<<10
+
+// line reads a line, the last of which may have no end. A longer one than any record is not kept.
+func (l *lines) line() (text []byte, err error) {
+	for {
+		part, err := l.r.ReadSlice('\n')
+		text = append(text, part...)
+		switch {
+		case errors.Is(err, bufio.ErrBufferFull) && len(text) <= maxLine:
+		case errors.Is(err, bufio.ErrBufferFull):
+			return nil, fmt.Errorf("%w (over %d)", errAbsurd, maxLine)
+		case err == io.EOF && len(text) > 0:
+			return text, nil
+		default:
+			return text, err
+		}
+	}
+}
+
 // isCapture tells a capture line, before which whoever collected the log may have put a time or a name, from a
 // log line in which a caller's words merely look like one.
 func isCapture(line []byte) bool {
@@ -82,14 +102,11 @@
 	for {
 		var found bool
 		if _, l.rest, found = bytes.Cut(l.rest, []byte(linePrefix)); !found {
-			text, err := l.r.ReadBytes('\n')
-			if len(text) == 0 && err != nil {
-				return nil, "", err
-			}
-			if err != nil && err != io.EOF {
-				return nil, "", err
-			}
+			text, err := l.line()
 			l.n++
+			if err != nil {
+				return nil, fmt.Sprintf("line %d", l.n), err
+			}
 			if l.rest = nil; isCapture(text) {
 				l.rest = text
 			}
