--- /dev/null
+++ b/internal/drills/drills_test.go
@@ -0,0 +1,83 @@
+package drills
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"deckrelay/internal/settings"
+)
+
+func TestMatch(t *testing.T) {
+	two := NewKeys([]settings.Drill{{Name: "a", Secret: "one"}, {Name: "b", Secret: "two"}, {Name: "locked"}})
+	for _, c := range []struct {
+		keys   *Keys
+		sent   []string
+		name   string
+		reason error
+	}{
+		{two, []string{"one"}, "a", nil}, {two, []string{"two"}, "b", nil},
+		{two, nil, "", ErrKey}, {two, []string{""}, "", ErrKey}, {two, []string{"One"}, "", ErrKey},
+		{two, []string{"one", "one"}, "", ErrKey}, {two, []string{"", "one"}, "", ErrKey},
+		{NewKeys([]settings.Drill{{Name: "locked"}}), []string{""}, "", ErrNone},
+		{NewKeys(nil), []string{"one"}, "", ErrNone},
+	} {
+		name, err := c.keys.Match(http.Header{Header: c.sent})
+		if name != c.name || !errors.Is(err, c.reason) {
+			t.Errorf("%q: %q, %v; want %q, %v", c.sent, name, err, c.name, c.reason)
+		}
+	}
+}
+
+func TestAsked(t *testing.T) {
+	off, on := NewKeys(nil), NewKeys([]settings.Drill{{Name: "locked"}})
+	for _, c := range []struct {
+		method, path, key string
+		off, on           bool
+	}{
+		{"POST", Path, "k", true, true}, {"POST", Path, "", false, true}, {"GET", Path, "k", false, false},
+		{"POST", "/api", "k", false, false},
+	} {
+		r := httptest.NewRequest(c.method, c.path, nil)
+		if c.key != "" {
+			r.Header.Set(Header, c.key)
+		}
+		if off.Asked(r) != c.off || on.Asked(r) != c.on {
+			t.Errorf("%+v: %v while off, %v while on", c, off.Asked(r), on.Asked(r))
+		}
+	}
+}
+
+// The key goes to the node that is asked, and not on to where that one points.
+func TestStart(t *testing.T) {
+	followed := false
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		switch {
+		case r.URL.Path != Path:
+			followed = true
+		case r.Header.Get(Header) == "elsewhere":
+			http.Redirect(w, r, "/elsewhere", http.StatusTemporaryRedirect)
+		case r.Method != http.MethodPost || r.Header.Get(Header) != "one":
+			http.Error(w, ErrKey.Error(), http.StatusForbidden)
+		default:
+			w.Write([]byte("drill=a started\n"))
+		}
+	}))
+	defer s.Close()
+	addr := s.Listener.Addr().String()
+	if said, err := Start(context.Background(), addr, "one"); err != nil || said != "drill=a started" {
+		t.Errorf("said %q, %v", said, err)
+	}
+	if _, err := Start(context.Background(), addr, "two"); err == nil || !strings.Contains(err.Error(), "403 Forbidden: the key is not") {
+		t.Errorf("a wrong key: %v", err)
+	}
+	if _, err := Start(context.Background(), addr, "elsewhere"); err == nil || followed {
+		t.Errorf("a redirect: %v, followed: %v", err, followed)
+	}
+	if _, err := Start(context.Background(), "no address", "one"); err == nil {
+		t.Error("no address was taken")
+	}
+}
