Move the decision module to deckrelay/ and name the module hookwalk.example/hookwalk

The house we build towards has one room a folder; the root held the decision module and the whole repository bore its name, so nothing could stand beside it.

Measured: every test passes with -race; git shows the module's files as renames, with import lines alone changed.

--- a/cmd/deckrelay-sim/main.go
+++ b/cmd/deckrelay-sim/main.go
@@ -9,8 +9,8 @@
 	"os"
 	"time"
 
-	"deckrelay"
-	"deckrelay/internal/wire"
+	"hookwalk.example/hookwalk/deckrelay"
+	"hookwalk.example/hookwalk/internal/wire"
 )
 
 func main() {
--- a/cmd/hookwalk/drill.go
+++ b/cmd/hookwalk/drill.go
@@ -8,8 +8,8 @@
 	"os"
 	"time"
 
-	"deckrelay/internal/drills"
-	"deckrelay/internal/settings"
+	"hookwalk.example/hookwalk/internal/drills"
+	"hookwalk.example/hookwalk/internal/settings"
 )
 
 const startTime = 5 * time.Second // for a node to answer
--- a/cmd/hookwalk/main.go
+++ b/cmd/hookwalk/main.go
@@ -18,8 +18,8 @@
 	"sync"
 	"syscall"
 
-	"deckrelay/internal/node"
-	"deckrelay/internal/settings"
+	"hookwalk.example/hookwalk/internal/node"
+	"hookwalk.example/hookwalk/internal/settings"
 )
 
 const usage = `Usage:
--- a/cmd/hookwalk/replay.go
+++ b/cmd/hookwalk/replay.go
@@ -6,7 +6,7 @@
 	"io"
 	"os"
 
-	"deckrelay/internal/capture"
+	"hookwalk.example/hookwalk/internal/capture"
 )
 
 // replay is the command that plays a capture into the module of this build.
--- a/example_test.go
+++ b/deckrelay/example_test.go
@@ -5,7 +5,7 @@
 	"testing"
 	"time"
 
-	"deckrelay"
+	"hookwalk.example/hookwalk/deckrelay"
 )
 
 // One Balancer driven by hand: a list, a request, an attempt that never ran, and its answer.
--- a/internal/capture/capture_test.go
+++ b/internal/capture/capture_test.go
@@ -18,8 +18,8 @@
 	"testing"
 	"time"
 
-	"deckrelay"
-	"deckrelay/internal/settings"
+	"hookwalk.example/hookwalk/deckrelay"
+	"hookwalk.example/hookwalk/internal/settings"
 )
 
 const msec = time.Millisecond
--- a/internal/capture/record.go
+++ b/internal/capture/record.go
@@ -16,7 +16,7 @@
 	"time"
 	"unicode/utf8"
 
-	"deckrelay"
+	"hookwalk.example/hookwalk/deckrelay"
 )
 
 // Version is that of the records. Another build of the same version may decide otherwise; that is what a replay
--- a/internal/capture/replay.go
+++ b/internal/capture/replay.go
@@ -10,7 +10,7 @@
 	"strings"
 	"time"
 
-	"deckrelay"
+	"hookwalk.example/hookwalk/deckrelay"
 )
 
 // Result counts what a replay did.
--- a/internal/capture/writer.go
+++ b/internal/capture/writer.go
@@ -7,8 +7,8 @@
 	"log/slog"
 	"time"
 
-	"deckrelay"
-	"deckrelay/internal/settings"
+	"hookwalk.example/hookwalk/deckrelay"
+	"hookwalk.example/hookwalk/internal/settings"
 )
 
 const (
--- a/internal/drills/drills.go
+++ b/internal/drills/drills.go
@@ -12,7 +12,7 @@
 	"net/http"
 	"strings"
 
-	"deckrelay/internal/settings"
+	"hookwalk.example/hookwalk/internal/settings"
 )
 
 // Where a drill is started: a POST with the drill's secret in a header.
--- a/internal/drills/drills_test.go
+++ b/internal/drills/drills_test.go
@@ -8,7 +8,7 @@
 	"strings"
 	"testing"
 
-	"deckrelay/internal/settings"
+	"hookwalk.example/hookwalk/internal/settings"
 )
 
 func TestMatch(t *testing.T) {
--- a/internal/figures/figures.go
+++ b/internal/figures/figures.go
@@ -8,7 +8,7 @@
 	"sync"
 	"time"
 
-	"deckrelay/internal/settings"
+	"hookwalk.example/hookwalk/internal/settings"
 )
 
 const (
--- a/internal/figures/figures_test.go
+++ b/internal/figures/figures_test.go
@@ -17,7 +17,7 @@
 	"testing"
 	"time"
 
-	"deckrelay/internal/settings"
+	"hookwalk.example/hookwalk/internal/settings"
 )
 
 // writes keeps what is written, each Write by itself, and fails while err is set.
--- a/internal/node/addresses.go
+++ b/internal/node/addresses.go
@@ -11,8 +11,8 @@
 	"sync"
 	"time"
 
-	"deckrelay"
-	"deckrelay/internal/proxyproto"
+	"hookwalk.example/hookwalk/deckrelay"
+	"hookwalk.example/hookwalk/internal/proxyproto"
 )
 
 const frontBuffer = 256 // bytes, while a connection may begin with a PROXY header
--- a/internal/node/addresses_test.go
+++ b/internal/node/addresses_test.go
@@ -12,8 +12,8 @@
 	"testing"
 	"time"
 
-	"deckrelay/internal/drills"
-	"deckrelay/internal/settings"
+	"hookwalk.example/hookwalk/internal/drills"
+	"hookwalk.example/hookwalk/internal/settings"
 )
 
 // front is an address that the tests' nodes trust.
--- a/internal/node/callers.go
+++ b/internal/node/callers.go
@@ -12,9 +12,9 @@
 	"strings"
 	"time"
 
-	"deckrelay"
-	"deckrelay/internal/drills"
-	"deckrelay/internal/figures"
+	"hookwalk.example/hookwalk/deckrelay"
+	"hookwalk.example/hookwalk/internal/drills"
+	"hookwalk.example/hookwalk/internal/figures"
 )
 
 const (
--- a/internal/node/capture_test.go
+++ b/internal/node/capture_test.go
@@ -11,9 +11,9 @@
 	"testing"
 	"time"
 
-	"deckrelay/internal/capture"
-	"deckrelay/internal/drills"
-	"deckrelay/internal/settings"
+	"hookwalk.example/hookwalk/internal/capture"
+	"hookwalk.example/hookwalk/internal/drills"
+	"hookwalk.example/hookwalk/internal/settings"
 )
 
 // What a node on real sockets records replays without a difference: servers that fail, a list that changes, a drill,
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -10,9 +10,9 @@
 	"strconv"
 	"time"
 
-	"deckrelay"
-	"deckrelay/internal/settings"
-	"deckrelay/internal/wire"
+	"hookwalk.example/hookwalk/deckrelay"
+	"hookwalk.example/hookwalk/internal/settings"
+	"hookwalk.example/hookwalk/internal/wire"
 )
 
 // Config is what the platform tells a node at its start.
--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -15,7 +15,7 @@
 	"sync"
 	"time"
 
-	"deckrelay"
+	"hookwalk.example/hookwalk/deckrelay"
 )
 
 const (
--- a/internal/node/drills_test.go
+++ b/internal/node/drills_test.go
@@ -15,8 +15,8 @@
 	"testing"
 	"time"
 
-	"deckrelay/internal/drills"
-	"deckrelay/internal/settings"
+	"hookwalk.example/hookwalk/internal/drills"
+	"hookwalk.example/hookwalk/internal/settings"
 )
 
 // logText is what a node logs.
--- a/internal/node/figures.go
+++ b/internal/node/figures.go
@@ -6,7 +6,7 @@
 	"net/http"
 	"time"
 
-	"deckrelay/internal/figures"
+	"hookwalk.example/hookwalk/internal/figures"
 )
 
 // gaveUp is in place of a status for a request whose client left.
--- a/internal/node/figures_test.go
+++ b/internal/node/figures_test.go
@@ -9,8 +9,8 @@
 	"testing"
 	"time"
 
-	"deckrelay/internal/figures"
-	"deckrelay/internal/settings"
+	"hookwalk.example/hookwalk/internal/figures"
+	"hookwalk.example/hookwalk/internal/settings"
 )
 
 // figuresTo runs a node that reports to a UDP peer, and returns what waits for a line to come there.
--- a/internal/node/inbound.go
+++ b/internal/node/inbound.go
@@ -7,7 +7,7 @@
 	"sync"
 	"time"
 
-	"deckrelay/internal/figures"
+	"hookwalk.example/hookwalk/internal/figures"
 )
 
 // restMin is how long a connection without an open request is left alone when places run short. A caller
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -14,9 +14,9 @@
 	"sync/atomic"
 	"time"
 
-	"deckrelay"
-	"deckrelay/internal/capture"
-	"deckrelay/internal/figures"
+	"hookwalk.example/hookwalk/deckrelay"
+	"hookwalk.example/hookwalk/internal/capture"
+	"hookwalk.example/hookwalk/internal/figures"
 )
 
 // clock is monotonic and reads as Unix time at the start, so a server's boot time is a clock time.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -13,10 +13,10 @@
 	"sync/atomic"
 	"time"
 
-	"deckrelay"
-	"deckrelay/internal/capture"
-	"deckrelay/internal/drills"
-	"deckrelay/internal/figures"
+	"hookwalk.example/hookwalk/deckrelay"
+	"hookwalk.example/hookwalk/internal/capture"
+	"hookwalk.example/hookwalk/internal/drills"
+	"hookwalk.example/hookwalk/internal/figures"
 )
 
 const (
--- a/internal/node/rules_test.go
+++ b/internal/node/rules_test.go
@@ -10,7 +10,7 @@
 	"testing"
 	"time"
 
-	"deckrelay"
+	"hookwalk.example/hookwalk/deckrelay"
 )
 
 // With servers that fail in every way a socket shows, each request gets one final answer, an unsafe one
--- a/internal/node/servers.go
+++ b/internal/node/servers.go
@@ -15,7 +15,7 @@
 	"sync/atomic"
 	"time"
 
-	"deckrelay"
+	"hookwalk.example/hookwalk/deckrelay"
 )
 
 const (
--- a/internal/node/servers_test.go
+++ b/internal/node/servers_test.go
@@ -11,7 +11,7 @@
 	"testing"
 	"time"
 
-	"deckrelay"
+	"hookwalk.example/hookwalk/deckrelay"
 )
 
 func testPool(t *testing.T) *pool {
--- a/internal/node/tally.go
+++ b/internal/node/tally.go
@@ -4,7 +4,7 @@
 	"log/slog"
 	"time"
 
-	"deckrelay"
+	"hookwalk.example/hookwalk/deckrelay"
 )
 
 const (
--- a/internal/node/tally_test.go
+++ b/internal/node/tally_test.go
@@ -8,7 +8,7 @@
 	"testing"
 	"time"
 
-	"deckrelay"
+	"hookwalk.example/hookwalk/deckrelay"
 )
 
 func TestTallyTellsEndingsAndBoundsItsLines(t *testing.T) {
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -12,7 +12,7 @@
 	"strings"
 	"time"
 
-	"deckrelay"
+	"hookwalk.example/hookwalk/deckrelay"
 )
 
 // Kind tells what a Message carries.
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -8,7 +8,7 @@
 	"testing"
 	"time"
 
-	"deckrelay"
+	"hookwalk.example/hookwalk/deckrelay"
 )
 
 const sample = "sync\t8412.25\nabout\t3\nlist\t0\t1\nitem\ts:1\tz\tk\t4\t2\t1.5\t6100.5\nannounce\t2\t0\t41\n" +
