One command line by kong; HCL's own parser reads the settings file

The command line was a switch over os.Args with flag sets and a usage text kept by hand; the settings file had a parser of its own, which could not nest blocks. Scenario files and later subsystems need both.

HCL v1 reads the operators' one-line blocks with positions. What it lets pass silently stays refused, by a look at its words first: stray commas, numbers that are not plain, here-documents, names in quotes, '=' before a block, depth.

--- a/cmd/hookwalk/drill.go
+++ b/cmd/hookwalk/drill.go
@@ -4,8 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
-	"os"
 	"time"
 
 	"hookwalk.example/hookwalk/internal/drills"
@@ -14,42 +12,38 @@
 
 const startTime = 5 * time.Second // for a node to answer
 
-// drill is the command that starts a drill at a running node.
-func drill(args []string, stdout, stderr io.Writer) (code int) {
-	flags := newFlags(stderr)
-	file := flags.String("file", "", "")
-	name := flags.String("name", "", "")
-	addr := flags.String("addr", os.Getenv("ROUTER_LISTEN"), "")
-	if len(args) > 0 && args[0] == "start" {
-		args = args[1:]
-	} else if len(args) == 0 || args[0] != "-h" && args[0] != "--help" {
-		flags.Usage()
-		return exitUsage
-	}
-	if code, done := parse(flags, args); done {
-		return code
-	}
-	if *file == "" || *addr == "" {
-		fmt.Fprintln(stderr, "hookwalk: drill start needs --file, and --addr where ROUTER_LISTEN is not set")
-		flags.Usage()
-		return exitUsage
+type drillStart struct {
+	File string `required:"" placeholder:"FILE" help:"The settings file that describes the drill."`
+	Name string `placeholder:"NAME" help:"Which drill, where the file has several."`
+	Addr string `env:"ROUTER_LISTEN" placeholder:"HOST:PORT" help:"The node."`
+}
+
+// Validate wants an address from one of the two places where it may stand.
+func (c drillStart) Validate() error {
+	if c.Addr == "" {
+		return errors.New("--addr is missing, and ROUTER_LISTEN is not set")
 	}
-	f, err := settings.Load(*file)
+	return nil
+}
+
+// Run starts a drill at a running node.
+func (c drillStart) Run(io streams) error {
+	f, err := settings.Load(c.File)
 	if err != nil {
-		return failed(stderr, err)
+		return err
 	}
-	d, err := startable(f.Drills, *name)
+	d, err := startable(f.Drills, c.Name)
 	if err != nil {
-		return failed(stderr, fmt.Errorf("%s: %w", *file, err))
+		return fmt.Errorf("%s: %w", c.File, err)
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), startTime)
 	defer cancel()
-	said, err := drills.Start(ctx, *addr, d.Secret)
+	said, err := drills.Start(ctx, c.Addr, d.Secret)
 	if err != nil {
-		return failed(stderr, fmt.Errorf("drill %s: %w", d.Name, err))
+		return fmt.Errorf("drill %s: %w", d.Name, err)
 	}
-	fmt.Fprintln(stdout, said)
-	return 0
+	fmt.Fprintln(io.stdout, said)
+	return nil
 }
 
 // startable finds the drill of a name, which may be left out where there is just one.
--- a/cmd/hookwalk/main.go
+++ b/cmd/hookwalk/main.go
@@ -6,7 +6,6 @@
 import (
 	"context"
 	"errors"
-	"flag"
 	"fmt"
 	"io"
 	"log/slog"
@@ -18,57 +17,99 @@
 	"sync"
 	"syscall"
 
+	"github.com/alecthomas/kong"
+
 	"hookwalk.example/hookwalk/internal/node"
 	"hookwalk.example/hookwalk/internal/settings"
 )
 
-const usage = `Usage:
-  hookwalk [--settings FILE]    run a node; ROUTER_CONFIG names its configuration, FILE switches features on
-  hookwalk drill start --file FILE [--name NAME] [--addr HOST:PORT]
-                                start a drill of the settings file FILE at a running node (ROUTER_LISTEN)
-  hookwalk replay --capture FILE
-                                play a capture, a .hwc file or a log with capture lines, and print what is
-                                decided otherwise; exit 0: nothing, 1: something, 2: it can't be played
-`
-
 // Exit codes.
 const (
 	exitFailed = 1
 	exitUsage  = 2
 )
 
-func main() {
-	args := os.Args[1:]
-	switch {
-	case len(args) > 0 && args[0] == "drill":
-		os.Exit(drill(args[1:], os.Stdout, os.Stderr))
-	case len(args) > 0 && args[0] == "replay":
-		os.Exit(replay(args[1:], os.Stdout, os.Stderr))
-	}
-	os.Exit(serve(args))
+// commandLine is all that the program can be told; kong reads it.
+type commandLine struct {
+	Run     runCommand     `cmd:"" default:"withargs" help:"Run a node (the default). ROUTER_CONFIG names its configuration."`
+	Drill   drillCommands  `cmd:"" help:"Rehearsals of trouble."`
+	Replay  replayCommand  `cmd:"" help:"Play a capture (a .hwc file or a log with capture lines) into this build's decisions and print what is decided otherwise; status 0: nothing, 1: something, 2: it can't be played."`
+	Check   checkCommand   `cmd:"" help:"Read a settings file strictly: ok, or what is wrong and where, and status 1."`
+	Version versionCommand `cmd:"" help:"Print what build this is."`
+}
+
+type runCommand struct {
+	Settings string `placeholder:"FILE" help:"The settings file, which switches features on."`
+}
+
+type drillCommands struct {
+	Start drillStart `cmd:"" help:"Start a drill of a settings file at a running node."`
 }
 
-// newFlags are the flags of a command; with wrong ones it says what is wrong and how it is used.
-func newFlags(stderr io.Writer) *flag.FlagSet {
-	flags := flag.NewFlagSet("hookwalk", flag.ContinueOnError)
-	flags.SetOutput(stderr)
-	flags.Usage = func() { io.WriteString(stderr, usage) }
-	return flags
+type checkCommand struct {
+	File string `arg:"" help:"The settings file."`
+}
+
+type versionCommand struct{}
+
+// streams are where a command reads and writes, and the signals that were caught before anything took time.
+type streams struct {
+	stdout, stderr io.Writer
+	hangups        <-chan os.Signal
+}
+
+// exitStatus is how a command ended, where there is nothing left to say.
+type exitStatus int
+
+func (s exitStatus) Error() string { return fmt.Sprintf("status %d", int(s)) }
+
+func main() {
+	// Uncaught, SIGHUP ends a process: a node's is caught before anything that takes time.
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	os.Exit(command(os.Args[1:], streams{os.Stdout, os.Stderr, hangups}))
 }
 
-// parse reads a command's flags, which are all that it takes. If done, the command ends with this code.
-func parse(flags *flag.FlagSet, args []string) (code int, done bool) {
-	switch err := flags.Parse(args); {
-	case errors.Is(err, flag.ErrHelp):
-		return 0, true
-	case err != nil:
-		return exitUsage, true
-	case flags.NArg() > 0:
-		fmt.Fprintf(flags.Output(), "hookwalk: unexpected argument %q\n", flags.Arg(0))
-		flags.Usage()
-		return exitUsage, true
+// command carries out one command line and returns the exit code.
+func command(args []string, io streams) (code int) {
+	var line commandLine
+	var ended *int
+	p, err := kong.New(&line, kong.Name("hookwalk"), kong.Writers(io.stdout, io.stderr),
+		kong.Description("One load-balancer node, and the tools round it. Status 0: done, 1: failed, 2: called wrongly."),
+		kong.ConfigureHelp(kong.HelpOptions{Compact: true}),
+		kong.Exit(func(code int) {
+			if ended == nil {
+				ended = &code
+			}
+		}))
+	if err != nil {
+		return failed(io.stderr, err)
+	}
+	ctx, err := p.Parse(args)
+	if ended != nil { // help was asked for
+		return *ended
+	}
+	if err != nil {
+		fmt.Fprintf(io.stderr, "hookwalk: %v\n", err)
+		var wrong *kong.ParseError
+		if errors.As(err, &wrong) && wrong.Context != nil {
+			p.Stdout = io.stderr
+			_ = wrong.Context.PrintUsage(true)
+		}
+		return exitUsage
+	}
+	if ctx.Command() != "run" {
+		signal.Reset(syscall.SIGHUP)
+	}
+	var told exitStatus
+	switch err := ctx.Run(io); {
+	case err == nil:
+		return 0
+	case errors.As(err, &told):
+		return int(told)
+	default:
+		return failed(io.stderr, err)
 	}
-	return 0, false
 }
 
 // failed says in one line why a command could not do its work.
@@ -77,20 +118,34 @@
 	return exitFailed
 }
 
-// serve is the node.
-func serve(args []string) (code int) {
-	// Uncaught, SIGHUP ends a process: it is caught before anything that takes time.
-	hangups := make(chan os.Signal, 1)
-	signal.Notify(hangups, syscall.SIGHUP)
-	flags := newFlags(os.Stderr)
-	file := flags.String("settings", "", "")
-	if code, done := parse(flags, args); done {
-		return code
+// Run is the node.
+func (c runCommand) Run(io streams) error { return run(io.hangups, c.Settings) }
+
+// Run says whether a settings file can be used. What only a node knows, such as its classes, it can't check.
+func (c checkCommand) Run(io streams) error {
+	if _, err := settings.Load(c.File); err != nil {
+		return err
 	}
-	if err := run(hangups, *file); err != nil {
-		return failed(os.Stderr, err)
+	fmt.Fprintln(io.stdout, "ok")
+	return nil
+}
+
+// Run says what the build is made of, as Go recorded it.
+func (versionCommand) Run(io streams) error {
+	revision, changed := "unknown", ""
+	info, ok := debug.ReadBuildInfo()
+	if ok {
+		for _, s := range info.Settings {
+			switch {
+			case s.Key == "vcs.revision":
+				revision = s.Value
+			case s.Key == "vcs.modified" && s.Value == "true":
+				changed = " with changes"
+			}
+		}
 	}
-	return 0
+	fmt.Fprintf(io.stdout, "hookwalk, revision %s%s, %s\n", revision, changed, runtime.Version())
+	return nil
 }
 
 func run(hangups <-chan os.Signal, file string) error {
--- a/cmd/hookwalk/main_test.go
+++ b/cmd/hookwalk/main_test.go
@@ -198,14 +198,31 @@
 func TestUsage(t *testing.T) {
 	for args, want := range map[string]int{
 		"start": 2, "drill": 2, "drill stop": 2, "drill start": 2, "drill start --file": 2, "--fast": 2,
-		"replay": 2, "replay --capture": 2, "replay --capture a b": 2, "replay -h": 0,
-		"drill start --file x --addr a:1 more": 2, "-h": 0, "drill -h": 0, "drill start -h": 0,
+		"replay": 2, "replay --capture": 2, "replay --capture a b": 2, "replay -h": 0, "check": 2, "check a b": 2,
+		"version more": 2, "run --fast": 2, "run more": 2, "run -h": 0, "check --help": 0, "version -h": 0,
+		"drill start --file x --addr a:1 more": 2, "drill start --file x": 2, "-h": 0, "drill -h": 0, "drill start -h": 0,
 	} {
 		c := program(t, "", strings.Fields(args)...)
 		c.Env = append(c.Env, "ROUTER_LISTEN=")
-		if code, _, said := ends(t, c); code != want || !strings.Contains(said, "Usage:\n") {
-			t.Errorf("%s: exit %d, said %q, want exit %d and the usage", args, code, said, want)
+		code, said, warned := ends(t, c)
+		if want == 0 {
+			warned = said
 		}
+		if code != want || !strings.Contains(warned, "Usage: hookwalk") {
+			t.Errorf("%s: exit %d, said %q, want exit %d and the usage", args, code, warned, want)
+		}
+	}
+}
+
+func TestCheckAndVersion(t *testing.T) {
+	good := written(t, "good.hcl", "figures { flush_ms = 100 }")
+	if code, said, warned := ends(t, program(t, "", "check", good)); code != 0 || said != "ok\n" || warned != "" {
+		t.Errorf("a good file: exit %d, %q, %q", code, said, warned)
+	}
+	bad := written(t, "bad.hcl", "\nfigures { flush_ms = 1 }")
+	endsInOneLine(t, program(t, "", "check", bad), bad+":2: flush_ms must be from 10")
+	if code, said, _ := ends(t, program(t, "", "version")); code != 0 || !regexp.MustCompile(`^hookwalk, revision .*, go1\.`).MatchString(said) {
+		t.Errorf("version: exit %d, %q", code, said)
 	}
 }
 
--- a/cmd/hookwalk/replay.go
+++ b/cmd/hookwalk/replay.go
@@ -9,32 +9,26 @@
 	"hookwalk.example/hookwalk/internal/capture"
 )
 
-// replay is the command that plays a capture into the module of this build.
-func replay(args []string, stdout, stderr io.Writer) (code int) {
-	flags := newFlags(stderr)
-	name := flags.String("capture", "", "")
-	if code, done := parse(flags, args); done {
-		return code
-	}
-	if *name == "" {
-		fmt.Fprintln(stderr, "hookwalk: replay needs --capture")
-		flags.Usage()
-		return exitUsage
-	}
-	result, err := replayFile(*name, stdout, stderr)
+type replayCommand struct {
+	Capture string `required:"" placeholder:"FILE" help:"The capture."`
+}
+
+// Run plays a capture into the module of this build.
+func (c replayCommand) Run(io streams) error {
+	result, err := replayFile(c.Capture, io.stdout, io.stderr)
 	if err != nil {
-		failed(stderr, err)
-		return exitUsage // 1 is for differences
+		failed(io.stderr, err)
+		return exitStatus(exitUsage) // 1 is for differences
 	}
-	fmt.Fprintf(stdout, "%d records compared, %d differences, %d skipped\n", result.Compared, result.Differences, result.Skipped)
+	fmt.Fprintf(io.stdout, "%d records compared, %d differences, %d skipped\n", result.Compared, result.Differences, result.Skipped)
 	if result.Differences > 0 {
-		return exitFailed
+		return exitStatus(exitFailed)
 	}
 	if result.Compared == 0 {
-		failed(stderr, errors.New("nothing could be compared"))
-		return exitUsage
+		failed(io.stderr, errors.New("nothing could be compared"))
+		return exitStatus(exitUsage)
 	}
-	return 0
+	return nil
 }
 
 func replayFile(name string, stdout, stderr io.Writer) (capture.Result, error) {
--- a/internal/settings/parse.go
+++ b/internal/settings/parse.go
@@ -6,14 +6,25 @@
 	"strconv"
 	"strings"
 	"unicode/utf8"
+
+	"github.com/hashicorp/hcl/hcl/ast"
+	"github.com/hashicorp/hcl/hcl/parser"
+	"github.com/hashicorp/hcl/hcl/scanner"
+	"github.com/hashicorp/hcl/hcl/token"
 )
 
-// block is a block as it is written, before its settings are given a meaning.
-type block struct {
-	kind, label string
-	hasLabel    bool
-	line        int
+// The grammar is that of HCL's first version, read by its own parser. Its second version ends a setting with
+// its line, so it can't read the operators' blocks, which are printed on one. What HCL would let pass and a
+// reader would not notice is refused here: stray commas, here-documents, numbers that are not plain, values
+// for a block, settings outside of blocks.
+
+// Block is a block as it is written, before its settings are given a meaning.
+type Block struct {
+	Kind, Label string
+	HasLabel    bool
+	Line        int
 	settings    []setting
+	Blocks      []Block // inside it
 }
 
 type setting struct {
@@ -25,253 +36,255 @@
 // number is a number as it is written.
 type number string
 
-// scanner reads the text of a file from the front.
-type scanner struct {
-	file string
-	text string // what is left of it
-	line int
-}
-
-// fault is an error at a line of the file.
-func fault(file string, line int, format string, args ...any) error {
+// Fault is an error at a line of a file.
+func Fault(file string, line int, format string, args ...any) error {
 	return fmt.Errorf("%s:%d: %w", file, line, fmt.Errorf(format, args...))
 }
 
-func (s *scanner) fail(format string, args ...any) error {
-	return fault(s.file, s.line, format, args...)
-}
-
-// parse reads all blocks. White space, line breaks among it, only separates: several settings may share a line.
-func parse(file string, text []byte) ([]block, error) {
-	s := &scanner{file: file, text: string(text), line: 1}
+// ParseBlocks reads all blocks of a file. White space, line breaks among it, only separates: several settings
+// may share a line. Errors are one line and begin with the file's name and the line.
+func ParseBlocks(file string, text []byte) ([]Block, error) {
 	if !utf8.Valid(text) {
 		return nil, fmt.Errorf("%s: not UTF-8", file)
 	}
-	var blocks []block
-	for {
-		if err := s.space(); err != nil {
-			return nil, err
-		}
-		if s.text == "" {
-			return blocks, nil
-		}
-		b, err := s.block()
-		if err != nil {
-			return nil, err
-		}
-		blocks = append(blocks, b)
+	if err := scan(file, text); err != nil {
+		return nil, err
 	}
-}
-
-// space skips white space and comments.
-func (s *scanner) space() error {
-	for s.text != "" {
-		switch {
-		case strings.ContainsRune(" \t\r\n", rune(s.text[0])):
-			s.skip(1)
-		case s.text[0] == '#' || strings.HasPrefix(s.text, "//"):
-			end := strings.IndexByte(s.text, '\n')
-			if end < 0 {
-				end = len(s.text)
-			}
-			s.skip(end)
-		case strings.HasPrefix(s.text, "/*"):
-			end := strings.Index(s.text[2:], "*/")
-			if end < 0 {
-				return s.fail("comment without an end")
-			}
-			s.skip(end + 4)
-		default:
-			return nil
+	f, err := parser.Parse(text)
+	if err != nil {
+		var at *parser.PosError
+		if errors.As(err, &at) {
+			return nil, Fault(file, max(at.Pos.Line, 1), "%s", oneLine(at.Err.Error()))
 		}
+		return nil, Fault(file, 1, "%s", oneLine(err.Error()))
 	}
-	return nil
-}
-
-func (s *scanner) skip(n int) {
-	s.line += strings.Count(s.text[:n], "\n")
-	s.text = s.text[n:]
-}
-
-// take skips white space and then one character, which must be the one given.
-func (s *scanner) take(c byte, after string) error {
-	if err := s.space(); err != nil {
-		return err
+	list, ok := f.Node.(*ast.ObjectList)
+	if !ok {
+		return nil, Fault(file, 1, "not a list of blocks")
+	}
+	w := walker{file: file}
+	b, err := w.body(list, 0)
+	if err != nil {
+		return nil, err
 	}
-	if !s.at(c) {
-		return s.fail("want %q after %s, found %s", c, after, s.found())
+	if len(b.settings) > 0 {
+		return nil, Fault(file, b.settings[0].line, "setting %s stands outside of any block", b.settings[0].name)
 	}
-	s.skip(1)
-	return nil
+	return b.Blocks, nil
 }
 
-func (s *scanner) at(c byte) bool { return s.text != "" && s.text[0] == c }
+func oneLine(s string) string { return strings.Join(strings.Fields(s), " ") }
 
-// found describes what stands next, for an error.
-func (s *scanner) found() string {
-	if s.text == "" {
-		return "the end of the file"
-	}
-	word := strings.Fields(s.text)
-	if len(word) == 0 {
-		return "white space"
-	}
-	if runes := []rune(word[0]); len(runes) > 20 {
-		return strconv.Quote(string(runes[:20]) + "...")
-	}
-	return strconv.Quote(word[0])
+// scannerSays words the scanner's own faults as the rest of the file's.
+var scannerSays = map[string]string{
+	"comment not terminated": "comment without an end",
+	"literal not terminated": "string without an end",
+	"illegal char escape":    "unknown escape in a string",
 }
 
-func (s *scanner) block() (block, error) {
-	b := block{line: s.line}
-	var err error
-	if b.kind, err = s.name(); err != nil {
-		return b, err
+const maxDepth = 8 // blocks and lists inside each other
+
+// scan looks at the words alone: it names the place where something begins that has no end, and refuses the
+// commas that the parser would pass over. It bounds the depth, for the parser calls itself.
+func scan(file string, text []byte) error {
+	s := scanner.New(text)
+	said := ""
+	s.Error = func(_ token.Pos, msg string) {
+		if said == "" {
+			said = msg
+		}
 	}
-	if err := s.space(); err != nil {
-		return b, err
+	type open struct {
+		is   token.Type
+		line int
+		what string
 	}
-	if s.at('"') {
-		b.hasLabel = true
-		if b.label, err = s.quoted(); err != nil {
-			return b, err
+	var stack []open
+	word, last, before := "", token.EOF, token.EOF
+	for {
+		t := s.Scan()
+		line := max(t.Pos.Line, 1)
+		inList := len(stack) > 0 && stack[len(stack)-1].is == token.LBRACK
+		switch {
+		case said != "":
+			if plain, ok := scannerSays[said]; ok {
+				said = plain
+			}
+			return Fault(file, line, "%s", oneLine(said))
+		case t.Type == token.ILLEGAL:
+			return Fault(file, line, "unexpected %s", strconv.Quote(t.Text))
+		case t.Type == token.EOF:
+			if len(stack) == 0 && (last == token.IDENT || last == token.STRING && before == token.IDENT) {
+				return Fault(file, line, "want '{' after the start of block %s, found the end of the file", word)
+			}
+			if len(stack) == 0 {
+				return nil
+			}
+			o := stack[len(stack)-1]
+			if o.is == token.LBRACK {
+				return Fault(file, o.line, "list without an end: want , or ]")
+			}
+			return Fault(file, o.line, "block %s has no end", o.what)
+		case t.Type == token.COMMENT:
+			continue
+		case t.Type == token.COMMA && !inList:
+			return Fault(file, line, "want a name, found \",\"")
+		case t.Type == token.COMMA && last != token.STRING:
+			return Fault(file, line, "want a string in the list, found \",\"")
+		case inList && t.Type != token.STRING && t.Type != token.COMMA && t.Type != token.RBRACK:
+			return Fault(file, line, "want a string in the list, found %s", strconv.Quote(clip(t.Text)))
+		case t.Type == token.HEREDOC:
+			return Fault(file, line, "want a string, a number or a list, found a here-document")
+		case t.Type == token.LBRACE || t.Type == token.LBRACK:
+			stack = append(stack, open{t.Type, line, word})
+			if len(stack) > maxDepth {
+				return Fault(file, line, "blocks stand more than %d deep", maxDepth)
+			}
+		case t.Type == token.RBRACE && last == token.ASSIGN:
+			return Fault(file, line, "want a string, a number or a list, found \"}\"")
+		case t.Type == token.RBRACE || t.Type == token.RBRACK:
+			if len(stack) == 0 || (t.Type == token.RBRACE) == inList {
+				return Fault(file, line, "want a name, found %s", strconv.Quote(t.Text))
+			}
+			stack = stack[:len(stack)-1]
+		case t.Type == token.IDENT:
+			if last == token.ASSIGN {
+				return Fault(file, line, "want a string, a number or a list, found %s", strconv.Quote(clip(t.Text)))
+			}
+			word = t.Text
+		case last == token.IDENT && (t.Type == token.NUMBER || t.Type == token.FLOAT):
+			return Fault(file, line, "want '=' after %s, found %s", word, t.Text)
 		}
+		before, last = last, t.Type
 	}
-	if err := s.take('{', "the start of block "+b.kind); err != nil {
-		return b, err
+}
+
+func clip(s string) string {
+	if r := []rune(s); len(r) > 20 {
+		return string(r[:20]) + "..."
 	}
-	for {
-		if err := s.space(); err != nil {
-			return b, err
+	return s
+}
+
+// walker turns the parser's tree into blocks.
+type walker struct{ file string }
+
+func (w walker) body(list *ast.ObjectList, line int) (Block, error) {
+	b := Block{Line: line}
+	for _, item := range list.Items {
+		at := item.Pos().Line
+		name, ok := w.name(item.Keys[0])
+		if !ok {
+			return b, Fault(w.file, at, "want a name, found %s", clip(item.Keys[0].Token.Text))
 		}
-		if s.at('}') {
-			s.skip(1)
-			return b, nil
+		if o, ok := item.Val.(*ast.ObjectType); ok {
+			inner, err := w.block(item, o, name, at)
+			if err != nil {
+				return b, err
+			}
+			b.Blocks = append(b.Blocks, inner)
+			continue
 		}
-		if s.text == "" {
-			return b, fault(s.file, b.line, "block %s has no end", b.kind)
+		if len(item.Keys) != 1 {
+			return b, Fault(w.file, at, "want '=' after %s", name)
 		}
-		set, err := s.setting()
+		v, err := w.value(item.Val)
 		if err != nil {
 			return b, err
 		}
 		for _, other := range b.settings {
-			if other.name == set.name {
-				return b, fault(s.file, set.line, "%s is set again (first in line %d)", set.name, other.line)
+			if other.name == name {
+				return b, Fault(w.file, at, "%s is set again (first in line %d)", name, other.line)
 			}
 		}
-		b.settings = append(b.settings, set)
+		b.settings = append(b.settings, setting{name, at, v})
 	}
+	return b, nil
 }
 
-func (s *scanner) setting() (set setting, err error) {
-	set.line = s.line
-	if set.name, err = s.name(); err != nil {
-		return set, err
-	}
-	if err := s.take('=', set.name); err != nil {
-		return set, err
+func (w walker) block(item *ast.ObjectItem, o *ast.ObjectType, name string, at int) (Block, error) {
+	if item.Assign.IsValid() {
+		return Block{}, Fault(w.file, at, "block %s takes no '='", name)
 	}
-	if err := s.space(); err != nil {
-		return set, err
+	if len(item.Keys) > 2 {
+		return Block{}, Fault(w.file, at, "block %s has more than one label", name)
 	}
-	set.value, err = s.value()
-	return set, err
-}
-
-func isLetter(c byte) bool { return c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z' || c == '_' }
-func isDigit(c byte) bool  { return c >= '0' && c <= '9' }
-
-func (s *scanner) name() (string, error) {
-	n := 0
-	for n < len(s.text) && (isLetter(s.text[n]) || n > 0 && (isDigit(s.text[n]) || s.text[n] == '-')) {
-		n++
+	b, err := w.body(o.List, at)
+	if err != nil {
+		return b, err
 	}
-	if n == 0 {
-		return "", s.fail("want a name, found %s", s.found())
+	b.Kind = name
+	if len(item.Keys) == 2 {
+		if item.Keys[1].Token.Type != token.STRING {
+			return b, Fault(w.file, at, "block %s: a label is a string", name)
+		}
+		b.HasLabel = true
+		b.Label, err = w.quoted(item.Keys[1].Token)
 	}
-	name := s.text[:n]
-	s.skip(n)
-	return name, nil
+	return b, err
 }
 
-func (s *scanner) value() (any, error) {
-	switch {
-	case s.at('"'):
-		return s.quoted()
-	case s.at('['):
-		return s.list()
-	}
-	n := 0
-	for n < len(s.text) && (isDigit(s.text[n]) || isLetter(s.text[n]) || strings.IndexByte("+-.", s.text[n]) >= 0) {
-		n++
-	}
-	if _, err := strconv.ParseFloat(s.text[:n], 64); n == 0 || strings.Trim(s.text[:n], "0123456789.-") != "" ||
-		err != nil && !errors.Is(err, strconv.ErrRange) {
-		return nil, s.fail("want a string, a number or a list, found %s", s.found())
-	}
-	v := number(s.text[:n])
-	s.skip(n)
-	return v, nil
+// name is a plain word; HCL would also take a string or a dotted one.
+func (w walker) name(k *ast.ObjectKey) (string, bool) {
+	t := k.Token.Text
+	ok := k.Token.Type == token.IDENT && t != "" && strings.Trim(t,
+		"abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789_-") == ""
+	return t, ok
 }
 
-// list reads strings in brackets; a comma may follow the last.
-func (s *scanner) list() ([]string, error) {
-	s.skip(1)
-	list := []string{}
-	for {
-		if err := s.space(); err != nil {
-			return nil, err
-		}
-		if s.at(']') {
-			s.skip(1)
-			return list, nil
-		}
-		if len(list) > 0 && !s.at('"') {
-			return nil, s.fail("want a string in the list, found %s", s.found())
-		}
-		text, err := s.quoted()
-		if err != nil {
-			return nil, err
-		}
-		list = append(list, text)
-		if err := s.space(); err != nil {
-			return nil, err
+func (w walker) value(n ast.Node) (any, error) {
+	switch v := n.(type) {
+	case *ast.LiteralType:
+		switch t := v.Token; {
+		case t.Type == token.STRING:
+			return w.quoted(t)
+		case (t.Type == token.NUMBER || t.Type == token.FLOAT) && strings.Trim(t.Text, "0123456789.-") == "":
+			if _, err := strconv.ParseFloat(t.Text, 64); err == nil || errors.Is(err, strconv.ErrRange) {
+				return number(t.Text), nil
+			}
 		}
-		if s.at(',') {
-			s.skip(1)
-		} else if !s.at(']') {
-			return nil, s.fail("want , or ] in a list, found %s", s.found())
+		return nil, Fault(w.file, v.Pos().Line, "want a string, a number or a list, found %s", strconv.Quote(clip(v.Token.Text)))
+	case *ast.ListType:
+		list := []string{}
+		for _, e := range v.List {
+			l, ok := e.(*ast.LiteralType)
+			if !ok || l.Token.Type != token.STRING {
+				return nil, Fault(w.file, e.Pos().Line, "want a string in the list")
+			}
+			text, err := w.quoted(l.Token)
+			if err != nil {
+				return nil, err
+			}
+			list = append(list, text)
 		}
+		return list, nil
 	}
+	return nil, Fault(w.file, n.Pos().Line, "want a string, a number or a list")
 }
 
 var escapes = map[byte]byte{'"': '"', '\\': '\\', 'n': '\n', 't': '\t', 'r': '\r'}
 
-// quoted reads a string, which ends in the line in which it begins.
-func (s *scanner) quoted() (string, error) {
-	if !s.at('"') {
-		return "", s.fail("want a string, found %s", s.found())
+// quoted reads a string. HCL's own reading would take what stands in ${ } for an expression.
+func (w walker) quoted(t token.Token) (string, error) {
+	if len(t.Text) < 2 || strings.Contains(t.Text, "\n") {
+		return "", Fault(w.file, t.Pos.Line, "string without an end")
 	}
+	in := t.Text[1 : len(t.Text)-1]
 	var out strings.Builder
-	for n := 1; n < len(s.text) && s.text[n] != '\n'; n++ {
-		switch c := s.text[n]; c {
-		case '"':
-			s.skip(n + 1)
-			return out.String(), nil
-		case '\\':
-			n++
-			if n == len(s.text) {
-				return "", s.fail("string without an end")
-			}
-			plain, ok := escapes[s.text[n]]
-			if !ok {
-				return "", s.fail("unknown escape \\%c in a string", s.text[n])
-			}
-			out.WriteByte(plain)
-		default:
-			out.WriteByte(c)
+	for n := 0; n < len(in); n++ {
+		if in[n] != '\\' {
+			out.WriteByte(in[n])
+			continue
+		}
+		n++
+		if n == len(in) {
+			return "", Fault(w.file, t.Pos.Line, "string without an end")
+		}
+		plain, ok := escapes[in[n]]
+		if !ok {
+			return "", Fault(w.file, t.Pos.Line, "unknown escape \\%c in a string", in[n])
 		}
+		out.WriteByte(plain)
 	}
-	return "", s.fail("string without an end")
+	return out.String(), nil
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -79,14 +79,14 @@
 
 // Parse reads the text of a settings file. Errors begin with its name and the line.
 func Parse(name string, text []byte) (File, error) {
-	blocks, err := parse(name, text)
+	blocks, err := ParseBlocks(name, text)
 	if err != nil {
 		return File{}, err
 	}
 	var f File
 	for _, b := range blocks {
 		r := &reader{file: name, block: b}
-		switch b.kind {
+		switch b.Kind {
 		case "drill":
 			f.takeDrill(r)
 		case "figures":
@@ -96,7 +96,7 @@
 		case "capture":
 			f.takeCapture(r)
 		default:
-			return File{}, fault(name, b.line, "unknown block %s", b.kind)
+			return File{}, Fault(name, b.Line, "unknown block %s", b.Kind)
 		}
 		if err := r.end(); err != nil {
 			return File{}, err
@@ -106,9 +106,9 @@
 }
 
 func (f *File) takeDrill(r *reader) {
-	d := Drill{Pos: fmt.Sprintf("%s:%d", r.file, r.block.line), Name: r.label()}
+	d := Drill{Pos: fmt.Sprintf("%s:%d", r.file, r.block.Line), Name: r.label()}
 	if !printable(d.Name) || strings.Contains(d.Name, " ") {
-		r.fail(r.block.line, "a drill's label is its name: 1 to %d visible characters", maxText)
+		r.fail(r.block.Line, "a drill's label is its name: 1 to %d visible characters", maxText)
 	}
 	d.Secret = r.text("secret", "")
 	if line, ok := r.has("secret"); ok && !printable(d.Secret) {
@@ -116,7 +116,7 @@
 	}
 	d.Class = r.text("class", "")
 	if d.Class == "" {
-		r.fail(r.block.line, "drill %s names no class", d.Name)
+		r.fail(r.block.Line, "drill %s names no class", d.Name)
 	}
 	d.Share = r.number("share", 0, 0, 100)
 	d.Delay = r.millis("delay_ms", 0, 0, time.Hour)
@@ -127,10 +127,10 @@
 	d.Duration = time.Duration(r.number("duration_s", 60, 1, 600) * float64(time.Second))
 	for _, other := range f.Drills {
 		if other.Name == d.Name {
-			r.fail(r.block.line, "drill %s is there already (%s)", d.Name, other.Pos)
+			r.fail(r.block.Line, "drill %s is there already (%s)", d.Name, other.Pos)
 		}
 		if other.Secret == d.Secret && d.Secret != "" {
-			r.fail(r.block.line, "drill %s has the secret of drill %s: a key must name one drill", d.Name, other.Name)
+			r.fail(r.block.Line, "drill %s has the secret of drill %s: a key must name one drill", d.Name, other.Name)
 		}
 	}
 	f.Drills = append(f.Drills, d)
@@ -178,14 +178,14 @@
 // reader takes the settings of one block and keeps the first fault.
 type reader struct {
 	file  string
-	block block
+	block Block
 	known []string
 	err   error
 }
 
 func (r *reader) fail(line int, format string, args ...any) {
 	if r.err == nil {
-		r.err = fault(r.file, line, format, args...)
+		r.err = Fault(r.file, line, format, args...)
 	}
 }
 
@@ -194,28 +194,31 @@
 	if r.err != nil {
 		return r.err
 	}
+	for _, b := range r.block.Blocks {
+		return Fault(r.file, b.Line, "unknown block %s in block %s", b.Kind, r.block.Kind)
+	}
 	for _, s := range r.block.settings {
 		if !slices.Contains(r.known, s.name) {
-			return fault(r.file, s.line, "unknown setting %s in block %s", s.name, r.block.kind)
+			return Fault(r.file, s.line, "unknown setting %s in block %s", s.name, r.block.Kind)
 		}
 	}
 	return nil
 }
 
 func (r *reader) label() string {
-	if !r.block.hasLabel {
-		r.fail(r.block.line, "block %s needs a label", r.block.kind)
+	if !r.block.HasLabel {
+		r.fail(r.block.Line, "block %s needs a label", r.block.Kind)
 	}
-	return r.block.label
+	return r.block.Label
 }
 
 // once is for blocks of which there is one at most; they have no label.
 func (r *reader) once(again bool) {
 	switch {
 	case again:
-		r.fail(r.block.line, "block %s is there already", r.block.kind)
-	case r.block.hasLabel:
-		r.fail(r.block.line, "block %s has no label", r.block.kind)
+		r.fail(r.block.Line, "block %s is there already", r.block.Kind)
+	case r.block.HasLabel:
+		r.fail(r.block.Line, "block %s has no label", r.block.Kind)
 	}
 }
 
