The lab on sockets: real nodes, faults on real connections, and hookwalk lab up

Faults are made on the connections: resets, half answers, refused connects, SIGKILL, SIGTERM, and machines that are cut off (the listener's queue is made short and kept full, so new connections never come up). The model's boxes, arrivals, troubles and the auditor are those of virtual time. lab up brings a world up and prints a curl line that works.

--- a/cmd/hookwalk/main_test.go
+++ b/cmd/hookwalk/main_test.go
@@ -245,6 +245,80 @@
 	endsInOneLine(t, program(t, "", "lab", "run", good, "--policy", "guess"), `unknown policy "guess"`)
 }
 
+// smallWorld has generous limits of time: what a busy machine delays is no fault of the nodes.
+const smallWorld = `scenario "small" { seed = 5 length_s = 3 }
+tier "log-front" { work = 0.5 calls = 1 kind "front" { count = 2 cold_s = 1 } }
+tier "log-store" { work = 0.5 kind "store" { count = 3 cold_s = 1 } }
+class "block-view" { effect = "safe" worth = 5 work_ms = 5 aim_ms = 4000 deadline_ms = 8000 }
+class "bin-weighin" { worth = 8 work_ms = 5 aim_ms = 4000 deadline_ms = 8000 }
+clients { rate = 40 }
+front { nodes = 2 notice_s = 0.3 }
+discovery { notice_ms = 200 silent_ms = 300 add_ms = 100 }
+rules { slack_ms = 1000 drain_grace_ms = 1000 }
+trouble "crash" { at_s = 0.5 length_s = 0.5 tier = "log-front" part = 0.5 }
+trouble "cut_off" { at_s = 0.8 length_s = 0.5 part = 0.3 }
+trouble "release" { at_s = 1.5 length_s = 1 part = 0.3 }
+trouble "kept_resets" { at_s = 1.2 length_s = 0 part = 1 share = 0.5 }
+trouble "broken_answers" { at_s = 1 length_s = 1 part = 1 share = 0.1 }
+trouble "discovery_moved" { at_s = 1.3 length_s = 0 }
+trouble "discovery_down" { at_s = 1.8 length_s = 0.3 }
+trouble "node_restart" { at_s = 2 length_s = 0.5 part = 0.5 }
+`
+
+// The same world on sockets: real nodes, and every fault on real connections.
+func TestLabRunOnSockets(t *testing.T) {
+	c := program(t, "", "lab", "run", "--sockets", written(t, "small.hcl", smallWorld))
+	c.Env = append(c.Env, "TMPDIR="+t.TempDir())
+	code, said, warned := ends(t, c)
+	if code != 0 || !strings.Contains(said, "\nrules broken   0\n") || !strings.Contains(said, "scenario small") {
+		t.Errorf("exit %d, %s%s", code, said, warned)
+	}
+}
+
+// The line that lab up prints is served, and nothing stays behind when it is told to end.
+func TestLabUp(t *testing.T) {
+	dir := t.TempDir()
+	c := program(t, "", "lab", "up", written(t, "small.hcl", smallWorld))
+	c.Env = append(c.Env, "TMPDIR="+dir)
+	out, err := c.StdoutPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := c.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Process.Kill() })
+	lines := bufio.NewScanner(out)
+	url := ""
+	for url == "" && lines.Scan() {
+		if m := regexp.MustCompile(`^curl .* (http://\S+)/api$`).FindStringSubmatch(lines.Text()); m != nil {
+			url = m[1]
+		}
+	}
+	r, err := http.NewRequest(http.MethodGet, url+"/api", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for name, value := range map[string]string{"X-Call-Id": "a1", "X-Call-Class": "block-view", "X-Budget": "8000m"} {
+		r.Header.Set(name, value)
+	}
+	resp, err := http.DefaultClient.Do(r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		t.Errorf("answered %s", resp.Status)
+	}
+	terminate(t, c, lines)
+	if left, err := os.ReadDir(dir); err != nil || len(left) > 0 {
+		t.Errorf("it leaves %v, %v", left, err)
+	}
+	if _, err := http.Get(url + "/ready"); err == nil {
+		t.Error("a node still answers")
+	}
+}
+
 // The drill command, against the program itself: it starts the drill of its file and says why it can't.
 func TestDrillCommand(t *testing.T) {
 	const drills = `drill "away" { class = "a" secret = "crush-pad-7" share = 100 abort_status = 500 }
--- /dev/null
+++ b/internal/lab/sockets/box_test.go
@@ -0,0 +1,198 @@
+package sockets
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"hookwalk.example/hookwalk/internal/lab/model"
+	"hookwalk.example/hookwalk/internal/lab/scenario"
+)
+
+// boxOf is a lone box that listens, and its world.
+func boxOf(t *testing.T) *box {
+	t.Helper()
+	s, err := scenario.Parse("a.hcl", []byte(`scenario "a" {}
+tier "t" { kind "k" { slots = 1 queue = 0 conns = 5 handshake_us = 0 } }
+class "c" { effect = "safe" work_ms = 1 cv = 0 deadline_ms = 60000 }
+class "long" { effect = "safe" work_ms = 3600000 cv = 0 deadline_ms = 60000 }`), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	w := &World{s: s, facts: newFacts(s), rng: model.Stream(1, "test", 0), tails: make([]tail, 2)}
+	w.restartClock()
+	w.ctx, w.end = context.WithCancelCause(context.Background())
+	b := &box{w: w, tier: s.Tiers[0], model: model.NewBox("s-1", 0, 0, &s.Tiers[0].Kinds[0], s.Rules)}
+	w.boxes = [][]*box{{b}}
+	if err := b.start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { w.Down(false) })
+	return b
+}
+
+// peer is a connection to the box, as a node has it.
+type peer struct {
+	net.Conn
+	br *bufio.Reader
+}
+
+func dial(t *testing.T, b *box) *peer {
+	t.Helper()
+	c, err := net.Dial("tcp", b.addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	return &peer{c, bufio.NewReader(c)}
+}
+
+func (p *peer) send(class string) {
+	fmt.Fprintf(p, "GET /api HTTP/1.1\r\nHost: x\r\nX-Call-Id: 1\r\nX-Call-Class: %s\r\nX-Budget: 900000u\r\n\r\n", class)
+}
+
+// answer is the status of the next answer and what ended it early.
+func (p *peer) answer() (int, error) {
+	r, err := http.ReadResponse(p.br, nil)
+	if err != nil {
+		return 0, err
+	}
+	_, err = io.Copy(io.Discard, r.Body)
+	return r.StatusCode, err
+}
+
+func (p *peer) wants(t *testing.T, class string, status int) {
+	t.Helper()
+	p.send(class)
+	if got, err := p.answer(); got != status || err != nil {
+		t.Fatalf("answered %d, %v, want %d", got, err, status)
+	}
+}
+
+// holds waits until the box has so many requests.
+func holds(t *testing.T, b *box, n int) {
+	t.Helper()
+	for end := time.Now().Add(20 * time.Second); ; time.Sleep(time.Millisecond) {
+		held := 0
+		b.set(func() { held = b.model.Held() })
+		if held == n {
+			return
+		}
+		if time.Now().After(end) {
+			t.Fatalf("it holds %d, want %d", held, n)
+		}
+	}
+}
+
+func TestBoxAnswersAndTurnsAway(t *testing.T) {
+	b := boxOf(t)
+	p, q := dial(t, b), dial(t, b)
+	p.wants(t, "c", 200)
+	p.wants(t, "c", 200)
+	p.send("long")
+	holds(t, b, 1)
+	q.wants(t, "c", 503)
+	b.set(func() { b.model.State = model.Draining })
+	q.wants(t, "c", 503)
+}
+
+func TestBoxDies(t *testing.T) {
+	b := boxOf(t)
+	p := dial(t, b)
+	p.wants(t, "c", 200)
+	p.send("long")
+	holds(t, b, 1)
+	b.stop()
+	if _, err := p.answer(); !errors.Is(err, syscall.ECONNRESET) {
+		t.Errorf("its connection ended with %v, want a reset", err)
+	}
+	if _, err := net.Dial("tcp", b.addr); !errors.Is(err, syscall.ECONNREFUSED) {
+		t.Errorf("a new one: %v, want it refused", err)
+	}
+	b.model.Start(b.w.now())
+	if err := b.start(); err != nil {
+		t.Fatal(err)
+	}
+	dial(t, b).wants(t, "c", 200)
+}
+
+// A machine that is cut off says nothing on old connections and lets no new one come up; back, it resets the old.
+func TestBoxIsCutOff(t *testing.T) {
+	b := boxOf(t)
+	p := dial(t, b)
+	p.wants(t, "c", 200)
+	if err := b.cut(); err != nil {
+		t.Fatal(err)
+	}
+	p.send("c")
+	p.SetReadDeadline(time.Now().Add(100 * time.Millisecond))
+	if _, err := p.answer(); !errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Errorf("an old connection: %v, want silence", err)
+	}
+	if c, err := net.DialTimeout("tcp", b.addr, 100*time.Millisecond); err == nil {
+		c.Close()
+		t.Error("a new connection came up")
+	}
+	b.set(b.rejoin)
+	p.SetReadDeadline(time.Time{})
+	if _, err := p.br.ReadByte(); !errors.Is(err, syscall.ECONNRESET) {
+		t.Errorf("back again: %v, want a reset", err)
+	}
+	dial(t, b).wants(t, "c", 200)
+}
+
+func TestBoxResetsAndBreaks(t *testing.T) {
+	b := boxOf(t)
+	p := dial(t, b)
+	p.wants(t, "c", 200)
+	b.resetKept(1)
+	p.send("c")
+	if _, err := p.answer(); !errors.Is(err, syscall.ECONNRESET) && !errors.Is(err, io.ErrUnexpectedEOF) && !errors.Is(err, io.EOF) {
+		t.Errorf("a kept connection: %v, want a reset", err)
+	}
+	b.set(func() { b.broken = 1 })
+	q := dial(t, b)
+	q.send("c")
+	if status, err := q.answer(); status != 200 || !errors.Is(err, io.ErrUnexpectedEOF) {
+		t.Errorf("a broken answer: %d, %v, want half of it", status, err)
+	}
+	b.set(func() { b.broken = 0 })
+	for range 20 { // more than it may hold at once
+		c := dial(t, b)
+		c.wants(t, "c", 200)
+		c.Close()
+		for open := 1; open > 0; { // the box notices by itself
+			b.set(func() { open = len(b.conns) })
+		}
+	}
+}
+
+// What no node would send must not harm a box.
+func FuzzBoxRequest(f *testing.F) {
+	f.Add("GET /api?work=1e99&root=%zz HTTP/1.1\r\nX-Call-Id: 1\r\n\r\n")
+	f.Add("POST / HTTP/1.1\r\nContent-Length: -1\r\n\r\n")
+	f.Add("GET /api?work=NaN HTTP/1.1\r\nHost: x\r\nX-Call-Id: 1\r\nX-Budget: 99999999999999999999u\r\n\r\n")
+	f.Fuzz(func(t *testing.T, text string) {
+		r, err := http.ReadRequest(bufio.NewReader(io.LimitReader(strings.NewReader(text), 1<<16)))
+		if err != nil {
+			return
+		}
+		s := &scenario.Scenario{Classes: []scenario.Class{{Name: "c", Work: time.Millisecond, Deadline: time.Second}}}
+		w := &World{s: s, rng: model.Stream(1, "test", 0), tails: make([]tail, 1)}
+		w.restartClock()
+		kind := &scenario.Kind{}
+		v := (&box{w: w, tier: scenario.Tier{Work: 1}, model: model.NewBox("s-1", 0, 0, kind, s.Rules)}).newVisit(r, true)
+		if v.own < 0 || v.own > 1e6*time.Millisecond || v.class != 0 {
+			t.Errorf("%q: took %+v", text, v)
+		}
+	})
+}
--- /dev/null
+++ b/internal/lab/sockets/discovery.go
@@ -0,0 +1,283 @@
+package sockets
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+
+	"hookwalk.example/hookwalk/internal/lab/model"
+)
+
+// roster is a list, or its changes, in discovery's published form.
+type roster struct {
+	Seq   int64   `json:"seq"`
+	Whole bool    `json:"whole"`
+	Hosts []entry `json:"hosts"`
+}
+
+type entry struct {
+	Host   string  `json:"host"`
+	Dial   string  `json:"dial"`
+	Site   string  `json:"site"`
+	Class  string  `json:"class"`
+	Block  int     `json:"block"`
+	Health string  `json:"health"`
+	Share  float64 `json:"share"`
+	Born   float64 `json:"born_ms"`
+}
+
+// discovery is the stand-in service: a list for each tier, watches, one queue of calls, and faults. Each node asks
+// at an address of its own, which is how the service knows whom it tells.
+type discovery struct {
+	w *World
+
+	mu    sync.Mutex
+	tiers []*tierList
+	doors map[*process]*door
+	down  bool
+	free  time.Time // when the calls so far are worked off
+}
+
+// door is the address of one node.
+type door struct {
+	addr   string
+	server *http.Server
+}
+
+type tierList struct {
+	seq     int64
+	hosts   []entry
+	changed []int64       // the version that changed an entry last
+	news    chan struct{} // closed at a change
+	orders  map[string]int
+}
+
+// open lists all boxes as they are and listens.
+func (d *discovery) open() error {
+	for _, row := range d.w.boxes {
+		l := &tierList{seq: 1, news: make(chan struct{}), orders: map[string]int{}}
+		for i, b := range row {
+			l.hosts = append(l.hosts, entry{Host: b.model.ID, Dial: b.addr, Site: "benchland", Class: b.model.Kind.Name,
+				Block: i / 6, Health: "in_service", Share: 1})
+			l.changed = append(l.changed, 1)
+		}
+		d.tiers = append(d.tiers, l)
+	}
+	for _, p := range d.w.processes {
+		d.doors[p] = &door{}
+		if err := d.listen(p); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// listen begins to serve a node's list, at its old address if it had one.
+func (d *discovery) listen(p *process) error {
+	addr := d.addr(p)
+	if addr == "" {
+		addr = "127.0.0.1:0"
+	}
+	ln, err := net.Listen("tcp", addr)
+	if err != nil {
+		return fmt.Errorf("discovery: %w", err)
+	}
+	server := &http.Server{Handler: http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) { d.serve(rw, r, p) }),
+		ReadHeaderTimeout: 5 * time.Second}
+	d.mu.Lock()
+	*d.doors[p] = door{ln.Addr().String(), server}
+	d.mu.Unlock()
+	d.w.own(func() { server.Serve(ln) })
+	return nil
+}
+
+func (d *discovery) addr(p *process) string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.doors[p].addr
+}
+
+// list is the whole list of a tier.
+func (d *discovery) list(tier int) roster {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	l := d.tiers[tier]
+	return roster{Seq: l.seq, Whole: true, Hosts: slices.Clone(l.hosts)}
+}
+
+// learn lists a box's state after a while; what is older and comes later is stale.
+func (d *discovery) learn(b *box, health string, boot time.Duration, wait time.Duration) {
+	t := b.model.Tier
+	d.mu.Lock()
+	d.tiers[t].orders[b.model.ID]++
+	order := d.tiers[t].orders[b.model.ID]
+	d.mu.Unlock()
+	d.w.afterwards(wait, func() {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		l := d.tiers[t]
+		if l.orders[b.model.ID] != order {
+			return
+		}
+		i := b.model.Index
+		l.seq++
+		l.hosts[i].Health, l.changed[i] = health, l.seq
+		if boot > 0 {
+			l.hosts[i].Born = millis(time.Duration(d.w.began.Load().UnixNano()) + boot)
+		}
+		close(l.news)
+		l.news = make(chan struct{})
+	})
+}
+
+// turn waits for the one queue that all calls stand in. False: it took too long, or discovery is down.
+func (d *discovery) turn(r *http.Request) bool {
+	d.mu.Lock()
+	if d.down {
+		d.mu.Unlock()
+		return false
+	}
+	one := time.Duration(float64(time.Second) / d.w.s.Discovery.Capacity)
+	now := time.Now()
+	if d.free.Before(now) {
+		d.free = now
+	}
+	at, late := d.free.Add(one), d.free.Add(one).Sub(now) > d.w.s.Discovery.Timeout
+	if late {
+		at = now.Add(d.w.s.Discovery.Timeout)
+	} else {
+		d.free = at
+	}
+	d.mu.Unlock()
+	select {
+	case <-time.After(time.Until(at)):
+		return !late
+	case <-r.Context().Done():
+		return false
+	}
+}
+
+func (d *discovery) serve(rw http.ResponseWriter, r *http.Request, p *process) {
+	if r.URL.Path != "/v1/endpoints" {
+		http.NotFound(rw, r)
+		return
+	}
+	if !d.turn(r) {
+		http.Error(rw, "too busy", http.StatusServiceUnavailable)
+		return
+	}
+	enc := json.NewEncoder(rw)
+	if r.URL.Query().Get("watch") == "" {
+		enc.Encode(d.list(p.tier)) // one that has gone away reads nothing
+		return
+	}
+	from, err := strconv.ParseInt(r.URL.Query().Get("from"), 10, 64)
+	if err != nil {
+		http.Error(rw, "from is no number", http.StatusBadRequest)
+		return
+	}
+	d.watch(rw, r, enc, p, from)
+}
+
+// watch writes the changes since a version, and then every change, until the connection ends.
+func (d *discovery) watch(rw http.ResponseWriter, r *http.Request, enc *json.Encoder, p *process, from int64) {
+	beat := time.NewTicker(2 * time.Second)
+	defer beat.Stop()
+	for first := true; ; first = false {
+		d.mu.Lock()
+		l := d.tiers[p.tier]
+		n := roster{Seq: l.seq, Hosts: []entry{}}
+		if from > l.seq {
+			from = 0
+		}
+		for i, h := range l.hosts {
+			if l.changed[i] > from {
+				n.Hosts = append(n.Hosts, h)
+			}
+		}
+		n.Whole = from == 0
+		news := l.news
+		d.mu.Unlock()
+		if first || n.Seq > from {
+			if !first {
+				spread := time.Duration(d.w.chance() * float64(d.w.s.Discovery.Spread))
+				select {
+				case <-time.After(spread):
+				case <-r.Context().Done():
+					return
+				}
+			}
+			if enc.Encode(n) != nil {
+				return
+			}
+			rw.(http.Flusher).Flush()
+			d.w.facts.told(d.w.now(), p.lifeName(), n)
+			from = n.Seq
+		}
+		select {
+		case <-news:
+		case <-beat.C:
+			if _, err := rw.Write([]byte("\n")); err != nil {
+				return
+			}
+			rw.(http.Flusher).Flush()
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+// change takes discovery down, up, or to other addresses.
+func (d *discovery) change(what model.What) error {
+	switch what {
+	case model.DiscoveryDown:
+		d.mu.Lock()
+		d.down = true
+		d.mu.Unlock()
+		d.close()
+	case model.DiscoveryUp:
+		d.mu.Lock()
+		d.down = false
+		d.mu.Unlock()
+		for _, p := range d.w.processes {
+			if err := d.listen(p); err != nil {
+				return err
+			}
+		}
+	case model.DiscoveryMove:
+		var old []*http.Server
+		for _, p := range d.w.processes {
+			d.mu.Lock()
+			old = append(old, d.doors[p].server)
+			d.doors[p].addr = ""
+			d.mu.Unlock()
+			if err := d.listen(p); err != nil {
+				return err
+			}
+			if err := p.reload(); err != nil {
+				return err
+			}
+		}
+		d.w.afterwards(1500*time.Millisecond, func() { // as the platform does with the old address
+			for _, s := range old {
+				s.Close()
+			}
+		})
+	}
+	return nil
+}
+
+func (d *discovery) close() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, l := range d.doors {
+		if l.server != nil {
+			l.server.Close()
+		}
+	}
+}
--- /dev/null
+++ b/internal/lab/sockets/facts.go
@@ -0,0 +1,148 @@
+package sockets
+
+import (
+	"strconv"
+	"sync"
+	"time"
+
+	"hookwalk.example/hookwalk/deckrelay"
+	"hookwalk.example/hookwalk/internal/lab/audit"
+	"hookwalk.example/hookwalk/internal/lab/scenario"
+	"hookwalk.example/hookwalk/internal/lab/score"
+)
+
+// What sockets add to limits of time: a box sees the end of a connection, and a client its answer, a moment after
+// they were made, the more so where all of the world shares a few cores.
+const (
+	socketSlack = 100 * time.Millisecond
+	noticing    = 100 * time.Millisecond
+)
+
+// facts brings what many goroutines see to one auditor and one score.
+type facts struct {
+	mu    sync.Mutex
+	audit *audit.Auditor
+	score *score.Score
+	sends map[string]int // attempts by root
+	tries map[attemptKey]int
+}
+
+type attemptKey struct{ node, id string }
+
+func newFacts(s *scenario.Scenario) *facts {
+	wide := *s
+	wide.Rules.Slack += socketSlack
+	f := &facts{audit: audit.New(&wide), score: score.New(s), sends: map[string]int{}, tries: map[attemptKey]int{}}
+	f.audit.Overlap = noticing
+	return f
+}
+
+func (f *facts) do(what func()) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	what()
+}
+
+func (f *facts) handshake() { f.do(func() { f.score.Handshakes++ }) }
+
+func (f *facts) started(now time.Duration, name string, known roster) {
+	f.do(func() {
+		f.audit.NodeStarted(name)
+		for _, h := range known.Hosts {
+			f.audit.Told(now, name, h.Host, h.Health == "in_service")
+		}
+	})
+}
+
+func (f *facts) killed(name string) { f.do(func() { f.audit.NodeKilled(name) }) }
+
+func (f *facts) stopped(now time.Duration, name string) {
+	f.do(func() { f.audit.NodeStopped(now, name) })
+}
+
+func (f *facts) told(now time.Duration, name string, n roster) {
+	f.do(func() {
+		for _, h := range n.Hosts {
+			f.audit.Told(now, name, h.Host, h.Health == "in_service")
+		}
+	})
+}
+
+func (f *facts) taken(now time.Duration, node, id string, class int, deadline time.Duration) {
+	f.do(func() { f.audit.Taken(now, node, id, class, deadline) })
+}
+
+// noAnswer is a call that ended without one. What was never taken is owed nothing; anything else was lost, and stays
+// open for the auditor to find.
+func (f *facts) noAnswer(now time.Duration, node, id string, never bool) {
+	if never {
+		f.do(func() { f.audit.Gone(now, node, id) })
+	}
+}
+
+func (f *facts) answered(now time.Duration, node, id string, status int) {
+	how := audit.Failed
+	switch status {
+	case 200:
+		how = audit.Served
+	case 429, 503:
+		how = audit.Refused
+	}
+	f.do(func() {
+		f.audit.Answered(now, node, id, how)
+		delete(f.tries, attemptKey{node, id})
+	})
+}
+
+// sent is an attempt that has reached a box; its number is returned.
+func (f *facts) sent(now time.Duration, node, id, box, root string) (number int) {
+	f.do(func() {
+		f.audit.Sent(now, node, id, box)
+		f.score.Attempts++
+		f.sends[root]++
+		key := attemptKey{node, id}
+		number = f.tries[key]
+		f.tries[key]++
+	})
+	return number
+}
+
+func (f *facts) ran(now time.Duration, node, id, box string) {
+	f.do(func() { f.audit.Ran(now, node, id, box) })
+}
+
+func (f *facts) ended(now time.Duration, node, id string, number int, e deckrelay.Ending) {
+	f.do(func() { f.audit.Ended(now, node, id, number, e) })
+}
+
+func (f *facts) fell(now time.Duration, node, id, box string) {
+	f.do(func() {
+		f.audit.Fell(now, node, id, box)
+		f.score.Fell++
+	})
+}
+
+func (f *facts) visited(work time.Duration, wasted bool) {
+	f.do(func() {
+		f.score.Work += work
+		if wasted {
+			f.score.Wasted += work
+		}
+	})
+}
+
+func (f *facts) asked(at time.Duration, class, tenant int) {
+	f.do(func() { f.score.Asked(at, class, tenant) })
+}
+
+func (f *facts) try() { f.do(func() { f.score.Tries++ }) }
+
+func (f *facts) refused() { f.do(func() { f.score.Refusals++ }) }
+
+func (f *facts) over(r *root, took time.Duration, how score.End) {
+	f.do(func() {
+		id := strconv.Itoa(r.number)
+		f.score.Over(r.At, took, r.Class, r.Tenant, f.sends[id], how)
+		delete(f.sends, id)
+	})
+}
--- /dev/null
+++ b/internal/lab/sockets/process.go
@@ -0,0 +1,293 @@
+package sockets
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"regexp"
+	"strconv"
+	"sync"
+	"syscall"
+	"time"
+
+	"hookwalk.example/hookwalk/deckrelay"
+	"hookwalk.example/hookwalk/internal/lab/model"
+)
+
+// process is a node: a real `hookwalk run` with a configuration as the platform writes it, started from nothing as
+// often as it is started.
+type process struct {
+	w     *World
+	place string // its name without the life
+	tier  int
+	self  int
+	of    int
+	host  *box // nil: a front node
+
+	mu     sync.Mutex
+	name   string // of this life: what is owed in one is not in the next
+	life   int
+	addr   string
+	cmd    *exec.Cmd
+	exited chan struct{}
+	client *http.Client
+}
+
+// readyWithin is how long a node may take to start on a busy machine.
+const readyWithin = 20 * time.Second
+
+var serving = regexp.MustCompile(`msg=serving .*listen=(\S+)`)
+
+// config is the node's configuration file.
+func (p *process) config() ([]byte, error) {
+	set := model.Settings(p.w.s, p.tier, p.self, p.of)
+	effects := map[deckrelay.Effect]string{deckrelay.Safe: "read_like", deckrelay.Keyed: "idempotency_key", deckrelay.Unsafe: "non_idempotent"}
+	type object = map[string]any
+	var lanes, tenants []object
+	for _, c := range set.Classes {
+		lanes = append(lanes, object{"name": c.Name, "effect": effects[c.Effect], "key-scope": "all", "window-ms": millis(c.Window),
+			"target-ms": millis(c.Aim), "deadline-ms": millis(c.Deadline), "late-share": c.LateShare, "worth": c.Worth})
+	}
+	for _, t := range p.w.s.Tenants {
+		tenants = append(tenants, object{"name": t.Name})
+	}
+	mode := "pushed"
+	if set.AskDiscovery {
+		mode = "on_request"
+	}
+	listen := p.addr
+	if listen == "" {
+		listen = "127.0.0.1:0"
+	}
+	return json.Marshal(object{"name": p.name, "listen": listen, "discovery": p.w.disc.addr(p),
+		"seed":   strconv.FormatUint(model.Stream(p.w.s.Seed, "node "+p.place, p.life).Uint64(), 16),
+		"limits": object{"cores": 1, "memory_mb": 128, "sockets": 512}, "known": p.w.disc.list(p.tier),
+		"settings": object{"balancers": set.Balancers, "me": set.Self, "tier": set.Tier, "registry-mode": mode, "tick-ms": millis(set.Tick),
+			"zone": "", "blend": object{"whole": set.WholeWeight, "worst-class": set.ClassWeight},
+			"callers": object{"marks-retry": set.MarksRepeats}, "lanes": lanes, "tenants": tenants,
+			"limits": object{"max-attempts": set.MaxAttempts, "second-copies": set.SecondCopies, "retry-after": true,
+				"max-retry-after-ms": millis(set.MaxRetryAfter), "conn-idle-ms": millis(p.w.s.Net.Idle),
+				"connect-timeout-ms": millis(p.w.s.Net.ConnectTimeout)},
+			"rules": object{"ask-within-ms": millis(set.AskWithin), "cold-from": set.ColdFrom, "warm-after-ms": millis(set.WarmAfter),
+				"fall-multiple": set.FallMultiple}}})
+}
+
+func millis(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
+
+// write puts the configuration where the node reads it.
+func (p *process) write() (path string, err error) {
+	text, err := p.config()
+	if err != nil {
+		return "", err
+	}
+	path = filepath.Join(p.w.dir, p.place+".json")
+	return path, os.WriteFile(path, text, 0o600)
+}
+
+// start begins a life and returns once the node is ready.
+func (p *process) start(ctx context.Context) error {
+	p.mu.Lock()
+	if p.cmd != nil {
+		p.mu.Unlock()
+		return nil
+	}
+	p.life++
+	p.name = fmt.Sprintf("%s.%d", p.place, p.life)
+	p.mu.Unlock()
+	path, err := p.write()
+	if err != nil {
+		return fmt.Errorf("node %s: %w", p.place, err)
+	}
+	cmd := exec.Command(p.w.opt.Program[0], append(p.w.opt.Program[1:], "run")...)
+	cmd.Env = append(os.Environ(), append(p.w.opt.Env, "ROUTER_CONFIG="+path)...)
+	stderr, err := cmd.StderrPipe()
+	if err != nil {
+		return fmt.Errorf("node %s: %w", p.place, err)
+	}
+	log, err := os.OpenFile(filepath.Join(p.w.dir, p.place+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return fmt.Errorf("node %s: %w", p.place, err)
+	}
+	p.w.facts.started(p.w.now(), p.name, p.w.disc.list(p.tier))
+	if err := cmd.Start(); err != nil {
+		log.Close()
+		return fmt.Errorf("node %s: %w", p.place, err)
+	}
+	addr, exited := make(chan string, 1), make(chan struct{})
+	p.mu.Lock()
+	p.cmd, p.exited = cmd, exited
+	p.client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 256, IdleConnTimeout: time.Second, DisableCompression: true}}
+	p.mu.Unlock()
+	p.w.own(func() {
+		defer close(exited)
+		defer log.Close()
+		lines := bufio.NewScanner(stderr)
+		for lines.Scan() {
+			fmt.Fprintln(log, lines.Text())
+			if m := serving.FindStringSubmatch(lines.Text()); m != nil {
+				addr <- m[1]
+			}
+		}
+		cmd.Wait() // how it ended shows in the log and in what it answered
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		if p.cmd == cmd {
+			p.cmd = nil
+		}
+	})
+	late := time.NewTimer(readyWithin)
+	defer late.Stop()
+	select {
+	case at := <-addr:
+		p.mu.Lock()
+		p.addr = at
+		p.mu.Unlock()
+	case <-exited:
+		return fmt.Errorf("node %s ended without serving: see %s", p.place, log.Name())
+	case <-late.C:
+		return fmt.Errorf("node %s does not serve: see %s", p.place, log.Name())
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	for {
+		resp, err := p.client.Get("http://" + p.addr + "/ready")
+		if err == nil {
+			resp.Body.Close()
+			if resp.StatusCode == http.StatusOK {
+				return nil
+			}
+		}
+		select {
+		case <-time.After(10 * time.Millisecond):
+		case <-exited:
+			return fmt.Errorf("node %s ended before it was ready: see %s", p.place, log.Name())
+		case <-late.C:
+			return fmt.Errorf("node %s is not ready: see %s", p.place, log.Name())
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+// lifeName is the node's name in this life.
+func (p *process) lifeName() string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.name
+}
+
+// signal sends a signal to the node, if it runs, and returns what is closed when it has ended.
+func (p *process) signal(s syscall.Signal) (ended <-chan struct{}, name string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.cmd == nil {
+		return nil, ""
+	}
+	p.cmd.Process.Signal(s) // one that has just ended needs none
+	return p.exited, p.name
+}
+
+// kill ends the node at once; nothing is owed any more.
+func (p *process) kill() {
+	p.mu.Lock()
+	name, running := p.name, p.cmd != nil
+	p.mu.Unlock()
+	if !running {
+		return
+	}
+	p.w.facts.killed(name)
+	if ended, _ := p.signal(syscall.SIGKILL); ended != nil {
+		<-ended
+	}
+}
+
+// reload has the node read its configuration again.
+func (p *process) reload() error {
+	if _, err := p.write(); err != nil {
+		return err
+	}
+	p.signal(syscall.SIGHUP)
+	return nil
+}
+
+// reply is a node's answer, or what stands for none.
+type reply struct {
+	status     int // 0: none came
+	retryAfter time.Duration
+	refused    bool // the connection never came up
+}
+
+// send asks the node on behalf of a client or a box.
+func (p *process) send(ctx context.Context, class int, id, root, tenant string, work float64, deadline time.Duration, repeat bool) reply {
+	p.mu.Lock()
+	name, addr, client := p.name, p.addr, p.client
+	p.mu.Unlock()
+	if client == nil {
+		return reply{refused: true}
+	}
+	c := p.w.s.Classes[class]
+	method := http.MethodPost
+	if c.Effect == deckrelay.Safe {
+		method = http.MethodGet
+	}
+	q := url.Values{"work": {strconv.FormatFloat(work, 'g', -1, 64)}, "root": {root}, "node": {name}}
+	now := p.w.now()
+	left := deadline - now
+	if left <= 0 {
+		return reply{status: 504}
+	}
+	ctx, cancel := context.WithTimeout(ctx, left+clientPatience)
+	defer cancel()
+	r, err := http.NewRequestWithContext(ctx, method, "http://"+addr+"/api?"+q.Encode(), nil)
+	if err != nil {
+		return reply{}
+	}
+	r.Header.Set("X-Call-Id", id)
+	r.Header.Set("X-Call-Class", c.Name)
+	r.Header.Set("X-Caller", tenant)
+	r.Header.Set("X-Budget", strconv.FormatInt(left.Microseconds(), 10)+"u")
+	if repeat {
+		r.Header.Set("X-Again", "1")
+	}
+	if c.Effect == deckrelay.Keyed {
+		r.Header.Set("Idempotency-Key", id)
+	}
+	p.w.facts.taken(now, name, id, class, deadline)
+	resp, err := client.Do(r)
+	if err != nil {
+		var refused syscall.Errno
+		never := errors.As(err, &refused) && refused == syscall.ECONNREFUSED
+		p.w.facts.noAnswer(p.w.now(), name, id, never)
+		return reply{refused: never}
+	}
+	defer resp.Body.Close()
+	_, err = io.Copy(io.Discard, io.LimitReader(resp.Body, bodyMost))
+	status := resp.StatusCode
+	if err != nil {
+		status = 502 // it can tell that the answer is incomplete
+	}
+	p.w.facts.answered(p.w.now(), name, id, status)
+	a := reply{status: status}
+	if s, err := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64); err == nil {
+		a.retryAfter = time.Duration(s * float64(time.Second))
+	}
+	return a
+}
+
+// clientPatience is how long a client of the lab listens past its deadline: an answer that is late shall be seen.
+const clientPatience = 500 * time.Millisecond
+
+// ask is a box's call to the next tier through its own node. Its id is fresh: the same visit may be made again
+// elsewhere, and its calls come by here once more.
+func (p *process) ask(v *visit) bool {
+	a := p.send(p.w.ctx, v.class, fmt.Sprintf("c%d", p.w.ids.Add(1)), v.root, "", v.work, v.deadline, false)
+	return a.status == http.StatusOK
+}
--- /dev/null
+++ b/internal/lab/sockets/world.go
@@ -0,0 +1,390 @@
+// Package sockets plays a scenario on loopback in real time: real node processes, and stand-ins for boxes,
+// discovery, front and clients on real connections, with the faults made there: resets, silence, half answers,
+// refused connects, SIGKILL and SIGTERM. The model's boxes, arrivals and troubles are those of virtual time, and
+// the same auditor holds both to the rules.
+package sockets
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"hookwalk.example/hookwalk/internal/lab/audit"
+	"hookwalk.example/hookwalk/internal/lab/model"
+	"hookwalk.example/hookwalk/internal/lab/scenario"
+	"hookwalk.example/hookwalk/internal/lab/score"
+)
+
+// Options say how nodes are started.
+type Options struct {
+	Program []string // what `run` is added to
+	Env     []string // added to the environment
+}
+
+// World is a scenario being played, or just held up.
+type World struct {
+	s     *scenario.Scenario
+	opt   Options
+	dir   string
+	began atomic.Pointer[time.Time]
+	ctx   context.Context
+	end   context.CancelCauseFunc
+	wg    sync.WaitGroup
+	ids   atomic.Uint64 // of boxes' calls
+	facts *facts
+	disc  *discovery
+	front *front
+
+	boxes     [][]*box
+	processes []*process
+
+	mu       sync.Mutex // of what follows
+	rng      *rand.Rand
+	arrivals *model.Arrivals
+	tails    []tail
+	storm    float64
+}
+
+type tail struct{ size, share float64 }
+
+// most is how many processes a world may start.
+const mostNodes = 64
+
+// Up brings a scenario's world up: boxes listen, discovery lists them, nodes are ready. Down must follow, also
+// after an error.
+func Up(ctx context.Context, s *scenario.Scenario, opt Options) (*World, error) {
+	w := &World{s: s, opt: opt, facts: newFacts(s), storm: 1,
+		rng: model.Stream(s.Seed, "sockets", 0), tails: make([]tail, len(s.Classes))}
+	w.restartClock()
+	w.ctx, w.end = context.WithCancelCause(ctx)
+	var err error
+	if s.Policy != "deckrelay" {
+		return w, errors.New("on sockets nodes are real: policy deckrelay only")
+	}
+	if w.arrivals, err = model.NewArrivals(s); err != nil {
+		return w, err
+	}
+	if w.dir, err = os.MkdirTemp("", "hookwalk-lab-"); err != nil {
+		return w, err
+	}
+	w.front = &front{}
+	for i := range s.Front.Nodes {
+		p := &process{w: w, place: fmt.Sprintf("n%d", i), self: i, of: s.Front.Nodes}
+		w.front.nodes = append(w.front.nodes, p)
+		w.front.knows = append(w.front.knows, true)
+		w.processes = append(w.processes, p)
+	}
+	names := model.Stream(s.Seed, "names", 0)
+	for t, tier := range s.Tiers {
+		var row []*box
+		for k := range tier.Kinds {
+			for range tier.Kinds[k].Count {
+				b := &box{w: w, tier: tier, model: model.NewBox(fmt.Sprintf("s-%08x", names.Uint32()), t, len(row), &tier.Kinds[k], s.Rules)}
+				if t < len(s.Tiers)-1 {
+					b.node = &process{w: w, place: s.Tiers[t].Name + "-" + b.model.ID, tier: t + 1, self: len(row), of: tier.Boxes(), host: b}
+					w.processes = append(w.processes, b.node)
+				}
+				if err := b.start(); err != nil {
+					return w, err
+				}
+				row = append(row, b)
+			}
+		}
+		w.boxes = append(w.boxes, row)
+	}
+	if len(w.processes) > mostNodes {
+		return w, fmt.Errorf("%s needs %d node processes, at most %d are started: play it in virtual time", s.Name, len(w.processes), mostNodes)
+	}
+	w.disc = &discovery{w: w, doors: map[*process]*door{}}
+	if err := w.disc.open(); err != nil {
+		return w, err
+	}
+	started := make(chan error, len(w.processes))
+	for _, p := range w.processes {
+		w.own(func() { started <- p.start(w.ctx) })
+	}
+	for range w.processes {
+		if e := <-started; e != nil {
+			err = e
+		}
+	}
+	return w, err
+}
+
+// Addr is where clients reach the first node.
+func (w *World) Addr() string { return w.front.nodes[0].addr }
+
+// Folder has the nodes' configurations and logs.
+func (w *World) Folder() string { return w.dir }
+
+// Down ends everything that the world has started, and waits for it. What nobody needs any more is removed.
+func (w *World) Down(keep bool) {
+	w.end(errDown)
+	for _, p := range w.processes {
+		if ended, _ := p.signal(syscall.SIGKILL); ended != nil {
+			<-ended
+		}
+	}
+	for _, row := range w.boxes {
+		for _, b := range row {
+			b.stop()
+		}
+	}
+	if w.disc != nil {
+		w.disc.close()
+	}
+	w.wg.Wait()
+	if !keep && w.dir != "" {
+		os.RemoveAll(w.dir) // a folder of ours that stays behind is no reason to fail
+	}
+}
+
+var errDown = errors.New("the world has ended")
+
+// own runs something that Down waits for.
+func (w *World) own(f func()) { spawn(&w.wg, f) }
+
+func spawn(wg *sync.WaitGroup, f func()) {
+	wg.Add(1)
+	go func() {
+		defer wg.Done()
+		f()
+	}()
+}
+
+// now is the world's clock.
+func (w *World) now() time.Duration { return time.Since(*w.began.Load()) }
+
+// afterwards does something after a while, unless the world ends first.
+func (w *World) afterwards(wait time.Duration, f func()) {
+	w.own(func() {
+		if w.sleep(wait) {
+			f()
+		}
+	})
+}
+
+func (w *World) chance() float64 {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.rng.Float64()
+}
+
+// tail is a factor on a request's work, drawn while there is a heavy tail.
+func (w *World) tail(class int) float64 {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if t := w.tails[class]; t.size > 1 && w.rng.Float64() < t.share {
+		return t.size
+	}
+	return 1
+}
+
+func (w *World) retries() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.storm > 1 {
+		return int(float64(max(1, w.s.Clients.Retries)) * w.storm)
+	}
+	return w.s.Clients.Retries
+}
+
+func (w *World) stormy() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.storm > 1
+}
+
+// Play lets the clients and the troubles come, and returns when all is answered.
+func (w *World) Play() (*score.Score, *audit.Auditor, error) {
+	changes, err := model.Troubles(w.s)
+	if err != nil {
+		return nil, nil, err
+	}
+	w.restartClock()
+	troubles := make(chan error, 1)
+	w.own(func() {
+		for _, c := range changes {
+			if !w.sleep(c.At - w.now()) {
+				return
+			}
+			if err := w.change(c); err != nil {
+				troubles <- fmt.Errorf("%v at %v: %w", c.What, c.At, err)
+				w.end(err)
+				return
+			}
+		}
+	})
+	w.clients()
+	longest := time.Duration(0)
+	for _, c := range w.s.Classes {
+		longest = max(longest, c.Deadline)
+	}
+	w.sleep(longest/2 + socketSlack) // calls of lower tiers may outlive their clients
+	select {
+	case err := <-troubles:
+		return nil, nil, err
+	default:
+	}
+	if err := context.Cause(w.ctx); err != nil {
+		return nil, nil, err
+	}
+	w.facts.mu.Lock()
+	defer w.facts.mu.Unlock()
+	w.facts.audit.Finish(w.now())
+	return w.facts.score, w.facts.audit, nil
+}
+
+// restartClock begins the scenario's time now that all nodes are ready.
+func (w *World) restartClock() {
+	// Boxes have done nothing yet and discovery knows no boot times, so nothing holds a time of before; what nodes
+	// were told so far counts as told at the start.
+	now := time.Now()
+	w.began.Store(&now)
+}
+
+// change carries out one change of the world.
+func (w *World) change(c model.Change) error {
+	b := w.boxes[max(c.Tier, 0)][min(c.Index, len(w.boxes[max(c.Tier, 0)])-1)]
+	d := w.s.Discovery
+	switch c.What {
+	case model.Crash:
+		w.crash(b, b.is(model.Draining))
+	case model.Boot:
+		return w.boot(b)
+	case model.Drain:
+		if b.is(model.Up) {
+			b.set(func() { b.model.State = model.Draining })
+			w.disc.learn(b, "terminating", 0, d.Drain)
+		}
+	case model.CutOff:
+		w.disc.learn(b, "terminated", 0, d.Silent)
+		return b.cut()
+	case model.Rejoin:
+		b.set(b.rejoin)
+		if b.is(model.Up) {
+			w.disc.learn(b, "in_service", 0, d.Add)
+		}
+	case model.Slow:
+		b.set(func() {
+			b.model.SetSlow(w.now(), b.model.Slow*c.Size)
+			b.look()
+		})
+	case model.HeavyTail:
+		w.mu.Lock()
+		for i := range w.tails {
+			if c.Class < 0 || c.Class == i {
+				w.tails[i] = tail{c.Size, c.Share}
+			}
+		}
+		w.mu.Unlock()
+	case model.Broken:
+		b.set(func() { b.broken = c.Size * c.Share })
+	case model.ResetKept:
+		b.resetKept(c.Share)
+	case model.NodeLeave:
+		w.leave(c.Index)
+	case model.NodeKill:
+		w.own(w.front.nodes[c.Index].kill)
+		w.afterwards(w.s.Front.Notice, func() {
+			if ended, _ := w.front.nodes[c.Index].signal(0); ended == nil {
+				w.front.hear(c.Index, false)
+			}
+		})
+	case model.NodeStart:
+		w.own(func() {
+			if w.front.nodes[c.Index].start(w.ctx) == nil {
+				w.front.hear(c.Index, true)
+			}
+		})
+	case model.DiscoveryDown, model.DiscoveryUp, model.DiscoveryMove:
+		return w.disc.change(c.What)
+	case model.Overload:
+		w.mu.Lock()
+		w.arrivals.SetFactor(c.Size)
+		w.mu.Unlock()
+	case model.Storm:
+		w.mu.Lock()
+		w.storm = c.Size
+		w.mu.Unlock()
+	}
+	return nil
+}
+
+func (b *box) is(s model.State) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.model.State == s
+}
+
+func (b *box) set(f func()) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	f()
+}
+
+// crash ends a box, and its node with it.
+func (w *World) crash(b *box, planned bool) {
+	if b.is(model.Down) {
+		return
+	}
+	if b.node != nil {
+		w.facts.killed(b.node.lifeName())
+		b.node.signal(syscall.SIGKILL)
+	}
+	b.stop()
+	notice := w.s.Discovery.Notice
+	if planned {
+		notice = w.s.Discovery.Drain
+	}
+	w.disc.learn(b, "terminated", 0, notice)
+}
+
+// boot starts a box that is down, cold, once its node is ready.
+func (w *World) boot(b *box) error {
+	if !b.is(model.Down) {
+		return nil
+	}
+	if b.node != nil {
+		w.own(func() {
+			if b.node.start(w.ctx) == nil {
+				w.bootNow(b)
+			}
+		})
+		return nil
+	}
+	return w.bootNow(b)
+}
+
+func (w *World) bootNow(b *box) error {
+	now := w.now()
+	b.set(func() { b.model.Start(now) })
+	if err := b.start(); err != nil {
+		return err
+	}
+	w.disc.learn(b, "in_service", now, w.s.Discovery.Add)
+	return nil
+}
+
+// frontDeals is how long the front still deals clients to a node that has been told to stop.
+const frontDeals = 300 * time.Millisecond
+
+// leave is SIGTERM to a front node.
+func (w *World) leave(i int) {
+	ended, name := w.front.nodes[i].signal(syscall.SIGTERM)
+	if ended == nil {
+		return
+	}
+	w.afterwards(frontDeals, func() { w.front.hear(i, false) })
+	w.own(func() {
+		<-ended
+		w.sleep(socketSlack) // its last answers are still being read
+		w.facts.stopped(w.now(), name)
+	})
+}
