--- /dev/null
+++ b/cmd/hookwalk/sweep.go
@@ -0,0 +1,155 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"slices"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/schollz/progressbar/v3"
+	"golang.org/x/term"
+
+	"hookwalk.example/hookwalk/internal/lab/sweep"
+)
+
+// mainFigures are shown where none are named.
+var mainFigures = []string{"worth", "worst_10s", "p95_ms", "refusals", "attempts", "wasted", "violations"}
+
+type labSweep struct {
+	File   string   `arg:"" help:"The scenario."`
+	Set    []string `sep:"none" placeholder:"PATH=V,V..." help:"A setting and its values, such as clients.rate=100,200; several make a grid."`
+	Policy []string `placeholder:"NAME,..." help:"Instead of the file's."`
+	Seeds  int      `default:"5" help:"So many, from the file's on."`
+	Output string   `short:"o" required:"" placeholder:"DIR" help:"Where results go. Experiments that are done there already are kept."`
+}
+
+// Validate bounds what is played.
+func (c labSweep) Validate() error {
+	if c.Seeds < 1 || c.Seeds > 10000 {
+		return errors.New("--seeds must be from 1 to 10000")
+	}
+	return nil
+}
+
+// Run plays the grid.
+func (c labSweep) Run(io streams) error {
+	g := sweep.Grid{File: c.File, Policies: c.Policy, Seeds: c.Seeds}
+	for _, text := range c.Set {
+		s, err := sweep.ParseSet(text)
+		if err != nil {
+			return err
+		}
+		g.Sets = append(g.Sets, s)
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	cells, err := sweep.Run(ctx, g, c.Output, progress(io))
+	if err != nil {
+		return err
+	}
+	return sweep.Table(io.stdout, cells, mainFigures)
+}
+
+// progress is a bar on a terminal, else a line every few seconds.
+func progress(io streams) func(done, of int) {
+	if f, ok := io.stderr.(*os.File); ok && term.IsTerminal(int(f.Fd())) {
+		var bar *progressbar.ProgressBar
+		return func(done, of int) {
+			if bar == nil {
+				bar = progressbar.NewOptions(of, progressbar.OptionSetWriter(io.stderr), progressbar.OptionShowCount())
+			}
+			_ = bar.Set(done) // a bar that can't be drawn stops nothing
+			if done == of {
+				fmt.Fprintln(io.stderr)
+			}
+		}
+	}
+	const every = 3 * time.Second
+	last := time.Now()
+	return func(done, of int) {
+		if now := time.Now(); done == of || now.Sub(last) >= every {
+			last = now
+			fmt.Fprintf(io.stderr, "%d of %d experiments\n", done, of)
+		}
+	}
+}
+
+type labReport struct {
+	Folder string `arg:"" help:"A sweep's results."`
+	Output string `short:"o" placeholder:"FILE" help:"The page; without it, report.html in the folder."`
+}
+
+// Run writes the page.
+func (c labReport) Run(io streams) error {
+	cells, err := sweep.Read(c.Folder)
+	if err != nil {
+		return err
+	}
+	path := c.Output
+	if path == "" {
+		path = filepath.Join(c.Folder, "report.html")
+	}
+	f, err := os.Create(path)
+	if err != nil {
+		return err
+	}
+	if err := errors.Join(sweep.Report(f, cells, mainFigures), f.Close()); err != nil {
+		return fmt.Errorf("%s: %w", path, err)
+	}
+	fmt.Fprintln(io.stdout, path)
+	return nil
+}
+
+type labDiff struct {
+	Before string   `arg:"" help:"A sweep's results."`
+	After  string   `arg:"" help:"Another's."`
+	Figure []string `default:"worth" help:"Figures that must not fall."`
+	By     float64  `default:"0.01" help:"So much one may fall."`
+}
+
+// Run prints what changed; status 1 where a named figure fell by more than it may.
+func (c labDiff) Run(io streams) error {
+	before, err := sweep.Read(c.Before)
+	if err != nil {
+		return err
+	}
+	after, err := sweep.Read(c.After)
+	if err != nil {
+		return err
+	}
+	for _, f := range c.Figure {
+		if known := sweep.Names(after); !slices.Contains(known, f) {
+			return fmt.Errorf("unknown figure %q: there are %s", f, strings.Join(known, ", "))
+		}
+	}
+	changes, left := sweep.Diff(before, after)
+	if len(changes) == 0 {
+		return errors.New("the two have no experiment in common")
+	}
+	fell := 0
+	for _, d := range changes {
+		mark := " "
+		if slices.Contains(c.Figure, d.Figure) && d.By < -c.By {
+			mark = "!"
+			fell++
+		} else if d.Sure() {
+			mark = "*"
+		}
+		if mark != " " || slices.Contains(c.Figure, d.Figure) {
+			fmt.Fprintf(io.stdout, "%s %s %s: %.4g to %.4g, by %+.3g ± %.2g (%d seeds)\n", mark, d.Group, d.Figure, d.Before, d.After, d.By, d.Half, d.Pairs)
+		}
+	}
+	if left > 0 {
+		fmt.Fprintf(io.stdout, "%d experiments are in one of the two alone\n", left)
+	}
+	if fell > 0 {
+		return exitStatus(exitFailed)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/lab/policies/policies_test.go
@@ -0,0 +1,145 @@
+package policies
+
+import (
+	"fmt"
+	"strconv"
+	"testing"
+	"time"
+
+	"hookwalk.example/hookwalk/deckrelay"
+)
+
+func settings() deckrelay.Settings {
+	return deckrelay.Settings{Balancers: 1, MaxAttempts: 3, Tick: time.Millisecond, AskDiscovery: true, AskWithin: time.Second,
+		Classes: []deckrelay.Class{{Name: "safe", Effect: deckrelay.Safe, Aim: time.Second, Deadline: 2 * time.Second, Worth: 1},
+			{Name: "unsafe", Aim: time.Second, Deadline: 2 * time.Second, Worth: 1}}}
+}
+
+func listOf(n int) deckrelay.ServerList {
+	list := deckrelay.ServerList{Full: true}
+	for i := range n {
+		list.Servers = append(list.Servers, deckrelay.Server{ID: "s-" + strconv.Itoa(100000+i)})
+	}
+	return list
+}
+
+// Every reference policy keeps the rules on what may have run: never ran, it goes elsewhere, up to three times, and
+// ends in a refusal; may have run, only a safe one does.
+func TestReferencesKeepTheRules(t *testing.T) {
+	for _, name := range []string{"random", "round-robin", "least-of-two", "two-random", "two-left", "oracle"} {
+		p, err := New(name, settings(), 1, func(string) int { return 0 })
+		if err != nil {
+			t.Fatal(err)
+		}
+		p.Handle(0, listOf(5))
+		for n, c := range []struct {
+			class   string
+			ending  deckrelay.Ending
+			sends   int
+			refused bool
+		}{{"safe", deckrelay.Overloaded, 3, true}, {"safe", deckrelay.Broken, 3, true},
+			{"unsafe", deckrelay.Unreachable, 3, true}, {"unsafe", deckrelay.Failure, 1, false}, {"unknown", deckrelay.TimedOut, 1, false}} {
+			id := strconv.Itoa(n)
+			out := p.Handle(0, deckrelay.Request{ID: id, Class: c.class, Deadline: time.Second})
+			seen := map[string]bool{}
+			for {
+				if len(out) != 1 {
+					t.Fatalf("%s: %v", name, out)
+				}
+				s, ok := out[0].(deckrelay.Send)
+				if !ok {
+					break
+				}
+				if seen[s.Server] {
+					t.Errorf("%s: %s twice to %s", name, id, s.Server)
+				}
+				out = p.Handle(0, deckrelay.Outcome{ID: id, Attempt: len(seen), Server: s.Server, Ending: c.ending})
+				seen[s.Server] = true
+			}
+			if _, refused := out[0].(deckrelay.Refuse); refused != c.refused || len(seen) != c.sends {
+				t.Errorf("%s, %+v: %d sends, then %T", name, c, len(seen), out[0])
+			}
+		}
+	}
+}
+
+// A box that drains or is gone gets nothing new, and calls that are out may still end.
+func TestReferencesFollowTheList(t *testing.T) {
+	p, err := New("least-of-two", settings(), 1, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	p.Handle(0, listOf(2))
+	p.Handle(0, deckrelay.Request{ID: "a", Class: "safe", Deadline: time.Second})
+	one := listOf(2)
+	one.Full, one.Servers[0].State, one.Servers[1].State = false, deckrelay.Draining, deckrelay.Gone
+	p.Handle(0, one)
+	if out := p.Handle(0, deckrelay.Request{ID: "b", Class: "safe", Deadline: time.Second}); len(out) != 1 || out[0] != (deckrelay.Refuse{ID: "b"}) {
+		t.Errorf("with no ready box: %v", out)
+	}
+	if out := p.Handle(0, deckrelay.Outcome{ID: "a", Ending: deckrelay.Success, Ended: true}); len(out) != 0 {
+		t.Errorf("a call that was out: %v", out)
+	}
+	back := listOf(2)
+	back.Servers[0].Boot = time.Second
+	p.Handle(0, back)
+	for i := range 20 {
+		if out := p.Handle(0, deckrelay.Request{ID: strconv.Itoa(i), Class: "safe", Deadline: time.Second}); len(out) != 1 {
+			t.Errorf("back again: %v", out)
+		}
+	}
+	if _, err := New("oracle", settings(), 1, nil); err == nil {
+		t.Error("an oracle that sees nothing")
+	}
+}
+
+// BenchmarkRequest is what a request with its one outcome costs an instance that knows so many boxes and has 32
+// calls out; BenchmarkChange what a change of one box does.
+func BenchmarkRequest(b *testing.B) {
+	for _, name := range []string{"deckrelay", "two-random"} {
+		for _, boxes := range []int{10, 100, 1000, 10000} {
+			b.Run(fmt.Sprintf("%s/%d", name, boxes), func(b *testing.B) {
+				p, err := New(name, settings(), 1, nil)
+				if err != nil {
+					b.Fatal(err)
+				}
+				p.Handle(0, listOf(boxes))
+				const out = 32
+				servers := make([]string, out)
+				now := time.Second
+				for i := 0; b.Loop(); i++ {
+					now += 100 * time.Microsecond
+					k := i % out
+					if i >= out {
+						p.Handle(now, deckrelay.Outcome{ID: strconv.Itoa(k), Server: servers[k], Ending: deckrelay.Success, Ended: true})
+					}
+					for _, a := range p.Handle(now, deckrelay.Request{ID: strconv.Itoa(k), Class: "unsafe", Deadline: now + 2*time.Second}) {
+						if s, ok := a.(deckrelay.Send); ok {
+							servers[k] = s.Server
+						}
+					}
+				}
+			})
+		}
+	}
+}
+
+func BenchmarkChange(b *testing.B) {
+	for _, boxes := range []int{10, 100, 1000, 10000} {
+		b.Run(strconv.Itoa(boxes), func(b *testing.B) {
+			p, err := New("deckrelay", settings(), 1, nil)
+			if err != nil {
+				b.Fatal(err)
+			}
+			list := listOf(boxes)
+			p.Handle(0, list)
+			one := deckrelay.ServerList{Servers: list.Servers[:1]}
+			now := time.Second
+			for i := 0; b.Loop(); i++ {
+				now += time.Millisecond
+				one.Servers[0].State = deckrelay.ServerState(i % 2)
+				p.Handle(now, one)
+			}
+		})
+	}
+}
--- a/internal/lab/scenario/scenario.go
+++ b/internal/lab/scenario/scenario.go
@@ -8,6 +8,7 @@
 	"os"
 	"path/filepath"
 	"slices"
+	"strings"
 	"time"
 
 	"hookwalk.example/hookwalk/deckrelay"
@@ -161,8 +162,12 @@
 
 const maxFile = 1 << 20
 
+// Override gives a setting another value than the file does: "clients.rate", or "class.bin-weighin.share" where
+// several blocks of a kind have labels.
+type Override struct{ Path, Value string }
+
 // Load reads a scenario file.
-func Load(path string) (*Scenario, error) {
+func Load(path string, overrides ...Override) (*Scenario, error) {
 	text, err := os.ReadFile(path)
 	if err != nil {
 		return nil, fmt.Errorf("scenario: %w", err)
@@ -172,7 +177,7 @@
 	}
 	s, err := Parse(path, text, func(base string) ([]byte, error) {
 		return os.ReadFile(base)
-	})
+	}, overrides...)
 	if err != nil {
 		return nil, fmt.Errorf("scenario: %w", err)
 	}
@@ -184,7 +189,7 @@
 
 // Parse reads the text of a scenario file. Errors begin with its name and the line. Where the file names a base,
 // read gives that file's text: blocks of the kinds that the file has none of are the base's, but for troubles.
-func Parse(name string, text []byte, read func(path string) ([]byte, error)) (*Scenario, error) {
+func Parse(name string, text []byte, read func(path string) ([]byte, error), overrides ...Override) (*Scenario, error) {
 	byKind, err := group(name, text)
 	if err != nil {
 		return nil, err
@@ -197,6 +202,11 @@
 			}
 		}
 	}
+	for _, o := range overrides {
+		if err := o.apply(name, byKind); err != nil {
+			return nil, err
+		}
+	}
 	s := &Scenario{}
 	for _, kind := range []string{"clients", "front", "discovery", "net", "rules"} {
 		if len(byKind[kind]) == 0 { // all defaults
@@ -225,6 +235,38 @@
 	return s, nil
 }
 
+// apply sets the setting in every block that the path names. A block of which there is one at most is made.
+func (o Override) apply(name string, byKind map[string][]*settings.Reader) error {
+	parts := strings.Split(o.Path, ".")
+	if len(parts) < 2 || len(parts) > 3 {
+		return fmt.Errorf("%s: want block.setting or block.label.setting", o.Path)
+	}
+	kind, set := parts[0], parts[len(parts)-1]
+	single := slices.Contains([]string{"clients", "front", "discovery", "net", "rules"}, kind)
+	if single && len(byKind[kind]) == 0 {
+		byKind[kind] = []*settings.Reader{settings.NewReader(name, settings.Block{Kind: kind, Line: 1})}
+	}
+	met := false
+	in := func(b *settings.Block) {
+		if b.Kind == kind && (len(parts) == 2 || b.Label == parts[1]) {
+			b.Set(set, o.Value)
+			met = true
+		}
+	}
+	for _, readers := range byKind {
+		for _, r := range readers {
+			in(&r.Block)
+			for i := range r.Block.Blocks {
+				in(&r.Block.Blocks[i])
+			}
+		}
+	}
+	if !met {
+		return fmt.Errorf("%s: %s has no such block", o.Path, name)
+	}
+	return nil
+}
+
 // group reads a file's blocks by their kinds.
 func group(name string, text []byte) (map[string][]*settings.Reader, error) {
 	blocks, err := settings.ParseBlocks(name, text)
--- a/internal/lab/score/score.go
+++ b/internal/lab/score/score.go
@@ -32,7 +32,9 @@
 	Events                                      uint64
 
 	all     worth
-	windows []worth // a second each, by the time of the first try
+	windows []worth   // a second each, by the time of the first try
+	slow    []float64 // sums of latencies of what was served, in ms, by the same
+	ok      []int     // and their counts
 	classes []worth
 	tenants []worth
 	latency *hdrhistogram.Histogram // of served first tries, in microseconds
@@ -56,6 +58,7 @@
 // New returns the empty score of a scenario.
 func New(s *scenario.Scenario) *Score {
 	return &Score{s: s, windows: make([]worth, int(s.Length/time.Second)+1), classes: make([]worth, len(s.Classes)),
+		slow: make([]float64, int(s.Length/time.Second)+1), ok: make([]int, int(s.Length/time.Second)+1),
 		tenants: make([]worth, len(s.Tenants)),
 		latency: hdrhistogram.New(1, int64(time.Hour/time.Microsecond), 3), sends: hdrhistogram.New(1, 1<<20, 3)}
 }
@@ -95,6 +98,9 @@
 		v = c.Worth * c.LateShare
 		s.late++
 	}
+	i := min(int(at/time.Second), len(s.ok)-1)
+	s.slow[i] += ms(took)
+	s.ok[i]++
 	_ = s.latency.RecordValue(max(1, took.Microseconds())) // under an hour, as deadlines are
 	s.each(at, class, tenant, func(w *worth) { w.got += v })
 }
@@ -132,6 +138,26 @@
 	return time.Duration(s.latency.ValueAtQuantile(q)) * time.Microsecond
 }
 
+// Figures are the run's results by name, for comparisons. Higher is better only for worth.
+func (s *Score) Figures(violations int) map[string]float64 {
+	window, class, tenant := s.Worst()
+	roots := float64(max(1, s.served+s.late+s.failed))
+	return map[string]float64{"worth": s.Worth(), "worst_10s": window, "worst_class": class, "worst_tenant": tenant,
+		"p50_ms": ms(s.Quantile(50)), "p95_ms": ms(s.Quantile(95)), "p99_ms": ms(s.Quantile(99)),
+		"refusals": float64(s.Refusals) / roots, "tries": float64(s.Tries) / roots, "attempts": float64(s.Attempts) / roots,
+		"handshakes": float64(s.Handshakes) / float64(max(1, s.Attempts)), "failed": float64(s.failed) / roots,
+		"wasted": s.Wasted.Seconds() / math.Max(s.Work.Seconds(), 1e-9), "violations": float64(violations)}
+}
+
+// Course is the worth served and the mean latency in ms of what was served, second by second.
+func (s *Score) Course() (worth, latency []float64) {
+	for i, w := range s.windows {
+		worth = append(worth, w.share())
+		latency = append(latency, s.slow[i]/float64(max(1, s.ok[i])))
+	}
+	return worth, latency
+}
+
 // Write prints the report.
 func (s *Score) Write(w io.Writer) error {
 	window, class, tenant := s.Worst()
--- /dev/null
+++ b/internal/lab/sweep/sweep.go
@@ -0,0 +1,315 @@
+// Package sweep plays a grid of experiments in virtual time, keeps their results in a folder, and compares them:
+// every value of every setting, every policy, every seed is a cell of its own. A cell that is done is kept, so a
+// sweep that was stopped goes on where it was.
+package sweep
+
+import (
+	"cmp"
+	"context"
+	"encoding/csv"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"maps"
+	"os"
+	"path/filepath"
+	"runtime"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+
+	"hookwalk.example/hookwalk/internal/lab/policies"
+	"hookwalk.example/hookwalk/internal/lab/scenario"
+	"hookwalk.example/hookwalk/internal/lab/virtual"
+)
+
+// Grid says what is varied.
+type Grid struct {
+	File     string
+	Sets     []Set
+	Policies []string // none: the file's
+	Seeds    int      // from the file's seed on
+}
+
+// Set is a setting and the values that it takes.
+type Set struct {
+	Path   string
+	Values []string
+}
+
+// ParseSet reads PATH=VALUE,VALUE...
+func ParseSet(text string) (Set, error) {
+	path, values, ok := strings.Cut(text, "=")
+	s := Set{Path: path, Values: strings.Split(values, ",")}
+	if !ok || path == "" || slices.Contains(s.Values, "") {
+		return s, fmt.Errorf("--set %s: want PATH=VALUE,VALUE...", text)
+	}
+	return s, nil
+}
+
+// Cell is one experiment and its results.
+type Cell struct {
+	Scenario string             `json:"scenario"`
+	Set      map[string]string  `json:"set"`
+	Policy   string             `json:"policy"`
+	Seed     uint64             `json:"seed"`
+	Figures  map[string]float64 `json:"figures,omitempty"`
+	Worth    []float64          `json:"worth_by_second,omitempty"`
+	Latency  []float64          `json:"latency_ms_by_second,omitempty"`
+	Troubles []Mark             `json:"troubles,omitempty"`
+}
+
+// Mark is a trouble's time.
+type Mark struct {
+	Kind string  `json:"kind"`
+	From float64 `json:"from_s"`
+	To   float64 `json:"to_s"`
+}
+
+// Group names what cells have in common but for the seed.
+func (c Cell) Group() string {
+	text := c.Policy
+	for _, path := range slices.Sorted(maps.Keys(c.Set)) {
+		text += " " + path + "=" + c.Set[path]
+	}
+	return text
+}
+
+func (c Cell) key() string {
+	safe := strings.Map(func(r rune) rune {
+		if r == '=' || r == '.' || r == '-' || r >= '0' && r <= '9' || r >= 'a' && r <= 'z' || r >= 'A' && r <= 'Z' {
+			return r
+		}
+		return '_'
+	}, c.Scenario+" "+c.Group())
+	return safe + "_seed-" + strconv.FormatUint(c.Seed, 10) + ".json"
+}
+
+const mostCells = 100000
+
+// Cells are all experiments of a grid. Every one is read before any is played: a wrong value is told at once.
+func (g Grid) Cells() ([]Cell, error) {
+	first, err := scenario.Load(g.File)
+	if err != nil {
+		return nil, err
+	}
+	names := g.Policies
+	if len(names) == 0 {
+		names = []string{first.Policy}
+	}
+	for _, name := range names {
+		if !slices.Contains(scenario.Policies, name) {
+			return nil, fmt.Errorf("unknown policy %q", name)
+		}
+	}
+	sets := []map[string]string{{}}
+	for _, s := range g.Sets {
+		var more []map[string]string
+		for _, base := range sets {
+			for _, v := range s.Values {
+				m := maps.Clone(base)
+				m[s.Path] = v
+				more = append(more, m)
+			}
+		}
+		sets = more
+		if len(sets)*len(names)*g.Seeds > mostCells {
+			return nil, fmt.Errorf("over %d experiments", mostCells)
+		}
+	}
+	var cells []Cell
+	for _, set := range sets {
+		s, err := load(g.File, set)
+		if err != nil {
+			return nil, err
+		}
+		for _, name := range names {
+			for n := range g.Seeds {
+				cells = append(cells, Cell{Scenario: s.Name, Set: set, Policy: name, Seed: s.Seed + uint64(n)})
+			}
+		}
+	}
+	return cells, nil
+}
+
+func load(file string, set map[string]string) (*scenario.Scenario, error) {
+	var list []scenario.Override
+	for _, path := range slices.Sorted(maps.Keys(set)) {
+		list = append(list, scenario.Override{Path: path, Value: set[path]})
+	}
+	return scenario.Load(file, list...)
+}
+
+// Run plays the cells that the folder does not have yet, on all cores, and then writes results.jsonl and
+// results.csv from all of them. progress is told of each cell that is done; it may be called from any goroutine.
+func Run(ctx context.Context, g Grid, dir string, progress func(done, of int)) ([]Cell, error) {
+	cells, err := g.Cells()
+	if err != nil {
+		return nil, err
+	}
+	folder := filepath.Join(dir, "cells")
+	if err := os.MkdirAll(folder, 0o755); err != nil {
+		return nil, fmt.Errorf("sweep: %w", err)
+	}
+	ctx, stop := context.WithCancelCause(ctx)
+	defer stop(nil)
+	var all sync.WaitGroup
+	var mu sync.Mutex
+	done := 0
+	next := make(chan int)
+	for range runtime.GOMAXPROCS(0) {
+		all.Add(1)
+		go func() {
+			defer all.Done()
+			for i := range next {
+				if err := cells[i].fill(g.File, folder); err != nil {
+					stop(err)
+					continue
+				}
+				mu.Lock()
+				done++
+				progress(done, len(cells))
+				mu.Unlock()
+			}
+		}()
+	}
+feed:
+	for i := range cells {
+		select {
+		case next <- i:
+		case <-ctx.Done():
+			break feed
+		}
+	}
+	close(next)
+	all.Wait()
+	if err := context.Cause(ctx); err != nil {
+		return nil, fmt.Errorf("sweep: %w", err)
+	}
+	return cells, write(dir, cells)
+}
+
+// fill takes a cell's results from the folder, or plays it and keeps them there.
+func (c *Cell) fill(file, folder string) error {
+	path := filepath.Join(folder, c.key())
+	if text, err := os.ReadFile(path); err == nil {
+		var kept Cell
+		if json.Unmarshal(text, &kept) == nil && kept.key() == c.key() && len(kept.Figures) > 0 {
+			*c = kept
+			return nil
+		}
+	}
+	s, err := load(file, c.Set)
+	if err != nil {
+		return err
+	}
+	s.Policy, s.Seed = c.Policy, c.Seed
+	w, err := virtual.New(s, policies.New)
+	if err != nil {
+		return err
+	}
+	got, auditor, err := w.Run(nil)
+	if err != nil {
+		return err
+	}
+	c.Figures = got.Figures(auditor.Count())
+	c.Worth, c.Latency = got.Course()
+	for _, t := range s.Troubles {
+		c.Troubles = append(c.Troubles, Mark{t.Kind, t.At.Seconds(), (t.At + t.Length).Seconds()})
+	}
+	text, err := json.Marshal(c)
+	if err != nil {
+		return err
+	}
+	return replace(path, text)
+}
+
+// replace writes a file whole or not at all: what a stopped sweep leaves can be trusted.
+func replace(path string, text []byte) error {
+	half := path + ".part"
+	if err := os.WriteFile(half, text, 0o644); err != nil {
+		return err
+	}
+	return os.Rename(half, path)
+}
+
+// write puts all results into one file of JSON lines and one of CSV, in the order of the grid.
+func write(dir string, cells []Cell) error {
+	var lines, table strings.Builder
+	out := csv.NewWriter(&table)
+	figures := Names(cells)
+	if err := out.Write(append([]string{"scenario", "group", "seed"}, figures...)); err != nil {
+		return err
+	}
+	for _, c := range cells {
+		text, err := json.Marshal(c)
+		if err != nil {
+			return err
+		}
+		lines.Write(append(text, '\n'))
+		row := []string{c.Scenario, c.Group(), strconv.FormatUint(c.Seed, 10)}
+		for _, f := range figures {
+			row = append(row, strconv.FormatFloat(c.Figures[f], 'g', -1, 64))
+		}
+		if err := out.Write(row); err != nil {
+			return err
+		}
+	}
+	out.Flush()
+	return errors.Join(out.Error(), replace(filepath.Join(dir, "results.jsonl"), []byte(lines.String())),
+		replace(filepath.Join(dir, "results.csv"), []byte(table.String())))
+}
+
+// Names are the figures that cells have, sorted.
+func Names(cells []Cell) []string {
+	if len(cells) == 0 {
+		return nil
+	}
+	return slices.Sorted(maps.Keys(cells[0].Figures))
+}
+
+// Read reads the results of a folder.
+func Read(dir string) (cells []Cell, err error) {
+	path := filepath.Join(dir, "results.jsonl")
+	f, err := os.Open(path)
+	if err != nil {
+		return nil, err
+	}
+	defer f.Close()
+	in := json.NewDecoder(f)
+	for n := 1; ; n++ {
+		var c Cell
+		switch err := in.Decode(&c); {
+		case err == io.EOF && n > 1:
+			return cells, nil
+		case err == io.EOF:
+			return nil, fmt.Errorf("%s: no results", path)
+		case err != nil:
+			return nil, fmt.Errorf("%s:%d: %w", path, n, err)
+		case len(c.Figures) == 0 || c.Policy == "":
+			return nil, fmt.Errorf("%s:%d: not a result", path, n)
+		}
+		cells = append(cells, c)
+	}
+}
+
+// ByGroup sorts cells into groups that differ in the seed alone, in the order in which they first come.
+func ByGroup(cells []Cell) (groups [][]Cell) {
+	at := map[string]int{}
+	for _, c := range cells {
+		key := c.Scenario + " " + c.Group()
+		i, ok := at[key]
+		if !ok {
+			i = len(groups)
+			at[key] = i
+			groups = append(groups, nil)
+		}
+		groups[i] = append(groups[i], c)
+	}
+	for _, g := range groups {
+		slices.SortFunc(g, func(a, b Cell) int { return cmp.Compare(a.Seed, b.Seed) })
+	}
+	return groups
+}
--- a/internal/settings/parse.go
+++ b/internal/settings/parse.go
@@ -36,6 +36,21 @@
 // number is a number as it is written.
 type number string
 
+// Set gives a setting of the block another value, as an experiment does. What looks like a number is one.
+func (b *Block) Set(name, text string) {
+	var value any = text
+	if _, err := strconv.ParseFloat(text, 64); err == nil && strings.Trim(text, "0123456789.-") == "" {
+		value = number(text)
+	}
+	for i := range b.settings {
+		if b.settings[i].name == name {
+			b.settings[i].value = value
+			return
+		}
+	}
+	b.settings = append(b.settings, setting{name, b.Line, value})
+}
+
 // Fault is an error at a line of a file.
 func Fault(file string, line int, format string, args ...any) error {
 	return fmt.Errorf("%s:%d: %w", file, line, fmt.Errorf(format, args...))
