--- a/cmd/hookwalk/lab.go
+++ b/cmd/hookwalk/lab.go
@@ -20,9 +20,12 @@
 )
 
 type labCommands struct {
-	Up    labUp    `cmd:"" help:"Bring a scenario's world up on loopback, print how to reach it, and stay until Ctrl-C."`
-	Paper labPaper `cmd:"" help:"Compute the tables of the design's paper beside the published ones, and the module in the same world; status 1 where one differs."`
-	Run   labRun   `cmd:"" help:"Play a scenario and hold it to the rules; status 1 where one is broken."`
+	Sweep  labSweep  `cmd:"" help:"Play a grid of experiments in virtual time on all cores."`
+	Report labReport `cmd:"" help:"Write a page of tables and plots from a sweep."`
+	Diff   labDiff   `cmd:"" help:"What changed between two sweeps; status 1 where a named figure fell."`
+	Up     labUp     `cmd:"" help:"Bring a scenario's world up on loopback, print how to reach it, and stay until Ctrl-C."`
+	Paper  labPaper  `cmd:"" help:"Compute the tables of the design's paper beside the published ones, and the module in the same world; status 1 where one differs."`
+	Run    labRun    `cmd:"" help:"Play a scenario and hold it to the rules; status 1 where one is broken."`
 }
 
 type labRun struct {
--- a/cmd/hookwalk/main_test.go
+++ b/cmd/hookwalk/main_test.go
@@ -245,6 +245,49 @@
 	endsInOneLine(t, program(t, "", "lab", "run", good, "--policy", "guess"), `unknown policy "guess"`)
 }
 
+// A sweep, its page, and what another policy changes: status 1 where worth falls by more than it may.
+func TestLabSweepReportDiff(t *testing.T) {
+	file := written(t, "a.hcl", `scenario "a" { length_s = 3 }
+tier "t" { kind "k" { count = 3 cores = 1 slots = 6 queue = 3 } }
+class "c" { effect = "safe" work_ms = 15 aim_ms = 100 deadline_ms = 300 }
+trouble "overload" { at_s = 0.5 length_s = 2 size = 4 }`)
+	dir := t.TempDir()
+	lab := func(want int, args ...string) string {
+		t.Helper()
+		code, said, warned := ends(t, program(t, "", append([]string{"lab"}, args...)...))
+		if code != want {
+			t.Errorf("%v: exit %d, %s%s", args, code, said, warned)
+		}
+		return said
+	}
+	said := lab(0, "sweep", file, "--set", "clients.rate=50,150", "--seeds", "3", "-o", dir+"/a")
+	if strings.Count(said, "3 seeds") != 2 || !strings.Contains(said, "clients.rate=150") {
+		t.Errorf("a sweep said %s", said)
+	}
+	lab(0, "sweep", file, "--set", "clients.rate=50,150", "--set", "trouble.overload.size=8", "--seeds", "3", "-o", dir+"/b")
+	if page, err := os.ReadFile(strings.TrimSpace(lab(0, "report", dir+"/a"))); err != nil || !strings.Contains(string(page), "<svg") {
+		t.Errorf("%d bytes, %v", len(page), err)
+	}
+	lab(0, "diff", dir+"/a", dir+"/a")
+	lab(1, "diff", dir+"/a", dir+"/b") // no experiment in common
+	worse := strings.NewReplacer(`"worth":0.`, `"worth":0.0`, `"worth":1`, `"worth":0`)
+	text, err := os.ReadFile(dir + "/a/results.jsonl")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := os.WriteFile(dir+"/b/results.jsonl", []byte(worse.Replace(string(text))), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if said := lab(1, "diff", dir+"/a", dir+"/b"); strings.Count(said, "! a: ") != 2 {
+		t.Errorf("a fall: %s", said)
+	}
+	lab(0, "diff", dir+"/a", dir+"/b", "--by", "1.5")
+	lab(1, "diff", dir+"/a", dir+"/b", "--figure", "luck")
+	lab(2, "sweep", file)
+	lab(2, "sweep", file, "-o", dir, "--seeds", "0")
+	lab(1, "sweep", file, "-o", dir, "--set", "rate")
+}
+
 // smallWorld has generous limits of time: what a busy machine delays is no fault of the nodes.
 const smallWorld = `scenario "small" { seed = 5 length_s = 3 }
 tier "log-front" { work = 0.5 calls = 1 kind "front" { count = 2 cold_s = 1 } }
