--- a/internal/lab/audit/audit.go
+++ b/internal/lab/audit/audit.go
@@ -27,6 +27,7 @@
 	Drain       Rule = "drain"         // nothing new to a draining or gone box after the grace
 	Cold        Rule = "cold"          // no cold box is pushed over
 	Lost        Rule = "lost"          // nothing is lost by a node that was told to stop
+	MadeUp      Rule = "made-up"       // nothing is served that no box has run
 	KnownBox    Rule = "known-box"     // nothing is sent to a box that the node was never told of
 )
 
@@ -280,6 +281,9 @@
 	if now > r.deadline+a.rules.Slack && !r.gone {
 		a.broke(InTime, now, node, id, "", "answered %.0f ms after its deadline", (now-r.deadline).Seconds()*1000)
 	}
+	if how == Served && r.ran == 0 {
+		a.broke(MadeUp, now, node, id, "", "served though no box has run it")
+	}
 	if how == Refused && a.classes[r.class].Effect == deckrelay.Unsafe {
 		for _, t := range r.attempts {
 			if !t.never {
@@ -291,6 +295,15 @@
 	a.forget(now, n, id, r)
 }
 
+// Dropped is a taken request whose connection the node has ended without a whole answer.
+func (a *Auditor) Dropped(now time.Duration, node, id string) {
+	if n, r := a.find(node, id); r != nil && !r.answered {
+		a.broke(Lost, now, node, id, "", "its connection ended without an answer")
+		r.answered, r.ended = true, now
+		a.forget(now, n, id, r)
+	}
+}
+
 // Gone is a client that has left.
 func (a *Auditor) Gone(now time.Duration, node, id string) {
 	if n, r := a.find(node, id); r != nil {
--- a/internal/lab/sockets/facts.go
+++ b/internal/lab/sockets/facts.go
@@ -72,12 +72,19 @@
 	f.do(func() { f.audit.Taken(now, node, id, class, deadline) })
 }
 
-// noAnswer is a call that ended without one. What was never taken is owed nothing; anything else was lost, and stays
-// open for the auditor to find.
-func (f *facts) noAnswer(now time.Duration, node, id string, never bool) {
-	if never {
-		f.do(func() { f.audit.Gone(now, node, id) })
-	}
+// noAnswer is a call whose connection never came up: it was not taken, and nothing is owed.
+func (f *facts) noAnswer(now time.Duration, node, id string) {
+	f.do(func() { f.audit.Gone(now, node, id) })
+}
+
+func (f *facts) dropped(now time.Duration, node, id string) {
+	f.do(func() { f.audit.Dropped(now, node, id) })
+}
+
+// unread says that no attempt of a call has reached a box.
+func (f *facts) unread(node, id string) (yes bool) {
+	f.do(func() { yes = f.tries[attemptKey{node, id}] == 0 })
+	return yes
 }
 
 func (f *facts) answered(now time.Duration, node, id string, status int) {
--- a/internal/lab/sockets/process.go
+++ b/internal/lab/sockets/process.go
@@ -262,11 +262,21 @@
 	}
 	p.w.facts.taken(now, name, id, class, deadline)
 	resp, err := client.Do(r)
-	if err != nil {
-		var refused syscall.Errno
-		never := errors.As(err, &refused) && refused == syscall.ECONNREFUSED
-		p.w.facts.noAnswer(p.w.now(), name, id, never)
-		return reply{refused: never}
+	if err != nil && ctx.Err() == nil && !errors.Is(err, syscall.ECONNREFUSED) && p.w.facts.unread(name, id) {
+		// A node may close a connection between requests. One that crosses that is sent once more on a new one.
+		client.CloseIdleConnections()
+		resp, err = client.Do(r)
+	}
+	switch {
+	case err == nil:
+	case errors.Is(err, syscall.ECONNREFUSED):
+		p.w.facts.noAnswer(p.w.now(), name, id)
+		return reply{refused: true}
+	case ctx.Err() != nil: // no answer in all the time that there was: it stays open for the auditor to find
+		return reply{}
+	default:
+		p.w.facts.dropped(p.w.now(), name, id)
+		return reply{}
 	}
 	defer resp.Body.Close()
 	_, err = io.Copy(io.Discard, io.LimitReader(resp.Body, bodyMost))
