--- a/internal/lab/sweep/report.go
+++ b/internal/lab/sweep/report.go
@@ -4,6 +4,10 @@
 	"fmt"
 	"html/template"
 	"io"
+	"maps"
+	"math"
+	"slices"
+	"strconv"
 )
 
 var page = template.Must(template.New("report").Parse(`<!doctype html>
@@ -57,6 +61,9 @@
 	for _, f := range figures {
 		data.Plots = append(data.Plots, drawing{"Side by side: " + f, bars(groups, f)})
 	}
+	for _, f := range figures {
+		data.Plots = append(data.Plots, sizes(groups, f)...)
+	}
 	return page.Execute(w, data)
 }
 
@@ -91,3 +98,54 @@
 	}
 	return f.bars()
 }
+
+// sizes plots a figure against each setting that was varied and is a number: worth and cost against the rate, or
+// against the count of boxes. Groups that differ in that setting alone are one line.
+func sizes(groups [][]Cell, figure string) (plots []drawing) {
+	varied := map[string]map[float64]bool{}
+	for _, g := range groups {
+		for path, text := range g[0].Set {
+			v, err := strconv.ParseFloat(text, 64)
+			if err != nil {
+				continue
+			}
+			if varied[path] == nil {
+				varied[path] = map[float64]bool{}
+			}
+			varied[path][v] = true
+		}
+	}
+	for _, path := range slices.Sorted(maps.Keys(varied)) {
+		at := slices.Sorted(maps.Keys(varied[path]))
+		if len(at) < 2 {
+			continue
+		}
+		f := newFrame(figure)
+		f.at = at
+		lines := map[string]int{}
+		for _, g := range groups {
+			v, err := strconv.ParseFloat(g[0].Set[path], 64)
+			if err != nil {
+				continue
+			}
+			rest := g[0]
+			rest.Set = maps.Clone(rest.Set)
+			delete(rest.Set, path)
+			name := rest.Scenario + ": " + rest.Group()
+			i, ok := lines[name]
+			if !ok {
+				if len(f.lines) == mostLines {
+					continue
+				}
+				i = len(f.lines)
+				lines[name] = i
+				f.add(line{name: name, y: slices.Repeat([]float64{math.NaN()}, len(at))})
+			}
+			median := Summarize(values(g, figure)).Median
+			f.lines[i].y[slices.Index(at, v)] = median
+			f.most = math.Max(f.most, median)
+		}
+		plots = append(plots, drawing{figure + " against " + path, f.against(path)})
+	}
+	return plots
+}
--- a/internal/lab/sweep/svg.go
+++ b/internal/lab/sweep/svg.go
@@ -35,6 +35,7 @@
 	lines []line
 	most  float64
 	long  int
+	at    []float64 // where the values of every line stand, where that is not by the second
 }
 
 func newFrame(unit string) *frame { return &frame{unit: unit} }
@@ -42,7 +43,9 @@
 func (f *frame) add(l line) {
 	f.lines = append(f.lines, l)
 	for _, y := range l.y {
-		f.most = math.Max(f.most, y)
+		if y > f.most { // never for what is not there
+			f.most = y
+		}
 	}
 	f.long = max(f.long, len(l.y))
 }
@@ -130,3 +133,26 @@
 	}
 	return done(s, &out)
 }
+
+// against draws lines over the values of a setting; what a line has no value for is passed over.
+func (f *frame) against(path string) template.HTML {
+	var out bytes.Buffer
+	s := f.open(&out)
+	first, last := f.at[0], f.at[len(f.at)-1]
+	x := func(v float64) int { return left + int(math.Round((v-first)/(last-first)*plotWidth)) }
+	for _, v := range f.at {
+		s.Text(x(v), height-bottom+16, fmt.Sprintf("%g", v), "text-anchor:middle")
+	}
+	s.Text(width-right, height-bottom+30, path, "text-anchor:end")
+	for i, l := range f.lines {
+		var xs, ys []int
+		for k, v := range l.y {
+			if !math.IsNaN(v) {
+				xs, ys = append(xs, x(f.at[k])), append(ys, f.y(v))
+				s.Circle(x(f.at[k]), f.y(v), 3, "fill:"+colours[i%len(colours)])
+			}
+		}
+		s.Polyline(xs, ys, "fill:none;stroke-width:1.5;stroke:"+colours[i%len(colours)])
+	}
+	return done(s, &out)
+}
--- a/internal/lab/sweep/sweep_test.go
+++ b/internal/lab/sweep/sweep_test.go
@@ -144,6 +144,11 @@
 // The page needs nothing from anywhere, and what a scenario is called can't make it do anything.
 func TestReportStandsAlone(t *testing.T) {
 	list := cells(0.5, 0.6)
+	big := cells(0.3, 0.4)
+	for i := range big {
+		big[i].Set = map[string]string{"a.b": "10", "a.c": "no number"}
+	}
+	list = append(list, big...)
 	for i := range list {
 		list[i].Scenario = "<script>alert(1)</script>"
 	}
@@ -152,7 +157,7 @@
 		t.Fatal(err)
 	}
 	page := out.String()
-	if strings.Count(page, "<svg") != 3 || !strings.Contains(page, "crash") || !strings.Contains(page, "0.55") {
+	if strings.Count(page, "<svg") != 4 || !strings.Contains(page, "worth against a.b") || strings.Contains(page, "NaN") || !strings.Contains(page, "crash") || !strings.Contains(page, "0.55") {
 		t.Errorf("%d plots in %d bytes", strings.Count(page, "<svg"), len(page))
 	}
 	for _, no := range []string{"<script", "<link", "src=", "href=\"http", "<?xml"} {
