Lab: both hosts take the clients' budgets, retries and the front's times from the model

Virtual time and sockets each had their own copy of how often a client retries, what time it gives a try, how long the front still deals, how long a fallen box is down and the longest deadline. A change of one would have parted the two ways.

They stand once, in internal/lab/model.

--- a/internal/lab/sockets/clients.go
+++ b/internal/lab/sockets/clients.go
@@ -103,10 +103,7 @@
 			w.facts.over(r, w.now()-r.At, score.Failed)
 			return
 		}
-		budget := left
-		if try < retries {
-			budget = min(left, time.Duration(w.s.Clients.TryShare*float64(class.Deadline)))
-		}
+		budget := model.Budget(w.s, r.Class, try, retries, left)
 		w.facts.try()
 		var a reply
 		if n := w.front.deal(); n != nil {
--- a/internal/lab/sockets/world.go
+++ b/internal/lab/sockets/world.go
@@ -189,10 +189,7 @@
 func (w *World) retries() int {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.storm > 1 {
-		return int(float64(max(1, w.s.Clients.Retries)) * w.storm)
-	}
-	return w.s.Clients.Retries
+	return model.Retries(w.s, w.storm)
 }
 
 func (w *World) stormy() bool {
@@ -222,11 +219,7 @@
 		}
 	})
 	w.clients()
-	longest := time.Duration(0)
-	for _, c := range w.s.Classes {
-		longest = max(longest, c.Deadline)
-	}
-	w.sleep(longest/2 + socketSlack) // calls of lower tiers may outlive their clients
+	w.sleep(model.LongestDeadline(w.s)/2 + socketSlack) // calls of lower tiers may outlive their clients
 	select {
 	case err := <-troubles:
 		return nil, nil, err
@@ -372,16 +365,13 @@
 	return nil
 }
 
-// frontDeals is how long the front still deals clients to a node that has been told to stop.
-const frontDeals = 300 * time.Millisecond
-
 // leave is SIGTERM to a front node.
 func (w *World) leave(i int) {
 	ended, name := w.front.nodes[i].signal(syscall.SIGTERM)
 	if ended == nil {
 		return
 	}
-	w.afterwards(frontDeals, func() { w.front.hear(i, false) })
+	w.afterwards(model.FrontDeals, func() { w.front.hear(i, false) })
 	w.own(func() {
 		<-ended
 		w.sleep(socketSlack) // its last answers are still being read
--- a/internal/lab/virtual/clients.go
+++ b/internal/lab/virtual/clients.go
@@ -54,10 +54,7 @@
 		w.over(r, score.Failed)
 		return
 	}
-	budget := left
-	if r.tries < w.retries() {
-		budget = min(left, time.Duration(w.s.Clients.TryShare*float64(class.Deadline)))
-	}
+	budget := model.Budget(w.s, r.Class, r.tries, model.Retries(w.s, w.storm), left)
 	repeat := r.tries > 0
 	r.tries++
 	w.score.Tries++
@@ -110,13 +107,6 @@
 	})
 }
 
-func (w *World) retries() int {
-	if w.storm > 1 {
-		return int(float64(max(1, w.s.Clients.Retries)) * w.storm)
-	}
-	return w.s.Clients.Retries
-}
-
 // answered is a node's answer at the client.
 func (w *World) answered(r *root, how audit.Answer, retryAfter time.Duration) {
 	switch {
@@ -139,7 +129,7 @@
 
 // retry tries again after a wait, where that is safe and there is time and a try left.
 func (w *World) retry(r *root, wait time.Duration, safe bool) {
-	if !safe || r.tries > w.retries() || w.now+wait >= r.At+w.s.Classes[r.Class].Deadline {
+	if !safe || r.tries > model.Retries(w.s, w.storm) || w.now+wait >= r.At+w.s.Classes[r.Class].Deadline {
 		w.over(r, score.Failed)
 		return
 	}
--- a/internal/lab/virtual/node.go
+++ b/internal/lab/virtual/node.go
@@ -10,9 +10,6 @@
 	"hookwalk.example/hookwalk/internal/lab/policies"
 )
 
-// frontDeals is how long the front still deals connections to a node that has been told to stop.
-const frontDeals = 300 * time.Millisecond
-
 // node hosts one instance of the decision module as the daemon does: it feeds events, carries out actions and
 // keeps connections. It starts from nothing as often as it is started.
 type node struct {
@@ -132,13 +129,9 @@
 		return
 	}
 	n.leaving = true
-	n.front.hear(n, frontDeals, false)
+	n.front.hear(n, model.FrontDeals, false)
 	life := n.life
-	longest := time.Duration(0)
-	for _, c := range n.w.s.Classes {
-		longest = max(longest, c.Deadline)
-	}
-	until := n.w.now + frontDeals + longest + 50*time.Millisecond
+	until := n.w.now + model.FrontDeals + model.LongestDeadline(n.w.s) + 50*time.Millisecond
 	var look func()
 	look = func() {
 		if n.life != life {
@@ -151,7 +144,7 @@
 		n.w.audit.NodeStopped(n.w.now, n.name)
 		n.end()
 	}
-	n.w.after(frontDeals+50*time.Millisecond, look)
+	n.w.after(model.FrontDeals+50*time.Millisecond, look)
 }
 
 // hear takes news of the boxes.
@@ -355,7 +348,7 @@
 			w.audit.Fell(w.now, a.n.name, a.call.id, b.ID)
 			w.score.Fell++
 			w.crash(b, false)
-			w.after(fallenFor, func() { w.boot(b) })
+			w.after(model.FallenFor, func() { w.boot(b) })
 			a.endAfter(hop, deckrelay.Broken)
 			return
 		}
@@ -369,9 +362,6 @@
 	}
 }
 
-// fallenFor is how long a cold box that was pushed over stays down.
-const fallenFor = 5 * time.Second
-
 func (a *attempt) endAfter(wait time.Duration, e deckrelay.Ending) {
 	a.n.w.after(wait, func() { a.end(e) })
 }
--- a/internal/lab/virtual/world.go
+++ b/internal/lab/virtual/world.go
@@ -127,11 +127,7 @@
 	} else {
 		w.nextArrival()
 	}
-	longest := time.Duration(0)
-	for _, c := range w.s.Classes {
-		longest = max(longest, c.Deadline)
-	}
-	end := w.s.Length + 2*longest + 5*time.Second // by then every try is over, answered or not
+	end := w.s.Length + 2*model.LongestDeadline(w.s) + 5*time.Second // by then every try is over, answered or not
 	for w.queue.Len() > 0 && w.err == nil {
 		at, do := w.queue.Pop()
 		if at > end {
