Module: a ring is cut from its group without a copy

stretch copied a whole group twice to take a few servers of it, so a request cost 109 us where a node knows 10,000 boxes, 51 times as much as with 10.

The same ring is cut as a slice of the group, with a copy only where it runs over the end.

--- a/deckrelay/policy.go
+++ b/deckrelay/policy.go
@@ -676,10 +676,13 @@
 // stretch is a part of a group, taken as a ring. The copies' numbers say where it starts, so that the
 // stretches of all copies cover the servers evenly; a change of the list moves it by little.
 func (b *Balancer) stretch(group []*server, part float64) []*server {
-	n := int(math.Ceil(part * float64(len(group))))
 	_, at := math.Modf(spread * float64(b.set.Self))
 	start := int(at * float64(len(group)))
-	return slices.Concat(group, group)[start : start+n]
+	end := start + int(math.Ceil(part*float64(len(group))))
+	if over := end - len(group); over > 0 {
+		return slices.Concat(group[start:], group[:over])
+	}
+	return group[start:end]
 }
 
 // eligible says which servers of a list may be drawn: in scope, untried, fit, warm enough, with room and,
