Lab: the report tells how many refusals came in the first second

The hard case of a burst that meets a node right after its start asks for refusals within the first moments; the report had only their number.

Score counts refused tries by their time.

--- a/internal/lab/score/score.go
+++ b/internal/lab/score/score.go
@@ -27,9 +27,9 @@
 type Score struct {
 	s *scenario.Scenario
 
-	Tries, Attempts, Handshakes, Refusals, Fell int
-	Work, Wasted                                time.Duration // at speed 1
-	Events                                      uint64
+	Tries, Attempts, Handshakes, Fell int
+	Work, Wasted                      time.Duration // at speed 1
+	Events                            uint64
 
 	all     worth
 	windows []worth   // a second each, by the time of the first try
@@ -43,6 +43,8 @@
 	late    int
 	failed  int
 	left    int
+	refused int // tries
+	early   int // of them in the first second
 }
 
 // worth is asked for and earned in time.
@@ -76,6 +78,17 @@
 	s.each(at, class, tenant, func(w *worth) { w.asked += v })
 }
 
+// Refused is a try that was turned away.
+func (s *Score) Refused(at time.Duration) {
+	s.refused++
+	if at < time.Second {
+		s.early++
+	}
+}
+
+// Refusals counts the tries that were turned away, and of them those in the first second.
+func (s *Score) Refusals() (all, early int) { return s.refused, s.early }
+
 // Over is the end of what a client wanted, so long after its first try.
 func (s *Score) Over(at, took time.Duration, class, tenant, attempts int, how End) {
 	c := s.s.Classes[class]
@@ -144,7 +157,7 @@
 	roots := float64(max(1, s.served+s.late+s.failed))
 	return map[string]float64{"worth": s.Worth(), "worst_10s": window, "worst_class": class, "worst_tenant": tenant,
 		"p50_ms": ms(s.Quantile(50)), "p95_ms": ms(s.Quantile(95)), "p99_ms": ms(s.Quantile(99)),
-		"refusals": float64(s.Refusals) / roots, "tries": float64(s.Tries) / roots, "attempts": float64(s.Attempts) / roots,
+		"refusals": float64(s.refused) / roots, "tries": float64(s.Tries) / roots, "attempts": float64(s.Attempts) / roots,
 		"handshakes": float64(s.Handshakes) / float64(max(1, s.Attempts)), "failed": float64(s.failed) / roots,
 		"wasted": s.Wasted.Seconds() / math.Max(s.Work.Seconds(), 1e-9), "violations": float64(violations)}
 }
@@ -166,14 +179,14 @@
 worth served   %.4f   worst 10 s %.4f   worst class %.4f   worst tenant %.4f
 requests       %d in time, %d late, %d failed, %d left
 latency ms     p50 %.2f   p95 %.2f   p99 %.2f   most %.2f
-a request      %.3f tries, %.3f attempts (p99 %d), %.3f refusals
+a request      %.3f tries, %.3f attempts (p99 %d), %.4f refusals (%d in the first second)
 connections    %d opened, %.4f an attempt
 work           %.3f s, %.4f of it wasted; cold boxes pushed over: %d
 events         %d
 `, s.s.Name, s.s.Seed, s.s.Policy, s.s.Length.Seconds(), s.Worth(), window, class, tenant,
 		s.served, s.late, s.failed, s.left, ms(s.Quantile(50)), ms(s.Quantile(95)), ms(s.Quantile(99)),
 		float64(s.latency.Max())/1000, float64(s.Tries)/float64(roots), float64(s.Attempts)/float64(roots),
-		s.sends.ValueAtQuantile(99), float64(s.Refusals)/float64(roots), s.Handshakes,
+		s.sends.ValueAtQuantile(99), float64(s.refused)/float64(roots), s.early, s.Handshakes,
 		float64(s.Handshakes)/float64(max(1, s.Attempts)), s.Work.Seconds(),
 		s.Wasted.Seconds()/math.Max(s.Work.Seconds(), 1e-9), s.Fell, s.Events)
 	return err
--- a/internal/lab/sockets/clients.go
+++ b/internal/lab/sockets/clients.go
@@ -118,7 +118,7 @@
 			w.facts.over(r, w.now()-r.At, score.Served)
 			return
 		case a.status == 429 || a.status == 503:
-			w.facts.refused()
+			w.facts.refused(w.now())
 			if r.Honour && a.retryAfter > 0 {
 				wait = a.retryAfter
 			}
--- a/internal/lab/sockets/facts.go
+++ b/internal/lab/sockets/facts.go
@@ -144,7 +144,7 @@
 
 func (f *facts) try() { f.do(func() { f.score.Tries++ }) }
 
-func (f *facts) refused() { f.do(func() { f.score.Refusals++ }) }
+func (f *facts) refused(at time.Duration) { f.do(func() { f.score.Refused(at) }) }
 
 func (f *facts) over(r *root, took time.Duration, how score.End) {
 	f.do(func() {
--- a/internal/lab/virtual/clients.go
+++ b/internal/lab/virtual/clients.go
@@ -113,7 +113,7 @@
 	case how == audit.Served:
 		w.over(r, score.Served)
 	case how == audit.Refused:
-		w.score.Refusals++
+		w.score.Refused(w.now)
 		wait := w.s.Clients.Backoff
 		if r.Honour && retryAfter > 0 {
 			wait = retryAfter
