--- /dev/null
+++ b/internal/engine/call.go
@@ -0,0 +1,131 @@
+package engine
+
+import (
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"hookwalk.example/hookwalk/deckrelay"
+	"hookwalk.example/hookwalk/internal/figures"
+)
+
+// Call is one request of a front's client. The front fills the exported fields and hands it in once.
+type Call struct {
+	Request  deckrelay.Request
+	Tenant   string
+	Budget   time.Duration // as the client gave it
+	Tags     figures.Tags
+	Stranger bool // the lists keep its client out; of its request there is only the id
+	Payload  any  // what the sender needs of it; the engine does not look at it
+
+	closed atomic.Bool // answered or given up by the client: nothing more may be sent for it
+	reply  chan Answer // takes the one final answer without blocking
+
+	attempts int // the loop's own, as is out
+	out      int
+}
+
+// Close marks the call as over and says whether it was open.
+func (c *Call) Close() bool { return !c.closed.Swap(true) }
+
+// Closed says that the call has its answer or its client left: nothing more may be sent for it.
+func (c *Call) Closed() bool { return c.closed.Load() }
+
+// Verdict is what a final answer says.
+type Verdict int
+
+const (
+	// Served: an attempt succeeded, and Reply has what came back.
+	Served Verdict = iota
+	// Refused: it did not run, or its class allows another run. The client may come back after RetryAfter.
+	Refused
+	// Failed: it may have run and can't be sent again, or its time is over. Its client must not send it again.
+	Failed
+	// Denied: the address lists keep its client out.
+	Denied
+	// Doubled: another open call has its id.
+	Doubled
+	// Aborted: a drill ended it with Status.
+	Aborted
+)
+
+// unavailable is the status with which a drill refuses; the module has these statuses as HTTP's.
+const unavailable = 503
+
+// Answer is the final answer to a call.
+type Answer struct {
+	Verdict    Verdict
+	Status     int // of an aborted call, as its drill has it
+	RetryAfter time.Duration
+	Reply      any // what the sender got
+}
+
+// Target is a server at one address, from one start of it to the next.
+type Target struct {
+	ID   string
+	Addr string
+	Boot time.Duration
+
+	stopped atomic.Bool
+}
+
+// Stop marks a server as one that gets nothing new.
+func (t *Target) Stop() { t.stopped.Store(true) }
+
+// Stopped says that the server drains or is gone: nothing new may go to it.
+func (t *Target) Stopped() bool { return t.stopped.Load() }
+
+// Attempt is one send of a call.
+type Attempt struct {
+	Call     *Call
+	N        int
+	Target   *Target
+	Deadline time.Duration
+	Started  time.Duration
+}
+
+// MaySend says whether the attempt may still leave at a time. A sender asks right before it writes.
+func (a *Attempt) MaySend(now time.Duration) bool {
+	return !a.Call.Closed() && !a.Target.Stopped() && now < a.Deadline
+}
+
+// Result is how an attempt ended.
+type Result struct {
+	Attempt *Attempt
+	Ending  deckrelay.Ending
+	Load    *deckrelay.Load
+	Reply   any // of a success; goes into the answer
+
+	// For the log: why there is no answer, and what the attempt's connection had behind it.
+	Err       error
+	Uses      int
+	Age, Idle time.Duration
+}
+
+// Sender carries attempts to servers and hands each one's Result to Engine.Ended, once. No method may block.
+type Sender interface {
+	Start(*Attempt)
+	// Retire ends what is kept for a target that gets nothing new.
+	Retire(*Target)
+}
+
+// Box is a server of a list and where it is reached.
+type Box struct {
+	deckrelay.Server
+	Addr string
+}
+
+// News is what a source has to tell: a list or its changes, or that it failed.
+type News struct {
+	Version int64 // as the source counts; the engine does not look at it
+	Boxes   []Box
+	Whole   bool // the boxes are all that there are
+	Cached  bool // they are from an earlier life of the node
+	Failed  bool // an asked watch failed or ended
+}
+
+// DrillStart is a drill to start, and whose wish that is, where that is known.
+type DrillStart struct {
+	Name   string
+	Client netip.Addr
+}
--- /dev/null
+++ b/internal/engine/engine.go
@@ -0,0 +1,390 @@
+// Package engine hosts the decision module: it feeds events to it from one goroutine, carries out its actions, keeps
+// its timers and gives each call one final answer. It knows no wire. A front hands in calls (Do) and turns answers
+// into its protocol's; a Sender starts attempts and reports how they ended (Ended); a source brings lists (Tell).
+package engine
+
+import (
+	"container/heap"
+	"context"
+	"errors"
+	"log/slog"
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"hookwalk.example/hookwalk/deckrelay"
+	"hookwalk.example/hookwalk/internal/capture"
+	"hookwalk.example/hookwalk/internal/figures"
+)
+
+// Options are an engine's parts. Figures and Capture may be nil: off.
+type Options struct {
+	Clock     Clock
+	Log       *slog.Logger
+	Balancer  *deckrelay.Balancer
+	Sender    Sender
+	Subscribe func() // asks the source for a watch; must not block
+	Figures   *figures.Reporter
+	Capture   *capture.Writer
+}
+
+// Engine is one host of one Balancer. Its methods may be called from any goroutine while Run runs.
+type Engine struct {
+	Options
+
+	lists    chan News
+	arrivals chan *Call
+	gone     chan *Call
+	results  chan Result
+	starts   chan DrillStart
+	dumps    chan struct{} // takes a wish to see what the capture holds without blocking
+	leaves   chan struct{}
+	stop     chan struct{}
+
+	calls   map[string]*Call
+	visitor *Call // that is being taken
+	targets map[string]*Target
+	wakes   wakeHeap
+	usable  atomic.Bool // some listed server is in service
+	tally   tally
+	aside   capture.Aside // of the event that comes next
+}
+
+// New makes an engine; Run starts it.
+func New(o Options) *Engine {
+	return &Engine{Options: o,
+		lists: make(chan News), arrivals: make(chan *Call), gone: make(chan *Call),
+		results: make(chan Result), starts: make(chan DrillStart), dumps: make(chan struct{}, 1),
+		leaves: make(chan struct{}), stop: make(chan struct{}),
+		calls: map[string]*Call{}, targets: map[string]*Target{}}
+}
+
+// Why Do has no answer.
+var (
+	ErrStopped = errors.New("the engine has stopped")
+	ErrLeft    = errors.New("the client has left")
+)
+
+// Do hands in a call and waits for its final answer. If ctx ends first the call counts as given up by its client:
+// nothing more is sent for it.
+func (e *Engine) Do(ctx context.Context, c *Call) (Answer, error) {
+	c.reply = make(chan Answer, 1)
+	select {
+	case e.arrivals <- c:
+	case <-e.stop:
+		return Answer{}, ErrStopped
+	}
+	select {
+	case a := <-c.reply:
+		return a, nil
+	case <-ctx.Done():
+	}
+	select {
+	case e.gone <- c:
+	case <-e.stop:
+	}
+	return Answer{}, ErrLeft
+}
+
+// Tell hands in news of the servers. When it returns nil they go ahead of all that is
+// handed in after.
+func (e *Engine) Tell(ctx context.Context, n News) error {
+	select {
+	case e.lists <- n:
+		return nil
+	case <-e.stop:
+		return ErrStopped
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// Ended hands in how an attempt ended. A sender may wait here, so it is called from an attempt's own goroutine; Stop
+// comes only after all of them have ended.
+func (e *Engine) Ended(r Result) { e.results <- r }
+
+// StartDrill has the module start a drill.
+func (e *Engine) StartDrill(s DrillStart) error {
+	select {
+	case e.starts <- s:
+		return nil
+	case <-e.stop:
+		return ErrStopped
+	}
+}
+
+// Leave tells the module, once, that the node begins to leave.
+func (e *Engine) Leave() { close(e.leaves) }
+
+// Dump has what the capture holds in memory written, where there is one. A wish that still waits is enough.
+func (e *Engine) Dump() {
+	select {
+	case e.dumps <- struct{}{}:
+	default:
+	}
+}
+
+// Usable says whether some listed server is in service.
+func (e *Engine) Usable() bool { return e.usable.Load() }
+
+// Stop ends Run. No attempt may be out any more.
+func (e *Engine) Stop() { close(e.stop) }
+
+// Run handles events until Stop. Senders on the channels may wait; the loop never does.
+func (e *Engine) Run() {
+	timer := time.NewTimer(time.Hour)
+	defer timer.Stop()
+	report := time.NewTicker(tallyEvery)
+	defer report.Stop()
+	defer func() { e.tally.write(e.Log, len(e.calls)) }()
+	leaves := e.leaves
+	for {
+		// News of the servers goes ahead of waiting traffic: the grace of a drain is running.
+		select {
+		case n := <-e.lists:
+			e.takeNews(n)
+			continue
+		default:
+		}
+		for len(e.wakes) > 0 && e.wakes[0].At <= e.Clock.Now() {
+			w := heap.Pop(&e.wakes).(deckrelay.Wake)
+			e.handle(deckrelay.Timer{Token: w.Token})
+		}
+		wait := time.Hour
+		if len(e.wakes) > 0 {
+			wait = e.wakes[0].At - e.Clock.Now()
+		}
+		timer.Reset(wait)
+		select {
+		case n := <-e.lists:
+			e.takeNews(n)
+		case c := <-e.arrivals:
+			e.takeCall(c)
+		case c := <-e.gone:
+			e.takeGone(c)
+		case r := <-e.results:
+			e.takeResult(r)
+		case s := <-e.starts:
+			e.Log.Info("drill started", append([]any{"drill", s.Name}, who(s.Client)...)...)
+			e.handle(deckrelay.DrillStart{Name: s.Name})
+		case <-e.dumps:
+			e.Capture.Dump()
+		case <-leaves:
+			leaves = nil
+			e.handle(deckrelay.Leaving{})
+		case <-timer.C:
+		case <-report.C:
+			e.tally.write(e.Log, len(e.calls))
+		case <-e.stop:
+			return
+		}
+	}
+}
+
+// handle gives one event to the module and carries out what it answers.
+func (e *Engine) handle(event deckrelay.Event) {
+	now := e.Clock.Now()
+	actions := e.Balancer.Handle(now, event)
+	if e.Capture != nil {
+		e.Capture.Event(now, event, actions, e.aside)
+		e.aside = capture.Aside{}
+	}
+	for _, a := range actions {
+		switch a := a.(type) {
+		case deckrelay.Send:
+			e.send(now, a)
+		case deckrelay.Refuse:
+			e.answer(a.ID, Answer{Verdict: Refused, RetryAfter: a.RetryAfter})
+		case deckrelay.Fail:
+			e.answer(a.ID, Answer{Verdict: Failed})
+		case deckrelay.Deny:
+			e.deny(a)
+		case deckrelay.Drilled:
+			e.mark(a)
+		case deckrelay.Abort:
+			e.answer(a.ID, Answer{Verdict: Aborted, Status: a.Status, RetryAfter: a.RetryAfter})
+		case deckrelay.Wake:
+			heap.Push(&e.wakes, a)
+		case deckrelay.Subscribe:
+			e.Subscribe()
+		}
+	}
+}
+
+func (e *Engine) takeCall(c *Call) {
+	e.visitor = c
+	if c.Stranger {
+		e.aside = c.aside()
+		e.handle(c.Request)
+		return
+	}
+	// An id still in use would be taken by the module for the request that it has, and never answered.
+	if e.calls[c.Request.ID] != nil {
+		c.Close()
+		c.reply <- Answer{Verdict: Doubled}
+		return
+	}
+	e.calls[c.Request.ID] = c
+	e.tally.taken++
+	e.aside = c.aside()
+	e.handle(c.Request)
+}
+
+// takeGone notes that the client of a call has left.
+func (e *Engine) takeGone(c *Call) {
+	if !c.Close() {
+		return
+	}
+	e.tally.left++
+	e.handle(deckrelay.ClientGone{ID: c.Request.ID})
+	e.forget(c)
+}
+
+// aside is what a capture has of a call beside what the module is told.
+func (c *Call) aside() capture.Aside {
+	return capture.Aside{Tenant: c.Tenant, Budget: c.Budget}
+}
+
+// deny answers a stranger. Its id may be that of another call.
+func (e *Engine) deny(a deckrelay.Deny) {
+	c := e.visitor
+	if !c.Close() {
+		return
+	}
+	e.tally.denied++
+	e.Log.Info("denied", append([]any{"id", a.ID, "class", c.Request.Class}, who(c.Request.Client)...)...)
+	c.reply <- Answer{Verdict: Denied}
+	e.forget(c)
+}
+
+// mark notes that a call is part of a drill.
+func (e *Engine) mark(a deckrelay.Drilled) {
+	if c := e.calls[a.ID]; c != nil {
+		e.tally.drilled++
+		e.Figures.Count(c.Tags, figures.Drilled)
+		e.Log.Info("drilled", append([]any{"id", a.ID, "class", c.Request.Class, "drill", a.Drill}, who(c.Request.Client)...)...)
+	}
+}
+
+func (e *Engine) send(now time.Duration, a deckrelay.Send) {
+	c := e.calls[a.ID]
+	if c == nil {
+		e.Log.Error("send for an unknown request", "id", a.ID)
+		return
+	}
+	att := &Attempt{Call: c, N: c.attempts, Target: e.targets[a.Server], Deadline: min(now+a.Timeout, c.Request.Deadline)}
+	if att.Target == nil { // no such server any more: the attempt ends unsent
+		att.Target = &Target{ID: a.Server}
+		att.Target.Stop()
+	}
+	c.attempts++
+	c.out++
+	att.Started = e.Clock.Now()
+	e.Sender.Start(att)
+}
+
+// answer gives the one final answer; later ones of the same call go nowhere.
+func (e *Engine) answer(id string, a Answer) {
+	c := e.calls[id]
+	if c == nil || !c.Close() {
+		return
+	}
+	if a.Verdict == Refused || a.Status == unavailable {
+		e.tally.refused[tried(c)]++
+	} else {
+		e.tally.failed[tried(c)]++
+	}
+	c.reply <- a
+	e.forget(c)
+}
+
+// forget drops a call that is closed and has no attempt out.
+func (e *Engine) forget(c *Call) {
+	if c.Closed() && c.out == 0 && e.calls[c.Request.ID] == c {
+		delete(e.calls, c.Request.ID)
+	}
+}
+
+func (e *Engine) takeResult(r Result) {
+	c := r.Attempt.Call
+	c.out--
+	e.tally.note(e.Log, e.Clock.Now(), r)
+	if r.Ending == deckrelay.Success && c.Close() {
+		e.tally.served++
+		e.aside.Served = true
+		c.reply <- Answer{Verdict: Served, Reply: r.Reply}
+	}
+	e.handle(deckrelay.Outcome{ID: c.Request.ID, Attempt: r.Attempt.N, Server: r.Attempt.Target.ID, Ending: r.Ending,
+		Latency: e.Clock.Now() - r.Attempt.Started, Ended: c.Closed(), Load: r.Load})
+	e.forget(c)
+}
+
+// takeNews updates the servers' addresses, stops what must get nothing new, then tells the module.
+func (e *Engine) takeNews(n News) {
+	if n.Failed {
+		e.handle(deckrelay.ListFailed{})
+		return
+	}
+	list := deckrelay.ServerList{Full: n.Whole, Cached: n.Cached}
+	listed := map[string]bool{}
+	for _, b := range n.Boxes {
+		list.Servers = append(list.Servers, b.Server)
+		listed[b.ID] = true
+		old := e.targets[b.ID]
+		if b.State != deckrelay.Ready {
+			e.drop(b.ID)
+			continue
+		}
+		// A server that moved or started anew shares no connection with the one before.
+		if old == nil || old.Addr != b.Addr || old.Boot != b.Boot {
+			e.drop(b.ID)
+			e.targets[b.ID] = &Target{ID: b.ID, Addr: b.Addr, Boot: b.Boot}
+		}
+	}
+	if n.Whole {
+		for id := range e.targets {
+			if !listed[id] {
+				e.drop(id)
+			}
+		}
+	}
+	if e.Capture != nil {
+		e.aside.Addrs = map[string]string{}
+		for _, b := range n.Boxes {
+			e.aside.Addrs[b.ID] = b.Addr
+		}
+	}
+	e.handle(list)
+	e.usable.Store(len(e.targets) > 0)
+}
+
+// drop stops all sends to a server, those that wait for a connection among them.
+func (e *Engine) drop(id string) {
+	if t := e.targets[id]; t != nil {
+		t.Stop()
+		e.Sender.Retire(t)
+		delete(e.targets, id)
+	}
+}
+
+// who is what a log line tells of a client, where that is known.
+func who(client netip.Addr) []any {
+	if !client.IsValid() {
+		return nil
+	}
+	return []any{"client", client}
+}
+
+// wakeHeap holds the timers that the module asked for, the next one first.
+type wakeHeap []deckrelay.Wake
+
+func (h wakeHeap) Len() int           { return len(h) }
+func (h wakeHeap) Less(i, j int) bool { return h[i].At < h[j].At }
+func (h wakeHeap) Swap(i, j int)      { h[i], h[j] = h[j], h[i] }
+func (h *wakeHeap) Push(x any)        { *h = append(*h, x.(deckrelay.Wake)) }
+func (h *wakeHeap) Pop() any {
+	last := len(*h) - 1
+	w := (*h)[last]
+	*h = (*h)[:last]
+	return w
+}
--- a/internal/engine/tally.go
+++ b/internal/engine/tally.go
@@ -1,4 +1,4 @@
-package node
+package engine
 
 import (
 	"log/slog"
@@ -23,7 +23,7 @@
 }
 
 // tried is the index of a count split by whether an attempt was made.
-func tried(c *call) int { return min(c.attempts, 1) }
+func tried(c *Call) int { return min(c.attempts, 1) }
 
 // write logs the counts, if there are any, and starts anew.
 func (t *tally) write(log *slog.Logger, out int) {
@@ -49,12 +49,12 @@
 }
 
 // note counts an ending and logs an attempt that got no answer, though not each of a run of them.
-func (t *tally) note(log *slog.Logger, now time.Duration, r result) {
-	t.endings[r.ending]++
-	if r.err == nil || now < t.nextBreak {
+func (t *tally) note(log *slog.Logger, now time.Duration, r Result) {
+	t.endings[r.Ending]++
+	if r.Err == nil || now < t.nextBreak {
 		return
 	}
 	t.nextBreak = now + breakEvery
-	log.Warn("attempt without an answer", append([]any{"server", r.att.target.id, "err", r.err,
-		"after", now - r.att.started, "uses", r.uses, "age", r.age, "idle", r.idle}, who(r.att.call.req.Client)...)...)
+	log.Warn("attempt without an answer", append([]any{"server", r.Attempt.Target.ID, "err", r.Err,
+		"after", now - r.Attempt.Started, "uses", r.Uses, "age", r.Age, "idle", r.Idle}, who(r.Attempt.Call.Request.Client)...)...)
 }
--- a/internal/engine/tally_test.go
+++ b/internal/engine/tally_test.go
@@ -1,4 +1,4 @@
-package node
+package engine
 
 import (
 	"bytes"
@@ -14,12 +14,12 @@
 func TestTallyTellsEndingsAndBoundsItsLines(t *testing.T) {
 	var out bytes.Buffer
 	log, tl := slog.New(slog.NewTextHandler(&out, nil)), &tally{}
-	att := &attempt{call: &call{attempts: 1}, target: &target{id: "s-1"}, started: breakEvery / 2}
+	att := &Attempt{Call: &Call{attempts: 1}, Target: &Target{ID: "s-1"}, Started: breakEvery / 2}
 	for i := range 10 { // ten in one interval
-		tl.note(log, breakEvery+breakEvery/10*time.Duration(i), result{att: att, ending: deckrelay.Broken, err: errors.New("reset"), uses: 3})
+		tl.note(log, breakEvery+breakEvery/10*time.Duration(i), Result{Attempt: att, Ending: deckrelay.Broken, Err: errors.New("reset"), Uses: 3})
 	}
-	tl.note(log, 3*breakEvery, result{att: att, ending: deckrelay.Unreachable, err: errors.New("refused")})
-	tl.note(log, 9*breakEvery, result{att: att, ending: deckrelay.Success})
+	tl.note(log, 3*breakEvery, Result{Attempt: att, Ending: deckrelay.Unreachable, Err: errors.New("refused")})
+	tl.note(log, 9*breakEvery, Result{Attempt: att, Ending: deckrelay.Success})
 	if n := strings.Count(out.String(), "attempt without an answer"); n != 2 {
 		t.Errorf("%d lines of broken attempts, want one for each interval with some, 2:\n%s", n, out.String())
 	}
@@ -27,8 +27,8 @@
 		t.Errorf("no word of the connection:\n%s", out.String())
 	}
 	out.Reset()
-	tl.refused[tried(att.call)]++
-	tl.refused[tried(&call{})]++
+	tl.refused[tried(att.Call)]++
+	tl.refused[tried(&Call{})]++
 	tl.write(log, 4)
 	for _, want := range []string{"refused_unsent=1", "refused_sent=1", "open=4", "ok=1", "connect=1", "reset=10"} {
 		if !strings.Contains(out.String(), want+" ") && !strings.Contains(out.String(), want+"\n") {
--- a/internal/node/addresses.go
+++ b/internal/node/addresses.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"hookwalk.example/hookwalk/deckrelay"
+	"hookwalk.example/hookwalk/internal/engine"
 	"hookwalk.example/hookwalk/internal/proxyproto"
 )
 
@@ -155,15 +156,6 @@
 
 // visit is the call of a stranger: nothing more of its request is read.
 func visit(r *http.Request, client netip.Addr) *call {
-	c := &call{tenant: r.Header.Get("X-Caller"), reply: make(chan answer, 1), stranger: true}
-	c.req = deckrelay.Request{ID: r.Header.Get("X-Call-Id"), Class: r.Header.Get("X-Call-Class"), Client: client}
-	return c
-}
-
-// who is what a log line tells of a client, where that is known.
-func who(client netip.Addr) []any {
-	if !client.IsValid() {
-		return nil
-	}
-	return []any{"client", client}
+	return &call{Call: engine.Call{Tenant: r.Header.Get("X-Caller"), Stranger: true,
+		Request: deckrelay.Request{ID: r.Header.Get("X-Call-Id"), Class: r.Header.Get("X-Call-Class"), Client: client}}}
 }
--- a/internal/node/callers.go
+++ b/internal/node/callers.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"net/netip"
+	"net/url"
 	"slices"
 	"strconv"
 	"strings"
@@ -14,6 +15,7 @@
 
 	"hookwalk.example/hookwalk/deckrelay"
 	"hookwalk.example/hookwalk/internal/drills"
+	"hookwalk.example/hookwalk/internal/engine"
 	"hookwalk.example/hookwalk/internal/figures"
 )
 
@@ -26,20 +28,27 @@
 	maxBudget = time.Hour
 )
 
+// call is a caller's request with what goes to a server of it.
+type call struct {
+	engine.Call
+	method string
+	url    *url.URL
+	host   string
+	header http.Header
+	body   []byte
+}
+
 // callers answers what callers ask.
 type callers struct {
-	clock    clock
-	effects  map[string]deckrelay.Effect // of the classes, by name
-	arrivals chan<- *call
-	gone     chan<- *call
-	starts   chan<- drillStart
-	stopped  <-chan struct{}
-	drills   *drills.Keys
-	figures  *figures.Reporter    // nil: off
-	lists    *deckrelay.Addresses // nil: everybody is let in
-	ready    func() bool
-	closing  func() bool          // every answer ends its connection
-	cutoff   func() time.Duration // the clock time by which the node answers all, once it is told to stop; else 0
+	engine  *engine.Engine
+	clock   engine.Clock
+	effects map[string]deckrelay.Effect // of the classes, by name
+	drills  *drills.Keys
+	figures *figures.Reporter    // nil: off
+	lists   *deckrelay.Addresses // nil: everybody is let in
+	ready   func() bool
+	closing func() bool          // every answer ends its connection
+	cutoff  func() time.Duration // the clock time by which the node answers all, once it is told to stop; else 0
 }
 
 func (h *callers) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -72,25 +81,31 @@
 			http.Error(w, err.Error(), status)
 			return status
 		}
-		c.req.Client = client
+		c.Request.Client = client
 	}
-	c.tags = tags
-	select {
-	case h.arrivals <- c:
-	case <-h.stopped: // the node ends, and this connection was cut
+	c.Tags, c.Payload = tags, c
+	a, err := h.engine.Do(r.Context(), &c.Call)
+	if err != nil { // it left, or the node ends and this connection was cut
 		return gaveUp
 	}
-	select {
-	case a := <-c.reply:
-		h.write(w, a)
-		return a.status
-	case <-r.Context().Done():
-		select {
-		case h.gone <- c:
-		case <-h.stopped:
-		}
+	return h.write(w, a)
+}
+
+// statusOf gives the status of a final answer.
+func statusOf(a engine.Answer) int {
+	switch a.Verdict {
+	case engine.Served:
+		return http.StatusOK
+	case engine.Refused:
+		return http.StatusServiceUnavailable
+	case engine.Denied:
+		return http.StatusForbidden
+	case engine.Doubled:
+		return http.StatusConflict
+	case engine.Aborted:
+		return a.Status
 	}
-	return gaveUp
+	return http.StatusBadGateway
 }
 
 // leaveUnread ends a connection with the answer: a body is not read, and what comes of it is not waited for.
@@ -116,10 +131,8 @@
 		http.Error(w, "the node is about to stop", http.StatusServiceUnavailable)
 		return
 	}
-	select {
-	case h.starts <- drillStart{name, client}:
+	if h.engine.StartDrill(engine.DrillStart{Name: name, Client: client}) == nil {
 		fmt.Fprintf(w, "drill=%s started\n", name)
-	case <-h.stopped:
 	}
 }
 
@@ -177,10 +190,11 @@
 	if status, err := h.check(r); err != nil {
 		return nil, status, err
 	}
-	c := &call{method: r.Method, url: r.URL, host: r.Host, tenant: r.Header.Get("X-Caller"), reply: make(chan answer, 1)}
-	c.req.ID = r.Header.Get("X-Call-Id")
-	c.req.Class = r.Header.Get("X-Call-Class")
-	c.req.Repeat = r.Header.Get("X-Again") == "1"
+	c := &call{method: r.Method, url: r.URL, host: r.Host}
+	c.Tenant = r.Header.Get("X-Caller")
+	c.Request.ID = r.Header.Get("X-Call-Id")
+	c.Request.Class = r.Header.Get("X-Call-Class")
+	c.Request.Repeat = r.Header.Get("X-Again") == "1"
 	budget, err := parseBudget(r.Header.Get("X-Budget"))
 	if err != nil {
 		return bad("X-Budget: %v", err)
@@ -188,7 +202,7 @@
 	if key := r.Header.Get("X-Route-Hash"); key != "" {
 		sum := fnv.New64a() // the module only compares keys
 		sum.Write([]byte(key))
-		c.req.Key, c.req.HasKey = sum.Sum64(), true
+		c.Request.Key, c.Request.HasKey = sum.Sum64(), true
 	}
 	control := http.NewResponseController(w)
 	control.SetReadDeadline(time.Now().Add(bodyTime))
@@ -198,12 +212,11 @@
 	}
 	control.SetReadDeadline(time.Time{}) // from here on a read only watches for the client's leaving
 	c.header = forwardable(r.Header)
-	c.budget = budget
-	c.deadline = h.clock.now() + budget
+	c.Budget = budget
+	c.Request.Deadline = h.clock.Now() + budget
 	if end := h.cutoff(); end > 0 {
-		c.deadline = min(c.deadline, end)
+		c.Request.Deadline = min(c.Request.Deadline, end)
 	}
-	c.req.Deadline = c.deadline
 	return c, 0, nil
 }
 
@@ -244,20 +257,28 @@
 	return out
 }
 
-func (h *callers) write(w http.ResponseWriter, a answer) {
+// write writes a final answer and returns its status.
+func (h *callers) write(w http.ResponseWriter, a engine.Answer) int {
+	status := statusOf(a)
+	got, _ := a.Reply.(*reply)
 	http.NewResponseController(w).SetWriteDeadline(time.Now().Add(writeTime))
 	if h.closing() {
 		w.Header().Set("Connection", "close")
 	}
-	if a.retryAfter > 0 {
-		w.Header().Set("Retry-After", strconv.FormatFloat(a.retryAfter.Seconds(), 'f', -1, 64))
+	if a.RetryAfter > 0 {
+		w.Header().Set("Retry-After", strconv.FormatFloat(a.RetryAfter.Seconds(), 'f', -1, 64))
 	}
-	if a.contentType != "" {
-		w.Header().Set("Content-Type", a.contentType)
+	var body []byte
+	if got != nil {
+		body = got.body
+		if kind := got.resp.Header.Get("Content-Type"); kind != "" {
+			w.Header().Set("Content-Type", kind)
+		}
 	}
-	w.Header().Set("Content-Length", strconv.Itoa(len(a.body)))
-	w.WriteHeader(a.status)
-	w.Write(a.body) // a caller that left is noticed by its request's context
+	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	w.WriteHeader(status)
+	w.Write(body) // a caller that left is noticed by its request's context
+	return status
 }
 
 func effects(s deckrelay.Settings) map[string]deckrelay.Effect {
--- a/internal/node/capture_test.go
+++ b/internal/node/capture_test.go
@@ -53,7 +53,7 @@
 				}
 				if caller == 0 && i%5 == 0 { // the list changes beside it
 					hosts[0].Born++
-					n.loop.lists <- news{list: roster{Seq: int64(i), Hosts: hosts[:1]}}
+					n.engine.Tell(t.Context(), roster{Hosts: hosts[:1]}.news())
 				}
 			}
 		}()
--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"hookwalk.example/hookwalk/deckrelay"
+	"hookwalk.example/hookwalk/internal/engine"
 )
 
 const (
@@ -33,15 +34,6 @@
 	Hosts []host `json:"hosts"`
 }
 
-// addrs are the hosts' addresses.
-func (l roster) addrs() map[string]string {
-	m := map[string]string{}
-	for _, h := range l.Hosts {
-		m[h.Host] = h.Dial
-	}
-	return m
-}
-
 type host struct {
 	Host   string  `json:"host"`
 	Dial   string  `json:"dial"`
@@ -65,11 +57,13 @@
 	return s
 }
 
-// news is what discovery has to tell the loop.
-type news struct {
-	list   roster
-	cached bool
-	failed bool // an asked watch failed or ended
+// news is what the engine is told of a list.
+func (l roster) news() engine.News {
+	n := engine.News{Version: l.Seq, Whole: l.Whole, Boxes: make([]engine.Box, len(l.Hosts))}
+	for i, h := range l.Hosts {
+		n.Boxes[i] = engine.Box{Server: h.server(), Addr: h.Dial}
+	}
+	return n
 }
 
 // discovery keeps a watch on the list. Where lists are pushed it mends a broken watch by itself;
@@ -80,8 +74,8 @@
 	lost    bool // what is held is nothing to build on: the whole list comes first
 	log     *slog.Logger
 	client  *http.Client
-	tell    func(context.Context, news) error // hands news to the loop
-	asks    chan struct{}                     // the module's wish for a watch
+	tell    func(context.Context, engine.News) error // hands news to the engine
+	asks    chan struct{}                            // the module's wish for a watch
 	silence time.Duration
 
 	mu        sync.Mutex
@@ -89,7 +83,7 @@
 	interrupt context.CancelCauseFunc // ends what goes on at the address so far
 }
 
-func newDiscovery(cfg Config, log *slog.Logger, tell func(context.Context, news) error) *discovery {
+func newDiscovery(cfg Config, log *slog.Logger, tell func(context.Context, engine.News) error) *discovery {
 	return &discovery{addr: cfg.Discovery, asked: cfg.Settings.AskDiscovery,
 		seq: cfg.Known.Seq, log: log, tell: tell, asks: make(chan struct{}, 1), silence: silence,
 		client: &http.Client{Transport: &http.Transport{
@@ -162,7 +156,7 @@
 			continue
 		}
 		if d.asked {
-			d.tell(ctx, news{failed: true}) // fails only as ctx ends
+			d.tell(ctx, engine.News{Failed: true}) // fails only as ctx ends
 			continue
 		}
 		if lines > 0 {
@@ -245,7 +239,7 @@
 }
 
 func (d *discovery) take(ctx context.Context, n roster) error {
-	if err := d.tell(ctx, news{list: n}); err != nil {
+	if err := d.tell(ctx, n.news()); err != nil {
 		return err
 	}
 	d.seq = n.Seq
--- a/internal/node/discovery_test.go
+++ b/internal/node/discovery_test.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"testing"
 	"time"
+
+	"hookwalk.example/hookwalk/internal/engine"
 )
 
 // agent is a discovery that answers from a script.
@@ -39,11 +41,11 @@
 	})
 }
 
-func watchOn(t *testing.T, addr, mode string, silence time.Duration) (*discovery, <-chan news) {
+func watchOn(t *testing.T, addr, mode string, silence time.Duration) (*discovery, <-chan engine.News) {
 	cfg := testConfig(t, mode)
 	cfg.Discovery = addr
-	heard := make(chan news)
-	d := newDiscovery(cfg, quiet(), func(ctx context.Context, n news) error {
+	heard := make(chan engine.News)
+	d := newDiscovery(cfg, quiet(), func(ctx context.Context, n engine.News) error {
 		select {
 		case heard <- n:
 			return nil
@@ -79,7 +81,7 @@
 	_, heard := watchOn(t, addr, "pushed", time.Minute)
 	wantCall(t, a, "watch 1")
 	a.lines <- `{"seq":43,"whole":false,"hosts":[]}`
-	if n := <-heard; n.list.Seq != 43 || n.failed {
+	if n := <-heard; n.Version != 43 || n.Failed {
 		t.Fatalf("heard %+v", n)
 	}
 	a.lines <- ""
@@ -99,7 +101,7 @@
 			wantCall(t, a, "watch 1")
 			a.lines <- line
 			wantCall(t, a, "list")
-			if n := <-heard; n.list.Seq != 50 || !n.list.Whole || len(n.list.Hosts) != 1 {
+			if n := <-heard; n.Version != 50 || !n.Whole || len(n.Boxes) != 1 {
 				t.Fatalf("heard %+v", n)
 			}
 			wantCall(t, a, "watch 50")
@@ -121,16 +123,16 @@
 			d.move(addr)
 			wantCall(t, a, "watch 0")
 			a.lines <- `{"seq":7,"whole":true,"hosts":[{"host":"s-9","dial":"127.0.0.1:9","health":"in_service"}]}`
-			if n := <-heard; n.list.Seq != 7 || !n.list.Whole || n.failed {
+			if n := <-heard; n.Version != 7 || !n.Whole || n.Failed {
 				t.Fatalf("heard %+v", n)
 			}
 			a.lines <- `{"seq":8,"whole":false,"hosts":[]}`
-			if n := <-heard; n.list.Seq != 8 {
+			if n := <-heard; n.Version != 8 {
 				t.Fatalf("heard %+v", n)
 			}
 			d.move(addr) // no move at all
 			a.lines <- `{"seq":9,"whole":false,"hosts":[]}`
-			if n := <-heard; n.list.Seq != 9 {
+			if n := <-heard; n.Version != 9 {
 				t.Fatalf("heard %+v", n)
 			}
 			d.move(oldAddr)
@@ -155,7 +157,7 @@
 		d.subscribe()
 		wantCall(t, a, "watch 1")
 		a.end <- struct{}{}
-		if n := <-heard; !n.failed {
+		if n := <-heard; !n.Failed {
 			t.Fatalf("heard %+v", n)
 		}
 	}
@@ -196,7 +198,7 @@
 	heard := make(chan struct{}, 10)
 	n := start(t, cfg, func(n *Node) {
 		tell := n.disc.tell
-		n.disc.tell = func(ctx context.Context, w news) error {
+		n.disc.tell = func(ctx context.Context, w engine.News) error {
 			err := tell(ctx, w)
 			heard <- struct{}{}
 			return err
@@ -212,12 +214,12 @@
 			}
 		}
 	}
-	// told writes a line and waits until the loop has taken it in.
+	// told writes a line and waits until the engine has taken it in.
 	told := func(line string) {
 		t.Helper()
 		a.lines <- line
 		<-heard
-		n.loop.lists <- news{} // is taken only when the one before has been dealt with
+		n.engine.Tell(t.Context(), engine.News{}) // is taken only when the one before has been dealt with
 	}
 	entry := func(host, dial, health string) string {
 		return fmt.Sprintf(`{"host":%q,"dial":%q,"site":"z","health":%q,"born_ms":0}`, host, dial, health)
--- a/internal/node/drills_test.go
+++ b/internal/node/drills_test.go
@@ -51,7 +51,7 @@
 func withLog(out io.Writer) func(*Node) {
 	return func(n *Node) {
 		n.log = slog.New(slog.NewTextHandler(out, nil))
-		n.loop.log = n.log
+		n.engine.Log = n.log
 	}
 }
 
--- a/internal/node/figures.go
+++ b/internal/node/figures.go
@@ -14,7 +14,7 @@
 
 // measured serves a request and counts it.
 func (h *callers) measured(w http.ResponseWriter, r *http.Request) {
-	f, begin := h.figures, h.clock.now()
+	f, begin := h.figures, h.clock.Now()
 	tags := f.Tags(r.Header.Get("X-Call-Class"), r.Header.Get("X-Caller"))
 	f.Count(tags, figures.Requests)
 	f.Add(tags, figures.OpenRequests, 1)
@@ -24,7 +24,7 @@
 	status := h.serve(w, r, tags)
 	f.Add(tags, figures.OpenRequests, -1)
 	f.Count(tags, counterOf(status))
-	h.latency(tags, status, h.clock.now()-begin)
+	h.latency(tags, status, h.clock.Now()-begin)
 }
 
 // latency notes how long an answer took, if the module gave it: what is turned down at the door takes no time.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -1,3 +1,7 @@
+// Package node is the real node round the decision module: it takes callers' requests over HTTP, hands them to the
+// engine, carries attempts on sockets and watches discovery.
+//
+// callers.go is the HTTP front, servers.go the sender with its connections, discovery.go the source of the list.
 package node
 
 import (
@@ -16,6 +20,7 @@
 	"hookwalk.example/hookwalk/deckrelay"
 	"hookwalk.example/hookwalk/internal/capture"
 	"hookwalk.example/hookwalk/internal/drills"
+	"hookwalk.example/hookwalk/internal/engine"
 	"hookwalk.example/hookwalk/internal/figures"
 )
 
@@ -35,7 +40,8 @@
 type Node struct {
 	cfg     Config
 	log     *slog.Logger
-	loop    *loop
+	clock   engine.Clock
+	engine  *engine.Engine
 	pool    *pool
 	disc    *discovery
 	set     deckrelay.Settings // the module's
@@ -67,22 +73,18 @@
 	if cfg.Sockets == 0 {
 		cfg.Sockets = anyLimit
 	}
-	n := &Node{cfg: cfg, log: logger, most: killMost, set: set, stderr: os.Stderr}
-	ck := newClock()
-	n.loop = newLoop(ck, logger, bal)
+	n := &Node{cfg: cfg, log: logger, clock: engine.NewClock(), most: killMost, set: set, stderr: os.Stderr}
+	n.engine = engine.New(engine.Options{Clock: n.clock, Log: logger, Balancer: bal})
 	n.inbound = (cfg.Sockets - reserved) * 5 / 8
-	n.pool = newPool(ck, cfg, cfg.Sockets-reserved-n.inbound, n.loop.results)
-	n.loop.sender = n.pool
-	n.disc = newDiscovery(cfg, logger, func(ctx context.Context, w news) error {
-		select {
-		case n.loop.lists <- w:
-			n.heard.Store(true)
-			return nil
-		case <-ctx.Done():
-			return ctx.Err()
+	n.pool = newPool(n.clock, cfg, cfg.Sockets-reserved-n.inbound, n.engine.Ended)
+	n.disc = newDiscovery(cfg, logger, func(ctx context.Context, w engine.News) error {
+		if err := n.engine.Tell(ctx, w); err != nil {
+			return err
 		}
+		n.heard.Store(true)
+		return nil
 	})
-	n.loop.subscribe = n.disc.subscribe
+	n.engine.Sender, n.engine.Subscribe = n.pool, n.disc.subscribe
 	return n, nil
 }
 
@@ -113,23 +115,24 @@
 		}()
 	}
 	n.switchOn()
-	own(n.loop.run)
-	n.loop.lists <- news{list: n.cfg.Known.whole(), cached: true}
+	own(n.engine.Run)
 	watching, stopWatching := context.WithCancel(context.Background())
+	known := n.cfg.Known.whole().news()
+	known.Cached = true
+	n.engine.Tell(watching, known) // neither has ended
 	own(func() { n.disc.run(watching) })
 	grace := time.AfterFunc(firstList, func() { n.heard.Store(true) })
 	defer grace.Stop()
 
-	in := newInbound(ln, n.inbound, n.loop.figures)
+	in := newInbound(ln, n.inbound, n.engine.Figures)
 	if a := n.cfg.Features.Addresses; a != nil {
 		in.doors = &doors{lists: n.set.Addresses, timeout: a.ProxyTimeout, log: n.log}
 	}
 	lastFigures := n.report()
 	server := &http.Server{
-		Handler: &callers{clock: n.loop.clock, effects: effects(n.cfg.Settings), arrivals: n.loop.arrivals,
-			gone: n.loop.gone, starts: n.loop.starts, stopped: n.loop.stop, ready: n.ready,
+		Handler: &callers{engine: n.engine, clock: n.clock, effects: effects(n.cfg.Settings), ready: n.ready,
 			drills:  drills.NewKeys(n.cfg.Features.Drills),
-			figures: n.loop.figures,
+			figures: n.engine.Figures,
 			lists:   n.set.Addresses,
 			closing: func() bool { return n.state.Load() >= closing },
 			cutoff:  func() time.Duration { return time.Duration(n.cutoff.Load()) }},
@@ -139,7 +142,7 @@
 		MaxHeaderBytes:    16 << 10,
 		ErrorLog:          slog.NewLogLogger(n.log.Handler(), slog.LevelWarn),
 	}
-	if n.loop.figures != nil || n.set.Addresses != nil {
+	if n.engine.Figures != nil || n.set.Addresses != nil {
 		server.ConnContext = withConn
 	}
 	failed := make(chan error, 1)
@@ -158,37 +161,32 @@
 	}
 	stopWatching()
 	n.pool.shut()
-	close(n.loop.stop)
+	n.engine.Stop()
 	owned.Wait()
 	lastFigures()
-	n.loop.capture.Close()
+	n.engine.Capture.Close()
 	n.log.Info("stopped")
 	return err
 }
 
-// switchOn begins what the settings file has on and the loop takes part in.
+// switchOn begins what the settings file has on and the engine takes part in.
 func (n *Node) switchOn() {
 	if f := n.cfg.Features.Figures; f != nil {
-		n.loop.figures = figures.New(*f, n.cfg.classNames(), n.cfg.tenants, n.stderr, n.log)
+		n.engine.Figures = figures.New(*f, n.cfg.classNames(), n.cfg.tenants, n.stderr, n.log)
 	}
 	if c := n.cfg.Features.Capture; c != nil {
-		n.loop.capture = capture.New(*c, n.cfg.Name, n.loop.bal, n.set, n.cfg.Seed, n.stderr, n.log)
+		n.engine.Capture = capture.New(*c, n.cfg.Name, n.engine.Balancer, n.set, n.cfg.Seed, n.stderr, n.log)
 	}
 }
 
 // Dump has what the capture holds in memory written to standard error, where there is one. A wish that still
 // waits is enough.
-func (n *Node) Dump() {
-	select {
-	case n.loop.dumps <- struct{}{}:
-	default:
-	}
-}
+func (n *Node) Dump() { n.engine.Dump() }
 
 // report writes figures, where they are on, until the function that it returns is called; that one sees to it
 // that the last are written.
 func (n *Node) report() (end func()) {
-	r := n.loop.figures
+	r := n.engine.Figures
 	if r == nil {
 		return func() {}
 	}
@@ -202,7 +200,7 @@
 
 // ready says that the node can serve: it knows a server in service, from discovery itself if that answers.
 func (n *Node) ready() bool {
-	return n.heard.Load() && n.loop.usable.Load() && n.state.Load() == serving
+	return n.heard.Load() && n.engine.Usable() && n.state.Load() == serving
 }
 
 // drain stops serving without losing a request. A listener closed at once would reset the
@@ -213,10 +211,10 @@
 	longest := longestDeadline(n.cfg.Settings)
 	kill := min(longest, n.most) + killSpare
 	n.log.Info("leaving")
-	n.cutoff.Store(int64(n.loop.clock.now() + kill - killMargin))
+	n.cutoff.Store(int64(n.clock.Now() + kill - killMargin))
 	n.state.Store(leaving)
 	if len(n.cfg.Features.Drills) > 0 { // an event that changes nothing would still be one more than before
-		close(n.loop.leaving)
+		n.engine.Leave()
 	}
 	time.Sleep(max(frontNotice, kill-lastAnswers))
 	n.state.Store(closing)
--- a/internal/node/rules_test.go
+++ b/internal/node/rules_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"hookwalk.example/hookwalk/deckrelay"
+	"hookwalk.example/hookwalk/internal/engine"
 )
 
 // With servers that fail in every way a socket shows, each request gets one final answer, an unsafe one
@@ -118,10 +119,10 @@
 
 // Boot times are clock times of the node; none stays none.
 func TestBootIsClockTime(t *testing.T) {
-	ck := newClock()
-	born := ck.start.Add(-5 * time.Second)
+	ck := engine.NewClock()
+	born := time.Now().Add(-5 * time.Second)
 	s := host{Host: "s", Health: "in_service", Born: float64(born.UnixMicro()) / 1000}.server()
-	if age := ck.now() - s.Boot; age < 4999*time.Millisecond || age > time.Minute {
+	if age := ck.Now() - s.Boot; age < 4999*time.Millisecond || age > time.Minute {
 		t.Errorf("a server born 5 s ago is %v old", age)
 	}
 	if s := (host{Health: "terminating"}).server(); s.Boot != 0 || s.State != deckrelay.Draining {
--- a/internal/node/servers.go
+++ b/internal/node/servers.go
@@ -10,12 +10,13 @@
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"strconv"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"hookwalk.example/hookwalk/deckrelay"
+	"hookwalk.example/hookwalk/internal/engine"
 )
 
 const (
@@ -25,46 +26,28 @@
 	maxBusy   = 1e6               // in a load report; more is no count of requests
 )
 
-// target is a server at one address, from one start of it to the next.
-type target struct {
-	id      string
-	addr    string
-	boot    time.Duration
-	stopped atomic.Bool // it drains or is gone: nothing new may go to it
-
-	idle []*conn // guarded by pool.mu, the newest last
-}
-
-// attempt is one send of a call.
-type attempt struct {
-	call     *call
-	n        int
-	target   *target
-	deadline time.Duration
-	started  time.Duration
-}
-
 // pool keeps the connections to servers, one request at a time on each. It is own code since
 // http.Transport sends a request again by itself when a kept connection breaks, which could run
 // an unsafe one twice.
 type pool struct {
-	clock   clock
+	clock   engine.Clock
 	dialer  net.Dialer
 	idleFor time.Duration
-	most    int // connections at once
-	results chan<- result
+	most    int                 // connections at once
+	ended   func(engine.Result) // takes how an attempt ended
 
 	mu   sync.Mutex
 	open map[*conn]bool
-	dial int        // connections that are coming up
-	idle *list.List // of *conn, the oldest first
+	dial int                        // connections that are coming up
+	idle *list.List                 // of *conn, the oldest first
+	kept map[*engine.Target][]*conn // the idle ones by target, the newest last
 	wg   sync.WaitGroup
 }
 
-func newPool(ck clock, cfg Config, most int, results chan<- result) *pool {
+func newPool(ck engine.Clock, cfg Config, most int, ended func(engine.Result)) *pool {
 	return &pool{clock: ck, dialer: net.Dialer{Timeout: cfg.connectTimeout, KeepAlive: -1},
-		idleFor: cfg.connIdle / 2, most: most, results: results,
-		open: map[*conn]bool{}, idle: list.New()}
+		idleFor: cfg.connIdle / 2, most: most, ended: ended,
+		open: map[*conn]bool{}, idle: list.New(), kept: map[*engine.Target][]*conn{}}
 }
 
 // conn is a connection to a server. Its own goroutine always reads, also while it is idle, so a
@@ -73,9 +56,9 @@
 	net.Conn
 	left    int // bytes that may still come before this answer is too long; the reader's own
 	pool    *pool
-	target  *target
+	target  *engine.Target
 	br      *bufio.Reader
-	replies chan reply
+	replies chan *reply
 
 	// For the log; the attempt's own.
 	since, parked time.Duration // when it came up, and when it was last put by
@@ -96,27 +79,26 @@
 	err  error
 }
 
-// start runs an attempt in a goroutine that ends with its result.
-func (p *pool) start(att *attempt) {
-	att.started = p.clock.now()
+// Start runs an attempt in a goroutine that ends with its result.
+func (p *pool) Start(att *engine.Attempt) {
 	p.wg.Add(1)
 	go func() {
 		defer p.wg.Done()
-		p.results <- p.attempt(att)
+		p.ended(p.attempt(att))
 	}()
 }
 
 // attempt makes the one send of an attempt and waits for what comes back.
-func (p *pool) attempt(att *attempt) result {
-	ended := func(e deckrelay.Ending) result { return result{att: att, ending: e} }
-	if !p.maySend(att) {
+func (p *pool) attempt(att *engine.Attempt) engine.Result {
+	ended := func(e deckrelay.Ending) engine.Result { return engine.Result{Attempt: att, Ending: e} }
+	if !att.MaySend(p.clock.Now()) {
 		return ended(deckrelay.Void)
 	}
 	var c *conn
-	without := func(e deckrelay.Ending, err error) result {
-		r := result{att: att, ending: e, err: err}
+	without := func(e deckrelay.Ending, err error) engine.Result {
+		r := engine.Result{Attempt: att, Ending: e, Err: err}
 		if c != nil {
-			r.uses, r.age, r.idle = c.uses, p.clock.now()-c.since, c.idled
+			r.Uses, r.Age, r.Idle = c.uses, p.clock.Now()-c.since, c.idled
 		}
 		return r
 	}
@@ -131,7 +113,7 @@
 			return without(deckrelay.Unreachable, err)
 		}
 		// Connecting takes time: the request may be over by now, or the server may have been told to drain.
-		if !p.maySend(att) {
+		if !att.MaySend(p.clock.Now()) {
 			p.park(c)
 			return ended(deckrelay.Void)
 		}
@@ -150,8 +132,7 @@
 	case r.err != nil:
 		return without(deckrelay.Broken, r.err)
 	}
-	res := result{att: att, ending: ending(r.resp), load: load(r.resp.Header),
-		contentType: r.resp.Header.Get("Content-Type"), body: r.body}
+	res := engine.Result{Attempt: att, Ending: ending(r.resp), Load: load(r.resp.Header), Reply: r}
 	if r.resp.Close {
 		p.close(c)
 	} else {
@@ -160,15 +141,11 @@
 	return res
 }
 
-func (p *pool) maySend(att *attempt) bool {
-	return !att.call.closed.Load() && !att.target.stopped.Load() && p.clock.now() < att.deadline
-}
-
 // message is the request as it goes to a server: as it came, but for the time that is left.
-func (p *pool) message(att *attempt) []byte {
-	c := att.call
+func (p *pool) message(att *engine.Attempt) []byte {
+	c := att.Call.Payload.(*call)
 	header := c.header.Clone()
-	left := max((att.deadline - p.clock.now()).Microseconds(), 1)
+	left := max((att.Deadline - p.clock.Now()).Microseconds(), 1)
 	header.Set("X-Budget", strconv.FormatInt(left, 10)+"u")
 	if _, ok := header["User-Agent"]; !ok {
 		header["User-Agent"] = nil // else Request.Write adds its own
@@ -239,16 +216,16 @@
 	defer p.mu.Unlock()
 	c.asked = !c.dead
 	c.uses++
-	c.idled = p.clock.now() - c.parked
+	c.idled = p.clock.Now() - c.parked
 	return c.asked
 }
 
 // take gives the newest idle connection, else opens a fresh one.
-func (p *pool) take(att *attempt) (c *conn, fresh bool, err error) {
-	t, deadline := att.target, p.clock.at(att.deadline)
+func (p *pool) take(att *engine.Attempt) (c *conn, fresh bool, err error) {
+	t, deadline := att.Target, p.clock.At(att.Deadline)
 	p.mu.Lock()
-	for len(t.idle) > 0 {
-		c := t.idle[len(t.idle)-1]
+	for len(p.kept[t]) > 0 {
+		c := p.kept[t][len(p.kept[t])-1]
 		p.unpark(c)
 		c.deadline = deadline
 		c.SetDeadline(deadline)
@@ -273,15 +250,15 @@
 
 	d := p.dialer
 	d.Deadline = deadline
-	nc, err := d.Dial("tcp", t.addr)
+	nc, err := d.Dial("tcp", t.Addr)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.dial--
 	if err != nil {
 		return nil, false, err
 	}
-	c = &conn{Conn: nc, pool: p, target: t, replies: make(chan reply, 1), deadline: deadline}
-	c.since = p.clock.now()
+	c = &conn{Conn: nc, pool: p, target: t, replies: make(chan *reply, 1), deadline: deadline}
+	c.since = p.clock.Now()
 	c.parked = c.since
 	c.br = bufio.NewReaderSize(c, 4<<10)
 	p.open[c] = true
@@ -301,28 +278,24 @@
 	if c.dead {
 		return
 	}
-	if c.target.stopped.Load() {
+	if c.target.Stopped() {
 		p.closeLocked(c)
 		return
 	}
 	c.asked = false
-	c.parked = p.clock.now()
+	c.parked = p.clock.Now()
 	c.deadline = time.Now().Add(p.idleFor)
 	c.SetDeadline(c.deadline)
 	c.place = p.idle.PushBack(c)
-	c.target.idle = append(c.target.idle, c)
+	p.kept[c.target] = append(p.kept[c.target], c)
 }
 
 // unpark takes a connection from the idle ones. The caller holds the lock.
 func (p *pool) unpark(c *conn) {
 	p.idle.Remove(c.place)
 	c.place = nil
-	for i, o := range c.target.idle {
-		if o == c {
-			c.target.idle = append(c.target.idle[:i], c.target.idle[i+1:]...)
-			break
-		}
-	}
+	kept := p.kept[c.target]
+	p.kept[c.target] = slices.Delete(kept, slices.Index(kept, c), slices.Index(kept, c)+1)
 }
 
 func (p *pool) close(c *conn) {
@@ -343,13 +316,14 @@
 	delete(p.open, c)
 }
 
-// retire closes the idle connections to a server that gets nothing new.
-func (p *pool) retire(t *target) {
+// Retire closes the idle connections to a server that gets nothing new.
+func (p *pool) Retire(t *engine.Target) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for len(t.idle) > 0 {
-		p.closeLocked(t.idle[len(t.idle)-1])
+	for len(p.kept[t]) > 0 {
+		p.closeLocked(p.kept[t][len(p.kept[t])-1])
 	}
+	delete(p.kept, t)
 }
 
 // shut closes all connections and waits until every attempt has ended. What is still out then is for
@@ -385,8 +359,8 @@
 		if idle {
 			return
 		}
-		var r reply
-		if r.err = err; err == nil {
+		r := &reply{err: err}
+		if err == nil {
 			r = c.answer()
 			if r.err != nil {
 				c.pool.close(c)
@@ -412,18 +386,18 @@
 var errAnswer = errors.New("answer too long or unsound")
 
 // answer reads one whole answer. What says unsoundly where it ends may be anybody's: its attempt is broken.
-func (c *conn) answer() reply {
+func (c *conn) answer() *reply {
 	for {
 		resp, err := http.ReadResponse(c.br, nil)
 		if err != nil {
-			return reply{err: err}
+			return &reply{err: err}
 		}
 		if resp.StatusCode >= 100 && resp.StatusCode < 200 && resp.StatusCode != http.StatusSwitchingProtocols {
 			continue
 		}
 		// Without a length the end of the connection would pass as the end of the body, however early it came.
 		if resp.StatusCode < 100 || resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 || resp.ContentLength > maxReply {
-			return reply{err: errAnswer}
+			return &reply{err: errAnswer}
 		}
 		body, err := io.ReadAll(io.LimitReader(resp.Body, maxReply+1))
 		if err == nil && len(body) > maxReply {
@@ -431,6 +405,6 @@
 		}
 		// Bytes that nobody asked for would pass as the answer to the next request.
 		resp.Close = resp.Close || c.br.Buffered() > 0
-		return reply{resp: resp, body: body, err: err}
+		return &reply{resp: resp, body: body, err: err}
 	}
 }
--- a/internal/node/servers_test.go
+++ b/internal/node/servers_test.go
@@ -12,18 +12,20 @@
 	"time"
 
 	"hookwalk.example/hookwalk/deckrelay"
+	"hookwalk.example/hookwalk/internal/engine"
 )
 
 func testPool(t *testing.T) *pool {
-	p := newPool(newClock(), testConfig(t, "pushed"), 8, nil)
+	p := newPool(engine.NewClock(), testConfig(t, "pushed"), 8, nil)
 	t.Cleanup(p.shut)
 	return p
 }
 
-func testAttempt(p *pool, addr string, wait time.Duration) *attempt {
+func testAttempt(p *pool, addr string, wait time.Duration) *engine.Attempt {
 	c := &call{method: http.MethodPost, url: &url.URL{Path: "/api"}, host: "service.internal",
 		header: http.Header{"X-Call-Id": {"1"}, "Idempotency-Key": {"k"}}, body: []byte("payload")}
-	return &attempt{call: c, target: &target{id: "s", addr: addr}, deadline: p.clock.now() + wait}
+	c.Payload = c
+	return &engine.Attempt{Call: &c.Call, Target: &engine.Target{ID: "s", Addr: addr}, Deadline: p.clock.Now() + wait}
 }
 
 func TestEndings(t *testing.T) {
@@ -90,7 +92,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			p, b := testPool(t), newBackend(t, tc.serve)
-			if got := p.attempt(testAttempt(p, b.addr(), time.Minute)).ending; got != tc.want {
+			if got := p.attempt(testAttempt(p, b.addr(), time.Minute)).Ending; got != tc.want {
 				t.Errorf("ending %v, want %v", got, tc.want)
 			}
 			if n := b.requests(); n != 1 {
@@ -105,7 +107,7 @@
 		}
 		ln.Close()
 		p := testPool(t)
-		if got := p.attempt(testAttempt(p, ln.Addr().String(), time.Minute)).ending; got != deckrelay.Unreachable {
+		if got := p.attempt(testAttempt(p, ln.Addr().String(), time.Minute)).Ending; got != deckrelay.Unreachable {
 			t.Errorf("ending %v, want Unreachable", got)
 		}
 	})
@@ -117,7 +119,7 @@
 			return false
 		})
 		p := testPool(t)
-		if got := p.attempt(testAttempt(p, b.addr(), 100*time.Millisecond)).ending; got != deckrelay.TimedOut {
+		if got := p.attempt(testAttempt(p, b.addr(), 100*time.Millisecond)).Ending; got != deckrelay.TimedOut {
 			t.Errorf("ending %v, want TimedOut", got)
 		}
 		<-left // an attempt is given up by closing its connection
@@ -127,9 +129,9 @@
 // An attempt whose connection comes up after the server was told to drain, or after its request is
 // over, must not send a byte.
 func TestNothingSentAfterSlowConnect(t *testing.T) {
-	for name, stop := range map[string]func(*attempt){
-		"drained":  func(a *attempt) { a.target.stopped.Store(true) },
-		"answered": func(a *attempt) { a.call.closed.Store(true) },
+	for name, stop := range map[string]func(*engine.Attempt){
+		"drained":  func(a *engine.Attempt) { a.Target.Stop() },
+		"answered": func(a *engine.Attempt) { a.Call.Close() },
 	} {
 		t.Run(name, func(t *testing.T) {
 			p, b := testPool(t), newBackend(t, ok)
@@ -138,7 +140,7 @@
 				stop(att) // the dial is under way
 				return nil
 			}
-			if got := p.attempt(att).ending; got != deckrelay.Void {
+			if got := p.attempt(att).Ending; got != deckrelay.Void {
 				t.Errorf("ending %v, want Void", got)
 			}
 			p.shut()
@@ -161,9 +163,9 @@
 	p := testPool(t)
 	first := testAttempt(p, b.addr(), time.Minute)
 	for _, want := range []string{"one", "two"} {
-		att := &attempt{call: first.call, target: first.target, deadline: first.deadline}
-		if r := p.attempt(att); r.ending != deckrelay.Success || string(r.body) != want {
-			t.Errorf("got %v %q, want %q", r.ending, r.body, want)
+		att := &engine.Attempt{Call: first.Call, Target: first.Target, Deadline: first.Deadline}
+		if r := p.attempt(att); r.Ending != deckrelay.Success || bodyOf(r) != want {
+			t.Errorf("got %v %q, want %q", r.Ending, bodyOf(r), want)
 		}
 	}
 }
@@ -181,7 +183,7 @@
 	})
 	p := testPool(t)
 	att := testAttempt(p, b.addr(), time.Minute)
-	if got := p.attempt(att).ending; got != deckrelay.Success {
+	if got := p.attempt(att).Ending; got != deckrelay.Success {
 		t.Fatalf("ended %v", got)
 	}
 	c, fresh, err := p.take(att)
@@ -197,9 +199,9 @@
 	if p.ask(c) {
 		t.Error("the connection would be used")
 	}
-	again := &attempt{call: att.call, target: att.target, deadline: att.deadline}
-	if r := p.attempt(again); r.ending != deckrelay.Success || string(r.body) != "done" {
-		t.Errorf("got %v %q", r.ending, r.body)
+	again := &engine.Attempt{Call: att.Call, Target: att.Target, Deadline: att.Deadline}
+	if r := p.attempt(again); r.Ending != deckrelay.Success || bodyOf(r) != "done" {
+		t.Errorf("got %v %q", r.Ending, bodyOf(r))
 	}
 }
 
@@ -212,7 +214,7 @@
 	})
 	p := testPool(t)
 	for i := range 3 {
-		if got := p.attempt(testAttempt(p, b.addr(), time.Minute)).ending; got != deckrelay.Success {
+		if got := p.attempt(testAttempt(p, b.addr(), time.Minute)).Ending; got != deckrelay.Success {
 			t.Fatalf("attempt %d ended %v", i, got)
 		}
 		eventually(t, "the closed connection is dropped", func() bool {
@@ -230,8 +232,8 @@
 	p := testPool(t)
 	first := testAttempt(p, b.addr(), time.Minute)
 	for _, want := range []deckrelay.Ending{deckrelay.Success, deckrelay.Broken} {
-		att := &attempt{call: first.call, target: first.target, deadline: first.deadline}
-		if got := p.attempt(att).ending; got != want {
+		att := &engine.Attempt{Call: first.Call, Target: first.Target, Deadline: first.Deadline}
+		if got := p.attempt(att).Ending; got != want {
 			t.Fatalf("ended %v, want %v", got, want)
 		}
 	}
@@ -245,15 +247,15 @@
 	p := testPool(t)
 	att := testAttempt(p, b.addr(), time.Minute)
 	for range 5 {
-		att = &attempt{call: att.call, target: att.target, deadline: att.deadline}
-		if got := p.attempt(att).ending; got != deckrelay.Success {
+		att = &engine.Attempt{Call: att.Call, Target: att.Target, Deadline: att.Deadline}
+		if got := p.attempt(att).Ending; got != deckrelay.Success {
 			t.Fatalf("ended %v", got)
 		}
 	}
 	if n := b.accepted(); n != 1 {
 		t.Errorf("%d connections for 5 requests in a row", n)
 	}
-	p.retire(att.target)
+	p.Retire(att.Target)
 	if len(p.open) != 0 {
 		t.Errorf("%d connections stay open to a server that gets nothing new", len(p.open))
 	}
@@ -266,7 +268,7 @@
 	p.most = 1
 	for range 2 {
 		for _, s := range []*backend{a, b} {
-			if got := p.attempt(testAttempt(p, s.addr(), time.Minute)).ending; got != deckrelay.Success {
+			if got := p.attempt(testAttempt(p, s.addr(), time.Minute)).Ending; got != deckrelay.Success {
 				t.Fatalf("ended %v", got)
 			}
 			if len(p.open) != 1 {
@@ -276,10 +278,11 @@
 	}
 	p.idle.Init() // as if it were in use
 	for c := range p.open {
-		c.place, c.target.idle = nil, nil
+		c.place = nil
+		delete(p.kept, c.target)
 	}
 	// No server is to blame for the node's own lack.
-	if got := p.attempt(testAttempt(p, a.addr(), time.Minute)).ending; got != deckrelay.Void {
+	if got := p.attempt(testAttempt(p, a.addr(), time.Minute)).Ending; got != deckrelay.Void {
 		t.Errorf("ended %v, want Void", got)
 	}
 }
@@ -287,7 +290,7 @@
 func TestMessageIsUnchanged(t *testing.T) {
 	p := testPool(t)
 	att := testAttempt(p, "127.0.0.1:1", 400*time.Millisecond)
-	att.call.url = &url.URL{Path: "/a/b c", RawPath: "/a%2Fb%20c", RawQuery: "x=%20&y"}
+	att.Call.Payload.(*call).url = &url.URL{Path: "/a/b c", RawPath: "/a%2Fb%20c", RawQuery: "x=%20&y"}
 	r, err := http.ReadRequest(bufio.NewReader(strings.NewReader(string(p.message(att)))))
 	if err != nil {
 		t.Fatal(err)
@@ -315,3 +318,6 @@
 		}
 	}
 }
+
+// bodyOf is the body of what an attempt brought.
+func bodyOf(r engine.Result) string { return string(r.Reply.(*reply).body) }
