grpcwalk: the engine under a grpc-go channel, for unary calls

Tools that call a tier through an RPC library skip the daemon and its protection.

A resolver tells a channel the boxes of its tier, an interceptor hands calls to the engine, a balancer's picker serves each attempt once, on the box that the engine chose. The library's retries by policy are off; its transparent ones meet the picker a second time and end there, which proves that nothing ran. Channels to one tier share an engine. internal/lab/grpcbox is a stand-in box that refuses, resets, cuts and goes away as a script says. Streams are refused until they are carried.

--- /dev/null
+++ b/grpcwalk/grpcwalk_test.go
@@ -0,0 +1,422 @@
+package grpcwalk
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+	"golang.org/x/net/http2"
+	"google.golang.org/genproto/googleapis/rpc/errdetails"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/metadata"
+	"google.golang.org/grpc/status"
+	"google.golang.org/protobuf/proto"
+	"google.golang.org/protobuf/types/known/wrapperspb"
+
+	"hookwalk.example/hookwalk/deckrelay"
+	"hookwalk.example/hookwalk/internal/lab/grpcbox"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+const (
+	weighIn = "/harvest.Log/WeighIn"
+	view    = "/harvest.Log/View"
+)
+
+var served = func() []byte {
+	b, err := proto.Marshal(wrapperspb.String("done"))
+	if err != nil {
+		panic(err)
+	}
+	return b
+}()
+
+// fleet is some boxes with one script; its calls are numbered over all of them.
+type fleet struct {
+	boxes []*grpcbox.Box
+	calls atomic.Int64
+}
+
+func newFleet(t *testing.T, n int, maxStreams uint32, script func(n int, k *grpcbox.Call)) *fleet {
+	t.Helper()
+	f := &fleet{}
+	for range n {
+		b, err := grpcbox.New(maxStreams, func(k *grpcbox.Call) { script(int(f.calls.Add(1))-1, k) })
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(b.Close)
+		f.boxes = append(f.boxes, b)
+	}
+	return f
+}
+
+func (f *fleet) list() (l []Box) {
+	for i, b := range f.boxes {
+		l = append(l, Box{Server: deckrelay.Server{ID: fmt.Sprintf("s-%d", i)}, Addr: b.Addr()})
+	}
+	return l
+}
+
+func config(t *testing.T, s Source) Config {
+	return Config{Tier: t.Name(), Source: s, Seed: 7, Deadline: 10 * time.Second, Methods: map[string]string{weighIn: "bin-weighin", view: "block-view"},
+		Settings: deckrelay.Settings{Balancers: 1, MaxAttempts: 3, MaxRetryAfter: time.Second, FallMultiple: 3, ColdFrom: 0.2, WarmAfter: 10 * time.Second,
+			Classes: []deckrelay.Class{
+				{Name: "bin-weighin", Effect: deckrelay.Unsafe, Aim: 5 * time.Second, Deadline: 20 * time.Second, Worth: 3},
+				{Name: "block-view", Effect: deckrelay.Safe, Aim: 5 * time.Second, Deadline: 20 * time.Second, Worth: 1}}}}
+}
+
+func dial(t *testing.T, cfg Config, more ...grpc.DialOption) *grpc.ClientConn {
+	t.Helper()
+	opts, err := Dial(cfg)
+	if err != nil {
+		t.Fatal(err)
+	}
+	opts = append(opts, grpc.WithTransportCredentials(insecure.NewCredentials()))
+	cc, err := grpc.NewClient("hookwalk:///"+cfg.Tier, append(opts, more...)...)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { cc.Close() })
+	return cc
+}
+
+func ask(ctx context.Context, cc *grpc.ClientConn, method string) (string, error) {
+	var reply wrapperspb.StringValue
+	err := cc.Invoke(ctx, method, wrapperspb.String("grapes"), &reply)
+	return reply.GetValue(), err
+}
+
+// What proves that an attempt never ran lets an unsafe call go to another box.
+func TestNeverRan(t *testing.T) {
+	for name, fault := range map[string]func(*grpcbox.Call){
+		"refused stream":                func(k *grpcbox.Call) { k.Reset(http2.ErrCodeRefusedStream) },
+		"goaway before the stream":      func(k *grpcbox.Call) { k.GoAway(true) },
+		"turned away, unavailable":      func(k *grpcbox.Call) { k.Fail(int(codes.Unavailable), TurnedAway, "1") },
+		"turned away, after a header":   func(k *grpcbox.Call) { k.Header(); k.Status(int(codes.Unavailable), TurnedAway, "1") },
+		"turned away, no resources":     func(k *grpcbox.Call) { k.Fail(int(codes.ResourceExhausted), TurnedAway, "1") },
+		"goaway before, then cut short": func(k *grpcbox.Call) { k.GoAway(true); k.Cut() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(t, 3, 0, func(n int, k *grpcbox.Call) {
+				if n == 0 {
+					fault(k)
+					return
+				}
+				k.Answer(served)
+			})
+			cc := dial(t, config(t, Static(f.list())))
+			if got, err := ask(t.Context(), cc, weighIn); err != nil || got != "done" {
+				t.Errorf("got %q, %v", got, err)
+			}
+			if n := f.calls.Load(); n != 2 {
+				t.Errorf("the boxes have seen %d calls, want 2", n)
+			}
+		})
+	}
+	t.Run("connection refused", func(t *testing.T) {
+		f := newFleet(t, 3, 0, func(_ int, k *grpcbox.Call) { k.Answer(served) })
+		f.boxes[0].Close()
+		cc := dial(t, config(t, Static(f.list())))
+		for range 20 {
+			if _, err := ask(t.Context(), cc, weighIn); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if n := f.calls.Load(); n != 20 {
+			t.Errorf("the boxes have seen %d calls, want 20", n)
+		}
+	})
+}
+
+// What may have run ends an unsafe call, with a code that nobody retries; a safe one goes to another box.
+func TestMayHaveRun(t *testing.T) {
+	for name, fault := range map[string]func(*grpcbox.Call){
+		"unavailable":               func(k *grpcbox.Call) { k.Fail(int(codes.Unavailable)) },
+		"internal":                  func(k *grpcbox.Call) { k.Fail(int(codes.Internal)) },
+		"unknown":                   func(k *grpcbox.Call) { k.Fail(int(codes.Unknown)) },
+		"aborted":                   func(k *grpcbox.Call) { k.Fail(int(codes.Aborted)) },
+		"turned away, but ran":      func(k *grpcbox.Call) { k.Fail(int(codes.Internal), TurnedAway, "1") },
+		"turned away, oddly":        func(k *grpcbox.Call) { k.Fail(int(codes.Unavailable), TurnedAway, "yes") },
+		"reset, cancelled":          func(k *grpcbox.Call) { k.Reset(http2.ErrCodeCancel) },
+		"reset, internal":           func(k *grpcbox.Call) { k.Reset(http2.ErrCodeInternal) },
+		"header, then refused":      func(k *grpcbox.Call) { k.Header(); k.Reset(http2.ErrCodeInternal) },
+		"half a message, then cut":  func(k *grpcbox.Call) { k.Header(); k.Data(served, 7); k.Cut() },
+		"half a message, then over": func(k *grpcbox.Call) { k.Header(); k.Data(served, 7); k.Status(0) },
+		"no message":                func(k *grpcbox.Call) { k.Header(); k.Status(0) },
+		"cut":                       func(k *grpcbox.Call) { k.Cut() },
+		"goaway after, then cut":    func(k *grpcbox.Call) { k.GoAway(false); k.Cut() },
+		"a message that is none":    func(k *grpcbox.Call) { k.Answer([]byte{0xff, 0xff}) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			for method, want := range map[string]struct {
+				code  codes.Code
+				calls int64
+			}{weighIn: {codes.Internal, 1}, view: {codes.OK, 2}} {
+				f := newFleet(t, 3, 0, func(n int, k *grpcbox.Call) {
+					if n == 0 {
+						fault(k)
+						return
+					}
+					k.Answer(served)
+				})
+				cfg := config(t, Static(f.list()))
+				cfg.Tier += method
+				got, err := ask(t.Context(), dial(t, cfg), method)
+				if status.Code(err) != want.code || err == nil && got != "done" {
+					t.Errorf("%s: got %q, %v", method, got, err)
+				}
+				if n := f.calls.Load(); n != want.calls {
+					t.Errorf("%s: the boxes have seen %d calls, want %d", method, n, want.calls)
+				}
+			}
+		})
+	}
+}
+
+// A box that says nothing costs a call its time; a weigh-in is not sent again.
+func TestSilence(t *testing.T) {
+	f := newFleet(t, 3, 0, func(int, *grpcbox.Call) {})
+	ctx, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
+	defer cancel()
+	if _, err := ask(ctx, dial(t, config(t, Static(f.list()))), weighIn); status.Code(err) != codes.DeadlineExceeded {
+		t.Errorf("got %v", err)
+	}
+	if n := f.calls.Load(); n != 1 {
+		t.Errorf("the boxes have seen %d calls", n)
+	}
+}
+
+// What a box has found out is its client's, as it is.
+func TestAnswersPass(t *testing.T) {
+	f := newFleet(t, 3, 0, func(_ int, k *grpcbox.Call) { k.Fail(int(codes.NotFound), "grpc-message", "no such bin") })
+	_, err := ask(t.Context(), dial(t, config(t, Static(f.list()))), view)
+	if status.Code(err) != codes.NotFound || !strings.Contains(err.Error(), "no such bin") || f.calls.Load() != 1 {
+		t.Errorf("got %v after %d calls", err, f.calls.Load())
+	}
+}
+
+// A refusal says that nothing ran, and when to come back. Three attempts are all: the library, which sends again by
+// itself what a server refused unprocessed, adds none.
+func TestRefusal(t *testing.T) {
+	for name, fault := range map[string]func(*grpcbox.Call){
+		"turned away":     func(k *grpcbox.Call) { k.Fail(int(codes.Unavailable), TurnedAway, "1") },
+		"refused streams": func(k *grpcbox.Call) { k.Reset(http2.ErrCodeRefusedStream) },
+		"goaway":          func(k *grpcbox.Call) { k.GoAway(true) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(t, 5, 0, func(_ int, k *grpcbox.Call) { fault(k) })
+			_, err := ask(t.Context(), dial(t, config(t, Static(f.list()))), weighIn)
+			s := status.Convert(err)
+			var advice *errdetails.RetryInfo
+			for _, d := range s.Details() {
+				advice, _ = d.(*errdetails.RetryInfo)
+			}
+			if s.Code() != codes.Unavailable || advice.GetRetryDelay().AsDuration() <= 0 {
+				t.Errorf("got %v, advice %v", err, advice)
+			}
+			if n := f.calls.Load(); n != 3 {
+				t.Errorf("the boxes have seen %d calls, want 3", n)
+			}
+		})
+	}
+}
+
+// A retry policy of the application's service config sends nothing again; a method that no table has is unsafe.
+func TestLibraryDoesNotRetry(t *testing.T) {
+	for _, method := range []string{weighIn, "/harvest.Log/Other"} {
+		f := newFleet(t, 3, 0, func(_ int, k *grpcbox.Call) { k.Fail(int(codes.Unavailable)) })
+		cfg := config(t, Static(f.list()))
+		cfg.Tier += method
+		cc := dial(t, cfg, grpc.WithDefaultServiceConfig(`{"loadBalancingConfig":[{"hookwalk_engine":{}}],"methodConfig":[{"name":[{}],
+			"retryPolicy":{"maxAttempts":5,"initialBackoff":"0.001s","maxBackoff":"0.001s","backoffMultiplier":1,"retryableStatusCodes":["UNAVAILABLE"]}}]}`))
+		if _, err := ask(t.Context(), cc, method); status.Code(err) != codes.Internal {
+			t.Errorf("%s: got %v", method, err)
+		}
+		if n := f.calls.Load(); n != 1 {
+			t.Errorf("%s: the boxes have seen %d calls", method, n)
+		}
+	}
+}
+
+// told is a source that a test speaks through.
+type told chan List
+
+func (c told) Watch(ctx context.Context, tell func(List)) {
+	for {
+		select {
+		case l := <-c:
+			tell(l)
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// A box that drains gets nothing new, though its connection is up; one that returns with a new boot time gets a new
+// connection.
+func TestDrainAndReturn(t *testing.T) {
+	f := newFleet(t, 1, 0, func(_ int, k *grpcbox.Call) { k.Answer(served) })
+	source, list := make(told), f.list()
+	cc := dial(t, config(t, source))
+	go func() { source <- List{Boxes: list, Whole: true} }()
+	if _, err := ask(t.Context(), cc, weighIn); err != nil {
+		t.Fatal(err)
+	}
+	list[0].State = deckrelay.Draining
+	source <- List{Boxes: list}
+	source <- List{} // is taken only when the one before has been dealt with
+	ctx, cancel := context.WithTimeout(t.Context(), 500*time.Millisecond)
+	defer cancel()
+	if _, err := ask(ctx, cc, weighIn); status.Code(err) != codes.Unavailable || f.calls.Load() != 1 {
+		t.Errorf("with the only box draining: %v after %d calls", err, f.calls.Load())
+	}
+	list[0].State, list[0].Boot = deckrelay.Ready, time.Second
+	source <- List{Boxes: list}
+	source <- List{}
+	if _, err := ask(t.Context(), cc, weighIn); err != nil {
+		t.Error(err)
+	}
+	if conns, calls := f.boxes[0].Seen(); conns != 2 || calls != 2 {
+		t.Errorf("%d connections, %d calls", conns, calls)
+	}
+}
+
+// Channels to one tier have one engine, others their own; the last to close ends it, and a call on a closed channel
+// ends at once.
+func TestChannelsShareATier(t *testing.T) {
+	f := newFleet(t, 3, 0, func(_ int, k *grpcbox.Call) { k.Answer(served) })
+	cfg := config(t, Static(f.list()))
+	a, b := dial(t, cfg), dial(t, cfg)
+	cfg.Tier = "other"
+	c := dial(t, cfg)
+	for _, cc := range []*grpc.ClientConn{a, b, c} {
+		if _, err := ask(t.Context(), cc, weighIn); err != nil {
+			t.Fatal(err)
+		}
+	}
+	inUse := func() (n int) {
+		tiers.mu.Lock()
+		defer tiers.mu.Unlock()
+		return len(tiers.byName)
+	}
+	if n := inUse(); n != 2 {
+		t.Errorf("%d tiers, want 2", n)
+	}
+	a.Close()
+	if _, err := ask(t.Context(), b, weighIn); err != nil {
+		t.Errorf("with the other channel closed: %v", err)
+	}
+	if _, err := ask(t.Context(), a, weighIn); status.Code(err) != codes.Canceled {
+		t.Errorf("on a closed channel: %v", err)
+	}
+	b.Close()
+	c.Close()
+	if n := inUse(); n != 0 {
+		t.Errorf("%d tiers outlive their channels", n)
+	}
+}
+
+// Calls that are given up, or whose channel closes under them, end at once and leave nothing out.
+func TestGivenUp(t *testing.T) {
+	came := make(chan struct{}, 20)
+	f := newFleet(t, 3, 0, func(int, *grpcbox.Call) { came <- struct{}{} })
+	cfg := config(t, Static(f.list()))
+	cc := dial(t, cfg)
+	ctx, leave := context.WithCancel(t.Context())
+	var wg sync.WaitGroup
+	wg.Add(1)
+	go func() {
+		defer wg.Done()
+		if _, err := ask(ctx, cc, view); status.Code(err) != codes.Canceled {
+			t.Errorf("given up: %v", err)
+		}
+	}()
+	<-came
+	leave()
+	wg.Wait()
+	wg.Add(1)
+	go func() {
+		defer wg.Done()
+		if _, err := ask(t.Context(), cc, weighIn); err == nil || status.Code(err) == codes.Unavailable {
+			t.Errorf("closed under it: %v", err)
+		}
+	}()
+	<-came
+	cc.Close()
+	wg.Wait()
+}
+
+// Whatever a fleet does to them, thousands of weigh-ins run once at most and are refused only if they never ran.
+func TestWeighInsRunOnce(t *testing.T) {
+	var mu sync.Mutex
+	runs := map[string]int{}
+	f := newFleet(t, 6, 4, func(n int, k *grpcbox.Call) {
+		ran := func() {
+			mu.Lock()
+			defer mu.Unlock()
+			runs[k.Metadata["bin"]]++
+		}
+		switch n % 31 {
+		case 3:
+			k.Reset(http2.ErrCodeRefusedStream)
+		case 7:
+			k.Fail(int(codes.Unavailable), TurnedAway, "1")
+		case 11:
+			if !k.GoAway(true) { // a later call of the connection has run
+				k.Reset(http2.ErrCodeRefusedStream)
+			}
+		case 13:
+			ran()
+			k.Fail(int(codes.Unavailable))
+		case 17:
+			ran()
+			k.Header()
+			k.Data(served, 6)
+			k.Cut()
+		case 19:
+			ran()
+			k.GoAway(false)
+			k.Answer(served)
+		case 23:
+			ran()
+			k.Cut()
+		default:
+			ran()
+			k.Answer(served)
+		}
+	})
+	cc := dial(t, config(t, Static(f.list())))
+	got := map[codes.Code]int{}
+	var wg sync.WaitGroup
+	for caller := range 8 {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			for i := range 150 {
+				bin := fmt.Sprintf("%d-%d", caller, i)
+				_, err := ask(metadata.AppendToOutgoingContext(t.Context(), "bin", bin), cc, weighIn)
+				mu.Lock()
+				got[status.Code(err)]++
+				n := runs[bin]
+				mu.Unlock()
+				if n > 1 || n == 0 && err == nil || n > 0 && status.Code(err) == codes.Unavailable {
+					t.Errorf("bin %s ran %d times and ended with %v", bin, n, err)
+				}
+			}
+		}()
+	}
+	wg.Wait()
+	if got[codes.OK] == 0 || got[codes.Internal] == 0 {
+		t.Errorf("ends by code: %v; the faults or the service did not show", got)
+	}
+	t.Logf("ends by code: %v", got)
+}
--- /dev/null
+++ b/grpcwalk/plugin.go
@@ -0,0 +1,192 @@
+// Package grpcwalk puts the decisions of hookwalk under a grpc-go channel: which box a call goes to, whether it goes
+// again, and what is refused. It has the same engine and the same decision module as the daemon.
+//
+//	opts, err := grpcwalk.Dial(grpcwalk.Config{Tier: "log-logic", Settings: settings, Source: boxes, ...})
+//	conn, err := grpc.NewClient("hookwalk:///log-logic", append(opts, credentials)...)
+//
+// Unary calls only: a stream is refused with UNIMPLEMENTED, since it would go out unguarded.
+package grpcwalk
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"strconv"
+	"sync"
+	"time"
+
+	"google.golang.org/genproto/googleapis/rpc/errdetails"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/backoff"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/connectivity"
+	"google.golang.org/grpc/metadata"
+	"google.golang.org/grpc/status"
+	"google.golang.org/protobuf/types/known/durationpb"
+
+	"hookwalk.example/hookwalk/deckrelay"
+	"hookwalk.example/hookwalk/internal/engine"
+)
+
+// Repeat is the metadata key, with the value 1, by which a client says that it has sent a call before.
+const Repeat = "hookwalk-repeat"
+
+// Tenant is the metadata key of the tenant that a call is for.
+const Tenant = "hookwalk-tenant"
+
+// answerTime is the most that a final answer is given ahead of a call's deadline.
+const answerTime = 20 * time.Millisecond
+
+// plugin is what one channel's options share.
+type plugin struct {
+	cfg Config
+
+	mu      sync.Mutex
+	tier    *tier         // while one of its channels lives
+	uses    int           // such channels
+	changed chan struct{} // closed when the tier has
+}
+
+// Dial gives the options of a channel to a tier; its target is "hookwalk:///" and any name. The service config that
+// the application sets stays in force, but for its load balancing and its retry and hedging policies.
+func Dial(cfg Config) ([]grpc.DialOption, error) {
+	if err := cfg.check(); err != nil {
+		return nil, err
+	}
+	if _, err := deckrelay.New(cfg.Settings, cfg.Seed); err != nil {
+		return nil, err
+	}
+	if cfg.Log == nil {
+		cfg.Log = slog.New(slog.DiscardHandler)
+	}
+	p := &plugin{cfg: cfg, changed: make(chan struct{})}
+	return []grpc.DialOption{
+		grpc.WithResolvers(&builder{p}),
+		grpc.WithDefaultServiceConfig(`{"loadBalancingConfig":[{"` + balancerName + `":{}}]}`),
+		// The library's own retries by policy and hedging: what may have run would be sent again. Its transparent retry
+		// can't be switched off; the picker ends it.
+		grpc.WithDisableRetry(),
+		// An idle channel would drop its list, and the tier might end under its calls.
+		grpc.WithIdleTimeout(0),
+		// A box that comes back is found soon: while the library waits, all that the engine sends there fails.
+		grpc.WithConnectParams(grpc.ConnectParams{MinConnectTimeout: time.Second,
+			Backoff: backoff.Config{BaseDelay: 100 * time.Millisecond, Multiplier: 1.6, Jitter: 0.2, MaxDelay: time.Second}}),
+		grpc.WithChainUnaryInterceptor(p.unary),
+		grpc.WithChainStreamInterceptor(p.stream),
+	}, nil
+}
+
+func (p *plugin) stream(context.Context, *grpc.StreamDesc, *grpc.ClientConn, string, grpc.Streamer, ...grpc.CallOption) (grpc.ClientStream, error) {
+	return nil, status.Error(codes.Unimplemented, "hookwalk: streams are not carried")
+}
+
+// unary has the engine admit, place and repeat a call, and gives its one final answer.
+func (p *plugin) unary(ctx context.Context, method string, req, reply any, cc *grpc.ClientConn, invoker grpc.UnaryInvoker, opts ...grpc.CallOption) error {
+	t, err := p.enter(ctx, cc)
+	if err != nil {
+		return err
+	}
+	defer t.leave()
+	now := t.engine.Clock.Now()
+	r := &rpc{}
+	r.Budget = p.cfg.Deadline
+	if end, ok := ctx.Deadline(); ok {
+		r.Budget = time.Until(end)
+	}
+	// A refusal must come before the caller stops listening: only it says that nothing ran.
+	r.Budget -= min(r.Budget/50, answerTime)
+	md, _ := metadata.FromOutgoingContext(ctx)
+	r.Tenant = first(md, Tenant)
+	r.Request = deckrelay.Request{ID: strconv.FormatUint(t.seq.Add(1), 10), Class: p.cfg.Methods[method],
+		Deadline: now + r.Budget, Repeat: first(md, Repeat) == "1"}
+	r.invoke = func(ctx context.Context, trailer *metadata.MD) error {
+		return invoker(ctx, method, req, reply, cc, append(opts[:len(opts):len(opts)], grpc.Trailer(trailer))...)
+	}
+	a, err := t.do(ctx, r)
+	if err != nil {
+		return status.FromContextError(err).Err()
+	}
+	return final(a, r.err)
+}
+
+// enter makes a call a user of its channel's tier. A new channel has none before its resolver is built, and a new tier
+// waits a little for its first list.
+func (p *plugin) enter(ctx context.Context, cc *grpc.ClientConn) (*tier, error) {
+	for {
+		p.mu.Lock()
+		t, changed := p.tier, p.changed
+		if t != nil {
+			t.again()
+		}
+		p.mu.Unlock()
+		if t != nil {
+			select {
+			case <-t.told:
+				return t, nil
+			case <-ctx.Done():
+				t.leave()
+				return nil, status.FromContextError(ctx.Err()).Err()
+			}
+		}
+		if cc.GetState() == connectivity.Shutdown {
+			return nil, status.Error(codes.Canceled, "hookwalk: the channel is closed")
+		}
+		cc.Connect()
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return nil, status.FromContextError(ctx.Err()).Err()
+		}
+	}
+}
+
+// joined and left count the channels that live.
+func (p *plugin) joined(t *tier) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.tier = t
+	p.uses++
+	close(p.changed)
+	p.changed = make(chan struct{})
+}
+
+func (p *plugin) left() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.uses--; p.uses == 0 {
+		p.tier = nil
+	}
+	close(p.changed)
+	p.changed = make(chan struct{})
+}
+
+func first(md metadata.MD, key string) string {
+	if v := md.Get(key); len(v) > 0 {
+		return v[0]
+	}
+	return ""
+}
+
+// final turns a final answer into an error of the library. What may have run gets a code that no well-behaved client
+// retries.
+func final(a engine.Answer, last error) error {
+	switch a.Verdict {
+	case engine.Served:
+		return last // nil, or what the box has found out
+	case engine.Refused, engine.Aborted:
+		if a.Verdict == engine.Aborted && a.Status != 503 {
+			return status.Error(codes.Internal, "hookwalk: ended by a drill")
+		}
+		s := status.New(codes.Unavailable, "hookwalk: refused; it did not run")
+		if a.RetryAfter > 0 {
+			if d, err := s.WithDetails(&errdetails.RetryInfo{RetryDelay: durationpb.New(a.RetryAfter)}); err == nil {
+				s = d
+			}
+		}
+		return s.Err()
+	}
+	if errors.Is(last, context.DeadlineExceeded) || status.Code(last) == codes.DeadlineExceeded {
+		return status.Error(codes.DeadlineExceeded, "hookwalk: out of time; it may have run")
+	}
+	return status.Errorf(codes.Internal, "hookwalk: it may have run and is not sent again: %v", last)
+}
--- /dev/null
+++ b/grpcwalk/tier.go
@@ -0,0 +1,220 @@
+package grpcwalk
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"maps"
+	"reflect"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"google.golang.org/grpc/metadata"
+
+	"hookwalk.example/hookwalk/deckrelay"
+	"hookwalk.example/hookwalk/internal/engine"
+)
+
+// tiers are those in use, by name. All channels of a process to one tier share one engine, so that they don't stack
+// their load on a box.
+var tiers = struct {
+	mu     sync.Mutex
+	byName map[string]*tier
+}{byName: map[string]*tier{}}
+
+// firstList is how long calls wait for a new source to speak before the engine decides without a list.
+const firstList = time.Second
+
+// tier is one engine and those who use it.
+type tier struct {
+	cfg    Config
+	engine *engine.Engine
+	seq    atomic.Uint64 // of ids
+	told   chan struct{} // closed when the source has spoken, or had its time
+
+	stop context.CancelFunc // of the source; the last user calls it
+	uses int                // channels and calls in progress; guarded by tiers.mu
+
+	mu       sync.Mutex
+	boxes    map[string]Box
+	watchers map[*listWatch]bool
+}
+
+// use gives the tier of a configuration, and starts it for its first user, with that one's source and seed.
+func use(cfg Config) (*tier, error) {
+	tiers.mu.Lock()
+	defer tiers.mu.Unlock()
+	if t := tiers.byName[cfg.Tier]; t != nil {
+		if !reflect.DeepEqual(t.cfg.Settings, cfg.Settings) {
+			return nil, fmt.Errorf("grpcwalk: tier %s is in use with other settings", cfg.Tier)
+		}
+		t.uses++
+		return t, nil
+	}
+	bal, err := deckrelay.New(cfg.Settings, cfg.Seed)
+	if err != nil {
+		return nil, fmt.Errorf("grpcwalk: tier %s: %w", cfg.Tier, err)
+	}
+	t := &tier{cfg: cfg, uses: 1, told: make(chan struct{}), boxes: map[string]Box{}, watchers: map[*listWatch]bool{}}
+	t.engine = engine.New(engine.Options{Clock: engine.NewClock(), Log: cfg.Log, Balancer: bal, Sender: t, Subscribe: func() {}})
+	ctx, stop := context.WithCancel(context.Background())
+	t.stop = stop
+	tiers.byName[cfg.Tier] = t
+	heard := sync.OnceFunc(func() { close(t.told) })
+	patience := time.AfterFunc(firstList, heard)
+	go t.engine.Run()
+	go func() {
+		defer patience.Stop()
+		cfg.Source.Watch(ctx, func(l List) {
+			t.tell(ctx, l)
+			heard()
+		})
+	}()
+	return t, nil
+}
+
+// again counts one more user of a tier that is in use.
+func (t *tier) again() {
+	tiers.mu.Lock()
+	defer tiers.mu.Unlock()
+	t.uses++
+}
+
+// leave ends the tier with its last user. No attempt is out then: each call waits for its own.
+func (t *tier) leave() {
+	tiers.mu.Lock()
+	defer tiers.mu.Unlock()
+	if t.uses--; t.uses > 0 {
+		return
+	}
+	delete(tiers.byName, t.cfg.Tier)
+	t.stop()
+	t.engine.Stop()
+}
+
+// tell hands a list to the engine, which stops what must get nothing new, and then to the channels.
+func (t *tier) tell(ctx context.Context, l List) {
+	news := engine.News{Whole: l.Whole}
+	for _, b := range l.Boxes {
+		news.Boxes = append(news.Boxes, engine.Box{Server: b.Server, Addr: b.Addr})
+	}
+	if t.engine.Tell(ctx, news) != nil {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if l.Whole {
+		clear(t.boxes)
+	}
+	for _, b := range l.Boxes {
+		if b.State == deckrelay.Ready {
+			t.boxes[b.ID] = b
+		} else {
+			delete(t.boxes, b.ID)
+		}
+	}
+	for w := range t.watchers {
+		w.update(t.list())
+	}
+}
+
+// list is what a channel may connect to. The caller holds the lock.
+func (t *tier) list() []Box {
+	return slices.SortedFunc(maps.Values(t.boxes), func(a, b Box) int {
+		if a.ID < b.ID {
+			return -1
+		}
+		return 1
+	})
+}
+
+// rpc is a call with what its attempts need.
+type rpc struct {
+	engine.Call
+	ctx    context.Context
+	invoke func(ctx context.Context, trailer *metadata.MD) error
+	out    sync.WaitGroup
+	err    error // of its last attempt; the loop's happens-before chain orders its writers
+}
+
+// attempt is one send; the picker of its channel finds it in the context.
+type attempt struct {
+	*engine.Attempt
+	call *rpc
+	tier *tier
+
+	mu      sync.Mutex
+	picks   int  // how often the library has asked for a connection after it had none
+	stopped bool // it came too late to be sent
+	sent    bool // it has a stream: bytes may have left
+	got     bool // something came back from the box
+}
+
+type attemptKey struct{}
+
+// Start makes an attempt in a goroutine that ends with its result.
+func (t *tier) Start(att *engine.Attempt) {
+	call := att.Call.Payload.(*rpc)
+	call.out.Add(1)
+	go func() {
+		defer call.out.Done()
+		a := &attempt{Attempt: att, call: call, tier: t}
+		ctx, cancel := context.WithDeadline(call.ctx, t.engine.Clock.At(att.Deadline))
+		defer cancel()
+		var trailer metadata.MD
+		err := call.invoke(context.WithValue(ctx, attemptKey{}, a), &trailer)
+		call.err = err
+		r := engine.Result{Attempt: att, Ending: ending(a, err, trailer)}
+		if r.Ending != deckrelay.Success && r.Ending != deckrelay.Void {
+			r.Err = err
+		}
+		t.engine.Ended(r)
+	}()
+}
+
+// Retire has nothing to do: channels drop the connections of boxes that their list has no more.
+func (t *tier) Retire(*engine.Target) {}
+
+// do has the engine decide about a call and waits until nothing of it is out. The caller is a user of the tier.
+func (t *tier) do(ctx context.Context, r *rpc) (engine.Answer, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	r.ctx, r.Payload = ctx, r
+	defer r.out.Wait()
+	defer cancel()
+	a, err := t.engine.Do(ctx, &r.Call)
+	if errors.Is(err, engine.ErrLeft) && ctx.Err() != nil {
+		err = ctx.Err()
+	}
+	return a, err
+}
+
+// Config says which tier a channel goes to and how.
+type Config struct {
+	Tier     string             // channels of one process with the same name share an engine
+	Settings deckrelay.Settings // the decision module's
+	Seed     uint64
+	Source   Source
+	Methods  map[string]string // class by full method, "/package.Service/Method"; one that is missing is unsafe
+	Deadline time.Duration     // of calls without one
+	Log      *slog.Logger      // nil: none
+}
+
+func (c Config) check() error {
+	switch {
+	case c.Tier == "":
+		return errors.New("grpcwalk: Tier is empty")
+	case c.Source == nil:
+		return fmt.Errorf("grpcwalk: tier %s: Source is missing", c.Tier)
+	case c.Deadline <= 0:
+		return fmt.Errorf("grpcwalk: tier %s: Deadline must be above 0", c.Tier)
+	}
+	for method, class := range c.Methods {
+		if !slices.ContainsFunc(c.Settings.Classes, func(k deckrelay.Class) bool { return k.Name == class }) {
+			return fmt.Errorf("grpcwalk: tier %s: method %q has the class %q, which is none of the settings", c.Tier, method, class)
+		}
+	}
+	return nil
+}
