grpcwalk: streams, each one attempt that is never moved once it is open

Streams were refused, since they would have gone out unguarded.

The engine places a stream like a call; from its opening on (Began, the module's Started) no second attempt is made. It holds its place until it ends, its latency is the time to its first message, and what fails after a message has come back has run, whatever its trailer says. A call or stream that its client leaves counts as withdrawn, no fault of the box.

--- a/grpcwalk/endings.go
+++ b/grpcwalk/endings.go
@@ -36,6 +36,8 @@
 		return deckrelay.Void // its client left before a connection was up
 	case a.picks == 0:
 		return deckrelay.Unreachable
+	case errors.Is(a.call.ctx.Err(), context.Canceled) && code == codes.Canceled:
+		return deckrelay.Withdrawn // its client left: that says nothing of the box
 	case !a.sent && code == codes.DeadlineExceeded:
 		return deckrelay.Overloaded // it waited for one of the streams that the box allows
 	case !a.sent:
--- a/grpcwalk/grpcwalk_test.go
+++ b/grpcwalk/grpcwalk_test.go
@@ -2,7 +2,11 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
+	"io"
+	"runtime"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -420,3 +424,125 @@
 	}
 	t.Logf("ends by code: %v", got)
 }
+
+var watching = &grpc.StreamDesc{StreamName: "Watch", ServerStreams: true}
+
+// watch opens a stream, sends its one message and receives until it ends.
+func watch(ctx context.Context, cc *grpc.ClientConn) (messages int, err error) {
+	s, err := cc.NewStream(ctx, watching, view)
+	if err != nil {
+		return 0, err
+	}
+	if err := s.SendMsg(wrapperspb.String("grapes")); err != nil && !errors.Is(err, io.EOF) {
+		return 0, err
+	}
+	if err := s.CloseSend(); err != nil {
+		return 0, err
+	}
+	for {
+		if err := s.RecvMsg(new(wrapperspb.StringValue)); err != nil {
+			return messages, err
+		}
+		messages++
+	}
+}
+
+// A stream is one attempt: whatever becomes of it, it is not moved once it is open, and what may have run ends with a
+// code that nobody retries.
+func TestStreams(t *testing.T) {
+	for name, tc := range map[string]struct {
+		script   func(*grpcbox.Call)
+		messages int
+		want     codes.Code
+	}{
+		"served":         {func(k *grpcbox.Call) { k.Header(); k.Data(served, -1); k.Data(served, -1); k.Status(0) }, 2, codes.OK},
+		"not found":      {func(k *grpcbox.Call) { k.Fail(int(codes.NotFound)) }, 0, codes.NotFound},
+		"turned away":    {func(k *grpcbox.Call) { k.Fail(int(codes.Unavailable), TurnedAway, "1") }, 0, codes.Unavailable},
+		"refused stream": {func(k *grpcbox.Call) { k.Reset(http2.ErrCodeRefusedStream) }, 0, codes.Unavailable},
+		"unavailable":    {func(k *grpcbox.Call) { k.Fail(int(codes.Unavailable)) }, 0, codes.Internal},
+		"turned away late": {func(k *grpcbox.Call) {
+			k.Header()
+			k.Data(served, -1)
+			k.Status(int(codes.Unavailable), TurnedAway, "1")
+		}, 1, codes.Internal},
+		"cut half-way":        {func(k *grpcbox.Call) { k.Header(); k.Data(served, -1); k.Data(served, 6); k.Cut() }, 1, codes.Internal},
+		"goaway, then served": {func(k *grpcbox.Call) { k.GoAway(false); k.Header(); k.Data(served, -1); k.Status(0) }, 1, codes.OK},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(t, 3, 0, func(_ int, k *grpcbox.Call) { tc.script(k) })
+			messages, err := watch(t.Context(), dial(t, config(t, Static(f.list()))))
+			if errors.Is(err, io.EOF) {
+				err = nil
+			}
+			if messages != tc.messages || status.Code(err) != tc.want {
+				t.Errorf("%d messages, then %v", messages, err)
+			}
+			if n := f.calls.Load(); n != 1 {
+				t.Errorf("the boxes have seen %d calls", n)
+			}
+		})
+	}
+	t.Run("nobody there", func(t *testing.T) {
+		f := newFleet(t, 3, 0, func(int, *grpcbox.Call) {})
+		for _, b := range f.boxes {
+			b.Close()
+		}
+		if _, err := watch(t.Context(), dial(t, config(t, Static(f.list())))); status.Code(err) != codes.Unavailable {
+			t.Errorf("got %v", err)
+		}
+	})
+}
+
+// A drain lets a stream finish and starts no new one; a client that leaves its stream takes it off the engine.
+func TestStreamsAndDrains(t *testing.T) {
+	finish, left := make(chan struct{}), make(chan struct{}, 1)
+	f := newFleet(t, 1, 0, func(n int, k *grpcbox.Call) {
+		k.Header()
+		k.Data(served, -1)
+		if n == 0 {
+			<-finish
+			k.Data(served, -1)
+			k.Status(0)
+		}
+	})
+	source, list := make(told), f.list()
+	cc := dial(t, config(t, source))
+	go func() { source <- List{Boxes: list, Whole: true} }()
+	s, err := cc.NewStream(t.Context(), watching, view)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var m wrapperspb.StringValue
+	if err := errors.Join(s.SendMsg(&m), s.CloseSend(), s.RecvMsg(&m)); err != nil {
+		t.Fatal(err)
+	}
+	ctx, leave := context.WithCancel(t.Context())
+	go func() {
+		if _, err := watch(ctx, cc); status.Code(err) != codes.Canceled {
+			t.Errorf("left: %v", err)
+		}
+		left <- struct{}{}
+	}()
+	for _, calls := f.boxes[0].Seen(); calls < 2; _, calls = f.boxes[0].Seen() {
+		runtime.Gosched()
+	}
+	draining := slices.Clone(list)
+	draining[0].State = deckrelay.Draining
+	source <- List{Boxes: draining}
+	source <- List{}
+	ctx2, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
+	defer cancel()
+	if _, err := watch(ctx2, cc); status.Code(err) != codes.Unavailable {
+		t.Errorf("a new one: %v", err)
+	}
+	close(finish)
+	if err := errors.Join(s.RecvMsg(&m), s.RecvMsg(&m)); !errors.Is(err, io.EOF) {
+		t.Errorf("the one under way: %v", err)
+	}
+	leave()
+	<-left
+	cc.Close()
+	if _, calls := f.boxes[0].Seen(); calls != 2 {
+		t.Errorf("%d streams came", calls)
+	}
+}
--- a/grpcwalk/plugin.go
+++ b/grpcwalk/plugin.go
@@ -4,7 +4,7 @@
 //	opts, err := grpcwalk.Dial(grpcwalk.Config{Tier: "log-logic", Settings: settings, Source: boxes, ...})
 //	conn, err := grpc.NewClient("hookwalk:///log-logic", append(opts, credentials)...)
 //
-// Unary calls only: a stream is refused with UNIMPLEMENTED, since it would go out unguarded.
+// A stream is one attempt: placed, counted and refused like any other call, and never moved once it is open.
 package grpcwalk
 
 import (
@@ -76,10 +76,6 @@
 	}, nil
 }
 
-func (p *plugin) stream(context.Context, *grpc.StreamDesc, *grpc.ClientConn, string, grpc.Streamer, ...grpc.CallOption) (grpc.ClientStream, error) {
-	return nil, status.Error(codes.Unimplemented, "hookwalk: streams are not carried")
-}
-
 // unary has the engine admit, place and repeat a call, and gives its one final answer.
 func (p *plugin) unary(ctx context.Context, method string, req, reply any, cc *grpc.ClientConn, invoker grpc.UnaryInvoker, opts ...grpc.CallOption) error {
 	t, err := p.enter(ctx, cc)
@@ -87,6 +83,19 @@
 		return err
 	}
 	defer t.leave()
+	r := p.call(ctx, t, method)
+	r.invoke = func(ctx context.Context, trailer *metadata.MD) error {
+		return invoker(ctx, method, req, reply, cc, append(opts[:len(opts):len(opts)], grpc.Trailer(trailer))...)
+	}
+	a, err := t.do(ctx, r)
+	if err != nil {
+		return status.FromContextError(err).Err()
+	}
+	return final(a, r.err)
+}
+
+// call is what the engine is told of a call.
+func (p *plugin) call(ctx context.Context, t *tier, method string) *rpc {
 	now := t.engine.Clock.Now()
 	r := &rpc{}
 	r.Budget = p.cfg.Deadline
@@ -99,14 +108,7 @@
 	r.Tenant = first(md, Tenant)
 	r.Request = deckrelay.Request{ID: strconv.FormatUint(t.seq.Add(1), 10), Class: p.cfg.Methods[method],
 		Deadline: now + r.Budget, Repeat: first(md, Repeat) == "1"}
-	r.invoke = func(ctx context.Context, trailer *metadata.MD) error {
-		return invoker(ctx, method, req, reply, cc, append(opts[:len(opts):len(opts)], grpc.Trailer(trailer))...)
-	}
-	a, err := t.do(ctx, r)
-	if err != nil {
-		return status.FromContextError(err).Err()
-	}
-	return final(a, r.err)
+	return r
 }
 
 // enter makes a call a user of its channel's tier. A new channel has none before its resolver is built, and a new tier
--- a/grpcwalk/tier.go
+++ b/grpcwalk/tier.go
@@ -136,6 +136,8 @@
 	engine.Call
 	ctx    context.Context
 	invoke func(ctx context.Context, trailer *metadata.MD) error
+	open   func(ctx context.Context) (*stream, error) // of a stream, in place of invoke
+	opened chan *stream                               // takes it once without blocking
 	out    sync.WaitGroup
 	err    error // of its last attempt; the loop's happens-before chain orders its writers
 }
@@ -162,6 +164,10 @@
 	go func() {
 		defer call.out.Done()
 		a := &attempt{Attempt: att, call: call, tier: t}
+		if call.open != nil {
+			t.streamed(a)
+			return
+		}
 		ctx, cancel := context.WithDeadline(call.ctx, t.engine.Clock.At(att.Deadline))
 		defer cancel()
 		var trailer metadata.MD
@@ -175,6 +181,22 @@
 	}()
 }
 
+// streamed makes an attempt of a stream, and hands in how it ended.
+func (t *tier) streamed(a *attempt) {
+	s, err := t.stream(a)
+	r := engine.Result{Attempt: a.Attempt}
+	if s == nil {
+		r.Ending = ending(a, err, nil)
+	} else {
+		r.Ending, r.Latency = s.outcome(err)
+	}
+	if r.Ending != deckrelay.Success && r.Ending != deckrelay.Void {
+		r.Err = err
+	}
+	a.call.err = err
+	t.engine.Ended(r)
+}
+
 // Retire has nothing to do: channels drop the connections of boxes that their list has no more.
 func (t *tier) Retire(*engine.Target) {}
 
--- a/internal/engine/call.go
+++ b/internal/engine/call.go
@@ -94,7 +94,8 @@
 	Attempt *Attempt
 	Ending  deckrelay.Ending
 	Load    *deckrelay.Load
-	Reply   any // of a success; goes into the answer
+	Reply   any           // of a success; goes into the answer
+	Latency time.Duration // of a stream, till its first message; 0: till now
 
 	// For the log: why there is no answer, and what the attempt's connection had behind it.
 	Err       error
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -36,6 +36,7 @@
 	arrivals chan *Call
 	gone     chan *Call
 	results  chan Result
+	begun    chan *Attempt
 	starts   chan DrillStart
 	dumps    chan struct{} // takes a wish to see what the capture holds without blocking
 	leaves   chan struct{}
@@ -54,7 +55,7 @@
 func New(o Options) *Engine {
 	return &Engine{Options: o,
 		lists: make(chan News), arrivals: make(chan *Call), gone: make(chan *Call),
-		results: make(chan Result), starts: make(chan DrillStart), dumps: make(chan struct{}, 1),
+		results: make(chan Result), begun: make(chan *Attempt), starts: make(chan DrillStart), dumps: make(chan struct{}, 1),
 		leaves: make(chan struct{}), stop: make(chan struct{}),
 		calls: map[string]*Call{}, targets: map[string]*Target{}}
 }
@@ -103,6 +104,9 @@
 // comes only after all of them have ended.
 func (e *Engine) Ended(r Result) { e.results <- r }
 
+// Began tells that a streamed answer is the client's from here on: its call is not sent again. Like Ended.
+func (e *Engine) Began(a *Attempt) { e.begun <- a }
+
 // StartDrill has the module start a drill.
 func (e *Engine) StartDrill(s DrillStart) error {
 	select {
@@ -164,6 +168,8 @@
 			e.takeGone(c)
 		case r := <-e.results:
 			e.takeResult(r)
+		case a := <-e.begun:
+			e.handle(deckrelay.Started{ID: a.Call.Request.ID, Attempt: a.N})
 		case s := <-e.starts:
 			e.Log.Info("drill started", append([]any{"drill", s.Name}, who(s.Client)...)...)
 			e.handle(deckrelay.DrillStart{Name: s.Name})
@@ -314,8 +320,12 @@
 		e.aside.Served = true
 		c.reply <- Answer{Verdict: Served, Reply: r.Reply}
 	}
+	latency := r.Latency
+	if latency == 0 {
+		latency = e.Clock.Now() - r.Attempt.Started
+	}
 	e.handle(deckrelay.Outcome{ID: c.Request.ID, Attempt: r.Attempt.N, Server: r.Attempt.Target.ID, Ending: r.Ending,
-		Latency: e.Clock.Now() - r.Attempt.Started, Ended: c.Closed(), Load: r.Load})
+		Latency: latency, Ended: c.Closed(), Load: r.Load})
 	e.forget(c)
 }
 
