--- a/grpcwalk/grpcwalk_test.go
+++ b/grpcwalk/grpcwalk_test.go
@@ -5,8 +5,10 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"runtime"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -71,13 +73,16 @@
 }
 
 func config(t *testing.T, s Source) Config {
-	return Config{Tier: t.Name(), Source: s, Seed: 7, Deadline: 10 * time.Second, Methods: map[string]string{weighIn: "bin-weighin", view: "block-view"},
-		Settings: deckrelay.Settings{Balancers: 1, MaxAttempts: 3, MaxRetryAfter: time.Second, FallMultiple: 3, ColdFrom: 0.2, WarmAfter: 10 * time.Second,
-			Classes: []deckrelay.Class{
-				{Name: "bin-weighin", Effect: deckrelay.Unsafe, Aim: 5 * time.Second, Deadline: 20 * time.Second, Worth: 3},
-				{Name: "block-view", Effect: deckrelay.Safe, Aim: 5 * time.Second, Deadline: 20 * time.Second, Worth: 1}}}}
+	return Config{Tier: t.Name(), Source: s, Seed: 7, Deadline: 10 * time.Second, Settings: settings,
+		Methods: map[string]string{weighIn: "bin-weighin", view: "block-view"}}
 }
 
+var settings = deckrelay.Settings{Balancers: 1, MaxAttempts: 3, MaxRetryAfter: time.Second, FallMultiple: 3, ColdFrom: 0.2,
+	WarmAfter: 10 * time.Second,
+	Classes: []deckrelay.Class{
+		{Name: "bin-weighin", Effect: deckrelay.Unsafe, Aim: 5 * time.Second, Deadline: 20 * time.Second, Worth: 3},
+		{Name: "block-view", Effect: deckrelay.Safe, Aim: 5 * time.Second, Deadline: 20 * time.Second, Worth: 1}}}
+
 func dial(t *testing.T, cfg Config, more ...grpc.DialOption) *grpc.ClientConn {
 	t.Helper()
 	opts, err := Dial(cfg)
@@ -546,3 +551,73 @@
 		t.Errorf("%d streams came", calls)
 	}
 }
+
+// A call that waits for one of the streams that a box allows has not been sent: it is refused, not failed.
+func TestNoFreeStream(t *testing.T) {
+	came := make(chan struct{}, 2)
+	f := newFleet(t, 1, 1, func(int, *grpcbox.Call) { came <- struct{}{} })
+	cc := dial(t, config(t, Static(f.list())))
+	first, cancel := context.WithCancel(t.Context())
+	var wg sync.WaitGroup
+	wg.Add(1)
+	go func() {
+		defer wg.Done()
+		_, _ = ask(first, cc, weighIn) // takes the one stream and is never answered
+	}()
+	<-came
+	ctx, cancelSecond := context.WithTimeout(t.Context(), 500*time.Millisecond)
+	defer cancelSecond()
+	if _, err := ask(ctx, cc, weighIn); status.Code(err) != codes.Unavailable {
+		t.Errorf("got %v", err)
+	}
+	cancel()
+	wg.Wait()
+	if n := f.calls.Load(); n != 1 {
+		t.Errorf("the box has seen %d calls", n)
+	}
+}
+
+// WaitForReady does not make the library wait where the engine has decided.
+func TestWaitForReady(t *testing.T) {
+	f := newFleet(t, 3, 0, func(int, *grpcbox.Call) {})
+	for _, b := range f.boxes {
+		b.Close()
+	}
+	cc := dial(t, config(t, Static(f.list())))
+	begin := time.Now()
+	err := cc.Invoke(t.Context(), weighIn, wrapperspb.String("grapes"), new(wrapperspb.StringValue), grpc.WaitForReady(true))
+	if took := time.Since(begin); status.Code(err) != codes.Unavailable || took > 5*time.Second { // of the 10 that the call has
+		t.Errorf("got %v after %v", err, took)
+	}
+}
+
+// All of 10,000 boxes start anew in one update while calls go on: none fails, and only those are connected to that were
+// chosen.
+func TestManyBoxesChangeAtOnce(t *testing.T) {
+	f := newFleet(t, 1, 0, func(_ int, k *grpcbox.Call) { k.Answer(served) })
+	source := make(told)
+	cc := dial(t, config(t, source), grpc.WithContextDialer(func(ctx context.Context, _ string) (net.Conn, error) {
+		return new(net.Dialer).DialContext(ctx, "tcp", f.boxes[0].Addr())
+	}))
+	list := make([]Box, 10000)
+	const asked = 40
+	for boot := range 2 {
+		for i := range list {
+			list[i] = Box{Server: deckrelay.Server{ID: strconv.Itoa(i), Boot: time.Duration(boot)}, Addr: fmt.Sprintf("10.0.%d.%d:1", i/250, i%250)}
+		}
+		taken := make(chan struct{})
+		go func() {
+			defer close(taken)
+			source <- List{Boxes: slices.Clone(list), Whole: true}
+		}()
+		for range asked {
+			if _, err := ask(t.Context(), cc, weighIn); err != nil {
+				t.Fatal(err)
+			}
+		}
+		<-taken
+	}
+	if conns, calls := f.boxes[0].Seen(); calls != 2*asked || conns > calls {
+		t.Errorf("%d connections, %d calls", conns, calls)
+	}
+}
