grpcwalk: a stream that opened late counts as sent; a channel that can't join its tier says so

Read again: a stream whose opening crossed its attempt's end could be taken for one that never left, and a box blamed for being full; calls of a channel whose settings differ from those in use waited for a resolver that is never built; each channel had the whole list sorted for it at every change.

An open stream counts as sent from its opening on. A resolver that can't be built fails its calls at once with FAILED_PRECONDITION. The list is collected once and not sorted, which nobody needs. Unary calls and streams share what they hand in. The pages say what a service config of the application must name.

check.sh passes; the plug-in's tests 3 times with -race, the new one among them.

--- a/grpcwalk/balancer.go
+++ b/grpcwalk/balancer.go
@@ -42,6 +42,7 @@
 func (b *builder) Build(_ resolver.Target, cc resolver.ClientConn, _ resolver.BuildOptions) (resolver.Resolver, error) {
 	t, err := use(b.p.cfg)
 	if err != nil {
+		b.p.joined(nil, err)
 		return nil, err
 	}
 	w := &listWatch{p: b.p, tier: t, cc: cc, lists: make(chan []Box, 1), done: make(chan struct{})}
@@ -50,7 +51,7 @@
 	t.watchers[w] = true
 	w.update(t.list())
 	t.mu.Unlock()
-	b.p.joined(t)
+	b.p.joined(t, nil)
 	return w, nil
 }
 
--- a/grpcwalk/grpcwalk_test.go
+++ b/grpcwalk/grpcwalk_test.go
@@ -156,8 +156,7 @@
 		"turned away, but ran":      func(k *grpcbox.Call) { k.Fail(int(codes.Internal), TurnedAway, "1") },
 		"turned away, oddly":        func(k *grpcbox.Call) { k.Fail(int(codes.Unavailable), TurnedAway, "yes") },
 		"reset, cancelled":          func(k *grpcbox.Call) { k.Reset(http2.ErrCodeCancel) },
-		"reset, internal":           func(k *grpcbox.Call) { k.Reset(http2.ErrCodeInternal) },
-		"header, then refused":      func(k *grpcbox.Call) { k.Header(); k.Reset(http2.ErrCodeInternal) },
+		"header, then reset":        func(k *grpcbox.Call) { k.Header(); k.Reset(http2.ErrCodeInternal) },
 		"half a message, then cut":  func(k *grpcbox.Call) { k.Header(); k.Data(served, 7); k.Cut() },
 		"half a message, then over": func(k *grpcbox.Call) { k.Header(); k.Data(served, 7); k.Status(0) },
 		"no message":                func(k *grpcbox.Call) { k.Header(); k.Status(0) },
@@ -312,6 +311,10 @@
 			t.Fatal(err)
 		}
 	}
+	cfg.Settings.MaxAttempts = 2
+	if _, err := ask(t.Context(), dial(t, cfg), weighIn); status.Code(err) != codes.FailedPrecondition {
+		t.Errorf("with other settings than those in use: %v", err)
+	}
 	inUse := func() (n int) {
 		tiers.mu.Lock()
 		defer tiers.mu.Unlock()
--- a/grpcwalk/plugin.go
+++ b/grpcwalk/plugin.go
@@ -44,11 +44,12 @@
 	mu      sync.Mutex
 	tier    *tier         // while one of its channels lives
 	uses    int           // such channels
+	err     error         // why the last one to be built has none
 	changed chan struct{} // closed when the tier has
 }
 
-// Dial gives the options of a channel to a tier; its target is "hookwalk:///" and any name. The service config that
-// the application sets stays in force, but for its load balancing and its retry and hedging policies.
+// Dial gives the options of a channel to a tier; its target is "hookwalk:///" and any name. A service config
+// that the application sets must name the balancer hookwalk_engine; its retry and hedging policies have no effect.
 func Dial(cfg Config) ([]grpc.DialOption, error) {
 	if err := cfg.check(); err != nil {
 		return nil, err
@@ -112,11 +113,11 @@
 }
 
 // enter makes a call a user of its channel's tier. A new channel has none before its resolver is built, and a new tier
-// waits a little for its first list.
+// waits a little for its first list. The library builds no second resolver for a channel whose first failed.
 func (p *plugin) enter(ctx context.Context, cc *grpc.ClientConn) (*tier, error) {
 	for {
 		p.mu.Lock()
-		t, changed := p.tier, p.changed
+		t, changed, err := p.tier, p.changed, p.err
 		if t != nil {
 			t.again()
 		}
@@ -133,6 +134,9 @@
 		if cc.GetState() == connectivity.Shutdown {
 			return nil, status.Error(codes.Canceled, "hookwalk: the channel is closed")
 		}
+		if err != nil {
+			return nil, status.Error(codes.FailedPrecondition, err.Error())
+		}
 		cc.Connect()
 		select {
 		case <-changed:
@@ -142,12 +146,14 @@
 	}
 }
 
-// joined and left count the channels that live.
-func (p *plugin) joined(t *tier) {
+// joined and left count the channels that live. One that could not be built has calls that wait for it.
+func (p *plugin) joined(t *tier, err error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.tier = t
-	p.uses++
+	if p.err = err; err == nil {
+		p.tier = t
+		p.uses++
+	}
 	close(p.changed)
 	p.changed = make(chan struct{})
 }
--- a/grpcwalk/stream.go
+++ b/grpcwalk/stream.go
@@ -76,6 +76,11 @@
 	defer cancel()
 	late := time.AfterFunc(a.Deadline-clock.Now(), cancel) // for its opening; a stream may last
 	s, err := a.call.open(ctx)
+	if err == nil { // its header may be with the box by now
+		a.mu.Lock()
+		a.sent = true
+		a.mu.Unlock()
+	}
 	if !late.Stop() && a.call.ctx.Err() == nil {
 		return nil, status.Error(codes.DeadlineExceeded, "hookwalk: not open in time")
 	}
--- a/grpcwalk/tier.go
+++ b/grpcwalk/tier.go
@@ -116,20 +116,14 @@
 			delete(t.boxes, b.ID)
 		}
 	}
+	list := t.list()
 	for w := range t.watchers {
-		w.update(t.list())
+		w.update(list)
 	}
 }
 
 // list is what a channel may connect to. The caller holds the lock.
-func (t *tier) list() []Box {
-	return slices.SortedFunc(maps.Values(t.boxes), func(a, b Box) int {
-		if a.ID < b.ID {
-			return -1
-		}
-		return 1
-	})
-}
+func (t *tier) list() []Box { return slices.Collect(maps.Values(t.boxes)) }
 
 // rpc is a call with what its attempts need.
 type rpc struct {
@@ -164,37 +158,36 @@
 	go func() {
 		defer call.out.Done()
 		a := &attempt{Attempt: att, call: call, tier: t}
+		r := engine.Result{Attempt: att}
 		if call.open != nil {
-			t.streamed(a)
-			return
+			r.Ending, r.Latency, call.err = t.streamed(a)
+		} else {
+			r.Ending, call.err = t.invoked(a)
 		}
-		ctx, cancel := context.WithDeadline(call.ctx, t.engine.Clock.At(att.Deadline))
-		defer cancel()
-		var trailer metadata.MD
-		err := call.invoke(context.WithValue(ctx, attemptKey{}, a), &trailer)
-		call.err = err
-		r := engine.Result{Attempt: att, Ending: ending(a, err, trailer)}
 		if r.Ending != deckrelay.Success && r.Ending != deckrelay.Void {
-			r.Err = err
+			r.Err = call.err
 		}
 		t.engine.Ended(r)
 	}()
 }
 
-// streamed makes an attempt of a stream, and hands in how it ended.
-func (t *tier) streamed(a *attempt) {
+// invoked makes an attempt of a unary call.
+func (t *tier) invoked(a *attempt) (deckrelay.Ending, error) {
+	ctx, cancel := context.WithDeadline(a.call.ctx, t.engine.Clock.At(a.Deadline))
+	defer cancel()
+	var trailer metadata.MD
+	err := a.call.invoke(context.WithValue(ctx, attemptKey{}, a), &trailer)
+	return ending(a, err, trailer), err
+}
+
+// streamed makes an attempt of a stream.
+func (t *tier) streamed(a *attempt) (how deckrelay.Ending, latency time.Duration, err error) {
 	s, err := t.stream(a)
-	r := engine.Result{Attempt: a.Attempt}
 	if s == nil {
-		r.Ending = ending(a, err, nil)
-	} else {
-		r.Ending, r.Latency = s.outcome(err)
-	}
-	if r.Ending != deckrelay.Success && r.Ending != deckrelay.Void {
-		r.Err = err
+		return ending(a, err, nil), 0, err
 	}
-	a.call.err = err
-	t.engine.Ended(r)
+	how, latency = s.outcome(err)
+	return how, latency, err
 }
 
 // Retire has nothing to do: channels drop the connections of boxes that their list has no more.
