--- a/deckrelay/deckrelay.go
+++ b/deckrelay/deckrelay.go
@@ -114,12 +114,6 @@
 	Void
 )
 
-// Load is a server's own report, late and noisy. Absent values are negative.
-type Load struct {
-	Busy    float64       // requests it holds
-	Service time.Duration // recent service time without waiting
-}
-
 // Event is something that happened: one of the types below.
 type Event interface{ event() }
 
@@ -151,7 +145,6 @@
 		Ending  Ending
 		Latency time.Duration
 		Ended   bool
-		Load    *Load
 	}
 	// Started says that a streamed answer has begun: the attempt is the client's from here on.
 	Started struct {
--- a/internal/capture/record.go
+++ b/internal/capture/record.go
@@ -62,7 +62,6 @@
 	Ending   deckrelay.Ending `json:"ending,omitempty"`
 	Latency  time.Duration    `json:"latency,omitempty"`
 	Ended    bool             `json:"ended,omitempty"`
-	Load     *deckrelay.Load  `json:"load,omitempty"`
 	Name     string           `json:"name,omitempty"` // of a timer or a drill
 	Full     bool             `json:"full,omitempty"`
 	Cached   bool             `json:"cached,omitempty"`
@@ -119,7 +118,7 @@
 			Deadline: e.Deadline, Repeat: e.Repeat, Key: e.Key, HasKey: e.HasKey, Client: e.Client}, nil
 	case deckrelay.Outcome:
 		r := record{Kind: kindOutcome, ID: plain(e.ID), Attempt: e.Attempt, Server: e.Server, Ending: e.Ending,
-			Latency: e.Latency, Ended: e.Ended, Load: e.Load}
+			Latency: e.Latency, Ended: e.Ended}
 		if aside.Served {
 			r.Answer = http.StatusOK
 		}
@@ -155,7 +154,7 @@
 			HasKey: r.HasKey, Client: r.Client}, nil
 	case kindOutcome:
 		return deckrelay.Outcome{ID: raw(r.ID), Attempt: r.Attempt, Server: r.Server, Ending: r.Ending,
-			Latency: r.Latency, Ended: r.Ended, Load: r.Load}, nil
+			Latency: r.Latency, Ended: r.Ended}, nil
 	case kindTimer:
 		return deckrelay.Timer{Token: raw(r.Name)}, nil
 	case kindList:
--- a/internal/engine/call.go
+++ b/internal/engine/call.go
@@ -93,7 +93,6 @@
 type Result struct {
 	Attempt *Attempt
 	Ending  deckrelay.Ending
-	Load    *deckrelay.Load
 	Reply   any           // of a success; goes into the answer
 	Latency time.Duration // of a stream, till its first message; 0: till now
 
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -325,7 +325,7 @@
 		latency = e.Clock.Now() - r.Attempt.Started
 	}
 	e.handle(deckrelay.Outcome{ID: c.Request.ID, Attempt: r.Attempt.N, Server: r.Attempt.Target.ID, Ending: r.Ending,
-		Latency: latency, Ended: c.Closed(), Load: r.Load})
+		Latency: latency, Ended: c.Closed()})
 	e.forget(c)
 }
 
--- a/internal/node/servers.go
+++ b/internal/node/servers.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"bytes"
 	"container/list"
-	"encoding/json"
 	"errors"
 	"io"
 	"net"
@@ -23,7 +22,6 @@
 	maxBody   = 64 << 10          // of a request
 	maxReply  = 1 << 20           // of an answer: some that are sound have several times what a request may
 	maxAnswer = maxReply + 16<<10 // with its header and any 1xx ahead
-	maxBusy   = 1e6               // in a load report; more is no count of requests
 )
 
 // pool keeps the connections to servers, one request at a time on each. It is own code since
@@ -132,7 +130,7 @@
 	case r.err != nil:
 		return without(deckrelay.Broken, r.err)
 	}
-	res := engine.Result{Attempt: att, Ending: ending(r.resp), Load: load(r.resp.Header), Reply: r}
+	res := engine.Result{Attempt: att, Ending: ending(r.resp), Reply: r}
 	if r.resp.Close {
 		p.close(c)
 	} else {
@@ -172,36 +170,6 @@
 	return deckrelay.Failure // it may have run
 }
 
-// load reads a load report, in which the fields have the names that the settings give them. What is absent
-// or odd is left out.
-func load(h http.Header) *deckrelay.Load {
-	text := h.Get("X-Load-Report")
-	if text == "" {
-		return nil
-	}
-	var r struct {
-		Busy    *float64 `json:"busy_reqs"`
-		Service *float64 `json:"svc_ms"`
-	}
-	if json.Unmarshal([]byte(text), &r) != nil {
-		return nil
-	}
-	l := &deckrelay.Load{Busy: -1, Service: -1}
-	if b := r.Busy; b != nil {
-		if *b < 0 || *b > maxBusy {
-			return nil
-		}
-		l.Busy = *b
-	}
-	if ms := r.Service; ms != nil {
-		if *ms < 0 || *ms > float64(maxBudget.Milliseconds()) {
-			return nil
-		}
-		l.Service = millis(*ms)
-	}
-	return l
-}
-
 var (
 	errClosed   = errors.New("closed by the server before it was asked")
 	errNoAnswer = errors.New("no answer in time")
