Derive a server's own calls and a request's attempts out from their lists

Cause: server.calls said what the length of server.open says, request.out what the attempts say; each pair could part. Change: both are counted when asked; the checkpoint loses its copies.

--- a/deckrelay/checkpoint.go
+++ b/deckrelay/checkpoint.go
@@ -32,7 +32,6 @@
 type savedServer struct {
 	Server
 	Listed               bool
-	Calls                int
 	Open                 [][2]int // request, attempt
 	Streak, Level, Goods int
 	Until, LastOK        time.Duration
@@ -47,7 +46,6 @@
 	Arrived   time.Duration
 	Deadline  time.Duration
 	Attempts  []savedAttempt
-	Out       int
 	Repeat    bool
 	Line      *uint64
 	Answered  bool
@@ -109,7 +107,7 @@
 		s.Requests = append(s.Requests, b.saveRequest(r, &servers))
 	}
 	for _, v := range servers.list {
-		o := savedServer{Server: v.Server, Listed: v.listed, Calls: v.calls, Streak: v.streak, Level: v.level,
+		o := savedServer{Server: v.Server, Listed: v.listed, Streak: v.streak, Level: v.level,
 			Goods: v.goods, Until: v.until, LastOK: v.lastOK, Room: v.room, Full: v.full, Refusals: v.refusals}
 		for _, a := range v.open {
 			o.Open = append(o.Open, [2]int{requests.of(a.req), a.n})
@@ -145,7 +143,7 @@
 
 func (b *Balancer) saveRequest(r *request, servers *places[*server]) savedRequest {
 	o := savedRequest{ID: []byte(r.id), Class: slices.Index(b.order, r.class), Arrived: r.arrived, Deadline: r.deadline,
-		Out: r.out, Repeat: r.repeat, Answered: r.answered, Streaming: r.streaming, Wake: r.wake, Resume: r.resume}
+		Repeat: r.repeat, Answered: r.answered, Streaming: r.streaming, Wake: r.wake, Resume: r.resume}
 	if r.line != nil {
 		o.Line = &r.line.key
 	}
@@ -211,7 +209,7 @@
 	f := &fetcher{}
 	servers := make([]*server, len(s.Servers))
 	for i, o := range s.Servers {
-		servers[i] = &server{Server: o.Server, listed: o.Listed, calls: o.Calls, streak: o.Streak, level: o.Level,
+		servers[i] = &server{Server: o.Server, listed: o.Listed, streak: o.Streak, level: o.Level,
 			goods: o.Goods, until: o.Until, lastOK: o.LastOK, room: o.Room, full: o.Full, refusals: o.Refusals}
 		if i < s.Mapped {
 			b.servers[o.ID] = servers[i]
@@ -266,7 +264,7 @@
 }
 
 func (b *Balancer) loadRequest(o savedRequest, servers []*server, f *fetcher) *request {
-	r := &request{id: string(o.ID), arrived: o.Arrived, deadline: o.Deadline, out: o.Out, repeat: o.Repeat,
+	r := &request{id: string(o.ID), arrived: o.Arrived, deadline: o.Deadline, repeat: o.Repeat,
 		answered: o.Answered, streaming: o.Streaming, wake: o.Wake, resume: o.Resume}
 	if c := fetch(f, b.order, []int{o.Class}); len(c) == 1 {
 		r.class = c[0]
--- a/deckrelay/policy.go
+++ b/deckrelay/policy.go
@@ -118,8 +118,7 @@
 type server struct {
 	Server
 	listed bool
-	calls  int        // own calls in flight
-	open   []*attempt // the same calls in order of sending
+	open   []*attempt // own calls in flight, in order of sending
 
 	streak   int // bad endings in a row
 	level    int // doublings of the next ejection
@@ -138,7 +137,6 @@
 	arrived   time.Duration
 	deadline  time.Duration
 	attempts  []*attempt
-	out       int
 	repeat    bool  // by the client, where clients say so
 	line      *line // nil: free of order
 	held      bool
@@ -149,6 +147,19 @@
 	resume    time.Duration
 }
 
+// calls is how many own calls are in flight at a server.
+func (s *server) calls() int { return len(s.open) }
+
+// out is how many attempts of a request are.
+func (r *request) out() (n int) {
+	for _, a := range r.attempts {
+		if !a.ended {
+			n++
+		}
+	}
+	return n
+}
+
 // attempt is one send of a request.
 type attempt struct {
 	req    *request
@@ -287,14 +298,14 @@
 			s = &server{}
 			b.servers[n.ID] = s
 		} else if s.Boot != n.Boot {
-			*s = server{calls: s.calls, open: s.open}
+			*s = server{open: s.open}
 		}
 		s.Server = n
 		s.listed = n.State != Gone
 	}
 	var ready []*server
 	for id, s := range b.servers {
-		if !s.listed && s.calls == 0 {
+		if !s.listed && s.calls() == 0 {
 			delete(b.servers, id)
 		} else if s.listed && s.State == Ready {
 			ready = append(ready, s)
@@ -466,9 +477,7 @@
 		p.shed -= memory / 4 * p.shed
 	}
 	r.attempts = append(r.attempts, a)
-	r.out++
 	b.unhold(r)
-	s.calls++
 	s.open = append(s.open, a)
 	p.inFlight++
 	p.peak = max(float64(p.inFlight), p.peak-memory/4*(p.peak-float64(p.inFlight)))
@@ -557,18 +566,16 @@
 	a := r.attempts[e.Attempt]
 	a.ended = true
 	a.unsent = e.Ending == Overloaded || e.Ending == Unreachable || e.Ending == Void
-	r.out--
 	r.class.pool.inFlight--
 	if l := r.line; l != nil && (e.Ending == TimedOut || e.Ending == Broken || e.Ending == Withdrawn) {
 		l.rest = b.now + b.set.OrderSettle // it may still run
 	}
-	a.srv.calls--
 	if !b.silent(a.srv) { // a hung server's waits tell nothing of how crowded the others are
 		b.steer(r, e)
 	}
 	a.srv.open = slices.DeleteFunc(a.srv.open, func(o *attempt) bool { return o == a })
 	b.judge(a, e)
-	if !a.srv.listed && a.srv.calls == 0 && b.servers[a.srv.ID] == a.srv {
+	if !a.srv.listed && a.srv.calls() == 0 && b.servers[a.srv.ID] == a.srv {
 		delete(b.servers, a.srv.ID)
 	}
 	switch {
@@ -577,7 +584,7 @@
 			r.class.serve++
 		}
 		b.close(r)
-	case !r.answered && r.out == 0:
+	case !r.answered && r.out() == 0:
 		b.further(r)
 	}
 	b.forget(r)
@@ -594,11 +601,11 @@
 	}
 	l, r := b.draw(left), b.draw(right)
 	switch {
-	case l.calls < r.calls:
+	case l.calls() < r.calls():
 		return l
-	case r.calls < l.calls:
+	case r.calls() < l.calls():
 		return r
-	case l.calls > 0:
+	case l.calls() > 0:
 		return l
 	case b.rng.IntN(len(left)+len(right)) < len(left):
 		return l
@@ -695,14 +702,14 @@
 	}
 	busy := 0.0
 	for _, s := range list {
-		if s.calls > 0 {
+		if s.calls() > 0 {
 			busy += 1 / float64(len(list))
 		}
 	}
 	for _, limit := range limits {
 		ok := make([]bool, len(list))
 		for i, s := range list {
-			ok[i] = !unfit[i] && s.calls < limit(s) && b.inScope(r, s) && b.warmEnough(s, busy)
+			ok[i] = !unfit[i] && s.calls() < limit(s) && b.inScope(r, s) && b.warmEnough(s, busy)
 		}
 		if slices.Contains(ok, true) {
 			return ok
@@ -736,7 +743,7 @@
 func (b *Balancer) crowd(list []*server) func(*server) int {
 	calls := 0
 	for _, s := range list {
-		calls += s.calls
+		calls += s.calls()
 	}
 	return func(s *server) int { return min(b.roomy(s), 1+calls/len(list)) }
 }
@@ -772,7 +779,7 @@
 	}
 	// After an ejection one safe trial at a time decides: a bad server must not eat a request that
 	// cannot be repeated, nor many at once.
-	return s.level > 0 && s.goods == 0 && (r.class.Effect == Unsafe || s.calls > 0)
+	return s.level > 0 && s.goods == 0 && (r.class.Effect == Unsafe || s.calls() > 0)
 }
 
 // silent says that an old call to the server is unanswered while a younger one was answered
@@ -803,7 +810,7 @@
 		w := max(memory, 1/c.samples)
 		c.dev += w * (math.Abs(took-c.mean) - c.dev)
 		c.mean += w * (took - c.mean)
-		if s.calls+1 >= s.room { // it answers with all that it had room for: its queue has moved on
+		if s.calls()+1 >= s.room { // it answers with all that it had room for: its queue has moved on
 			s.room++
 		}
 		s.streak, s.refusals = 0, 0
@@ -812,7 +819,7 @@
 			s.level, s.goods = s.level-1, 1
 		}
 	case Overloaded, Unreachable:
-		s.room = s.calls
+		s.room = s.calls()
 		s.full = b.now + time.Duration((0.5+b.rng.Float64())*ejection*c.mean)<<s.refusals
 		s.refusals = min(s.refusals+1, maxLevel)
 		return
@@ -850,7 +857,7 @@
 	if m := b.set.FallMultiple; m > 0 {
 		share *= min(1, m/2)
 	}
-	return s.calls == 0 && b.rng.Float64() < share
+	return s.calls() == 0 && b.rng.Float64() < share
 }
 
 // ---- Further attempts ----
@@ -898,7 +905,7 @@
 // spare while requests are shed.
 func (b *Balancer) mayCopy(r *request) bool {
 	return b.set.SecondCopies && b.set.Tier == 0 && r.class.pool.shed < spareShed &&
-		r.class.Effect != Unsafe && r.out == 1 && r.line == nil && b.maySendAgain(r)
+		r.class.Effect != Unsafe && r.out() == 1 && r.line == nil && b.maySendAgain(r)
 }
 
 // copyAfter is how long an attempt is out alone: while much of the aim is left, waiting costs little.
@@ -1043,7 +1050,7 @@
 
 // forget drops a request once nothing of it is left.
 func (b *Balancer) forget(r *request) {
-	if !r.answered || r.out > 0 || b.requests[r.id] != r {
+	if !r.answered || r.out() > 0 || b.requests[r.id] != r {
 		return
 	}
 	delete(b.requests, r.id)
--- a/deckrelay/policy_test.go
+++ b/deckrelay/policy_test.go
@@ -43,6 +43,14 @@
 // wide makes a copy draw from the whole list for some hundred calls, as a busy one does.
 func wide(b *Balancer) { b.pools[0].peak = 1e9 }
 
+// calling are n calls just sent.
+func calling(n int) (open []*attempt) {
+	for range n {
+		open = append(open, &attempt{req: &request{class: &class{mean: 1e18}}})
+	}
+	return open
+}
+
 func servers(n int) []Server {
 	var l []Server
 	for i := range n {
@@ -66,7 +74,7 @@
 	mk := func(calls ...int) []*server {
 		var l []*server
 		for i, c := range calls {
-			l = append(l, &server{Server: Server{ID: fmt.Sprint(i, c)}, calls: c})
+			l = append(l, &server{Server: Server{ID: fmt.Sprint(i, c)}, open: calling(c)})
 		}
 		return l
 	}
@@ -337,7 +345,7 @@
 	b := newBalancer(t, func(s *Settings) { s.Tier = 1 })
 	b.Handle(0, ServerList{Full: true, Servers: servers(6)})
 	wide(b)
-	b.servers["s00"].calls, b.pools[0].inFlight = 2, 2
+	b.servers["s00"].open, b.pools[0].inFlight = calling(2), 2
 	got := traffic(b, 300, "get", func(string) Ending { return Success })
 	if got["s00"] != 0 || len(got) != 5 {
 		t.Errorf("draws: %v", got)
@@ -568,17 +576,18 @@
 	b.Handle(0, ServerList{Full: true, Servers: servers(4)})
 	b.now = 20 * msec
 	s, r := b.pools[0].ready[0], &request{class: b.classes["get"]}
-	s.calls = 2
+	s.open = calling(2)
 	b.judge(&attempt{req: r, srv: s}, Outcome{Ending: Overloaded})
 	if b.roomy(s) != 2 {
 		t.Fatalf("room for %d calls after a refusal at 2", b.roomy(s))
 	}
-	s.calls = 0 // both are answered, the second with the server idle but for it
+	s.open = nil // both are answered, the second with the server idle but for it
 	b.judge(&attempt{req: r, srv: s}, Outcome{Ending: Success})
 	if b.roomy(s) != 2 {
 		t.Errorf("room for %d calls after an answer below the room, want 2", b.roomy(s))
 	}
-	for s.calls = 1; s.calls < 4; s.calls++ {
+	for n := 1; n < 4; n++ {
+		s.open = calling(n)
 		b.judge(&attempt{req: r, srv: s}, Outcome{Ending: Success})
 	}
 	if got := b.roomy(s); got != 5 {
--- a/deckrelay/rules_test.go
+++ b/deckrelay/rules_test.go
@@ -442,7 +442,7 @@
 			}
 		}
 		for id, s := range b.servers {
-			if !s.listed || s.calls != 0 || len(s.open) != 0 {
+			if !s.listed || s.calls() != 0 {
 				t.Errorf("seed %d: server %s is left over", seed, id)
 			}
 		}
