--- a/deckrelay/checkpoint_test.go
+++ b/deckrelay/checkpoint_test.go
@@ -20,7 +20,7 @@
 func TestRestoredBalancerGoesOnAlike(t *testing.T) {
 	for seed := uint64(1); seed <= 6; seed++ {
 		set := ruleSettings()
-		set.Tier, set.AskDiscovery, set.SecondCopies = int(seed%2), seed%3 == 0, seed%4 == 0
+		set.Tier, set.AskDiscovery = int(seed%2), seed%3 == 0
 		if seed%2 == 0 {
 			set.Drills = ruleDrills
 		}
--- a/deckrelay/deckrelay.go
+++ b/deckrelay/deckrelay.go
@@ -64,7 +64,6 @@
 	MarksRepeats bool // clients mark their repeats; else short deadlines tell them
 
 	MaxAttempts   int
-	SecondCopies  bool          // two attempts of a request may be out at once
 	AskDiscovery  bool          // the list follows only a Subscribe
 	AskWithin     time.Duration // an unsubscribed copy must ask at least this often
 	Tick          time.Duration // events come no more often than this
--- a/deckrelay/policy.go
+++ b/deckrelay/policy.go
@@ -23,10 +23,7 @@
 	chance      = 0.08  // a run of time-outs likelier than this by the peers' share of bad endings is luck
 	errorChance = 0.001 // the same for a run that ends in an error or a reset, which says less of the server
 	tailSpread  = 3.0   // deviations above the mean at which a wait counts as overlong
-	copySpread  = 4.0   // the same for a second copy, which costs a server's work
 	trySpread   = 5.0   // the same for an attempt that is given up for another one
-	copyAim     = 0.4   // part of the aim before which no second copy goes
-	copyFill    = 0.5   // part of the window above which no second copies are sent
 	comeBack    = 10    // part of the aim after which a refused client should ask again
 	spareShed   = 0.02  // share answered without an attempt above which there is no room to spare
 	minSamples  = 3     // good endings in a row that end a trial
@@ -266,8 +263,6 @@
 			}
 			if r.held {
 				b.hold(r)
-			} else {
-				b.secondCopy(r)
 			}
 		}
 	}
@@ -482,9 +477,6 @@
 	p.inFlight++
 	p.peak = max(float64(p.inFlight), p.peak-memory/4*(p.peak-float64(p.inFlight)))
 	b.do(Send{ID: r.id, Server: s.ID, Timeout: max(b.patience(r), b.set.Tick)})
-	if b.mayCopy(r) {
-		b.wakeAt(r, b.now+r.class.copyAfter())
-	}
 }
 
 // patience is how long an attempt is waited for: to the deadline, unless another may follow. A machine that
@@ -900,46 +892,6 @@
 	b.send(r, s)
 }
 
-// mayCopy says that the class and the limits allow a second copy beside the one attempt that is out. Copies
-// of several tiers would multiply, only the first has a window to tell a crowd by, and none has room to
-// spare while requests are shed.
-func (b *Balancer) mayCopy(r *request) bool {
-	return b.set.SecondCopies && b.set.Tier == 0 && r.class.pool.shed < spareShed &&
-		r.class.Effect != Unsafe && r.out() == 1 && r.line == nil && b.maySendAgain(r)
-}
-
-// copyAfter is how long an attempt is out alone: while much of the aim is left, waiting costs little.
-func (c *class) copyAfter() time.Duration {
-	return max(c.longest(copySpread), time.Duration(copyAim*float64(c.Aim)))
-}
-
-// secondCopy sends one more attempt beside one that has been out for overlong: a connection gone silent, an
-// answer that stopped short or a hung server show nothing else until the time is up. It has the budget of
-// further attempts and needs much room, so that a crowd, whose answers are all late, is not doubled.
-func (b *Balancer) secondCopy(r *request) {
-	if !b.mayCopy(r) {
-		return
-	}
-	i := slices.IndexFunc(r.attempts, func(a *attempt) bool { return !a.ended })
-	if due := r.attempts[i].sent + r.class.copyAfter(); b.now+b.set.Tick < due {
-		b.wakeAt(r, due)
-		return
-	}
-	p := r.class.pool
-	crowded := float64(p.inFlight) >= copyFill*p.window
-	if float64(r.deadline-b.now) < r.class.mean/2 {
-		return
-	}
-	if crowded || b.tokens < 1 {
-		b.wakeAt(r, b.now+time.Duration(r.class.mean))
-		return
-	}
-	if s := b.choose(r); s != nil {
-		b.tokens--
-		b.send(r, s)
-	}
-}
-
 // ---- Admission ----
 
 // full says that the node has as many calls out as the tiers below answer in good time. Only the
--- a/deckrelay/policy_test.go
+++ b/deckrelay/policy_test.go
@@ -279,52 +279,6 @@
 	}
 }
 
-// An attempt that waits far longer than its class does gets one second copy, unless running twice does harm,
-// the deployment has none, or the node is crowded.
-func TestSecondCopyAfterALongWait(t *testing.T) {
-	wakes := func(acts []Action) (at time.Duration) {
-		for _, a := range acts {
-			if w, ok := a.(Wake); ok && w.Token == "r:x" {
-				at = w.At
-			}
-		}
-		return at
-	}
-	for name, c := range map[string]struct {
-		class   string
-		allowed bool
-		crowd   int // own calls already out
-		want    int
-	}{
-		"safe": {"get", true, 0, 1}, "keyed": {"post", true, 0, 1}, "unsafe": {"pay", true, 0, 0},
-		"not allowed": {"get", false, 0, 0}, "crowded": {"get", true, 15, 0},
-	} {
-		b := newBalancer(t, func(s *Settings) { s.SecondCopies = c.allowed })
-		b.Handle(0, ServerList{Full: true, Servers: servers(10)})
-		wide(b)
-		for i := range c.crowd {
-			b.Handle(msec, Request{ID: fmt.Sprint(i), Class: "pay", Deadline: time.Minute})
-		}
-		acts := b.Handle(2*msec, Request{ID: "x", Class: c.class, Deadline: 800 * msec})
-		first, copies := sends(acts)[0], 0
-		for at := wakes(acts); at > 0; at = wakes(acts) {
-			acts = b.Handle(at, Timer{Token: "r:x"})
-			for _, s := range sends(acts) {
-				copies++
-				if s.Server == first.Server || c.class == "post" && b.servers[s.Server].Cell != b.servers[first.Server].Cell {
-					t.Errorf("%s: the copy of %s went to %s", name, first.Server, s.Server)
-				}
-				if wait := at - 2*msec; wait < 100*msec {
-					t.Errorf("%s: the copy went after %v", name, wait)
-				}
-			}
-		}
-		if copies != c.want {
-			t.Errorf("%s: %d copies, want %d", name, copies, c.want)
-		}
-	}
-}
-
 // After an ejection the first trial must not be a request that cannot be repeated.
 func TestTrialIsNeverUnsafe(t *testing.T) {
 	b := newBalancer(t, nil)
--- a/internal/lab/audit/audit.go
+++ b/internal/lab/audit/audit.go
@@ -210,7 +210,7 @@
 	if r.answered && now > r.ended+a.Overlap {
 		a.broke(OneAnswer, now, node, id, box, "sent after the final answer")
 	}
-	if r.out > 0 && !a.rules.SecondCopies {
+	if r.out > 0 {
 		r.overlaps = append(r.overlaps, overlap{now, box})
 		a.stillOut(now, node, id, r)
 	}
--- a/internal/lab/model/settings.go
+++ b/internal/lab/model/settings.go
@@ -10,7 +10,7 @@
 // Settings are what the instance of a node that sends to a tier is told: self is its number among so many copies.
 func Settings(s *scenario.Scenario, tier, self, copies int) deckrelay.Settings {
 	set := deckrelay.Settings{Balancers: copies, Self: self, Tier: tier, WholeWeight: 0.6, ClassWeight: 0.1,
-		MarksRepeats: s.Clients.Marks, MaxAttempts: s.Rules.MaxAttempts, SecondCopies: s.Rules.SecondCopies,
+		MarksRepeats: s.Clients.Marks, MaxAttempts: s.Rules.MaxAttempts,
 		AskDiscovery: s.Discovery.Asked, AskWithin: s.Discovery.Within, Tick: time.Millisecond,
 		MaxRetryAfter: s.Rules.MaxRetryAfter, FallMultiple: s.Rules.FallMultiple, ColdFrom: 1}
 	for _, k := range s.Tiers[tier].Kinds {
--- a/internal/lab/scenario/scenario.go
+++ b/internal/lab/scenario/scenario.go
@@ -131,7 +131,6 @@
 // Rules are what the auditor holds nodes to, and what nodes are told.
 type Rules struct {
 	MaxAttempts   int
-	SecondCopies  bool
 	DrainGrace    time.Duration
 	FallMultiple  float64
 	Fall          time.Duration
@@ -419,7 +418,7 @@
 
 func (s *Scenario) takeRules(r *settings.Reader, again bool) {
 	r.Once(again)
-	s.Rules = Rules{MaxAttempts: r.Whole("max_attempts", 3, 1, 10), SecondCopies: r.OneOf("second_copies", "off", "on") == "on",
+	s.Rules = Rules{MaxAttempts: r.Whole("max_attempts", 3, 1, 10),
 		DrainGrace: r.Millis("drain_grace_ms", 250*ms, 0, minute), FallMultiple: r.Number("fall_multiple", 3, 0, 100),
 		Fall: r.Millis("fall_ms", time.Second, ms, minute), MaxRetryAfter: r.Millis("max_retry_after_ms", 2*time.Second, 0, time.Hour),
 		Slack: r.Millis("slack_ms", 20*ms, 0, time.Second)}
--- a/internal/lab/sockets/process.go
+++ b/internal/lab/sockets/process.go
@@ -73,7 +73,7 @@
 		"settings": object{"balancers": set.Balancers, "me": set.Self, "tier": set.Tier, "registry-mode": mode, "tick-ms": millis(set.Tick),
 			"zone": "", "blend": object{"whole": set.WholeWeight, "worst-class": set.ClassWeight},
 			"callers": object{"marks-retry": set.MarksRepeats}, "lanes": lanes, "tenants": tenants,
-			"limits": object{"max-attempts": set.MaxAttempts, "second-copies": set.SecondCopies, "retry-after": true,
+			"limits": object{"max-attempts": set.MaxAttempts, "retry-after": true,
 				"max-retry-after-ms": millis(set.MaxRetryAfter), "conn-idle-ms": millis(p.w.s.Net.Idle),
 				"connect-timeout-ms": millis(p.w.s.Net.ConnectTimeout)},
 			"rules": object{"ask-within-ms": millis(set.AskWithin), "cold-from": set.ColdFrom, "warm-after-ms": millis(set.WarmAfter),
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -340,7 +340,6 @@
 		MaxAttempts   int     `json:"max-attempts"`
 		MaxRetryAfter float64 `json:"max-retry-after-ms"`
 		RetryAfter    bool    `json:"retry-after"`
-		SecondCopies  bool    `json:"second-copies"`
 	} `json:"limits"`
 	Registry string `json:"registry-mode"`
 	Rules    struct {
@@ -374,7 +373,7 @@
 	s := deckrelay.Settings{
 		Balancers: p.Balancers, Self: p.Self, Tier: p.Tier, Zone: p.Zone,
 		WholeWeight: p.Blend.Whole, ClassWeight: p.Blend.WorstClass,
-		MarksRepeats: p.Callers.MarksRetry, MaxAttempts: p.Limits.MaxAttempts, SecondCopies: p.Limits.SecondCopies,
+		MarksRepeats: p.Callers.MarksRetry, MaxAttempts: p.Limits.MaxAttempts,
 		AskDiscovery: p.Registry == "on_request", AskWithin: fromMS(p.Rules.AskWithin),
 		Tick: fromMS(p.Tick), ColdFrom: p.Rules.ColdFrom, WarmAfter: fromMS(p.Rules.WarmAfter),
 		FallMultiple: p.Rules.FallMultiple,
