A request without a server is no longer held to its deadline

Seen: with no server listed, holdUntil kept a request till two ticks before its deadline. TestNoServerKeepsNobodyToTheDeadline before: "get: {ID:r RetryAfter:50ms} at 59m59.996s" for an aim of 500 ms. The timer outlived a client that left, so that with long budgets the heap grew without a bound. Ruled out: that waiting is worth it. At fault: the case len(ready) == 0 in holdUntil. It goes: the general rule, as long as an answer may still be in time, covers it, and the refusal says when to come back.

--- a/deckrelay/policy.go
+++ b/deckrelay/policy.go
@@ -517,14 +517,10 @@
 }
 
 // holdUntil is how long holding makes sense: until an answer may well miss the aim, for late answers take the
-// room of those in time. With no server at all a late answer is the best there is: almost to the deadline.
+// room of those in time. Then the client is told when to come back, also where there is no server at all.
 func (b *Balancer) holdUntil(r *request) time.Duration {
-	last := r.deadline - 2*b.set.Tick
-	if len(r.class.pool.ready) == 0 {
-		return last
-	}
 	aim := r.class.Aim
-	return min(last, r.arrived+max(aim/4, aim-r.class.longest(2)))
+	return min(r.deadline-2*b.set.Tick, r.arrived+max(aim/4, aim-r.class.longest(2)))
 }
 
 // release sends held requests while their pools have room, the most valuable first.
--- a/deckrelay/policy_test.go
+++ b/deckrelay/policy_test.go
@@ -590,12 +590,13 @@
 // An unmarked repeat shows by a deadline shorter than other tries have.
 func TestShortDeadlineTellsARepeat(t *testing.T) {
 	b := newBalancer(t, nil)
+	b.Handle(0, ServerList{Full: true, Servers: servers(4)})
 	b.Handle(0, Request{ID: "first", Class: "get", Deadline: 1500 * msec})
 	b.Handle(5*time.Second, Request{ID: "again", Class: "get", Deadline: 5*time.Second + 900*msec})
 	if r := b.requests["first"]; r == nil || r.repeat || r.arrived != 0 {
 		t.Errorf("a first try was taken for a repeat: %+v", r)
 	}
-	// The repeat's aim of 500 ms ended 100 ms before it came: without a server it is still held.
+	// The repeat's aim of 500 ms ended 100 ms before it came.
 	r := b.requests["again"]
 	if r == nil || !r.repeat || r.arrived != 5*time.Second-600*msec {
 		t.Errorf("the repeat was not seen: %+v", r)
--- /dev/null
+++ b/deckrelay/review_test.go
@@ -0,0 +1,57 @@
+package deckrelay
+
+import (
+	"testing"
+	"time"
+)
+
+// answers plays a request's timers and returns what it is answered with, and when.
+func answers(b *Balancer, now time.Duration, e Request) (at time.Duration, answer Action) {
+	acts := b.Handle(now, e)
+	for range 100 {
+		var next *Wake
+		for _, a := range acts {
+			switch a := a.(type) {
+			case Refuse, Fail, Send:
+				return now, a
+			case Wake:
+				next = &a
+			}
+		}
+		if next == nil {
+			break
+		}
+		now = next.At
+		acts = b.Handle(now, Timer{Token: next.Token})
+	}
+	return now, nil
+}
+
+// With nobody to send to, a request waits for no longer than an answer could still be in time, however long its client
+// would, and its client is told when to come back.
+func TestNoServerKeepsNobodyToTheDeadline(t *testing.T) {
+	for _, class := range []string{"get", "pay"} {
+		b := newBalancer(t, nil)
+		b.Handle(0, ServerList{Full: true})
+		at, a := answers(b, msec, Request{ID: "r", Class: class, Deadline: time.Hour})
+		if r, ok := a.(Refuse); !ok || r.RetryAfter != 50*msec || at > 500*msec {
+			t.Errorf("%s: %+v at %v", class, a, at)
+		}
+		if len(b.requests) > 0 {
+			t.Errorf("%s: it is still held", class)
+		}
+	}
+}
+
+// What has used up its attempts is answered in the same event, with advice where it is refused.
+func TestGivenUpIsAnsweredAtOnce(t *testing.T) {
+	b := newBalancer(t, func(s *Settings) { s.MaxAttempts = 1 })
+	b.Handle(0, ServerList{Full: true, Servers: servers(4)})
+	for class, want := range map[string]Action{"get": Refuse{ID: "get", RetryAfter: 50 * msec}, "pay": Fail{ID: "pay"}} {
+		s := sends(b.Handle(msec, Request{ID: class, Class: class, Deadline: time.Second}))[0]
+		acts := b.Handle(2*msec, Outcome{ID: class, Server: s.Server, Ending: Broken})
+		if len(acts) != 1 || acts[0] != want {
+			t.Errorf("%s: %+v", class, acts)
+		}
+	}
+}
