A budget ends with its class's deadline

Seen: a budget of an hour was taken at its word: an attempt at a silent server held its place in the window for an hour, and a node told to stop cut the call off unanswered. TestBudgetIsNoLongerThanTheClass before: "waited for during 59m59.999s". At fault: accept, which copied the deadline. It is the class's at most.

--- a/deckrelay/policy.go
+++ b/deckrelay/policy.go
@@ -390,7 +390,8 @@
 	if c == nil {
 		c = b.order[len(b.order)-1] // unknown: unsafe
 	}
-	r := &request{id: e.ID, class: c, arrived: b.now, deadline: e.Deadline, repeat: e.Repeat}
+	r := &request{id: e.ID, class: c, arrived: b.now, deadline: min(e.Deadline, b.now+c.Deadline),
+		repeat: e.Repeat}
 	b.requests[e.ID] = r
 	b.backdate(r)
 	for _, k := range b.order {
--- a/deckrelay/review_test.go
+++ b/deckrelay/review_test.go
@@ -55,3 +55,13 @@
 		}
 	}
 }
+
+// A client that says that it waits for an hour is given no more than its class: its call would hold its place in the
+// window for as long, and outlive a node that is told to stop.
+func TestBudgetIsNoLongerThanTheClass(t *testing.T) {
+	b := newBalancer(t, nil)
+	b.Handle(0, ServerList{Full: true, Servers: servers(2)})
+	if s := sends(b.Handle(msec, Request{ID: "r", Class: "pay", Deadline: time.Hour}))[0]; s.Timeout > 1500*msec {
+		t.Errorf("waited for during %v", s.Timeout)
+	}
+}
