An ejected server comes back where only unsafe requests come

Seen: after an ejection only a safe request may be the trial, so a caller with unsafe ones alone never used the server again. TestUnsafeAloneBringsAServerBack before: "requests by server: map[s00:124 s01:131 s02:145]", s03 none in 8 s of health. Ruled out: that the ejection's end brings it back (level stays until three good endings). At fault: unfit. A safe request still goes first; an unsafe one is the trial only when as long again has passed as a first ejection lasts.

--- a/deckrelay/policy.go
+++ b/deckrelay/policy.go
@@ -766,9 +766,11 @@
 	if b.now < s.until || b.silent(s) {
 		return true
 	}
-	// After an ejection one safe trial at a time decides: a bad server must not eat a request that
-	// cannot be repeated, nor many at once.
-	return s.level > 0 && s.goods == 0 && (r.class.Effect == Unsafe || s.calls() > 0)
+	// After an ejection one safe trial at a time decides: a bad server must not eat a request that cannot be
+	// repeated, nor many at once. Where nothing safe comes for as long again, an unsafe one must do: the
+	// server would stay out for good.
+	early := r.class.Effect == Unsafe && b.now < s.until+time.Duration(ejection*r.class.mean)
+	return s.level > 0 && s.goods == 0 && (early || s.calls() > 0)
 }
 
 // silent says that an old call to the server is unanswered while a younger one was answered
--- a/deckrelay/review_test.go
+++ b/deckrelay/review_test.go
@@ -1,6 +1,7 @@
 package deckrelay
 
 import (
+	"fmt"
 	"testing"
 	"time"
 )
@@ -65,3 +66,25 @@
 		t.Errorf("waited for during %v", s.Timeout)
 	}
 }
+
+// Where only unsafe requests come, one of them must be the trial after an ejection: else the server is out for good.
+func TestUnsafeAloneBringsAServerBack(t *testing.T) {
+	b := newBalancer(t, nil)
+	b.Handle(0, ServerList{Full: true, Servers: servers(4)})
+	wide(b)
+	b.servers["s03"].level, b.servers["s03"].until = 1, time.Second
+	got := map[string]int{}
+	for i := range 400 {
+		now := time.Second + time.Duration(i)*20*msec
+		id := fmt.Sprint(i)
+		s := sends(b.Handle(now, Request{ID: id, Class: "pay", Deadline: now + time.Second}))[0]
+		if now < 1100*msec && s.Server == "s03" {
+			t.Fatalf("an unsafe trial at %v, when a safe one might still come", now)
+		}
+		got[s.Server]++
+		settle(b, now+10*msec, id, s, Success)
+	}
+	if got["s03"] < 40 {
+		t.Errorf("requests by server: %v", got)
+	}
+}
