A budget shorter than answers take is no sign of a sick server or a crowd

Seen: one client with budgets under what answers take had sound servers ejected for all. TestShortBudgetsTellNothing before: "s00: 70 bad endings, level 1" and likewise two more of four servers. Ruled out: the window alone (its floor held it in the test). At fault: takeOutcome handed every time-out to judge and steer. One that came sooner than the class's mean answer is now passed over by both.

--- a/deckrelay/policy.go
+++ b/deckrelay/policy.go
@@ -559,11 +559,15 @@
 	if l := r.line; l != nil && (e.Ending == TimedOut || e.Ending == Broken || e.Ending == Withdrawn) {
 		l.rest = b.now + b.set.OrderSettle // it may still run
 	}
-	if !b.silent(a.srv) { // a hung server's waits tell nothing of how crowded the others are
+	// A client that gave less time than answers take tells of itself: neither of the server nor of a crowd.
+	brief := e.Ending == TimedOut && b.now-a.sent < time.Duration(r.class.mean)
+	if !brief && !b.silent(a.srv) { // a hung server's waits tell nothing of how crowded the others are
 		b.steer(r, e)
 	}
 	a.srv.open = slices.DeleteFunc(a.srv.open, func(o *attempt) bool { return o == a })
-	b.judge(a, e)
+	if !brief {
+		b.judge(a, e)
+	}
 	if !a.srv.listed && a.srv.calls() == 0 && b.servers[a.srv.ID] == a.srv {
 		delete(b.servers, a.srv.ID)
 	}
--- a/deckrelay/review_test.go
+++ b/deckrelay/review_test.go
@@ -88,3 +88,28 @@
 		t.Errorf("requests by server: %v", got)
 	}
 }
+
+// A client that gives less time than answers take shows that its budgets are short: nobody is ejected for it, and the
+// window stays for the others.
+func TestShortBudgetsTellNothing(t *testing.T) {
+	b := newBalancer(t, nil)
+	b.Handle(0, ServerList{Full: true, Servers: servers(4)})
+	wide(b)
+	traffic(b, 200, "get", func(string) Ending { return Success })
+	now, window := b.now+msec, b.pools[0].window
+	for i := range 300 {
+		id := fmt.Sprint("short", i)
+		for _, s := range sends(b.Handle(now, Request{ID: id, Class: "pay", Deadline: now + 4*msec})) {
+			settle(b, now+4*msec, id, s, TimedOut)
+		}
+		now += 5 * msec
+	}
+	for id, s := range b.servers {
+		if s.level > 0 || s.streak > 0 {
+			t.Errorf("%s: %d bad endings, level %d", id, s.streak, s.level)
+		}
+	}
+	if got := b.pools[0].window; got < window {
+		t.Errorf("the window fell from %.2f to %.2f", window, got)
+	}
+}
