What was sent to a server's earlier process is not held against the next

Seen: endings of calls to a process that has been replaced counted in the health of its successor, and its unanswered calls made that one look silent. The test before: "silent for what the earlier process owes", "streak:2 level:1 refusals:1". Ruled out: dropping the calls from the count at the restart; they are in flight until they end. At fault: judge and silent, which did not know which start an attempt was sent to. An attempt keeps it now.

--- a/deckrelay/checkpoint.go
+++ b/deckrelay/checkpoint.go
@@ -59,6 +59,7 @@
 	Sent          time.Duration
 	Zone          string
 	Cell          int
+	Boot          time.Duration
 	Ended, Unsent bool
 }
 
@@ -149,7 +150,7 @@
 	}
 	for _, a := range r.attempts {
 		o.Attempts = append(o.Attempts, savedAttempt{Server: servers.of(a.srv), Sent: a.sent, Zone: a.zone,
-			Cell: a.cell, Ended: a.ended, Unsent: a.unsent})
+			Cell: a.cell, Boot: a.boot, Ended: a.ended, Unsent: a.unsent})
 	}
 	return o
 }
@@ -272,7 +273,7 @@
 	for n, a := range o.Attempts {
 		if v := fetch(f, servers, []int{a.Server}); len(v) == 1 {
 			r.attempts = append(r.attempts, &attempt{req: r, srv: v[0], n: n, sent: a.Sent, zone: a.Zone,
-				cell: a.Cell, ended: a.Ended, unsent: a.Unsent})
+				cell: a.Cell, boot: a.Boot, ended: a.Ended, unsent: a.Unsent})
 		}
 	}
 	return r
--- a/deckrelay/policy.go
+++ b/deckrelay/policy.go
@@ -165,6 +165,7 @@
 	sent   time.Duration
 	zone   string
 	cell   int
+	boot   time.Duration
 	ended  bool
 	unsent bool // proven never to have run
 }
@@ -467,7 +468,7 @@
 }
 
 func (b *Balancer) send(r *request, s *server) {
-	a := &attempt{req: r, srv: s, n: len(r.attempts), sent: b.now, zone: s.Zone, cell: s.Cell}
+	a := &attempt{req: r, srv: s, n: len(r.attempts), sent: b.now, zone: s.Zone, cell: s.Cell, boot: s.Boot}
 	p := r.class.pool
 	if a.n == 0 {
 		p.shed -= memory / 4 * p.shed
@@ -780,10 +781,11 @@
 // silent says that an old call to the server is unanswered while a younger one was answered
 // elsewhere: a machine gone quiet, hung or pausing shows nothing else until time-outs end.
 func (b *Balancer) silent(s *server) bool {
-	if len(s.open) == 0 {
+	i := slices.IndexFunc(s.open, func(a *attempt) bool { return a.boot == s.Boot })
+	if i < 0 {
 		return false
 	}
-	a := s.open[0]
+	a := s.open[i]
 	wait := a.req.class.longest(tailSpread)
 	return b.now-a.sent > wait && b.lastOK > a.sent+wait/2 && s.lastOK < a.sent+wait/2
 }
@@ -791,9 +793,12 @@
 // judge learns from an ending: the class's latency, the server's health relative to its peers.
 func (b *Balancer) judge(a *attempt, e Outcome) {
 	s, c := a.srv, a.req.class
+	if a.boot != s.Boot { // sent to its process before this one: no longer of any weight
+		s = &server{}
+	}
 	took := float64(b.now - a.sent)
 	if e.Ending == Success || e.Ending == TimedOut {
-		c.pool.compare(slices.Contains(c.pool.near, s), math.Log(max(took, 1)/c.mean))
+		c.pool.compare(slices.Contains(c.pool.near, a.srv), math.Log(max(took, 1)/c.mean))
 	}
 	switch e.Ending {
 	case Success:
--- a/deckrelay/review_test.go
+++ b/deckrelay/review_test.go
@@ -113,3 +113,30 @@
 		t.Errorf("the window fell from %.2f to %.2f", window, got)
 	}
 }
+
+// What was sent to a process before it started anew says nothing of the new one, and yet is in flight until it ends.
+func TestEarlierLifeIsNotHeldAgainstTheNext(t *testing.T) {
+	b := newBalancer(t, func(s *Settings) { s.Balancers, s.MaxAttempts = 1, 1 })
+	l := servers(1)
+	b.Handle(0, ServerList{Full: true, Servers: l})
+	var out []Send
+	for i := range 4 {
+		out = append(out, sends(b.Handle(msec, Request{ID: fmt.Sprint(i), Class: "pay", Deadline: time.Second}))...)
+	}
+	l[0].Boot = 2 * msec
+	b.Handle(3*msec, ServerList{Servers: l})
+	s := b.servers["s00"]
+	b.lastOK = 900 * msec // others have been answered meanwhile
+	if b.now = 950 * msec; b.silent(s) {
+		t.Error("silent for what the earlier process owes")
+	}
+	for i, o := range out {
+		if s.calls() != len(out)-i {
+			t.Fatalf("%d calls in flight, want %d", s.calls(), len(out)-i)
+		}
+		b.Handle(960*msec, Outcome{ID: o.ID, Server: o.Server, Ending: []Ending{Broken, TimedOut, Unreachable, Broken}[i]})
+	}
+	if s.calls() != 0 || s.streak != 0 || s.until != 0 || s.full != 0 {
+		t.Errorf("held against the new process: %+v", s)
+	}
+}
