A stream's life is not its latency

Seen: judge and steer took the time an attempt was out; of a stream that is as long as its client listens. Ruled out: the plug-in's measure, which is right. At fault: judge and steer. Of a stream they take what the host has measured; for all else nothing changes.

--- a/deckrelay/policy.go
+++ b/deckrelay/policy.go
@@ -790,13 +790,21 @@
 	return b.now-a.sent > wait && b.lastOK > a.sent+wait/2 && s.lastOK < a.sent+wait/2
 }
 
+// latency is how long an attempt took; of a stream, till its first message, as the host has seen it.
+func (b *Balancer) latency(r *request, a *attempt, e Outcome) time.Duration {
+	if r.streaming {
+		return e.Latency
+	}
+	return b.now - a.sent
+}
+
 // judge learns from an ending: the class's latency, the server's health relative to its peers.
 func (b *Balancer) judge(a *attempt, e Outcome) {
 	s, c := a.srv, a.req.class
 	if a.boot != s.Boot { // sent to its process before this one: no longer of any weight
 		s = &server{}
 	}
-	took := float64(b.now - a.sent)
+	took := float64(b.latency(a.req, a, e))
 	if e.Ending == Success || e.Ending == TimedOut {
 		c.pool.compare(slices.Contains(c.pool.near, a.srv), math.Log(max(took, 1)/c.mean))
 	}
@@ -915,7 +923,7 @@
 		return
 	}
 	p := r.class.pool
-	over := float64(b.now-r.attempts[e.Attempt].sent) / float64(r.class.Aim)
+	over := float64(b.latency(r, r.attempts[e.Attempt], e)) / float64(r.class.Aim)
 	if e.Ending != Success {
 		over = max(over, 1)
 	}
--- a/deckrelay/review_test.go
+++ b/deckrelay/review_test.go
@@ -140,3 +140,21 @@
 		t.Errorf("held against the new process: %+v", s)
 	}
 }
+
+// A stream's latency is the time till its first message, which its host has measured: it may last for hours.
+func TestAStreamsLifeIsNoLatency(t *testing.T) {
+	b := newBalancer(t, nil)
+	b.Handle(0, ServerList{Full: true, Servers: servers(2)})
+	for i := range 20 {
+		id, now := fmt.Sprint(i), time.Duration(i)*time.Hour
+		s := sends(b.Handle(now, Request{ID: id, Class: "get", Deadline: now + time.Second}))[0]
+		b.Handle(now+msec, Started{ID: id})
+		b.Handle(now+time.Hour-msec, Outcome{ID: id, Server: s.Server, Ending: Success, Latency: 20 * msec, Ended: true})
+	}
+	if mean := time.Duration(b.classes["get"].mean); mean > 21*msec {
+		t.Errorf("the class is taken to last %v", mean)
+	}
+	if p := b.pools[0]; p.fill > 0.1 {
+		t.Errorf("the window sees %.2f of the aim", p.fill)
+	}
+}
