One client's long budgets no longer make all others look like repeats

Seen: where clients mark no repeats, a try with less time than the longest ever seen was taken for a repeat, for good. Ruled out: capping by the class's deadline alone; that is such a client's budget. At fault: longestTry. It is the middle of what comes now, moved by a hundredth at each request.

--- a/deckrelay/checkpoint.go
+++ b/deckrelay/checkpoint.go
@@ -65,7 +65,7 @@
 
 type savedClass struct {
 	Mean, Dev, Samples, Arrive, Serve float64
-	LongestTry                        time.Duration
+	UsualTry                          time.Duration
 }
 
 type savedPool struct {
@@ -117,7 +117,7 @@
 	}
 	for _, c := range b.order {
 		s.Classes = append(s.Classes, savedClass{Mean: c.mean, Dev: c.dev, Samples: c.samples, Arrive: c.arrive,
-			Serve: c.serve, LongestTry: c.longestTry})
+			Serve: c.serve, UsualTry: c.usualTry})
 	}
 	for _, p := range b.pools {
 		s.Pools = append(s.Pools, savedPool{Ready: servers.all(p.ready), Near: servers.all(p.near),
@@ -204,7 +204,7 @@
 	b.subFails, b.subWanted, b.leaving = s.SubFails, s.SubWanted, s.Leaving
 	for i, c := range s.Classes {
 		k := b.order[i]
-		k.mean, k.dev, k.samples, k.arrive, k.serve, k.longestTry = c.Mean, c.Dev, c.Samples, c.Arrive, c.Serve, c.LongestTry
+		k.mean, k.dev, k.samples, k.arrive, k.serve, k.usualTry = c.Mean, c.Dev, c.Samples, c.Arrive, c.Serve, c.UsualTry
 	}
 	// Pointers go last: each list must be there before another one points into it.
 	f := &fetcher{}
--- a/deckrelay/policy.go
+++ b/deckrelay/policy.go
@@ -108,7 +108,7 @@
 	mean, dev     float64 // latency of successes, in ns
 	samples       float64 // successes that they rest on
 	arrive, serve float64 // decayed counts
-	longestTry    time.Duration
+	usualTry      time.Duration
 }
 
 // server is a listed server, or one that left with calls of ours still out.
@@ -445,11 +445,19 @@
 
 // backdate finds when the client first asked. Tries are all given the same time unless the class's
 // deadline, which runs over all of them, ends sooner: a shorter one tells how much is over already. Where
-// clients mark repeats only the mark counts, for a last try may be given more time than the first.
+// clients mark repeats only the mark counts, for a last try may be given more time than the first. What is
+// usual is the middle of what comes: one client's long budgets would make everybody else's tries look short.
 func (b *Balancer) backdate(r *request) {
-	left := r.deadline - b.now
-	r.class.longestTry = max(r.class.longestTry, left)
-	short := float64(left) < 0.95*float64(r.class.longestTry)
+	left, c := r.deadline-b.now, r.class
+	switch {
+	case c.usualTry == 0:
+		c.usualTry = left
+	case left > c.usualTry:
+		c.usualTry += c.usualTry / 100
+	default:
+		c.usualTry -= c.usualTry / 100
+	}
+	short := float64(left) < 0.95*float64(c.usualTry)
 	if b.set.Tier == 0 && (r.repeat || short && !b.set.MarksRepeats) {
 		r.arrived = min(b.now, r.deadline-r.class.Deadline)
 		r.repeat = true
--- a/deckrelay/review_test.go
+++ b/deckrelay/review_test.go
@@ -158,3 +158,27 @@
 		t.Errorf("the window sees %.2f of the aim", p.fill)
 	}
 }
+
+// Where clients mark no repeats, one client with a longer budget than all others must not make these look like repeats.
+func TestOneLongBudgetMakesNobodyARepeat(t *testing.T) {
+	b := newBalancer(t, nil)
+	b.Handle(0, ServerList{Full: true, Servers: servers(4)})
+	repeats := 0
+	for i := range 1000 {
+		now, budget := time.Duration(i)*10*msec, 800*msec
+		if i%5 == 0 {
+			budget = 1500 * msec
+		}
+		id := fmt.Sprint(i)
+		acts := b.Handle(now, Request{ID: id, Class: "get", Deadline: now + budget})
+		if b.requests[id].repeat && i > 200 {
+			repeats++
+		}
+		for _, s := range sends(acts) {
+			settle(b, now+5*msec, id, s, Success)
+		}
+	}
+	if repeats > 8 {
+		t.Errorf("%d of 800 first tries are taken for repeats", repeats)
+	}
+}
