A stream that breaks once begun ends its call

Seen: the module leaves the end of a begun stream to its host, and the engine ended only successes: the call, its goroutine in the plug-in and the module's request stayed until the caller's context ended, for a caller with none for ever. TestBrokenStreamEndsItsCall before: "nothing has come" after Broken, Failure, Overloaded and TimedOut alike. Ruled out: the plug-in, which hands in the ending once and waits for the answer that never came. At fault: Engine.takeResult. A begun attempt that ends is its call's end; the module is told that it ended. A comment that named a field of ServerList that is not there goes.

--- a/deckrelay/deckrelay.go
+++ b/deckrelay/deckrelay.go
@@ -118,7 +118,7 @@
 
 type (
 	// ServerList brings news from discovery. Full: the complete list, absent servers are gone.
-	// Otherwise only changed entries. Asked marks an answer to Subscribe.
+	// Otherwise only changed entries.
 	ServerList struct {
 		Full    bool
 		Cached  bool // last held before a restart, possibly out of date
--- a/internal/engine/call.go
+++ b/internal/engine/call.go
@@ -82,6 +82,8 @@
 	Target   *Target
 	Deadline time.Duration
 	Started  time.Duration
+
+	begun bool // a streamed answer is the client's; the loop's own
 }
 
 // MaySend says whether the attempt may still leave at a time. A sender asks right before it writes.
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -169,6 +169,7 @@
 		case r := <-e.results:
 			e.takeResult(r)
 		case a := <-e.begun:
+			a.begun = true
 			e.handle(deckrelay.Started{ID: a.Call.Request.ID, Attempt: a.N})
 		case s := <-e.starts:
 			e.Log.Info("drill started", append([]any{"drill", s.Name}, who(s.Client)...)...)
@@ -320,6 +321,9 @@
 		e.aside.Served = true
 		c.reply <- Answer{Verdict: Served, Reply: r.Reply}
 	}
+	if r.Attempt.begun { // it is not moved: its break is its call's end, and its client has seen it
+		e.answer(c.Request.ID, Answer{Verdict: Failed})
+	}
 	latency := r.Latency
 	if latency == 0 {
 		latency = e.Clock.Now() - r.Attempt.Started
--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -376,3 +376,22 @@
 		}
 	}
 }
+
+// A stream that breaks once it has begun is over: its call is answered, and nothing of it is kept.
+func TestBrokenStreamEndsItsCall(t *testing.T) {
+	for _, ending := range []deckrelay.Ending{deckrelay.Broken, deckrelay.Failure, deckrelay.Overloaded, deckrelay.TimedOut} {
+		inBubble(t, 3, func(t *testing.T, e *Engine, s *scripted) {
+			got := asked(t.Context(), e, newCall(e, "1", "safe"))
+			a := next(t, s.started)
+			e.Began(a)
+			e.Ended(Result{Attempt: a, Ending: ending})
+			if answer := next(t, got); answer.Verdict != Failed {
+				t.Errorf("ending %v: answered %+v", ending, answer)
+			}
+			synctest.Wait()
+			if len(e.calls) > 0 || len(s.started) > 0 {
+				t.Errorf("ending %v: %d calls held, %d more attempts", ending, len(e.calls), len(s.started))
+			}
+		})
+	}
+}
