The event loop no longer waits for whoever reads standard error

Seen: capture and log are written from the event loop, so that a pipe that nobody reads stopped the node: with a full pipe TestServesThoughNobodyReadsTheCapture never became ready, its loop in capture.Writer.say, os.(*File).Write (a time-out after 25 s). Ruled out: a goroutine for all lines, for a node that is killed outright would lose what it holds; a bound of 256 KiB, for a capture written out at once (SIGUSR1) is 1 MiB of lines. At fault: Writer.say and slog's handler on os.Stderr. internal/spool asks the pipe first (poll) and writes at once what it takes; the rest, up to 1.5 MiB, waits for a goroutine that lives while there is anything; past that whole lines are dropped, and the log tells.

--- a/cmd/hookwalk/main.go
+++ b/cmd/hookwalk/main.go
@@ -16,11 +16,13 @@
 	"runtime/debug"
 	"sync"
 	"syscall"
+	"time"
 
 	"github.com/alecthomas/kong"
 
 	"hookwalk.example/hookwalk/internal/node"
 	"hookwalk.example/hookwalk/internal/settings"
+	"hookwalk.example/hookwalk/internal/spool"
 )
 
 // Exit codes.
@@ -149,6 +151,9 @@
 	return nil
 }
 
+// lastWords is how long a node that has stopped waits for those who read its standard error.
+const lastWords = time.Second
+
 func run(hangups <-chan os.Signal, file string) error {
 	path := os.Getenv("ROUTER_CONFIG")
 	cfg, err := node.LoadConfig(path)
@@ -166,7 +171,8 @@
 	if cfg.Cores > 0 {
 		runtime.GOMAXPROCS(int(math.Ceil(cfg.Cores)))
 	}
-	log := slog.New(slog.NewTextHandler(os.Stderr, nil))
+	defer spool.Stderr.Flush(lastWords)
+	log := slog.New(slog.NewTextHandler(spool.Stderr, nil))
 	n, err := node.New(cfg, log)
 	if err != nil {
 		return err
--- a/internal/node/capture_test.go
+++ b/internal/node/capture_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"sync"
 	"testing"
@@ -14,6 +15,7 @@
 	"hookwalk.example/hookwalk/internal/capture"
 	"hookwalk.example/hookwalk/internal/drills"
 	"hookwalk.example/hookwalk/internal/settings"
+	"hookwalk.example/hookwalk/internal/spool"
 )
 
 // What a node on real sockets records replays without a difference: servers that fail, a list that changes, a drill,
@@ -104,3 +106,25 @@
 	}
 	return all.String()
 }
+
+// Nobody reads standard error, and the pipe is full: requests are served all the same.
+func TestServesThoughNobodyReadsTheCapture(t *testing.T) {
+	r, w, err := os.Pipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer w.Close()
+	defer r.Close() // what waits ends
+	if _, err := w.Write(make([]byte, 64<<10)); err != nil {
+		t.Fatal(err)
+	}
+	cfg := configWith(t, newBackend(t, ok))
+	cfg.Features.Capture = &settings.Capture{}
+	full := spool.New(w)
+	n := start(t, cfg, withLog(full), func(n *Node) { n.stderr = full })
+	for i := range 20 {
+		if status, _, _ := do(t, newRequest(t, n.url, "unsafe", fmt.Sprint(i), "x")); status != http.StatusOK {
+			t.Fatalf("answered %d", status)
+		}
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -12,7 +12,6 @@
 	"log/slog"
 	"net"
 	"net/http"
-	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -22,6 +21,7 @@
 	"hookwalk.example/hookwalk/internal/drills"
 	"hookwalk.example/hookwalk/internal/engine"
 	"hookwalk.example/hookwalk/internal/figures"
+	"hookwalk.example/hookwalk/internal/spool"
 )
 
 const (
@@ -73,7 +73,7 @@
 	if cfg.Sockets == 0 {
 		cfg.Sockets = anyLimit
 	}
-	n := &Node{cfg: cfg, log: logger, clock: engine.NewClock(), most: killMost, set: set, stderr: os.Stderr}
+	n := &Node{cfg: cfg, log: logger, clock: engine.NewClock(), most: killMost, set: set, stderr: spool.Stderr}
 	n.engine = engine.New(engine.Options{Clock: n.clock, Log: logger, Balancer: bal})
 	n.inbound = (cfg.Sockets - reserved) * 5 / 8
 	n.pool = newPool(n.clock, cfg, cfg.Sockets-reserved-n.inbound, n.engine.Ended)
