--- /dev/null
+++ b/cmd/hookwalk/outside_test.go
@@ -0,0 +1,48 @@
+package main
+
+import (
+	"bytes"
+	"flag"
+	"os"
+	"testing"
+
+	"hookwalk.example/hookwalk/internal/lab/outside"
+	"hookwalk.example/hookwalk/internal/lab/scenario"
+	"hookwalk.example/hookwalk/internal/lab/sockets"
+)
+
+// record keeps the history that TestRealNodesFromOutside plays, for the outside checker's own tests.
+var record = flag.String("record", "", "a file for the history")
+
+// Real nodes on loopback, with every fault on real connections, keep the rules as they are seen from outside.
+func TestRealNodesFromOutside(t *testing.T) {
+	s, err := scenario.Parse("small.hcl", []byte(smallWorld), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var text bytes.Buffer
+	w, err := sockets.Up(t.Context(), s, sockets.Options{Program: []string{os.Args[0]}, Env: []string{"HOOKWALK_AS_PROGRAM=1"},
+		Record: outside.NewRecorder(&text, sockets.Head(s))})
+	defer w.Down(false)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, _, err := w.Play(); err != nil {
+		t.Fatal(err)
+	}
+	if *record != "" {
+		if err := os.WriteFile(*record, text.Bytes(), 0o644); err != nil {
+			t.Fatal(err)
+		}
+	}
+	h, events, err := outside.Read(bytes.NewReader(text.Bytes()))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, v := range outside.Check(h, events) {
+		t.Error(v)
+	}
+	if len(events) < 500 {
+		t.Errorf("only %d events", len(events))
+	}
+}
--- /dev/null
+++ b/internal/lab/outside/outside.go
@@ -0,0 +1,256 @@
+// Package outside holds a history to the promises of a node by what can be seen without looking into one: what
+// clients sent and got, what servers got and answered, what discovery wrote, and the signals that processes got. It
+// feeds the lab's auditor. Two of the auditor's facts are a node's own in virtual time, the decision to send and what
+// the node was told of an attempt's end: here an attempt is what reached a server, and its end is what that server did
+// or saw. Two are new: a cold server's load is reckoned from what reached it, and an answer is compared with what
+// servers sent for its request.
+package outside
+
+import (
+	"bufio"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"sync"
+	"time"
+
+	"hookwalk.example/hookwalk/deckrelay"
+	"hookwalk.example/hookwalk/internal/lab/audit"
+	"hookwalk.example/hookwalk/internal/lab/model"
+	"hookwalk.example/hookwalk/internal/lab/scenario"
+)
+
+// What happened.
+const (
+	Start = "start" // a node's process begins, knowing nothing but what is told from here on
+	Kill  = "kill"  // it is ended from outside, at once
+	Term  = "term"  // it is asked to end
+	Exit  = "exit"  // it has ended by itself
+	Told  = "told"  // discovery has written to the node, or the node counts as told, whether a server is ready
+	Ask   = "ask"   // a client has written the last byte of a request
+	Got   = "got"   // a client has the last byte of an answer
+	Cut   = "cut"   // a client's connection ended without a whole answer
+	Left  = "left"  // a client has closed its connection
+	Reach = "reach" // a server has the last byte of a request
+	Reply = "reply" // it has answered it
+	Broke = "broke" // it has ended the connection without an answer, or its process died
+	Given = "given" // it saw the node close the connection: the attempt was given up
+	Boot  = "boot"  // its process has started, cold
+	End   = "end"   // nothing is recorded after
+)
+
+// Event is something that was seen.
+type Event struct {
+	At     time.Duration `json:"at"`
+	What   string        `json:"what"`
+	Node   string        `json:"node,omitempty"`
+	ID     string        `json:"id,omitempty"`
+	Server string        `json:"server,omitempty"`
+	Ready  bool          `json:"ready,omitempty"`  // told
+	Class  int           `json:"class,omitempty"`  // ask
+	Budget time.Duration `json:"budget,omitempty"` // ask
+	Work   time.Duration `json:"work,omitempty"`   // reach
+	Status int           `json:"status,omitempty"` // got, reply
+	Never  bool          `json:"never,omitempty"`  // reply: turned away
+	Body   string        `json:"body,omitempty"`   // got, reply: tells one answer from another; "": not recorded
+}
+
+// Head is the first line of a history: the rules and the world that they are about.
+type Head struct {
+	Rules   scenario.Rules           `json:"rules"`
+	Classes []scenario.Class         `json:"classes"`
+	Kinds   map[string]scenario.Kind `json:"kinds"`   // of servers, by id
+	Overlap time.Duration            `json:"overlap"` // how late a server may notice what a node does
+}
+
+// HeadOf is the head of a history of a scenario, without servers.
+func HeadOf(s *scenario.Scenario, overlap time.Duration) Head {
+	return Head{Rules: s.Rules, Classes: s.Classes, Kinds: map[string]scenario.Kind{}, Overlap: overlap}
+}
+
+// Recorder writes a history, from any goroutine. A nil Recorder writes nothing.
+type Recorder struct {
+	mu  sync.Mutex
+	out *json.Encoder
+	err error
+}
+
+// NewRecorder begins a history.
+func NewRecorder(w io.Writer, h Head) *Recorder {
+	r := &Recorder{out: json.NewEncoder(w)}
+	r.err = r.out.Encode(h)
+	return r
+}
+
+// Note adds an event.
+func (r *Recorder) Note(e Event) {
+	if r == nil {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.err == nil {
+		r.err = r.out.Encode(e)
+	}
+}
+
+// Err is why the history is not whole.
+func (r *Recorder) Err() error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.err
+}
+
+const longestLine = 1 << 20
+
+// Read reads a history.
+func Read(in io.Reader) (h Head, events []Event, err error) {
+	lines := bufio.NewScanner(in)
+	lines.Buffer(nil, longestLine)
+	for n := 1; lines.Scan(); n++ {
+		if n == 1 {
+			err = json.Unmarshal(lines.Bytes(), &h)
+		} else {
+			var e Event
+			if err = json.Unmarshal(lines.Bytes(), &e); err == nil && e.What == Ask && (e.Class < 0 || e.Class >= len(h.Classes)) {
+				err = errors.New("no such class")
+			}
+			events = append(events, e)
+		}
+		if err != nil {
+			return h, nil, fmt.Errorf("line %d: %w", n, err)
+		}
+	}
+	return h, events, lines.Err()
+}
+
+// call is a request of one node.
+type call struct{ node, id string }
+
+// seen is what servers did with a call.
+type seen struct {
+	out    []string // the server of each attempt; "": it has ended
+	bodies map[string]bool
+}
+
+// checker turns events into the auditor's facts.
+type checker struct {
+	head    Head
+	audit   *audit.Auditor
+	servers map[string]*model.Box
+	calls   map[call]*seen
+	mine    []audit.Violation
+}
+
+// Check names the rules that a history breaks. Events are in the order of their times.
+func Check(h Head, events []Event) []audit.Violation {
+	c := &checker{head: h, audit: audit.New(&scenario.Scenario{Rules: h.Rules, Classes: h.Classes}),
+		servers: map[string]*model.Box{}, calls: map[call]*seen{}}
+	c.audit.Overlap = h.Overlap
+	last := time.Duration(0)
+	for _, e := range events {
+		c.take(e)
+		last = e.At
+	}
+	c.audit.Finish(last)
+	return append(c.audit.Violations(), c.mine...)
+}
+
+func (c *checker) take(e Event) {
+	switch key := (call{e.Node, e.ID}); e.What {
+	case Start:
+		c.audit.NodeStarted(e.Node)
+	case Kill:
+		c.audit.NodeKilled(e.Node)
+	case Exit:
+		c.audit.NodeStopped(e.At, e.Node)
+	case Told:
+		c.audit.Told(e.At, e.Node, e.Server, e.Ready)
+	case Ask:
+		c.audit.Taken(e.At, e.Node, e.ID, e.Class, e.At+e.Budget)
+		c.calls[key] = &seen{bodies: map[string]bool{}}
+	case Got:
+		c.got(e, key)
+	case Cut:
+		c.audit.Dropped(e.At, e.Node, e.ID)
+	case Left:
+		c.audit.Gone(e.At, e.Node, e.ID)
+	case Reach:
+		c.reach(e, key)
+	case Reply:
+		how := deckrelay.Failure
+		switch {
+		case e.Status == 200:
+			how = deckrelay.Success
+			if s := c.calls[key]; s != nil {
+				s.bodies[e.Body] = true
+			}
+		case e.Never:
+			how = deckrelay.Overloaded
+		}
+		c.ended(e, key, how)
+	case Broke:
+		c.ended(e, key, deckrelay.Broken)
+	case Given:
+		c.ended(e, key, deckrelay.TimedOut)
+	case Boot:
+		c.boot(e)
+	}
+}
+
+// got is an answer. One that says served must be what a server has said.
+func (c *checker) got(e Event, key call) {
+	how := audit.Failed
+	switch e.Status {
+	case 200:
+		how = audit.Served
+	case 429, 503:
+		how = audit.Refused
+	}
+	if s := c.calls[key]; how == audit.Served && s != nil && len(s.out) > 0 && !s.bodies[e.Body] {
+		c.mine = append(c.mine, audit.Violation{Rule: audit.MadeUp, At: e.At, Node: e.Node, Request: e.ID,
+			What: "served with what no server has answered"})
+	}
+	c.audit.Answered(e.At, e.Node, e.ID, how)
+}
+
+// reach is an attempt. Whatever becomes of it, it loads the server.
+func (c *checker) reach(e Event, key call) {
+	c.audit.Sent(e.At, e.Node, e.ID, e.Server)
+	if s := c.calls[key]; s != nil {
+		s.out = append(s.out, e.Server)
+	}
+	if b := c.servers[e.Server]; b != nil && b.Sent(e.At, e.Work) {
+		c.audit.Fell(e.At, e.Node, e.ID, e.Server)
+	}
+}
+
+// ended is the end of the latest attempt of a call that is out at a server.
+func (c *checker) ended(e Event, key call, how deckrelay.Ending) {
+	s := c.calls[key]
+	if s == nil {
+		return
+	}
+	for n := len(s.out) - 1; n >= 0; n-- {
+		if s.out[n] == e.Server {
+			s.out[n] = ""
+			if how != deckrelay.Overloaded {
+				c.audit.Ran(e.At, e.Node, e.ID, e.Server)
+			}
+			c.audit.Ended(e.At, e.Node, e.ID, n, how)
+			return
+		}
+	}
+}
+
+// boot starts a server cold.
+func (c *checker) boot(e Event) {
+	kind, ok := c.head.Kinds[e.Server]
+	if !ok {
+		return
+	}
+	b := model.NewBox(e.Server, 0, 0, &kind, c.head.Rules)
+	b.Start(e.At)
+	c.servers[e.Server] = b
+}
--- a/internal/lab/sockets/box.go
+++ b/internal/lab/sockets/box.go
@@ -16,6 +16,7 @@
 
 	"hookwalk.example/hookwalk/deckrelay"
 	"hookwalk.example/hookwalk/internal/lab/model"
+	"hookwalk.example/hookwalk/internal/lab/outside"
 	"hookwalk.example/hookwalk/internal/lab/scenario"
 )
 
@@ -195,12 +196,13 @@
 	}
 	v := b.newVisit(r, first)
 	now := b.w.now()
-	v.number = b.w.facts.sent(now, v.from, v.id, b.model.ID, v.root)
+	v.number = b.w.facts.sent(now, v.from, v.id, b.model.ID, v.root, v.own)
 	over := make(chan struct{})
 	b.w.own(func() { // the box may work on for long after the node has given up
 		select {
 		case <-left:
 			b.w.facts.ended(b.w.now(), v.from, v.id, v.number, deckrelay.TimedOut)
+			b.seen(v, outside.Event{What: outside.Given})
 		case <-over:
 		}
 	})
@@ -231,15 +233,26 @@
 	b.mu.Unlock()
 	switch {
 	case status == 0:
+		b.seen(v, outside.Event{What: outside.Broke})
 		reset(k.Conn)
 		return false
 	case status == 200 && broken > 0 && b.w.chance() < broken: // half an answer
+		b.seen(v, outside.Event{What: outside.Broke})
 		fmt.Fprintf(k, "HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\n{\"box\":")
 		return false
 	case status == 503:
+		b.seen(v, outside.Event{What: outside.Reply, Status: 503, Never: true})
 		return respond(k, 503, []string{"X-Rejected: 1"}, "full\n")
 	}
-	return respond(k, status, nil, fmt.Sprintf("{\"box\":%q,\"class\":%q}\n", b.model.ID, b.w.s.Classes[v.class].Name))
+	text := fmt.Sprintf("{\"box\":%q,\"class\":%q}\n", b.model.ID, b.w.s.Classes[v.class].Name)
+	b.seen(v, outside.Event{What: outside.Reply, Status: status, Body: text})
+	return respond(k, status, nil, text)
+}
+
+// seen records what a box does with a request.
+func (b *box) seen(v *visit, e outside.Event) {
+	e.At, e.Node, e.ID, e.Server = b.w.now(), v.from, v.id, b.model.ID
+	b.w.facts.seen(e)
 }
 
 func respond(c net.Conn, status int, headers []string, body string) bool {
--- a/internal/lab/sockets/facts.go
+++ b/internal/lab/sockets/facts.go
@@ -7,6 +7,7 @@
 
 	"hookwalk.example/hookwalk/deckrelay"
 	"hookwalk.example/hookwalk/internal/lab/audit"
+	"hookwalk.example/hookwalk/internal/lab/outside"
 	"hookwalk.example/hookwalk/internal/lab/scenario"
 	"hookwalk.example/hookwalk/internal/lab/score"
 )
@@ -25,6 +26,7 @@
 	score *score.Score
 	sends map[string]int // attempts by root
 	tries map[attemptKey]int
+	rec   *outside.Recorder // what is seen from outside; nil: not kept
 }
 
 type attemptKey struct{ node, id string }
@@ -43,42 +45,65 @@
 	what()
 }
 
+// seen records an event, under the lock that keeps the order.
+func (f *facts) seen(e outside.Event) { f.do(func() { f.rec.Note(e) }) }
+
 func (f *facts) handshake() { f.do(func() { f.score.Handshakes++ }) }
 
 func (f *facts) started(now time.Duration, name string, known roster) {
 	f.do(func() {
 		f.audit.NodeStarted(name)
+		f.rec.Note(outside.Event{At: now, What: outside.Start, Node: name})
 		for _, h := range known.Hosts {
+			f.rec.Note(outside.Event{At: now, What: outside.Told, Node: name, Server: h.Host, Ready: h.Health == "in_service"})
 			f.audit.Told(now, name, h.Host, h.Health == "in_service")
 		}
 	})
 }
 
-func (f *facts) killed(name string) { f.do(func() { f.audit.NodeKilled(name) }) }
+func (f *facts) killed(now time.Duration, name string) {
+	f.do(func() {
+		f.audit.NodeKilled(name)
+		f.rec.Note(outside.Event{At: now, What: outside.Kill, Node: name})
+	})
+}
 
 func (f *facts) stopped(now time.Duration, name string) {
-	f.do(func() { f.audit.NodeStopped(now, name) })
+	f.do(func() {
+		f.audit.NodeStopped(now, name)
+		f.rec.Note(outside.Event{At: now, What: outside.Exit, Node: name})
+	})
 }
 
 func (f *facts) told(now time.Duration, name string, n roster) {
 	f.do(func() {
 		for _, h := range n.Hosts {
+			f.rec.Note(outside.Event{At: now, What: outside.Told, Node: name, Server: h.Host, Ready: h.Health == "in_service"})
 			f.audit.Told(now, name, h.Host, h.Health == "in_service")
 		}
 	})
 }
 
 func (f *facts) taken(now time.Duration, node, id string, class int, deadline time.Duration) {
-	f.do(func() { f.audit.Taken(now, node, id, class, deadline) })
+	f.do(func() {
+		f.audit.Taken(now, node, id, class, deadline)
+		f.rec.Note(outside.Event{At: now, What: outside.Ask, Node: node, ID: id, Class: class, Budget: deadline - now})
+	})
 }
 
 // noAnswer is a call whose connection never came up: it was not taken, and nothing is owed.
 func (f *facts) noAnswer(now time.Duration, node, id string) {
-	f.do(func() { f.audit.Gone(now, node, id) })
+	f.do(func() {
+		f.audit.Gone(now, node, id)
+		f.rec.Note(outside.Event{At: now, What: outside.Left, Node: node, ID: id})
+	})
 }
 
 func (f *facts) dropped(now time.Duration, node, id string) {
-	f.do(func() { f.audit.Dropped(now, node, id) })
+	f.do(func() {
+		f.audit.Dropped(now, node, id)
+		f.rec.Note(outside.Event{At: now, What: outside.Cut, Node: node, ID: id})
+	})
 }
 
 // unread says that no attempt of a call has reached a box.
@@ -87,7 +112,7 @@
 	return yes
 }
 
-func (f *facts) answered(now time.Duration, node, id string, status int) {
+func (f *facts) answered(now time.Duration, node, id string, status int, body string) {
 	how := audit.Failed
 	switch status {
 	case 200:
@@ -97,14 +122,16 @@
 	}
 	f.do(func() {
 		f.audit.Answered(now, node, id, how)
+		f.rec.Note(outside.Event{At: now, What: outside.Got, Node: node, ID: id, Status: status, Body: body})
 		delete(f.tries, attemptKey{node, id})
 	})
 }
 
 // sent is an attempt that has reached a box; its number is returned.
-func (f *facts) sent(now time.Duration, node, id, box, root string) (number int) {
+func (f *facts) sent(now time.Duration, node, id, box, root string, work time.Duration) (number int) {
 	f.do(func() {
 		f.audit.Sent(now, node, id, box)
+		f.rec.Note(outside.Event{At: now, What: outside.Reach, Node: node, ID: id, Server: box, Work: work})
 		f.score.Attempts++
 		f.sends[root]++
 		key := attemptKey{node, id}
--- a/internal/lab/sockets/process.go
+++ b/internal/lab/sockets/process.go
@@ -203,7 +203,7 @@
 	if !running {
 		return
 	}
-	p.w.facts.killed(name)
+	p.w.facts.killed(p.w.now(), name)
 	if ended, _ := p.signal(syscall.SIGKILL); ended != nil {
 		<-ended
 	}
@@ -279,12 +279,12 @@
 		return reply{}
 	}
 	defer resp.Body.Close()
-	_, err = io.Copy(io.Discard, io.LimitReader(resp.Body, bodyMost))
+	body, err := io.ReadAll(io.LimitReader(resp.Body, bodyMost))
 	status := resp.StatusCode
 	if err != nil {
 		status = 502 // it can tell that the answer is incomplete
 	}
-	p.w.facts.answered(p.w.now(), name, id, status)
+	p.w.facts.answered(p.w.now(), name, id, status, string(body))
 	a := reply{status: status}
 	if s, err := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64); err == nil {
 		a.retryAfter = time.Duration(s * float64(time.Second))
--- a/internal/lab/sockets/world.go
+++ b/internal/lab/sockets/world.go
@@ -17,14 +17,16 @@
 
 	"hookwalk.example/hookwalk/internal/lab/audit"
 	"hookwalk.example/hookwalk/internal/lab/model"
+	"hookwalk.example/hookwalk/internal/lab/outside"
 	"hookwalk.example/hookwalk/internal/lab/scenario"
 	"hookwalk.example/hookwalk/internal/lab/score"
 )
 
 // Options say how nodes are started.
 type Options struct {
-	Program []string // what `run` is added to
-	Env     []string // added to the environment
+	Program []string          // what `run` is added to
+	Env     []string          // added to the environment
+	Record  *outside.Recorder // takes what can be seen from outside; nil: nothing does
 }
 
 // World is a scenario being played, or just held up.
@@ -61,6 +63,7 @@
 func Up(ctx context.Context, s *scenario.Scenario, opt Options) (*World, error) {
 	w := &World{s: s, opt: opt, facts: newFacts(s), storm: 1,
 		rng: model.Stream(s.Seed, "sockets", 0), tails: make([]tail, len(s.Classes))}
+	w.facts.rec = opt.Record
 	w.restartClock()
 	w.ctx, w.end = context.WithCancelCause(ctx)
 	var err error
@@ -85,7 +88,7 @@
 		var row []*box
 		for k := range tier.Kinds {
 			for range tier.Kinds[k].Count {
-				b := &box{w: w, tier: tier, model: model.NewBox(fmt.Sprintf("s-%08x", names.Uint32()), t, len(row), &tier.Kinds[k], s.Rules)}
+				b := &box{w: w, tier: tier, model: model.NewBox(boxName(names), t, len(row), &tier.Kinds[k], s.Rules)}
 				if t < len(s.Tiers)-1 {
 					b.node = &process{w: w, place: s.Tiers[t].Name + "-" + b.model.ID, tier: t + 1, self: len(row), of: tier.Boxes(), host: b}
 					w.processes = append(w.processes, b.node)
@@ -231,9 +234,28 @@
 	w.facts.mu.Lock()
 	defer w.facts.mu.Unlock()
 	w.facts.audit.Finish(w.now())
+	w.facts.rec.Note(outside.Event{At: w.now(), What: outside.End})
 	return w.facts.score, w.facts.audit, nil
 }
 
+// Head is the head of a history of a scenario on sockets.
+func Head(s *scenario.Scenario) outside.Head {
+	h := outside.HeadOf(s, noticing)
+	h.Rules.Slack += socketSlack
+	names := model.Stream(s.Seed, "names", 0)
+	for _, tier := range s.Tiers {
+		for k := range tier.Kinds {
+			for range tier.Kinds[k].Count {
+				h.Kinds[boxName(names)] = tier.Kinds[k]
+			}
+		}
+	}
+	return h
+}
+
+// boxName draws a box's name.
+func boxName(names *rand.Rand) string { return fmt.Sprintf("s-%08x", names.Uint32()) }
+
 // restartClock begins the scenario's time now that all nodes are ready.
 func (w *World) restartClock() {
 	// Boxes have done nothing yet and discovery knows no boot times, so nothing holds a time of before; what nodes
@@ -328,7 +350,7 @@
 		return
 	}
 	if b.node != nil {
-		w.facts.killed(b.node.lifeName())
+		w.facts.killed(w.now(), b.node.lifeName())
 		b.node.signal(syscall.SIGKILL)
 	}
 	b.stop()
@@ -358,6 +380,7 @@
 func (w *World) bootNow(b *box) error {
 	now := w.now()
 	b.set(func() { b.model.Start(now) })
+	w.facts.seen(outside.Event{At: now, What: outside.Boot, Server: b.model.ID})
 	if err := b.start(); err != nil {
 		return err
 	}
@@ -371,6 +394,7 @@
 	if ended == nil {
 		return
 	}
+	w.facts.seen(outside.Event{At: w.now(), What: outside.Term, Node: name})
 	w.afterwards(model.FrontDeals, func() { w.front.hear(i, false) })
 	w.own(func() {
 		<-ended
--- a/internal/lab/virtual/node.go
+++ b/internal/lab/virtual/node.go
@@ -7,6 +7,7 @@
 	"hookwalk.example/hookwalk/deckrelay"
 	"hookwalk.example/hookwalk/internal/lab/audit"
 	"hookwalk.example/hookwalk/internal/lab/model"
+	"hookwalk.example/hookwalk/internal/lab/outside"
 	"hookwalk.example/hookwalk/internal/lab/policies"
 )
 
@@ -72,6 +73,7 @@
 		return
 	}
 	n.w.audit.NodeStarted(n.name)
+	n.w.seen(outside.Event{What: outside.Start, Node: n.name})
 	if n.known == nil {
 		n.known = slices.Clone(n.w.disc.lists[n.tier])
 		n.knownAt = n.w.disc.at[n.tier]
@@ -93,6 +95,7 @@
 	}
 	n.end()
 	n.w.audit.NodeKilled(n.name)
+	n.w.seen(outside.Event{What: outside.Kill, Node: n.name})
 	if n.front != nil {
 		n.front.hear(n, n.w.s.Front.Notice, false)
 	}
@@ -129,6 +132,7 @@
 		return
 	}
 	n.leaving = true
+	n.w.seen(outside.Event{What: outside.Term, Node: n.name})
 	n.front.hear(n, model.FrontDeals, false)
 	life := n.life
 	until := n.w.now + model.FrontDeals + model.LongestDeadline(n.w.s) + 50*time.Millisecond
@@ -142,6 +146,7 @@
 			return
 		}
 		n.w.audit.NodeStopped(n.w.now, n.name)
+		n.w.seen(outside.Event{What: outside.Exit, Node: n.name})
 		n.end()
 	}
 	n.w.after(model.FrontDeals+50*time.Millisecond, look)
@@ -151,6 +156,7 @@
 func (n *node) hear(list deckrelay.ServerList) {
 	for _, s := range list.Servers {
 		n.w.audit.Told(n.w.now, n.name, s.ID, s.State == deckrelay.Ready)
+		n.w.seen(outside.Event{What: outside.Told, Node: n.name, Server: s.ID, Ready: s.State == deckrelay.Ready})
 	}
 	switch {
 	case list.Cached:
@@ -168,6 +174,7 @@
 // take is a request that has arrived whole. The reply comes once, at the moment of the answer.
 func (n *node) take(c *call) {
 	n.w.audit.Taken(n.w.now, n.name, c.id, c.class, c.deadline)
+	n.w.seen(outside.Event{What: outside.Ask, Node: n.name, ID: c.id, Class: c.class, Budget: c.deadline - n.w.now})
 	n.calls[c.id] = c
 }
 
@@ -196,6 +203,7 @@
 
 func (n *node) answer(id string, how audit.Answer, retryAfter time.Duration) {
 	n.w.audit.Answered(n.w.now, n.name, id, how)
+	n.w.seen(outside.Event{What: outside.Got, Node: n.name, ID: id, Status: map[audit.Answer]int{audit.Refused: 503, audit.Failed: 502}[how]})
 	c := n.calls[id]
 	if c == nil || c.closed {
 		return
@@ -219,6 +227,7 @@
 	}
 	c.closed = true
 	n.w.audit.Gone(n.w.now, n.name, id)
+	n.w.seen(outside.Event{What: outside.Left, Node: n.name, ID: id})
 	n.handle(deckrelay.ClientGone{ID: id})
 	n.forget(c)
 }
@@ -344,8 +353,13 @@
 	case a.ended && a.life != a.n.life: // its node died before it had sent it
 	default:
 		v := newVisit(w, a, handshake)
+		a.seen(outside.Event{What: outside.Reach, Work: v.first()})
+		if a.ended { // its node has given it up on the way
+			a.seen(outside.Event{What: outside.Given})
+		}
 		if b.Sent(w.now, v.first()) { // what it turns away counts too: a crowd at the door costs it as well
 			w.audit.Fell(w.now, a.n.name, a.call.id, b.ID)
+			a.seen(outside.Event{What: outside.Broke})
 			w.score.Fell++
 			w.crash(b, false)
 			w.after(model.FallenFor, func() { w.boot(b) })
@@ -353,6 +367,7 @@
 			return
 		}
 		if !b.Offer(w.now, &v.job) {
+			a.seen(outside.Event{What: outside.Reply, Status: 503, Never: true})
 			a.endAfter(hop, deckrelay.Overloaded)
 			return
 		}
@@ -362,6 +377,12 @@
 	}
 }
 
+// seen records what a server gets of an attempt, or does with it.
+func (a *attempt) seen(e outside.Event) {
+	e.Node, e.ID, e.Server = a.n.name, a.call.id, a.to
+	a.n.w.seen(e)
+}
+
 func (a *attempt) endAfter(wait time.Duration, e deckrelay.Ending) {
 	a.n.w.after(wait, func() { a.end(e) })
 }
@@ -373,12 +394,16 @@
 	}
 	a.ended = true
 	n, w, c := a.n, a.n.w, a.call
+	if e == deckrelay.TimedOut && a.visit != nil {
+		a.seen(outside.Event{What: outside.Given})
+	}
 	a.letGo(e)
 	w.audit.Ended(w.now, n.name, c.id, a.number, e)
 	c.out--
 	if e == deckrelay.Success && !c.closed {
 		c.closed = true
 		w.audit.Answered(w.now, n.name, c.id, audit.Served)
+		w.seen(outside.Event{What: outside.Got, Node: n.name, ID: c.id, Status: 200, Body: a.to})
 		c.reply(audit.Served, 0)
 	}
 	n.handle(deckrelay.Outcome{ID: c.id, Attempt: a.number, Server: a.to, Ending: e, Latency: w.now - a.sent, Ended: c.closed})
--- a/internal/lab/virtual/visit.go
+++ b/internal/lab/virtual/visit.go
@@ -6,6 +6,7 @@
 	"hookwalk.example/hookwalk/deckrelay"
 	"hookwalk.example/hookwalk/internal/lab/audit"
 	"hookwalk.example/hookwalk/internal/lab/model"
+	"hookwalk.example/hookwalk/internal/lab/outside"
 )
 
 // visit is one request in one box: a part of the work, the calls to the next tier one after another, and then
@@ -113,10 +114,13 @@
 	hop := w.jitter(w.s.Net.Hop)
 	switch {
 	case good && b.broken > 0 && w.draws.Float64() < b.broken:
+		v.att.seen(outside.Event{What: outside.Broke})
 		v.att.endAfter(hop, deckrelay.Broken)
 	case !good || b.Kind.ErrorRate > 0 && w.draws.Float64() < b.Kind.ErrorRate:
+		v.att.seen(outside.Event{What: outside.Reply, Status: 500})
 		v.att.endAfter(hop, deckrelay.Failure)
 	default:
+		v.att.seen(outside.Event{What: outside.Reply, Status: 200, Body: v.att.to})
 		v.att.endAfter(hop, deckrelay.Success)
 	}
 }
--- a/internal/lab/virtual/world.go
+++ b/internal/lab/virtual/world.go
@@ -13,6 +13,7 @@
 	"hookwalk.example/hookwalk/internal/lab/audit"
 	"hookwalk.example/hookwalk/internal/lab/eventq"
 	"hookwalk.example/hookwalk/internal/lab/model"
+	"hookwalk.example/hookwalk/internal/lab/outside"
 	"hookwalk.example/hookwalk/internal/lab/policies"
 	"hookwalk.example/hookwalk/internal/lab/scenario"
 	"hookwalk.example/hookwalk/internal/lab/score"
@@ -42,6 +43,8 @@
 	ids      uint64
 	events   uint64
 	err      error
+
+	Record *outside.Recorder // takes what can be seen from outside; nil: nothing does
 }
 
 // tail says how much more work some requests of a class are.
@@ -141,10 +144,28 @@
 		}
 	}
 	w.audit.Finish(end)
+	w.seen(outside.Event{At: end, What: outside.End})
 	w.score.Events = w.events
 	return w.score, w.audit, w.err
 }
 
+// Head is the head of a history of this world.
+func (w *World) Head() outside.Head {
+	h := outside.HeadOf(w.s, 10*time.Millisecond) // some hops of the network
+	for id, b := range w.byID {
+		h.Kinds[id] = *b.Kind
+	}
+	return h
+}
+
+// seen records an event, which has happened now if it has no time of its own.
+func (w *World) seen(e outside.Event) {
+	if e.At == 0 {
+		e.At = w.now
+	}
+	w.Record.Note(e)
+}
+
 // change carries out one change of the world.
 func (w *World) change(c model.Change) {
 	b := w.boxes[max(c.Tier, 0)][min(c.Index, len(w.boxes[max(c.Tier, 0)])-1)]
@@ -220,6 +241,7 @@
 		v := j.Owner.(*visit)
 		v.over = true
 		if !cut {
+			v.att.seen(outside.Event{What: outside.Broke})
 			v.att.endAfter(w.jitter(w.s.Net.Hop), deckrelay.Broken)
 		}
 	}
@@ -239,6 +261,7 @@
 		return
 	}
 	b.Start(w.now)
+	w.seen(outside.Event{What: outside.Boot, Server: b.ID})
 	if b.node != nil {
 		b.node.start()
 	}
@@ -378,6 +401,7 @@
 		d.w.eachNode(func(n *node) {
 			if life, ok := lives[n]; ok && n.life == life && n.alive && !n.watching && d.orders[b.Tier][b.ID] == order {
 				d.w.audit.Told(d.w.now, n.name, b.ID, false)
+				d.w.seen(outside.Event{What: outside.Told, Node: n.name, Server: b.ID})
 			}
 		})
 	})
--- a/internal/lab/virtual/world_test.go
+++ b/internal/lab/virtual/world_test.go
@@ -11,6 +11,7 @@
 
 	"hookwalk.example/hookwalk/deckrelay"
 	"hookwalk.example/hookwalk/internal/lab/audit"
+	"hookwalk.example/hookwalk/internal/lab/outside"
 	"hookwalk.example/hookwalk/internal/lab/policies"
 	"hookwalk.example/hookwalk/internal/lab/scenario"
 	"hookwalk.example/hookwalk/internal/lab/score"
@@ -334,3 +335,59 @@
 		t.Errorf("95%% of answers within %v", tails)
 	}
 }
+
+// recorded is the history of a world, as it is seen from outside.
+func recorded(t *testing.T, s *scenario.Scenario, decide NewDecider) (outside.Head, []outside.Event) {
+	t.Helper()
+	w, err := New(s, decide)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var text bytes.Buffer
+	w.Record = outside.NewRecorder(&text, w.Head())
+	if _, _, err := w.Run(nil); err != nil {
+		t.Fatal(err)
+	}
+	if err := w.Record.Err(); err != nil {
+		t.Fatal(err)
+	}
+	h, events, err := outside.Read(&text)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return h, events
+}
+
+// Worlds with every trouble at once keep the rules as they are seen from outside, and a node with a fault does not.
+func TestSeededHistoriesFromOutside(t *testing.T) {
+	for seed := range uint64(4) {
+		s := parsed(t, allTroubles)
+		s.Seed = 100 + seed
+		h, events := recorded(t, s, policies.New)
+		for _, v := range outside.Check(h, events) {
+			t.Errorf("seed %d: %v", seed, v)
+		}
+		if len(events) < 3000 {
+			t.Errorf("seed %d: only %d events", seed, len(events))
+		}
+	}
+	for rule, fault := range faults {
+		if rule == audit.OneAnswer || rule == audit.KnownBox { // what such a node does reaches nobody
+			continue
+		}
+		h, events := recorded(t, parsed(t, fault.world), func(name string, set deckrelay.Settings, seed uint64, truth policies.Truth) (policies.Decider, error) {
+			d, err := policies.New(name, set, seed, truth)
+			if set.Tier > 0 {
+				return d, err
+			}
+			return &rogue{d, fault.spoil()}, err
+		})
+		seen := map[audit.Rule]int{}
+		for _, v := range outside.Check(h, events) {
+			seen[v.Rule]++
+		}
+		if seen[rule] == 0 {
+			t.Errorf("a node that breaks %s: %v", rule, seen)
+		}
+	}
+}
