--- a/internal/capture/record.go
+++ b/internal/capture/record.go
@@ -21,7 +21,7 @@
 
 // Version is that of the records. Another build of the same version may decide otherwise; that is what a replay
 // is for.
-const Version = "1"
+const Version = "2"
 
 const (
 	linePrefix = "capture:"
--- a/internal/node/callers.go
+++ b/internal/node/callers.go
@@ -26,6 +26,7 @@
 	writeTime = 5 * time.Second         // for an answer
 	idleTime  = time.Minute             // for a caller's connection between requests
 	maxBudget = time.Hour
+	maxID     = 256 // bytes: every timer and record of a request has its id
 )
 
 // call is a caller's request with what goes to a server of it.
@@ -160,8 +161,11 @@
 			return bad(name + " comes twice")
 		}
 	}
-	if r.Header.Get("X-Call-Id") == "" {
+	switch id := r.Header.Get("X-Call-Id"); {
+	case id == "":
 		return bad("X-Call-Id is missing")
+	case len(id) > maxID:
+		return bad("X-Call-Id is over " + strconv.Itoa(maxID) + " bytes")
 	}
 	effect, known := h.effects[r.Header.Get("X-Call-Class")]
 	if !known {
--- a/internal/node/callers_test.go
+++ b/internal/node/callers_test.go
@@ -38,6 +38,7 @@
 	n := startWith(t, b)
 	for name, spoil := range map[string]func(*http.Request){
 		"no id":            func(r *http.Request) { r.Header.Del("X-Call-Id") },
+		"an id of 9 KB":    func(r *http.Request) { r.Header.Set("X-Call-Id", strings.Repeat("x", 9000)) },
 		"no class":         func(r *http.Request) { r.Header.Del("X-Call-Class") },
 		"no budget":        func(r *http.Request) { r.Header.Del("X-Budget") },
 		"no unit":          func(r *http.Request) { r.Header.Set("X-Budget", "480") },
