grpcwalk: a refused stream is told when to come back

Seen: a stream that a box refused once open ended UNAVAILABLE without advice, where a refused call has it. TestStreams before: "turned_away: refused with the advice 0s", "refused_stream" likewise. A refusal also said that the call did not run, which a safe one may have. Ruled out: asking the module, which leaves a begun stream to its host. At fault: stream.end. The module's advice is a function of settings and class now, which the plug-in calls; the text says that the call may be sent again. Decisions are the same.

--- a/deckrelay/drill.go
+++ b/deckrelay/drill.go
@@ -78,7 +78,7 @@
 func (b *Balancer) abort(e Request, d *Drill) {
 	a := Abort{ID: e.ID, Status: d.AbortStatus}
 	if a.Status == 503 {
-		a.RetryAfter = b.comeBack(b.classes[d.Class])
+		a.RetryAfter = b.set.ComeBack(b.classes[d.Class].Class)
 	}
 	b.do(a)
 }
--- a/deckrelay/policy.go
+++ b/deckrelay/policy.go
@@ -997,18 +997,18 @@
 		r.class.pool.shed += memory / 4 * (1 - r.class.pool.shed)
 	}
 	if harmless {
-		b.do(Refuse{ID: r.id, RetryAfter: b.comeBack(r.class)})
+		b.do(Refuse{ID: r.id, RetryAfter: b.set.ComeBack(r.class.Class)})
 	} else {
 		b.do(Fail{ID: r.id})
 	}
 	b.close(r)
 }
 
-// comeBack advises a client that is sent away. One sent away for long comes back when its aim is mostly over,
-// and its late answer takes the room of one in time. One that comes back at once finds the same crowd and
-// burns its few tries.
-func (b *Balancer) comeBack(c *class) time.Duration {
-	return min(b.set.MaxRetryAfter, c.Aim/comeBack)
+// ComeBack advises a client that is sent away; a host asks for a stream that a server refused. One sent away
+// for long comes back when its aim is mostly over, and its late answer takes the room of one in time. One that
+// comes back at once finds the same crowd and burns its few tries.
+func (s Settings) ComeBack(c Class) time.Duration {
+	return min(s.MaxRetryAfter, c.Aim/comeBack)
 }
 
 // close ends a request. What is still out for it is not called off: where servers work on regardless, the
--- a/grpcwalk/grpcwalk_test.go
+++ b/grpcwalk/grpcwalk_test.go
@@ -212,6 +212,16 @@
 	}
 }
 
+// advice is what a refusal says of when to come back; 0: nothing.
+func advice(err error) time.Duration {
+	for _, d := range status.Convert(err).Details() {
+		if info, ok := d.(*errdetails.RetryInfo); ok {
+			return info.GetRetryDelay().AsDuration()
+		}
+	}
+	return 0
+}
+
 // A refusal says that nothing ran, and when to come back. Three attempts are all: the library, which sends again by
 // itself what a server refused unprocessed, adds none.
 func TestRefusal(t *testing.T) {
@@ -223,13 +233,8 @@
 		t.Run(name, func(t *testing.T) {
 			f := newFleet(t, 5, 0, func(_ int, k *grpcbox.Call) { fault(k) })
 			_, err := ask(t.Context(), dial(t, config(t, Static(f.list()))), weighIn)
-			s := status.Convert(err)
-			var advice *errdetails.RetryInfo
-			for _, d := range s.Details() {
-				advice, _ = d.(*errdetails.RetryInfo)
-			}
-			if s.Code() != codes.Unavailable || advice.GetRetryDelay().AsDuration() <= 0 {
-				t.Errorf("got %v, advice %v", err, advice)
+			if status.Code(err) != codes.Unavailable || advice(err) <= 0 {
+				t.Errorf("got %v, advice %v", err, advice(err))
 			}
 			if n := f.calls.Load(); n != 3 {
 				t.Errorf("the boxes have seen %d calls, want 3", n)
@@ -485,6 +490,9 @@
 			if messages != tc.messages || status.Code(err) != tc.want {
 				t.Errorf("%d messages, then %v", messages, err)
 			}
+			if tc.want == codes.Unavailable && advice(err) != settings.MaxRetryAfter/2 {
+				t.Errorf("refused with the advice %v", advice(err))
+			}
 			if n := f.calls.Load(); n != 1 {
 				t.Errorf("the boxes have seen %d calls", n)
 			}
--- a/grpcwalk/plugin.go
+++ b/grpcwalk/plugin.go
@@ -185,7 +185,7 @@
 		if a.Verdict == engine.Aborted && a.Status != 503 {
 			return status.Error(codes.Internal, "hookwalk: ended by a drill")
 		}
-		s := status.New(codes.Unavailable, "hookwalk: refused; it did not run")
+		s := status.New(codes.Unavailable, "hookwalk: refused; it may be sent again")
 		if a.RetryAfter > 0 {
 			if d, err := s.WithDetails(&errdetails.RetryInfo{RetryDelay: durationpb.New(a.RetryAfter)}); err == nil {
 				s = d
--- a/grpcwalk/stream.go
+++ b/grpcwalk/stream.go
@@ -147,7 +147,7 @@
 	case deckrelay.Success:
 		s.err = err
 	case deckrelay.Overloaded, deckrelay.Unreachable, deckrelay.Void:
-		s.err = final(engine.Answer{Verdict: engine.Refused}, err)
+		s.err = final(engine.Answer{Verdict: engine.Refused, RetryAfter: s.att.tier.comeBack(s.att.call.Request.Class)}, err)
 	default:
 		s.err = err
 		if status.Code(err) != codes.Canceled {
--- a/grpcwalk/tier.go
+++ b/grpcwalk/tier.go
@@ -206,6 +206,15 @@
 	return a, err
 }
 
+// comeBack advises the client of a stream that a box refused. The module is no longer asked once a stream has begun.
+func (t *tier) comeBack(class string) time.Duration {
+	all := t.cfg.Settings.Classes
+	if i := slices.IndexFunc(all, func(c deckrelay.Class) bool { return c.Name == class }); i >= 0 {
+		return t.cfg.Settings.ComeBack(all[i])
+	}
+	return t.cfg.Settings.ComeBack(slices.MaxFunc(all, func(a, b deckrelay.Class) int { return int(a.Deadline - b.Deadline) }))
+}
+
 // Config says which tier a channel goes to and how.
 type Config struct {
 	Tier     string             // channels of one process with the same name share an engine
