Test: what others notice of slow connections and of ever new ones

Need: a client may trickle its body, take its answer a byte at a time, or come on a new connection with a new id each time. Change: sixty connections of each kind beside 2,000 requests of another client, on real sockets.

--- a/internal/node/connections_test.go
+++ b/internal/node/connections_test.go
@@ -235,3 +235,100 @@
 		t.Errorf("served after %v: the places are not given back", took)
 	}
 }
+
+// What others notice of a client that trickles its bodies, takes its answers a byte at a time, or comes on a new connection
+// with a new id each time: all are served, beside it as without it.
+func TestOthersBesideSlowConnections(t *testing.T) {
+	large := strings.Repeat("x", 200_000) // more than the kernel takes of an answer that nobody reads
+	serve := func(_ int, c net.Conn, r *http.Request) bool {
+		if strings.HasPrefix(r.Header.Get("X-Call-Id"), "slow") {
+			return respond(c, "200 OK", large)
+		}
+		return respond(c, "200 OK", "done")
+	}
+	const head = "POST /api HTTP/1.1\r\nHost: a\r\nX-Call-Class: unsafe\r\nX-Budget: 3000m\r\n"
+	for _, odd := range []struct {
+		name string
+		do   func(i int, c net.Conn, stop <-chan struct{})
+	}{
+		{"nobody", nil},
+		{"trickles its bodies", func(i int, c net.Conn, stop <-chan struct{}) {
+			fmt.Fprintf(c, "%sX-Call-Id: t%d\r\nContent-Length: 60000\r\n\r\n", head, i)
+			for {
+				select {
+				case <-stop:
+					return
+				case <-time.After(20 * time.Millisecond):
+					if _, err := c.Write([]byte("x")); err != nil {
+						return
+					}
+				}
+			}
+		}},
+		{"reads a byte at a time", func(i int, c net.Conn, stop <-chan struct{}) {
+			c.(*net.TCPConn).SetReadBuffer(2048)
+			fmt.Fprintf(c, "%sX-Call-Id: slow%d\r\nContent-Length: 0\r\n\r\n", head, i)
+			for {
+				select {
+				case <-stop:
+					return
+				case <-time.After(20 * time.Millisecond):
+					if _, err := c.Read(make([]byte, 1)); err != nil {
+						return
+					}
+				}
+			}
+		}},
+		{"new connections and ids", func(i int, c net.Conn, stop <-chan struct{}) {
+			for k := range 20 {
+				fresh, err := net.Dial("tcp", c.RemoteAddr().String())
+				if err != nil {
+					return
+				}
+				fmt.Fprintf(fresh, "%sX-Call-Id: n%d.%d\r\nContent-Length: 0\r\n\r\n", head, i, k)
+				http.ReadResponse(bufio.NewReader(fresh), nil)
+				fresh.Close()
+			}
+			<-stop
+		}},
+	} {
+		t.Run(odd.name, func(t *testing.T) {
+			b := newBackend(t, serve)
+			n := startWith(t, b)
+			stop, over := make(chan struct{}), make(chan struct{}, 60)
+			addr := strings.TrimPrefix(n.url, "http://")
+			for i := range 60 {
+				if odd.do == nil {
+					over <- struct{}{}
+					continue
+				}
+				c, err := net.Dial("tcp", addr)
+				if err != nil {
+					t.Fatal(err)
+				}
+				defer c.Close()
+				go func() {
+					odd.do(i, c, stop)
+					over <- struct{}{}
+				}()
+			}
+			if odd.name == "reads a byte at a time" {
+				eventually(t, "all of them have an answer to take", func() bool { return b.requests() == 60 })
+			}
+			var took []time.Duration
+			for i := range 2000 {
+				begin := time.Now()
+				if status, _, body := do(t, newRequest(t, n.url, "unsafe", fmt.Sprint(i), "x")); status != 200 || body != "done" {
+					t.Fatalf("request %d: answered %d", i, status)
+				}
+				took = append(took, time.Since(begin))
+			}
+			close(stop)
+			for range 60 {
+				<-over
+			}
+			slices.Sort(took)
+			t.Logf("median %v, 99th percentile %v", took[len(took)/2], took[len(took)*99/100])
+		})
+	}
+}
