Test: a spool's reader may still be behind when the queue is empty

Cause: TestNobodyReads wanted a line to be written at once as soon as nothing waited; the pipe itself may still be full then, and it read the spool's fields without its lock. Change: it flushes once more and looks under the lock.

--- a/internal/spool/spool_test.go
+++ b/internal/spool/spool_test.go
@@ -29,9 +29,11 @@
 			taken = append(taken, line)
 		}
 	}
+	s.mu.Lock()
 	if dropped == 0 || s.size > most {
 		t.Errorf("%d lines dropped, %d bytes wait", dropped, s.size)
 	}
+	s.mu.Unlock()
 	read := make(chan []string)
 	go func() {
 		var got []string
@@ -46,11 +48,17 @@
 		}
 	}()
 	s.Flush(time.Minute)
-	if n, err := s.Write([]byte("at once\n")); n == 0 || err != nil || s.idle != nil {
-		t.Errorf("with somebody reading: %d, %v, still waiting %v", n, err, s.idle != nil)
+	if _, err := s.Write([]byte("last\n")); err != nil {
+		t.Error(err)
 	}
+	s.Flush(time.Minute)
+	s.mu.Lock()
+	if s.idle != nil || s.size != 0 {
+		t.Errorf("%d bytes wait in the end", s.size)
+	}
+	s.mu.Unlock()
 	w.Close()
-	if got := <-read; strings.Join(got, "") != strings.Join(taken, "")+"at once\n" {
+	if got := <-read; strings.Join(got, "") != strings.Join(taken, "")+"last\n" {
 		t.Errorf("%d lines came of %d", len(got), len(taken)+1)
 	}
 }
