--- /dev/null
+++ b/grpcwalk/inflight_test.go
@@ -0,0 +1,125 @@
+package grpcwalk
+
+import (
+	"context"
+	"encoding/json"
+	"log/slog"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"golang.org/x/net/http2"
+	"google.golang.org/grpc/codes"
+
+	"hookwalk.example/hookwalk/internal/engine"
+	"hookwalk.example/hookwalk/internal/lab/grpcbox"
+)
+
+// looks is a log that looks at the module whenever the engine's loop writes its counts, as it does when it ends.
+type looks struct {
+	at   *atomic.Pointer[engine.Engine]
+	seen chan []byte
+}
+
+func (looks) Enabled(context.Context, slog.Level) bool { return true }
+func (l looks) WithAttrs([]slog.Attr) slog.Handler     { return l }
+func (l looks) WithGroup(string) slog.Handler          { return l }
+func (l looks) Handle(_ context.Context, r slog.Record) error {
+	e := l.at.Load()
+	if r.Message != "counts" || e == nil {
+		return nil
+	}
+	text, err := e.Balancer.Checkpoint()
+	if err == nil {
+		l.seen <- text
+	}
+	return err
+}
+
+// quiet says that a module has nothing in flight and holds no request.
+func quiet(t *testing.T, checkpoint []byte) bool {
+	t.Helper()
+	var c struct {
+		Servers  []struct{ Open [][2]int }
+		Requests []any
+		Pools    []struct{ InFlight int }
+	}
+	if err := json.Unmarshal(checkpoint, &c); err != nil {
+		t.Fatal(err)
+	}
+	open := len(c.Requests)
+	for _, s := range c.Servers {
+		open += len(s.Open)
+	}
+	for _, p := range c.Pools {
+		open += p.InFlight
+	}
+	return open == 0
+}
+
+// Whatever becomes of their connections, calls and streams leave nothing in flight behind.
+func TestFaultsLeaveNothingInFlight(t *testing.T) {
+	f := newFleet(t, 4, 0, func(n int, k *grpcbox.Call) {
+		switch n % 8 {
+		case 0:
+			k.Reset(http2.ErrCodeRefusedStream)
+		case 1:
+			k.Cut()
+		case 2:
+			k.Header()
+			k.Data(served, 3)
+			k.Cut()
+		case 3:
+			k.GoAway(true)
+		case 4:
+			k.Fail(int(codes.Unavailable), TurnedAway, "1")
+		case 5:
+			k.Fail(int(codes.Internal))
+		default:
+			k.Header()
+			k.Data(served, -1)
+			k.Status(0)
+		}
+	})
+	cfg := config(t, Static(f.list()))
+	log := looks{new(atomic.Pointer[engine.Engine]), make(chan []byte, 100)}
+	cfg.Log = slog.New(log)
+	cc := dial(t, cfg)
+	var all sync.WaitGroup
+	for i := range 6 {
+		all.Add(1)
+		go func() {
+			defer all.Done()
+			ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+			defer cancel()
+			for k := range 4 {
+				switch (i + k) % 3 {
+				case 0:
+					ask(ctx, cc, weighIn)
+				case 1:
+					ask(ctx, cc, view)
+				default:
+					watch(ctx, cc)
+				}
+			}
+		}()
+	}
+	all.Wait()
+	tiers.mu.Lock()
+	log.at.Store(tiers.byName[cfg.Tier].engine)
+	tiers.mu.Unlock()
+	ask(t.Context(), cc, view) // so that there is something to say in the end
+	cc.Close()
+	late := time.After(30 * time.Second)
+	for {
+		select {
+		case c := <-log.seen: // one that came in the middle of the last call is followed by another
+			if quiet(t, c) {
+				return
+			}
+		case <-late:
+			t.Fatal("something stays in flight")
+		}
+	}
+}
