--- a/deckrelay/policy.go
+++ b/deckrelay/policy.go
@@ -1005,8 +1005,8 @@
 }
 
 // ComeBack advises a client that is sent away; a host asks for a stream that a server refused. One sent away
-// for long comes back when its aim is mostly over, and its late answer takes the room of one in time. One that
-// comes back at once finds the same crowd and burns its few tries.
+// for long comes back when its aim is mostly over, and its late answer takes the room of one in time. One
+// that comes back at once finds the same crowd and burns its few tries.
 func (s Settings) ComeBack(c Class) time.Duration {
 	return min(s.MaxRetryAfter, c.Aim/comeBack)
 }
