Module: servers out by hand, and new settings beside open requests

Two events: Hand holds a server out by its id whatever discovery says and makes its return a cold start from the call; Retune brings settings while open requests keep class, effect and most attempts. Both stand in checkpoint, capture (version 3) and replay. The engine takes operators' orders ahead of client work.

--- a/deckrelay/checkpoint.go
+++ b/deckrelay/checkpoint.go
@@ -26,6 +26,9 @@
 	SubFails  int
 	SubWanted time.Duration
 	Leaving   bool
+	Hands     []savedHand `json:",omitempty"`
+	Rules     int
+	Before    []int        `json:",omitempty"` // classes
 	Drills    *savedDrills `json:",omitempty"`
 }
 
@@ -38,6 +41,13 @@
 	Room                 int
 	Full                 time.Duration
 	Refusals             int
+	Back, Hungry         time.Duration `json:",omitempty"`
+}
+
+type savedHand struct {
+	ID   string
+	Out  bool
+	Back time.Duration
 }
 
 type savedRequest struct {
@@ -52,6 +62,7 @@
 	Streaming bool
 	Wake      time.Duration
 	Resume    time.Duration
+	Most      int
 }
 
 type savedAttempt struct {
@@ -66,12 +77,16 @@
 type savedClass struct {
 	Mean, Dev, Samples, Arrive, Serve float64
 	UsualTry                          time.Duration
+	Old                               *Class `json:",omitempty"` // of settings before these
+	Pool                              int    `json:",omitempty"` // of an old one
 }
 
 type savedPool struct {
 	Ready, Near, Held                                                            []int
 	InFlight                                                                     int
 	Spill, Nearby, Far, Fair, Window, Fill, Bare, Spared, Peak, Base, Part, Shed float64
+	Handed                                                                       bool     `json:",omitempty"`
+	Zones, Kinds                                                                 []string // nil: all
 }
 
 type savedLine struct {
@@ -90,7 +105,10 @@
 // does.
 func (b *Balancer) Checkpoint() ([]byte, error) {
 	s := saved{Now: b.now, Errors: b.errors, LastOK: b.lastOK, Tokens: b.tokens, SubFails: b.subFails,
-		SubWanted: b.subWanted, Leaving: b.leaving}
+		SubWanted: b.subWanted, Leaving: b.leaving, Rules: b.rules}
+	for _, id := range slices.Sorted(maps.Keys(b.hands)) {
+		s.Hands = append(s.Hands, savedHand{ID: id, Out: b.hands[id].out, Back: b.hands[id].back})
+	}
 	var err error
 	if s.Random, err = b.src.MarshalBinary(); err != nil {
 		return nil, fmt.Errorf("checkpoint: %w", err)
@@ -104,26 +122,36 @@
 	for _, id := range slices.Sorted(maps.Keys(b.requests)) {
 		requests.of(b.requests[id])
 	}
+	classes := places[*class]{}
+	classes.all(b.order)
+	for _, name := range slices.Sorted(maps.Keys(b.before)) {
+		s.Before = append(s.Before, classes.of(b.before[name]))
+	}
 	for _, r := range requests.list {
-		s.Requests = append(s.Requests, b.saveRequest(r, &servers))
+		s.Requests = append(s.Requests, b.saveRequest(r, &servers, &classes))
 	}
 	for _, v := range servers.list {
 		o := savedServer{Server: v.Server, Listed: v.listed, Streak: v.streak, Level: v.level,
-			Goods: v.goods, Until: v.until, LastOK: v.lastOK, Room: v.room, Full: v.full, Refusals: v.refusals}
+			Goods: v.goods, Until: v.until, LastOK: v.lastOK, Room: v.room, Full: v.full, Refusals: v.refusals,
+			Back: v.back, Hungry: v.hungry}
 		for _, a := range v.open {
 			o.Open = append(o.Open, [2]int{requests.of(a.req), a.n})
 		}
 		s.Servers = append(s.Servers, o)
 	}
-	for _, c := range b.order {
-		s.Classes = append(s.Classes, savedClass{Mean: c.mean, Dev: c.dev, Samples: c.samples, Arrive: c.arrive,
-			Serve: c.serve, UsualTry: c.usualTry})
+	for i, c := range classes.list {
+		o := savedClass{Mean: c.mean, Dev: c.dev, Samples: c.samples, Arrive: c.arrive,
+			Serve: c.serve, UsualTry: c.usualTry}
+		if i >= len(b.order) {
+			o.Old, o.Pool = &c.Class, slices.Index(b.pools, c.pool)
+		}
+		s.Classes = append(s.Classes, o)
 	}
 	for _, p := range b.pools {
 		s.Pools = append(s.Pools, savedPool{Ready: servers.all(p.ready), Near: servers.all(p.near),
 			Held: requests.all(p.held), InFlight: p.inFlight, Spill: p.spill, Nearby: p.nearby, Far: p.far,
 			Fair: p.fair, Window: p.window, Fill: p.fill, Bare: p.bare, Spared: p.spared, Peak: p.peak,
-			Base: p.base, Part: p.part, Shed: p.shed})
+			Base: p.base, Part: p.part, Shed: p.shed, Handed: p.handed, Zones: p.zones, Kinds: p.kinds})
 	}
 	for _, key := range slices.Sorted(maps.Keys(b.lines)) {
 		l := b.lines[key]
@@ -142,8 +170,8 @@
 	return text, nil
 }
 
-func (b *Balancer) saveRequest(r *request, servers *places[*server]) savedRequest {
-	o := savedRequest{ID: []byte(r.id), Class: slices.Index(b.order, r.class), Arrived: r.arrived, Deadline: r.deadline,
+func (b *Balancer) saveRequest(r *request, servers *places[*server], classes *places[*class]) savedRequest {
+	o := savedRequest{ID: []byte(r.id), Class: classes.of(r.class), Most: r.most, Arrived: r.arrived, Deadline: r.deadline,
 		Repeat: r.repeat, Answered: r.answered, Streaming: r.streaming, Wake: r.wake, Resume: r.resume}
 	if r.line != nil {
 		o.Line = &r.line.key
@@ -196,29 +224,50 @@
 	if err := b.src.UnmarshalBinary(s.Random); err != nil {
 		return nil, fmt.Errorf("%w: %w", errNoCheckpoint, err)
 	}
-	if len(s.Classes) != len(b.order) || len(s.Pools) != len(b.pools) || (s.Drills != nil) != (b.drills != nil) ||
+	if len(s.Classes) < len(b.order) || len(s.Pools) < len(b.pools) || (s.Drills != nil) != (b.drills != nil) ||
 		s.Mapped < 0 || s.Mapped > len(s.Servers) {
 		return nil, errNoCheckpoint
 	}
 	b.now, b.errors, b.lastOK, b.tokens = s.Now, s.Errors, s.LastOK, s.Tokens
 	b.subFails, b.subWanted, b.leaving = s.SubFails, s.SubWanted, s.Leaving
+	b.rules = s.Rules
+	for _, h := range s.Hands {
+		b.hands[h.ID] = hand{out: h.Out, back: h.Back}
+	}
+	for _, p := range s.Pools[len(b.pools):] {
+		b.pools = append(b.pools, &pool{zones: p.Zones, kinds: p.Kinds})
+	}
+	classes := slices.Clone(b.order)
 	for i, c := range s.Classes {
-		k := b.order[i]
+		if i >= len(b.order) {
+			if c.Old == nil || c.Pool < 0 || c.Pool >= len(b.pools) {
+				return nil, errNoCheckpoint
+			}
+			classes = append(classes, &class{Class: *c.Old, pool: b.pools[c.Pool]})
+		}
+		k := classes[i]
 		k.mean, k.dev, k.samples, k.arrive, k.serve, k.usualTry = c.Mean, c.Dev, c.Samples, c.Arrive, c.Serve, c.UsualTry
 	}
 	// Pointers go last: each list must be there before another one points into it.
 	f := &fetcher{}
+	for _, c := range fetch(f, classes, s.Before) {
+		if b.before == nil {
+			b.before = map[string]*class{}
+		}
+		b.before[c.Name] = c
+	}
 	servers := make([]*server, len(s.Servers))
 	for i, o := range s.Servers {
 		servers[i] = &server{Server: o.Server, listed: o.Listed, streak: o.Streak, level: o.Level,
-			goods: o.Goods, until: o.Until, lastOK: o.LastOK, room: o.Room, full: o.Full, refusals: o.Refusals}
+			goods: o.Goods, until: o.Until, lastOK: o.LastOK, room: o.Room, full: o.Full, refusals: o.Refusals,
+			back: o.Back, hungry: o.Hungry}
 		if i < s.Mapped {
 			b.servers[o.ID] = servers[i]
 		}
 	}
 	requests := make([]*request, len(s.Requests))
 	for i, o := range s.Requests {
-		requests[i] = b.loadRequest(o, servers, f)
+		requests[i] = b.loadRequest(o, servers, classes, f)
 		b.requests[requests[i].id] = requests[i]
 	}
 	for _, l := range s.Lines {
@@ -246,7 +295,7 @@
 		}
 		p.inFlight, p.spill, p.nearby, p.far = o.InFlight, o.Spill, o.Nearby, o.Far
 		p.fair, p.window, p.fill, p.bare, p.spared = o.Fair, o.Window, o.Fill, o.Bare, o.Spared
-		p.peak, p.base, p.part, p.shed = o.Peak, o.Base, o.Part, o.Shed
+		p.peak, p.base, p.part, p.shed, p.handed = o.Peak, o.Base, o.Part, o.Shed, o.Handed
 	}
 	if d := s.Drills; d != nil {
 		if err := b.drills.src.UnmarshalBinary(d.Random); err != nil || len(d.Until) != len(b.drills.until) {
@@ -264,10 +313,10 @@
 	return b, nil
 }
 
-func (b *Balancer) loadRequest(o savedRequest, servers []*server, f *fetcher) *request {
+func (b *Balancer) loadRequest(o savedRequest, servers []*server, classes []*class, f *fetcher) *request {
 	r := &request{id: string(o.ID), arrived: o.Arrived, deadline: o.Deadline, repeat: o.Repeat,
-		answered: o.Answered, streaming: o.Streaming, wake: o.Wake, resume: o.Resume}
-	if c := fetch(f, b.order, []int{o.Class}); len(c) == 1 {
+		answered: o.Answered, streaming: o.Streaming, wake: o.Wake, resume: o.Resume, most: o.Most}
+	if c := fetch(f, classes, []int{o.Class}); len(c) == 1 {
 		r.class = c[0]
 	}
 	for n, a := range o.Attempts {
--- a/deckrelay/deckrelay.go
+++ b/deckrelay/deckrelay.go
@@ -1,7 +1,7 @@
 // Package deckrelay decides where a load balancer sends each request, when it tries again and
 // when it gives up. It does no I/O: the host feeds events to a Balancer and carries out the
 // actions it returns. This file is the whole interface; every decision is in policy.go,
-// drill.go and addresses.go.
+// drill.go, addresses.go and hand.go.
 //
 // A Balancer belongs to one goroutine. Its only clock is the now given to Handle, which must
 // never go back, and its only randomness is the seed given to New, so the same events always
@@ -51,7 +51,7 @@
 	OnlyKinds []string // kinds of machine open to the class; nil: all
 }
 
-// Settings are fixed for the life of a Balancer.
+// Settings hold for the requests that come under them; a Retune brings others.
 type Settings struct {
 	Classes     []Class
 	Balancers   int     // copies that place calls on this tier
@@ -135,6 +135,7 @@
 		Key      uint64        // what it is about, where HasKey
 		HasKey   bool
 		Client   netip.Addr // whose it is, where Addresses are set
+		Rules    int        // Retunes that its front knew of
 	}
 	// Outcome ends one attempt. Ended: the request has its final answer.
 	Outcome struct {
@@ -158,6 +159,13 @@
 	DrillStart struct{ Name string }
 	// Leaving says that the node is about to stop: drills end.
 	Leaving struct{}
+	// Hand takes a server out of use or puts it back, by an operator's word.
+	Hand struct {
+		Server string
+		Out    bool
+	}
+	// Retune brings other settings, for the requests that come from now on.
+	Retune struct{ Settings Settings }
 )
 
 func (ServerList) event() {}
@@ -169,6 +177,8 @@
 func (Timer) event()      {}
 func (DrillStart) event() {}
 func (Leaving) event()    {}
+func (Hand) event()       {}
+func (Retune) event()     {}
 
 // Action is something the host must do, in the order given: one of the types below.
 type Action interface{ action() }
--- /dev/null
+++ b/deckrelay/hand_test.go
@@ -0,0 +1,200 @@
+package deckrelay
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+func list(n int) ServerList { return ServerList{Full: true, Servers: servers(n)} }
+
+// What is out by hand stays out whatever discovery says, and comes back by one call however many took it out.
+func TestOutByHandOutlastsDiscovery(t *testing.T) {
+	boot := func(s Server, at time.Duration) Server { s.Boot = at; return s }
+	gone, moved := servers(1)[0], servers(1)[0]
+	gone.State, moved.Zone = Gone, "elsewhere"
+	for name, news := range map[string][]Event{
+		"nothing":           nil,
+		"the whole list":    {list(2)},
+		"a restart":         {ServerList{Servers: []Server{boot(servers(1)[0], 30*time.Second)}}},
+		"gone and back":     {ServerList{Servers: []Server{gone}}, list(2)},
+		"left out and back": {ServerList{Full: true, Servers: servers(2)[1:]}, list(2)},
+		"moved":             {ServerList{Servers: []Server{moved}}},
+		"new settings":      {Retune{Settings: testSettings()}, list(2)},
+		"out again":         {Hand{Server: "s00", Out: true}, Hand{Server: "s00", Out: true}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newBalancer(t, nil)
+			b.Handle(0, list(2))
+			b.Handle(time.Second, Hand{Server: "s00", Out: true})
+			for _, e := range news {
+				b.Handle(2*time.Second, e)
+			}
+			b = restored(t, b.set, b)
+			for i := range 50 {
+				id := fmt.Sprint("r", i)
+				now := time.Duration(40+i) * time.Second
+				for _, s := range sends(b.Handle(now, asked(id, "get", now, time.Second))) {
+					if s.Server == "s00" {
+						t.Fatal("a server that is out got a request")
+					}
+					settle(b, now+msec, id, s, Success)
+				}
+			}
+			b.Handle(100*time.Second, Hand{Server: "s00"})
+			if b.Out("s00") || len(b.pools[0].ready) != 2 {
+				t.Error("one call did not put it back")
+			}
+		})
+	}
+}
+
+// Only listed servers and those that are out are known; nothing is remembered beyond the bound.
+func TestWhoCanBeTakenOut(t *testing.T) {
+	b := newBalancer(t, nil)
+	b.Handle(0, list(mostHands+2))
+	if err := b.CanHand("nobody"); err != ErrUnknownServer {
+		t.Errorf("an unknown server: %v", err)
+	}
+	b.Handle(0, Hand{Server: "nobody", Out: true})
+	if b.Out("nobody") {
+		t.Error("an unknown server was taken out")
+	}
+	for i := range mostHands {
+		b.Handle(0, Hand{Server: fmt.Sprintf("s%02d", i), Out: true})
+	}
+	over := fmt.Sprintf("s%02d", mostHands)
+	if err := b.CanHand(over); err != ErrTooManyOut {
+		t.Errorf("one more than can be remembered: %v", err)
+	}
+	b.Handle(0, Hand{Server: "s00"})
+	if err := b.CanHand(over); err != ErrTooManyOut { // it is cold still, and so remembered
+		t.Errorf("just after one came back: %v", err)
+	}
+	b.Handle(b.set.WarmAfter, Timer{})
+	if err := b.CanHand(over); err != nil {
+		t.Errorf("with one long back: %v", err)
+	}
+	b.Handle(b.set.WarmAfter, ServerList{Full: true})
+	if err := b.CanHand("s01"); err != nil {
+		t.Errorf("a server that is out and not listed any more: %v", err)
+	}
+}
+
+// Back is cold from the call; a boot before it, told later, changes nothing, one after it begins anew.
+func TestBackIsCold(t *testing.T) {
+	b := newBalancer(t, nil)
+	b.Handle(0, list(2))
+	b.Handle(time.Second, Hand{Server: "s00", Out: true})
+	call := 20 * time.Second
+	b.Handle(call, Hand{Server: "s00"})
+	s := b.servers["s00"]
+	s.streak = 2
+	for _, c := range []struct {
+		boot, start time.Duration
+		streak      int
+	}{{0, call, 2}, {15 * time.Second, call, 2}, {15 * time.Second, call, 2}, {25 * time.Second, 25 * time.Second, 0}} {
+		n := servers(1)[0]
+		n.Boot = c.boot
+		b.Handle(26*time.Second, ServerList{Servers: []Server{n}})
+		if s.start() != c.start || s.streak != c.streak {
+			t.Errorf("told of a boot at %v: start %v, streak %d, want %v, %d", c.boot, s.start(), s.streak, c.start, c.streak)
+		}
+	}
+	b.Handle(27*time.Second, ServerList{Full: true})
+	b.Handle(28*time.Second, list(2))
+	if got := b.servers["s00"].start(); got != call {
+		t.Errorf("after it was left out of a list its start is %v, want %v", got, call)
+	}
+}
+
+// A server that came back has a request within 5 s, though one comes a second and none may be sent twice; never two
+// at once.
+func TestBackIsUsedWhereTrafficIsThin(t *testing.T) {
+	for seed := range uint64(40) {
+		b, err := New(testSettings(), seed)
+		if err != nil {
+			t.Fatal(err)
+		}
+		b.Handle(0, list(8))
+		b.Handle(0, Hand{Server: "s03", Out: true})
+		b.Handle(50*time.Second, Hand{Server: "s03"})
+		used := time.Duration(0)
+		for now := 50 * time.Second; now < 60*time.Second; now += time.Second {
+			id := now.String()
+			for _, s := range sends(b.Handle(now, asked(id, "pay", now, time.Second))) {
+				if s.Server == "s03" && used == 0 {
+					used = now - 50*time.Second
+				}
+				settle(b, now+10*msec, id, s, Success)
+			}
+		}
+		if used == 0 || used > 3*time.Second {
+			t.Errorf("seed %d: used after %v", seed, used)
+		}
+	}
+}
+
+// With every server out a request is refused at once, one that waits too, and told when to come back.
+func TestAllOutByHand(t *testing.T) {
+	b := newBalancer(t, nil)
+	b.Handle(0, list(2))
+	b.Handle(0, Hand{Server: "s00", Out: true})
+	b.pools[0].window, b.pools[0].inFlight = 1, 5 // so that a request waits
+	if acts := b.Handle(0, asked("held", "pay", 0, time.Second)); len(sends(acts)) > 0 {
+		t.Fatal("it does not wait")
+	}
+	acts := b.Handle(msec, Hand{Server: "s01", Out: true})
+	if len(acts) != 1 || acts[0].(Refuse).ID != "held" || acts[0].(Refuse).RetryAfter <= 0 {
+		t.Errorf("what waited: %v", acts)
+	}
+	acts = b.Handle(2*msec, asked("r", "pay", 2*msec, time.Second))
+	if len(acts) != 1 || acts[0].(Refuse).RetryAfter <= 0 {
+		t.Errorf("what came: %v", acts)
+	}
+}
+
+// Whatever is said of servers by hand and by discovery in whatever order, nothing goes to one that is out, and a
+// checkpoint in between changes nothing.
+func TestHandsInAnyOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		b, err := New(testSettings(), 1)
+		if err != nil {
+			t.Fatal(err)
+		}
+		b.Handle(0, list(4))
+		out := map[string]bool{}
+		for i := range 60 {
+			now := time.Duration(i) * 200 * msec
+			id := fmt.Sprintf("s%02d", rapid.IntRange(0, 3).Draw(t, "server"))
+			switch rapid.IntRange(0, 4).Draw(t, "what") {
+			case 0:
+				if known := b.CanHand(id) == nil; known {
+					out[id] = true
+				}
+				b.Handle(now, Hand{Server: id, Out: true})
+			case 1:
+				delete(out, id)
+				b.Handle(now, Hand{Server: id})
+			case 2:
+				b.Handle(now, list(rapid.IntRange(0, 4).Draw(t, "listed")))
+			case 3:
+				text, err := b.Checkpoint()
+				if err != nil {
+					t.Fatal(err)
+				}
+				if b, err = Restore(b.set, text); err != nil {
+					t.Fatal(err)
+				}
+			default:
+				for _, s := range sends(b.Handle(now, asked(now.String(), "get", now, time.Second))) {
+					if out[s.Server] {
+						t.Fatalf("%s is out", s.Server)
+					}
+				}
+			}
+		}
+	})
+}
--- a/deckrelay/policy.go
+++ b/deckrelay/policy.go
@@ -1,5 +1,5 @@
-// The decisions of deckrelay, but for drills (drill.go) and address lists (addresses.go). The interface
-// (settings, events, actions) is in deckrelay.go.
+// The decisions of deckrelay, but for drills (drill.go), address lists (addresses.go) and servers out by hand
+// (hand.go). The interface (settings, events, actions) is in deckrelay.go; settings.go takes settings over.
 //
 // Sections: constants, state, events, discovery, requests, the pick, eligibility, health,
 // slow start, further attempts, admission, answers.
@@ -9,7 +9,6 @@
 import (
 	"math"
 	"math/rand/v2"
-	"reflect"
 	"slices"
 	"strconv"
 	"strings"
@@ -59,9 +58,12 @@
 	servers  map[string]*server
 	requests map[string]*request
 	classes  map[string]*class
-	order    []*class         // every class in the order of the settings, then the unknown one
-	pools    []*pool          // in the order of the classes that are placed in them
-	lines    map[uint64]*line // by key
+	order    []*class          // every class in the order of the settings, then the unknown one
+	pools    []*pool           // in the order of the classes that are placed in them
+	lines    map[uint64]*line  // by key
+	hands    map[string]hand   // what operators said of servers, by id
+	rules    int               // settings taken over
+	before   map[string]*class // the classes of the settings before the last
 
 	errors    float64 // share of bad endings among all attempts
 	lastOK    time.Duration
@@ -92,6 +94,7 @@
 	base         float64 // servers of this copy's share that the window's floor counts
 	part         float64 // of a call, drawn while the window falls: rounds it up or down
 	shed         float64 // share of requests answered without an attempt
+	handed       bool    // every server in service is out by hand
 }
 
 // line is the open requests of one key, of all classes that keep their order, as they arrived.
@@ -125,6 +128,9 @@
 	room     int           // own calls that it had taken when it refused one more
 	full     time.Duration // no more than room until then
 	refusals int           // in a row
+
+	back   time.Duration // put back by hand
+	hungry time.Duration // unused since: from then on it is given a request; 0: it is used
 }
 
 // request is an accepted request, kept until it is answered and its attempts have ended.
@@ -140,10 +146,14 @@
 	answered  bool
 	streaming bool
 	wake      time.Duration
+	most      int  // attempts, by the settings that it came with
 	delayed   bool // by a drill, until resume
 	resume    time.Duration
 }
 
+// start is when a server began to serve: its process's boot, or its return by hand, if that was later.
+func (s *server) start() time.Duration { return max(s.Boot, s.back) }
+
 // calls is how many own calls are in flight at a server.
 func (s *server) calls() int { return len(s.open) }
 
@@ -172,39 +182,17 @@
 
 // New returns a Balancer that knows no servers yet. The error names the setting at fault.
 func New(set Settings, seed uint64) (*Balancer, error) {
-	if err := set.validate(); err != nil {
+	if err := set.Check(); err != nil {
 		return nil, err
 	}
 	src := rand.NewPCG(seed, 0x51a7e)
 	b := &Balancer{set: set, src: src, rng: rand.New(src), drills: newRehearsal(set.Drills, seed),
 		servers: map[string]*server{}, requests: map[string]*request{},
-		classes: map[string]*class{}, lines: map[uint64]*line{}, errors: 0.02, tokens: retryPurse / 2}
-	longest := set.Classes[0]
-	for _, c := range set.Classes {
-		b.addClass(c)
-		if c.Deadline > longest.Deadline {
-			longest = c
-		}
-	}
-	b.addClass(Class{Aim: longest.Aim, Deadline: longest.Deadline, Worth: longest.Worth})
+		lines: map[uint64]*line{}, hands: map[string]hand{}, errors: 0.02, tokens: retryPurse / 2}
+	b.addClasses(nil, nil)
 	return b, nil
 }
 
-func (b *Balancer) addClass(c Class) {
-	k := &class{Class: c, mean: float64(c.Aim) / 4, dev: float64(c.Aim) / 8}
-	for _, p := range b.pools {
-		if reflect.DeepEqual([][]string{p.zones, p.kinds}, [][]string{c.OnlyZones, c.OnlyKinds}) {
-			k.pool = p
-		}
-	}
-	if k.pool == nil {
-		k.pool = &pool{zones: c.OnlyZones, kinds: c.OnlyKinds}
-		b.pools = append(b.pools, k.pool)
-	}
-	b.classes[c.Name] = k
-	b.order = append(b.order, k)
-}
-
 // ---- Events ----
 
 // Handle takes one event at the clock time now and returns what to do, in order.
@@ -235,6 +223,10 @@
 		b.startDrill(e.Name)
 	case Leaving:
 		b.leave()
+	case Hand:
+		b.takeHand(e)
+	case Retune:
+		b.retune(e.Settings)
 	}
 	b.release()
 	return b.out
@@ -291,18 +283,30 @@
 	for _, n := range e.Servers {
 		s := b.servers[n.ID]
 		if s == nil {
-			s = &server{}
+			s = &server{back: b.hands[n.ID].back}
 			b.servers[n.ID] = s
-		} else if s.Boot != n.Boot {
-			*s = server{open: s.open}
+		} else if s.start() != max(n.Boot, s.back) {
+			*s = server{open: s.open, back: s.back}
 		}
 		s.Server = n
 		s.listed = n.State != Gone
 	}
-	var ready []*server
+	b.relist()
+	if e.Cached {
+		b.askAgain()
+	} else {
+		b.subFails = 0
+	}
+}
+
+// relist finds the servers in service of every pool: listed as ready, and not out by hand.
+func (b *Balancer) relist() {
+	var ready, handed []*server
 	for id, s := range b.servers {
 		if !s.listed && s.calls() == 0 {
 			delete(b.servers, id)
+		} else if s.listed && s.State == Ready && b.hands[id].out {
+			handed = append(handed, s)
 		} else if s.listed && s.State == Ready {
 			ready = append(ready, s)
 		}
@@ -312,6 +316,7 @@
 	for _, p := range b.pools {
 		before := len(p.ready)
 		p.ready = slices.DeleteFunc(slices.Clone(ready), func(s *server) bool { return !p.open(s) })
+		p.handed = len(p.ready) == 0 && slices.ContainsFunc(handed, p.open)
 		if len(p.ready) < before { // what servers that went took must not crowd those that stay
 			p.window *= float64(len(p.ready)) / float64(before)
 		}
@@ -319,11 +324,6 @@
 	for _, p := range b.pools {
 		b.share(p)
 	}
-	if e.Cached {
-		b.askAgain()
-	} else {
-		b.subFails = 0
-	}
 }
 
 // share finds the servers that a pool's classes use first: those of the own zone, if any, and of these the
@@ -388,11 +388,14 @@
 		return
 	}
 	c := b.classes[e.Class]
+	if e.Rules < b.rules && b.before[e.Class] != nil { // what it came with
+		c = b.before[e.Class]
+	}
 	if c == nil {
 		c = b.order[len(b.order)-1] // unknown: unsafe
 	}
 	r := &request{id: e.ID, class: c, arrived: b.now, deadline: min(e.Deadline, b.now+c.Deadline),
-		repeat: e.Repeat}
+		repeat: e.Repeat, most: max(1, b.set.MaxAttempts)}
 	b.requests[e.ID] = r
 	b.backdate(r)
 	for _, k := range b.order {
@@ -476,7 +479,8 @@
 }
 
 func (b *Balancer) send(r *request, s *server) {
-	a := &attempt{req: r, srv: s, n: len(r.attempts), sent: b.now, zone: s.Zone, cell: s.Cell, boot: s.Boot}
+	a := &attempt{req: r, srv: s, n: len(r.attempts), sent: b.now, zone: s.Zone, cell: s.Cell}
+	a.boot = s.start()
 	p := r.class.pool
 	if a.n == 0 {
 		p.shed -= memory / 4 * p.shed
@@ -484,6 +488,9 @@
 	r.attempts = append(r.attempts, a)
 	b.unhold(r)
 	s.open = append(s.open, a)
+	if s.hungry > 0 {
+		s.hungry = b.now + feedAfter
+	}
 	p.inFlight++
 	p.peak = max(float64(p.inFlight), p.peak-memory/4*(p.peak-float64(p.inFlight)))
 	b.do(Send{ID: r.id, Server: s.ID, Timeout: max(b.patience(r), b.set.Tick)})
@@ -507,7 +514,7 @@
 
 // hold keeps a request back; its timer makes sure that it is answered.
 func (b *Balancer) hold(r *request) {
-	if b.now >= b.holdUntil(r) {
+	if b.now >= b.holdUntil(r) || r.class.pool.handed {
 		b.answer(r)
 		return
 	}
@@ -536,6 +543,9 @@
 // release sends held requests while their pools have room, the most valuable first.
 func (b *Balancer) release() {
 	for _, p := range b.pools {
+		for p.handed && len(p.held) > 0 {
+			b.answer(p.held[0])
+		}
 		for len(p.held) > 0 && !b.full(p) {
 			var best *request
 			for _, r := range p.held {
@@ -627,6 +637,9 @@
 // price, and narrower pools need their servers: the nearest alone are drawn from, but for what spills.
 func (b *Balancer) choose(r *request) *server {
 	p := r.class.pool
+	if s := b.starved(r); s != nil {
+		return s
+	}
 	lists := [][]*server{p.near, p.ready, p.ready}
 	if n := len(p.near); n == 0 || n == len(p.ready) || b.rng.Float64() < max(p.spill, spillLeast) {
 		lists = lists[1:]
@@ -789,7 +802,7 @@
 // silent says that an old call to the server is unanswered while a younger one was answered
 // elsewhere: a machine gone quiet, hung or pausing shows nothing else until time-outs end.
 func (b *Balancer) silent(s *server) bool {
-	i := slices.IndexFunc(s.open, func(a *attempt) bool { return a.boot == s.Boot })
+	i := slices.IndexFunc(s.open, func(a *attempt) bool { return a.boot == s.start() })
 	if i < 0 {
 		return false
 	}
@@ -809,7 +822,7 @@
 // judge learns from an ending: the class's latency, the server's health relative to its peers.
 func (b *Balancer) judge(a *attempt, e Outcome) {
 	s, c := a.srv, a.req.class
-	if a.boot != s.Boot { // sent to its process before this one: no longer of any weight
+	if a.boot != s.start() { // sent to its process before this one: no longer of any weight
 		s = &server{}
 	}
 	took := float64(b.latency(a.req, a, e))
@@ -829,7 +842,7 @@
 		if s.calls()+1 >= s.room { // it answers with all that it had room for: its queue has moved on
 			s.room++
 		}
-		s.streak, s.refusals = 0, 0
+		s.streak, s.refusals, s.hungry = 0, 0, 0
 		b.errors = max(0.01, b.errors-memory*b.errors)
 		if s.goods++; s.goods >= minSamples && s.level > 0 {
 			s.level, s.goods = s.level-1, 1
@@ -864,8 +877,8 @@
 // takes that back. So each copy sends it about what others get for their capacity, whatever the span and the
 // number of copies, and the multiple is left for bursts: half of it, where it is under two.
 func (b *Balancer) warmEnough(s *server, busy float64) bool {
-	age := b.now - s.Boot
-	if s.Boot <= 0 || age >= b.set.WarmAfter {
+	age := b.now - s.start()
+	if s.start() <= 0 || age >= b.set.WarmAfter {
 		return true
 	}
 	grown := max(0, float64(age)/float64(b.set.WarmAfter))
@@ -880,7 +893,7 @@
 
 // maySendAgain says that the class's effect and the limits allow one more attempt now.
 func (b *Balancer) maySendAgain(r *request) bool {
-	if r.answered || r.streaming || len(r.attempts) >= max(1, b.set.MaxAttempts) {
+	if r.answered || r.streaming || len(r.attempts) >= r.most {
 		return false
 	}
 	for _, a := range r.attempts {
--- /dev/null
+++ b/deckrelay/retune_test.go
@@ -0,0 +1,84 @@
+package deckrelay
+
+import (
+	"testing"
+	"time"
+)
+
+// A request keeps the effect and the most attempts that it came with, whatever its class becomes; the next has the
+// new ones. A checkpoint in the middle changes nothing.
+func TestOpenRequestsKeepTheirRules(t *testing.T) {
+	unsafe := func(s *Settings) { s.Classes[0].Effect = Unsafe }
+	for name, c := range map[string]struct {
+		change     func(*Settings)
+		rules      int // that the request's front knew
+		before     bool
+		old, fresh bool // whether an attempt that may have run is followed by another
+	}{
+		"another effect":          {unsafe, 1, true, true, false},
+		"front not told yet":      {unsafe, 0, true, true, true},
+		"fewer attempts":          {func(s *Settings) { s.MaxAttempts = 1 }, 1, true, true, false},
+		"dropped":                 {func(s *Settings) { s.Classes = s.Classes[1:] }, 1, true, true, false},
+		"dropped, front not told": {func(s *Settings) { s.Classes = s.Classes[1:] }, 0, true, true, true},
+		"unsound":                 {func(s *Settings) { s.Classes[0].Deadline = 0 }, 0, false, true, true},
+		"the same":                {func(*Settings) {}, 1, true, true, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newBalancer(t, nil)
+			b.Handle(0, list(4))
+			first := sends(b.Handle(0, asked("old", "get", 0, time.Second)))
+			set := testSettings()
+			c.change(&set)
+			b.Handle(msec, Retune{Settings: set})
+			b = restored(t, b.set, b)
+			if got := len(sends(settle(b, 2*msec, "old", first[0], Failure))) > 0; got != c.old {
+				t.Errorf("the open request was sent again: %v", got)
+			}
+			r := asked("new", "get", 3*msec, time.Second)
+			r.Rules = c.rules
+			second := sends(b.Handle(3*msec, r))
+			if got := len(sends(settle(b, 4*msec, "new", second[0], Failure))) > 0; got != c.fresh {
+				t.Errorf("the next request was sent again: %v", got)
+			}
+		})
+	}
+}
+
+// Classes that stay keep what was learned of them; one of other rules keeps how long its work takes.
+func TestRetuneKeepsWhatWasLearned(t *testing.T) {
+	b := newBalancer(t, nil)
+	b.Handle(0, list(4))
+	b.classes["get"].samples, b.classes["get"].mean = 100, 7
+	b.classes["pay"].samples, b.classes["pay"].mean = 100, 9
+	b.pools[0].window = 33
+	set := testSettings()
+	set.Classes[2].Effect = Safe
+	b.Handle(0, Retune{Settings: set})
+	if b.classes["get"].mean != 7 || b.classes["pay"].mean != 9 || b.pools[0].window != 33 {
+		t.Errorf("get %v, pay %v, window %v", b.classes["get"].mean, b.classes["pay"].mean, b.pools[0].window)
+	}
+	for range 50 { // neither classes nor pools pile up
+		set.Classes[0].OnlyKinds = nil
+		b.Handle(0, Retune{Settings: set})
+		set.Classes[0].OnlyKinds = []string{"k"}
+		b.Handle(0, Retune{Settings: set})
+	}
+	if len(b.pools) > 3 || len(b.order) != 4 {
+		t.Errorf("%d pools, %d classes", len(b.pools), len(b.order))
+	}
+}
+
+// A request that waits in a pool of which the new settings have nothing is placed when there is room.
+func TestWaitingInAPoolThatIsGone(t *testing.T) {
+	bound := func(s *Settings) { s.Classes[0].OnlyZones = []string{"z"} }
+	b := newBalancer(t, bound)
+	b.Handle(0, list(2))
+	b.pools[0].window = 1
+	first := sends(b.Handle(0, asked("first", "get", 0, time.Second)))
+	b.Handle(0, asked("held", "get", 0, time.Second))
+	b.Handle(msec, Retune{Settings: testSettings()})
+	b = restored(t, b.set, b)
+	if got := sends(settle(b, 2*msec, "first", first[0], Success)); len(got) != 1 || got[0].ID != "held" {
+		t.Errorf("sent %v", got)
+	}
+}
--- a/deckrelay/settings.go
+++ b/deckrelay/settings.go
@@ -2,12 +2,13 @@
 
 import (
 	"fmt"
+	"reflect"
 	"slices"
 	"time"
 )
 
-// validate names the setting at fault.
-func (s Settings) validate() error {
+// Check names the setting at fault.
+func (s Settings) Check() error {
 	if len(s.Classes) == 0 {
 		return fmt.Errorf("deckrelay: Classes is empty")
 	}
@@ -15,6 +16,9 @@
 		if c.Name == "" {
 			return fmt.Errorf("deckrelay: Classes[%d].Name is empty", i)
 		}
+		if slices.ContainsFunc(s.Classes[:i], func(o Class) bool { return o.Name == c.Name }) {
+			return fmt.Errorf("deckrelay: Classes[%d].Name (%s) is repeated", i, c.Name)
+		}
 		if c.Aim <= 0 || c.Deadline <= 0 || c.Window < 0 {
 			return fmt.Errorf("deckrelay: Classes[%d] (%s): Aim, Deadline or Window out of range", i, c.Name)
 		}
@@ -51,3 +55,70 @@
 	}
 	return nil
 }
+
+// addClasses takes the classes and pools of the settings, from those before where they are there already.
+func (b *Balancer) addClasses(classes map[string]*class, pools []*pool) {
+	b.classes = map[string]*class{}
+	longest := b.set.Classes[0]
+	for _, c := range b.set.Classes {
+		b.addClass(c, classes, pools)
+		if c.Deadline > longest.Deadline {
+			longest = c
+		}
+	}
+	b.addClass(Class{Aim: longest.Aim, Deadline: longest.Deadline, Worth: longest.Worth}, classes, pools)
+}
+
+func (b *Balancer) addClass(c Class, classes map[string]*class, pools []*pool) {
+	k := &class{Class: c, mean: float64(c.Aim) / 4, dev: float64(c.Aim) / 8}
+	if o := classes[c.Name]; o != nil && reflect.DeepEqual(o.Class, c) {
+		k = o
+	} else if o != nil && o.samples > 0 { // other rules, the same work
+		k.mean, k.dev, k.samples = o.mean, o.dev, o.samples
+	}
+	k.pool = nil
+	for _, p := range slices.Concat(b.pools, pools) {
+		same := reflect.DeepEqual([][]string{p.zones, p.kinds}, [][]string{c.OnlyZones, c.OnlyKinds})
+		if same && k.pool == nil {
+			k.pool = p
+		}
+	}
+	if k.pool == nil {
+		k.pool = &pool{zones: c.OnlyZones, kinds: c.OnlyKinds}
+	}
+	if !slices.Contains(b.pools, k.pool) {
+		b.pools = append(b.pools, k.pool)
+	}
+	b.classes[c.Name] = k
+	b.order = append(b.order, k)
+}
+
+// retune takes over other settings while requests are open, or none of them if they are unsound. Classes that stay as
+// they were keep what was learned; open requests keep the class that they came with, also one that is gone.
+func (b *Balancer) retune(set Settings) {
+	if set.Check() != nil {
+		return
+	}
+	classes, pools := b.classes, b.pools
+	b.set, b.order, b.pools = set, nil, nil
+	b.addClasses(classes, pools)
+	b.rules, b.before = b.rules+1, classes
+	b.keepPools(pools)
+	b.relist()
+}
+
+// keepPools keeps those pools that no class has any more while something may still be placed in them.
+func (b *Balancer) keepPools(pools []*pool) {
+	used := map[*pool]bool{}
+	for _, c := range b.before {
+		used[c.pool] = true
+	}
+	for _, r := range b.requests {
+		used[r.class.pool] = true
+	}
+	for _, p := range pools {
+		if used[p] && !slices.Contains(b.pools, p) {
+			b.pools = append(b.pools, p)
+		}
+	}
+}
--- a/internal/capture/record.go
+++ b/internal/capture/record.go
@@ -21,7 +21,7 @@
 
 // Version is that of the records. Another build of the same version may decide otherwise; that is what a replay
 // is for.
-const Version = "2"
+const Version = "3"
 
 const (
 	linePrefix = "capture:"
@@ -41,6 +41,8 @@
 	kindGone       = "client_gone"
 	kindDrill      = "drill"
 	kindLeaving    = "leaving"
+	kindHand       = "hand"
+	kindRetune     = "retune"
 )
 
 // record is one event with its decision, or a head. Times are in ns; At is the module's clock.
@@ -68,7 +70,11 @@
 	Hosts    []host           `json:"hosts,omitempty"`
 	Decision []decision       `json:"decision,omitempty"`
 	Answer   int              `json:"answer,omitempty"` // the final answer that this event led to
+	Out      bool             `json:"out,omitempty"`
+	Rules    int              `json:"rules,omitempty"`
 	Head     *head            `json:"head,omitempty"`
+
+	Settings *deckrelay.Settings `json:"settings,omitempty"`
 }
 
 type host struct {
@@ -115,7 +121,7 @@
 	switch e := e.(type) {
 	case deckrelay.Request:
 		return record{Kind: kindRequest, ID: plain(e.ID), Class: plain(e.Class), Tenant: plain(aside.Tenant), Budget: aside.Budget,
-			Deadline: e.Deadline, Repeat: e.Repeat, Key: e.Key, HasKey: e.HasKey, Client: e.Client}, nil
+			Deadline: e.Deadline, Repeat: e.Repeat, Key: e.Key, HasKey: e.HasKey, Client: e.Client, Rules: e.Rules}, nil
 	case deckrelay.Outcome:
 		r := record{Kind: kindOutcome, ID: plain(e.ID), Attempt: e.Attempt, Server: e.Server, Ending: e.Ending,
 			Latency: e.Latency, Ended: e.Ended}
@@ -142,6 +148,10 @@
 		return record{Kind: kindDrill, Name: e.Name}, nil
 	case deckrelay.Leaving:
 		return record{Kind: kindLeaving}, nil
+	case deckrelay.Hand:
+		return record{Kind: kindHand, Server: plain(e.Server), Out: e.Out}, nil
+	case deckrelay.Retune:
+		return record{Kind: kindRetune, Settings: &e.Settings}, nil
 	}
 	return record{}, fmt.Errorf("no record of a %T", e)
 }
@@ -151,7 +161,7 @@
 	switch r.Kind {
 	case kindRequest:
 		return deckrelay.Request{ID: raw(r.ID), Class: raw(r.Class), Deadline: r.Deadline, Repeat: r.Repeat, Key: r.Key,
-			HasKey: r.HasKey, Client: r.Client}, nil
+			HasKey: r.HasKey, Client: r.Client, Rules: r.Rules}, nil
 	case kindOutcome:
 		return deckrelay.Outcome{ID: raw(r.ID), Attempt: r.Attempt, Server: r.Server, Ending: r.Ending,
 			Latency: r.Latency, Ended: r.Ended}, nil
@@ -174,6 +184,13 @@
 		return deckrelay.DrillStart{Name: r.Name}, nil
 	case kindLeaving:
 		return deckrelay.Leaving{}, nil
+	case kindHand:
+		return deckrelay.Hand{Server: raw(r.Server), Out: r.Out}, nil
+	case kindRetune:
+		if r.Settings == nil {
+			return nil, errors.New("a retune without settings")
+		}
+		return deckrelay.Retune{Settings: *r.Settings}, nil
 	}
 	return nil, fmt.Errorf("unknown kind of record %q", r.Kind)
 }
--- a/internal/capture/writer.go
+++ b/internal/capture/writer.go
@@ -52,6 +52,9 @@
 		w.warn(err)
 		return
 	}
+	if n, ok := e.(deckrelay.Retune); ok {
+		w.head.Settings = n.Settings // of the checkpoints from here on
+	}
 	w.seq++
 	r.Seq, r.At, r.Decision = w.seq, at, decisions(did)
 	for _, d := range r.Decision {
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -38,15 +38,18 @@
 	results  chan Result
 	begun    chan *Attempt
 	starts   chan DrillStart
+	orders   chan order
 	dumps    chan struct{} // takes a wish to see what the capture holds without blocking
 	leaves   chan struct{}
 	stop     chan struct{}
 
 	calls   map[string]*Call
-	visitor *Call // that is being taken
+	visitor *Call          // that is being taken
+	boxes   map[string]Box // listed as ready, those out by hand among them
 	targets map[string]*Target
 	wakes   wakeHeap
 	usable  atomic.Bool // some listed server is in service
+	listed  atomic.Bool // the same, those out by hand among them
 	tally   tally
 	aside   capture.Aside // of the event that comes next
 }
@@ -55,9 +58,9 @@
 func New(o Options) *Engine {
 	return &Engine{Options: o,
 		lists: make(chan News), arrivals: make(chan *Call), gone: make(chan *Call),
-		results: make(chan Result), begun: make(chan *Attempt), starts: make(chan DrillStart), dumps: make(chan struct{}, 1),
+		results: make(chan Result), begun: make(chan *Attempt), starts: make(chan DrillStart), orders: make(chan order), dumps: make(chan struct{}, 1),
 		leaves: make(chan struct{}), stop: make(chan struct{}),
-		calls: map[string]*Call{}, targets: map[string]*Target{}}
+		calls: map[string]*Call{}, boxes: map[string]Box{}, targets: map[string]*Target{}}
 }
 
 // Why Do has no answer.
@@ -128,6 +131,9 @@
 	}
 }
 
+// Listed says whether some server is listed as in service, be it out by hand.
+func (e *Engine) Listed() bool { return e.listed.Load() }
+
 // Usable says whether some listed server is in service.
 func (e *Engine) Usable() bool { return e.usable.Load() }
 
@@ -143,11 +149,14 @@
 	defer func() { e.tally.write(e.Log, len(e.calls)) }()
 	leaves := e.leaves
 	for {
-		// News of the servers goes ahead of waiting traffic: the grace of a drain is running.
+		// News of the servers and operators' orders go ahead of waiting traffic: the grace of a drain is running.
 		select {
 		case n := <-e.lists:
 			e.takeNews(n)
 			continue
+		case o := <-e.orders:
+			o.done <- o.do()
+			continue
 		default:
 		}
 		for len(e.wakes) > 0 && e.wakes[0].At <= e.Clock.Now() {
@@ -162,6 +171,8 @@
 		select {
 		case n := <-e.lists:
 			e.takeNews(n)
+		case o := <-e.orders:
+			o.done <- o.do()
 		case c := <-e.arrivals:
 			e.takeCall(c)
 		case c := <-e.gone:
@@ -350,13 +361,14 @@
 			continue
 		}
 		// A server that moved or started anew shares no connection with the one before.
-		if old == nil || old.Addr != b.Addr || old.Boot != b.Boot {
+		if old != nil && (old.Addr != b.Addr || old.Boot != b.Boot) {
 			e.drop(b.ID)
-			e.targets[b.ID] = &Target{ID: b.ID, Addr: b.Addr, Boot: b.Boot}
 		}
+		e.boxes[b.ID] = b
+		e.aim(b)
 	}
 	if n.Whole {
-		for id := range e.targets {
+		for id := range e.boxes {
 			if !listed[id] {
 				e.drop(id)
 			}
@@ -370,10 +382,24 @@
 	}
 	e.handle(list)
 	e.usable.Store(len(e.targets) > 0)
+	e.listed.Store(len(e.boxes) > 0)
 }
 
-// drop stops all sends to a server, those that wait for a connection among them.
+// aim lets a listed server get attempts, unless it does already or the module says that it is out by hand.
+func (e *Engine) aim(b Box) {
+	if e.targets[b.ID] == nil && !e.Balancer.Out(b.ID) {
+		e.targets[b.ID] = &Target{ID: b.ID, Addr: b.Addr, Boot: b.Boot}
+	}
+}
+
+// drop forgets a server that is not listed as ready any more.
 func (e *Engine) drop(id string) {
+	e.halt(id)
+	delete(e.boxes, id)
+}
+
+// halt stops all sends to a server, those that wait for a connection among them.
+func (e *Engine) halt(id string) {
 	if t := e.targets[id]; t != nil {
 		t.Stop()
 		e.Sender.Retire(t)
--- /dev/null
+++ b/internal/engine/orders.go
@@ -0,0 +1,57 @@
+package engine
+
+import (
+	"context"
+
+	"hookwalk.example/hookwalk/deckrelay"
+)
+
+// order is something that an operator wants of the loop.
+type order struct {
+	do   func() error // in the loop
+	done chan error   // takes what came of it without blocking
+}
+
+// order has the loop do something ahead of all client work. When it returns nil, it is done.
+func (e *Engine) order(ctx context.Context, do func() error) error {
+	o := order{do: do, done: make(chan error, 1)}
+	select {
+	case e.orders <- o:
+		return <-o.done
+	case <-e.stop:
+		return ErrStopped
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// Hand takes a server out of use by an operator's word, or puts it back. When it returns nil nothing new goes to a
+// server that was taken out, also not what was chosen for it before. Else nothing has changed.
+func (e *Engine) Hand(ctx context.Context, id string, out bool) error {
+	return e.order(ctx, func() error {
+		if err := e.Balancer.CanHand(id); err != nil {
+			return err
+		}
+		if e.Balancer.Out(id) == out {
+			return nil
+		}
+		if out {
+			e.halt(id)
+		}
+		e.handle(deckrelay.Hand{Server: id, Out: out})
+		if b, listed := e.boxes[id]; listed {
+			e.aim(b)
+		}
+		e.Log.Info("server by hand", "server", id, "out", out)
+		e.usable.Store(len(e.targets) > 0)
+		return nil
+	})
+}
+
+// Retune has the module take over settings, which it has said are sound. Calls that are open keep their rules.
+func (e *Engine) Retune(ctx context.Context, set deckrelay.Settings) error {
+	return e.order(ctx, func() error {
+		e.handle(deckrelay.Retune{Settings: set})
+		return nil
+	})
+}
