Control listener, drain and return, settings taken over whole at SIGHUP

Cause: no call could reach the node, /ready went no only at SIGTERM, and SIGHUP took nothing but discovery's address. internal/control answers operators on a listener of its own; internal/lifecycle says what is owed in each state; a file that lacks a key of the one in force is refused whole.

--- a/cmd/hookwalk/main.go
+++ b/cmd/hookwalk/main.go
@@ -208,10 +208,11 @@
 			return
 		}
 		cfg, err := node.LoadConfig(path)
+		if err == nil {
+			err = n.Reload(cfg)
+		}
 		if err != nil {
 			log.Error("configuration not read again", "err", err)
-			continue
 		}
-		n.Reload(cfg)
 	}
 }
--- a/internal/figures/figures.go
+++ b/internal/figures/figures.go
@@ -128,6 +128,28 @@
 	return r
 }
 
+// mostNames bounds the classes and the tenants that settings have named over a node's life.
+const mostNames = 256
+
+// Name adds the classes and tenants of other settings to those that are told apart.
+func (r *Reporter) Name(classes, tenants []string) {
+	if r == nil {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, n := range []struct {
+		known map[string]bool
+		names []string
+	}{{r.classes, classes}, {r.tenants, tenants}} {
+		for _, name := range n.names {
+			if len(n.known) < mostNames {
+				n.known[name] = true
+			}
+		}
+	}
+}
+
 // Tags finds the tags of a class and a tenant. Callers can invent both: only so many are kept apart.
 func (r *Reporter) Tags(class, tenant string) Tags {
 	if r == nil {
--- a/internal/node/callers.go
+++ b/internal/node/callers.go
@@ -8,7 +8,6 @@
 	"net/http"
 	"net/netip"
 	"net/url"
-	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -43,7 +42,7 @@
 type callers struct {
 	engine  *engine.Engine
 	clock   engine.Clock
-	effects map[string]deckrelay.Effect // of the classes, by name
+	rules   func() *rules
 	drills  *drills.Keys
 	figures *figures.Reporter    // nil: off
 	lists   *deckrelay.Addresses // nil: everybody is let in
@@ -143,10 +142,10 @@
 	"Idempotency-Key", "Content-Length"}
 
 // check says why a request is not one of the protocol, before its body is read.
-func (h *callers) check(r *http.Request) (status int, err error) {
-	bad := func(text string) (int, error) { return http.StatusBadRequest, errors.New(text) }
+func (h *callers) check(r *http.Request) (generation, status int, err error) {
+	bad := func(text string) (int, int, error) { return 0, http.StatusBadRequest, errors.New(text) }
 	if !r.ProtoAtLeast(1, 1) { // net/http overlooks a Transfer-Encoding there
-		return http.StatusHTTPVersionNotSupported, errors.New("the version is HTTP/1.1")
+		return 0, http.StatusHTTPVersionNotSupported, errors.New("the version is HTTP/1.1")
 	}
 	// Callers send a Content-Length. With both, net/http believes Transfer-Encoding, and what a caller wrote
 	// as the end of its body would run as a request of its own.
@@ -154,7 +153,7 @@
 		return bad("Transfer-Encoding is not used here")
 	}
 	if r.ContentLength > maxBody {
-		return http.StatusRequestEntityTooLarge, fmt.Errorf("the body is over %d bytes", maxBody)
+		return 0, http.StatusRequestEntityTooLarge, fmt.Errorf("the body is over %d bytes", maxBody)
 	}
 	for _, name := range single {
 		if len(r.Header[name]) > 1 {
@@ -167,7 +166,7 @@
 	case len(id) > maxID:
 		return bad("X-Call-Id is over " + strconv.Itoa(maxID) + " bytes")
 	}
-	effect, known := h.effects[r.Header.Get("X-Call-Class")]
+	effect, generation, known := h.rules().of(r.Header.Get("X-Call-Class"), h.clock.Now())
 	if !known {
 		return bad("X-Call-Class is not one of the classes")
 	}
@@ -177,13 +176,13 @@
 	}
 	switch key := r.Header.Get("Idempotency-Key") != ""; {
 	case r.Method != want:
-		return http.StatusMethodNotAllowed, errors.New("the method of the class is " + want)
+		return 0, http.StatusMethodNotAllowed, errors.New("the method of the class is " + want)
 	case key != (effect == deckrelay.Keyed):
 		return bad("Idempotency-Key does not go with the class")
 	case want == http.MethodGet && r.ContentLength != 0:
 		return bad("a GET has no body")
 	}
-	return 0, nil
+	return generation, 0, nil
 }
 
 // read turns an HTTP request into a call, or says with which status to turn it down.
@@ -191,13 +190,15 @@
 	bad := func(format string, args ...any) (*call, int, error) {
 		return nil, http.StatusBadRequest, fmt.Errorf(format, args...)
 	}
-	if status, err := h.check(r); err != nil {
+	generation, status, err := h.check(r)
+	if err != nil {
 		return nil, status, err
 	}
 	c := &call{method: r.Method, url: r.URL, host: r.Host}
 	c.Tenant = r.Header.Get("X-Caller")
 	c.Request.ID = r.Header.Get("X-Call-Id")
 	c.Request.Class = r.Header.Get("X-Call-Class")
+	c.Request.Rules = generation
 	c.Request.Repeat = r.Header.Get("X-Again") == "1"
 	budget, err := parseBudget(r.Header.Get("X-Budget"))
 	if err != nil {
@@ -284,16 +285,3 @@
 	w.Write(body) // a caller that left is noticed by its request's context
 	return status
 }
-
-func effects(s deckrelay.Settings) map[string]deckrelay.Effect {
-	m := map[string]deckrelay.Effect{}
-	for _, c := range s.Classes {
-		m[c.Name] = c.Effect
-	}
-	return m
-}
-
-// longestDeadline is how long a caller may wait at most.
-func longestDeadline(s deckrelay.Settings) time.Duration {
-	return slices.MaxFunc(s.Classes, func(a, b deckrelay.Class) int { return int(a.Deadline - b.Deadline) }).Deadline
-}
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -4,10 +4,13 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"maps"
 	"net"
 	"os"
+	"reflect"
 	"slices"
 	"strconv"
+	"strings"
 	"time"
 
 	"hookwalk.example/hookwalk/deckrelay"
@@ -20,6 +23,7 @@
 	Name      string
 	Listen    string
 	Discovery string
+	Control   string // where operators call; "": nowhere
 	Seed      uint64
 	Cores     float64
 	MemoryMB  int
@@ -28,6 +32,7 @@
 	Settings  deckrelay.Settings
 	Features  settings.File // what the project's own settings file switches on
 
+	keys           any           // the file as it was read, for what it has
 	tenants        []string      // by name
 	connectTimeout time.Duration // a connection not up by then is given up
 	connIdle       time.Duration // a server closes a connection idle for this long
@@ -46,6 +51,9 @@
 	if err != nil {
 		return Config{}, fmt.Errorf("configuration %s: %w", path, err)
 	}
+	if c.Control == "" {
+		c.Control = os.Getenv("ROUTER_CONTROL")
+	}
 	return c, nil
 }
 
@@ -54,6 +62,7 @@
 		Name      string `json:"name"`
 		Listen    string `json:"listen"`
 		Discovery string `json:"discovery"`
+		Control   string `json:"control"`
 		Seed      string `json:"seed"`
 		Limits    struct {
 			Cores    float64 `json:"cores"`
@@ -66,14 +75,22 @@
 	if err := json.Unmarshal(text, &raw); err != nil {
 		return Config{}, err
 	}
-	c := Config{Name: raw.Name, Listen: raw.Listen, Discovery: raw.Discovery, Known: raw.Known,
+	c := Config{Name: raw.Name, Listen: raw.Listen, Discovery: raw.Discovery, Control: raw.Control, Known: raw.Known,
 		Cores: raw.Limits.Cores, MemoryMB: raw.Limits.MemoryMB, Sockets: raw.Limits.Sockets}
 	for _, a := range []struct{ name, addr string }{{"listen", c.Listen}, {"discovery", c.Discovery}} {
 		if _, _, err := net.SplitHostPort(a.addr); err != nil {
 			return Config{}, fmt.Errorf("%s: %w", a.name, err)
 		}
 	}
-	var err error
+	if c.Control != "" {
+		if _, _, err := net.SplitHostPort(c.Control); err != nil {
+			return Config{}, fmt.Errorf("control: %w", err)
+		}
+	}
+	err := json.Unmarshal(text, &c.keys)
+	if err != nil {
+		return Config{}, err
+	}
 	if c.Seed, err = strconv.ParseUint(raw.Seed, 16, 64); err != nil {
 		return Config{}, fmt.Errorf("seed: %w", err)
 	}
@@ -134,3 +151,65 @@
 }
 
 func millis(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
+
+// optional are keys that the platform may leave out of one file and not of the next.
+var optional = map[string]bool{"aim-stretch": true, "by-arrival": true, "bound-to": true, "confined-to": true}
+
+// lacks names what of one JSON text another has not: a key, or a value of the same kind. Of a list of objects, each
+// must have the keys that all of the other's have. "": nothing.
+func lacks(old, now any, at string) string {
+	switch old := old.(type) {
+	case map[string]any:
+		have, ok := now.(map[string]any)
+		if !ok {
+			return at
+		}
+		for _, key := range slices.Sorted(maps.Keys(old)) {
+			path := strings.TrimPrefix(at+"."+key, ".")
+			if path == "known" || path == "settings.family-info" || optional[key] {
+				continue
+			}
+			if missing := lacks(old[key], have[key], path); missing != "" {
+				return missing
+			}
+		}
+	case []any:
+		list, ok := now.([]any)
+		if !ok {
+			return at
+		}
+		for i, v := range list {
+			if missing := lacks(shared(old), v, fmt.Sprintf("%s[%d]", at, i)); missing != "" {
+				return missing
+			}
+		}
+	case nil:
+	default:
+		if reflect.TypeOf(old) != reflect.TypeOf(now) {
+			return at
+		}
+	}
+	return ""
+}
+
+// shared is an object with the keys that all objects of a list have, nil if they are no objects.
+func shared(list []any) any {
+	var common map[string]any
+	for i, v := range list {
+		object, ok := v.(map[string]any)
+		if !ok {
+			return nil
+		}
+		if i == 0 {
+			common = maps.Clone(object)
+		}
+		maps.DeleteFunc(common, func(key string, _ any) bool {
+			_, has := object[key]
+			return !has
+		})
+	}
+	if common == nil {
+		return nil
+	}
+	return common
+}
--- a/internal/node/fakes_test.go
+++ b/internal/node/fakes_test.go
@@ -184,7 +184,7 @@
 	ended := make(chan struct{})
 	go func() {
 		defer close(ended)
-		r.done <- n.serve(ctx, ln)
+		r.done <- n.serve(ctx, ln, nil)
 	}()
 	t.Cleanup(func() {
 		cancel()
--- a/internal/node/inbound.go
+++ b/internal/node/inbound.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/list"
+	"io"
 	"net"
 	"net/http"
 	"sync"
@@ -37,6 +38,7 @@
 	in    *inbound
 	place *list.Element // in in.rests; nil: a request is open
 	since time.Time     // it rests
+	shut  time.Time     // nothing more is read from it; zero: it is open
 	tags  figures.Tags  // of its last request
 	gone  bool
 }
@@ -120,16 +122,71 @@
 	}
 }
 
-// ask notes that a request has begun to come.
-func (in *inbound) ask(c *inConn) {
+// ask notes that a request has begun to come. False: its connection is shut, and it counts as unread.
+func (in *inbound) ask(c *inConn) bool {
 	in.mu.Lock()
 	defer in.mu.Unlock()
+	if !c.shut.IsZero() {
+		return false
+	}
+	in.leave(c)
+	return true
+}
+
+// leave takes a connection from those that rest. The caller holds the lock.
+func (in *inbound) leave(c *inConn) {
 	if c.place != nil {
 		in.rests.Remove(c.place)
 		c.place = nil
 	}
 }
 
+// shutTime is how long a connection that was shut waits for its client to close it too.
+const shutTime = 200 * time.Millisecond
+
+// sweep ends the connections that have rested for long. It ends the sending side first: a client sees that before it
+// asks again, and what it has sent already was read, and is answered, or is not, and the client knows by the end
+// without an answer. A close at once could reset the answer before it.
+func (in *inbound) sweep(rest time.Duration) {
+	now := time.Now()
+	var shut, over []*inConn
+	in.mu.Lock()
+	for e := in.rests.Front(); e != nil; e = e.Next() {
+		switch c := e.Value.(*inConn); {
+		case !c.shut.IsZero() && now.Sub(c.shut) >= shutTime:
+			over = append(over, c)
+		case c.shut.IsZero() && now.Sub(c.since) >= rest:
+			c.shut = now
+			shut = append(shut, c)
+		}
+	}
+	in.mu.Unlock()
+	for _, c := range shut {
+		c.closeWrite()
+	}
+	for _, c := range over {
+		c.Close()
+	}
+}
+
+// closeWrite ends the sending side.
+func (c *inConn) closeWrite() {
+	nc := c.Conn
+	if k, ok := nc.(*knownConn); ok {
+		nc = k.Conn
+	}
+	if t, ok := nc.(interface{ CloseWrite() error }); ok {
+		t.CloseWrite()
+	}
+}
+
+// count is how many connections are open.
+func (in *inbound) count() int {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	return in.open
+}
+
 // tag counts a connection under the tags of its last request.
 func (c *inConn) tag(t figures.Tags) {
 	c.in.mu.Lock()
@@ -162,8 +219,8 @@
 // Read sees the first byte of a request: the server's state changes only after its whole head.
 func (c *inConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
-	if n > 0 {
-		c.in.ask(c)
+	if n > 0 && !c.in.ask(c) {
+		return 0, io.EOF
 	}
 	return n, err
 }
@@ -171,9 +228,9 @@
 // Close gives the place back.
 func (c *inConn) Close() error {
 	err := c.Conn.Close()
-	c.in.ask(c)
 	c.in.mu.Lock()
 	defer c.in.mu.Unlock()
+	c.in.leave(c)
 	if !c.gone {
 		c.gone = true
 		c.in.figures.Add(c.tags, figures.OpenConnections, -1)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -18,22 +18,21 @@
 
 	"hookwalk.example/hookwalk/deckrelay"
 	"hookwalk.example/hookwalk/internal/capture"
+	"hookwalk.example/hookwalk/internal/control"
 	"hookwalk.example/hookwalk/internal/drills"
 	"hookwalk.example/hookwalk/internal/engine"
 	"hookwalk.example/hookwalk/internal/figures"
+	"hookwalk.example/hookwalk/internal/lifecycle"
 	"hookwalk.example/hookwalk/internal/spool"
 )
 
 const (
-	reserved    = 32                     // descriptors for the listener, discovery, logs and the runtime
-	anyLimit    = 1024                   // sockets where no limit is set
-	frontNotice = 450 * time.Millisecond // the front still deals us connections so long after SIGTERM
-	lastCalls   = 150 * time.Millisecond // before the end, answers end their connections for so long
-	killSpare   = 700 * time.Millisecond // SIGKILL comes so long after the longest deadline at the earliest,
-	killMost    = 3 * time.Second        // of which no more than this counts
-	lastAnswers = 900 * time.Millisecond // what is left till then when answers begin to end their connections
-	killMargin  = 150 * time.Millisecond // what is left till then when the last answer is given
-	firstList   = time.Second            // how long to wait for fresh news before the known list must do
+	reserved   = 32                     // descriptors for the listener, discovery, logs and the runtime
+	anyLimit   = 1024                   // sockets where no limit is set
+	killSpare  = 700 * time.Millisecond // SIGKILL comes so long after the longest deadline at the earliest,
+	killMost   = 3 * time.Second        // of which no more than this counts
+	firstList  = time.Second            // how long to wait for fresh news before the known list must do
+	sweepEvery = 50 * time.Millisecond  // while clients are sent away
 )
 
 // Node is one balancer on real sockets.
@@ -48,17 +47,15 @@
 	stderr  io.Writer          // of figures and capture
 	inbound int                // connections from callers at once
 	heard   atomic.Bool        // discovery has spoken, or had its time
-	state   atomic.Int32
+	life    atomic.Pointer[lifecycle.Machine]
+	rules   atomic.Pointer[rules] // what the front knows of the classes
+	in      *inbound
 	most    time.Duration // killMost, less in tests
-	cutoff  atomic.Int64  // once leaving: the clock time by which all must be answered
-}
+	sweeps  sync.WaitGroup
+	ended   chan struct{}
 
-// States of a node, in order.
-const (
-	serving int32 = iota
-	leaving       // told to stop: not ready, but still taking all that comes
-	closing       // every answer ends its connection
-)
+	reloads sync.Mutex // over cfg and set, once it serves
+}
 
 // New wires a node. It opens nothing yet.
 func New(cfg Config, logger *slog.Logger) (*Node, error) {
@@ -73,10 +70,17 @@
 	if cfg.Sockets == 0 {
 		cfg.Sockets = anyLimit
 	}
-	n := &Node{cfg: cfg, log: logger, clock: engine.NewClock(), most: killMost, set: set, stderr: spool.Stderr}
+	n := &Node{cfg: cfg, log: logger, clock: engine.NewClock(), most: killMost, set: set, stderr: spool.Stderr,
+		ended: make(chan struct{})}
+	n.life.Store(&lifecycle.Machine{})
+	n.rules.Store(newRules(set, nil, 0))
+	spare := reserved
+	if cfg.Control != "" {
+		spare += control.Places + 1
+	}
 	n.engine = engine.New(engine.Options{Clock: n.clock, Log: logger, Balancer: bal})
-	n.inbound = (cfg.Sockets - reserved) * 5 / 8
-	n.pool = newPool(n.clock, cfg, cfg.Sockets-reserved-n.inbound, n.engine.Ended)
+	n.inbound = (cfg.Sockets - spare) * 5 / 8
+	n.pool = newPool(n.clock, cfg, cfg.Sockets-spare-n.inbound, n.engine.Ended)
 	n.disc = newDiscovery(cfg, logger, func(ctx context.Context, w engine.News) error {
 		if err := n.engine.Tell(ctx, w); err != nil {
 			return err
@@ -95,17 +99,18 @@
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
-	return n.serve(ctx, ln)
-}
-
-// Reload takes over what of a changed configuration can change while the node runs: the address of
-// discovery. Connections, requests and the servers held stay as they are.
-func (n *Node) Reload(cfg Config) {
-	n.log.Info("configuration read again", "discovery", cfg.Discovery)
-	n.disc.move(cfg.Discovery)
+	var ctl net.Listener
+	if n.cfg.Control != "" {
+		if ctl, err = net.Listen("tcp", n.cfg.Control); err != nil {
+			ln.Close()
+			return fmt.Errorf("control: %w", err)
+		}
+	}
+	return n.serve(ctx, ln, ctl)
 }
 
-func (n *Node) serve(ctx context.Context, ln net.Listener) error {
+// serve serves clients on one listener and, if there is one, operators on the other.
+func (n *Node) serve(ctx context.Context, ln, ctl net.Listener) error {
 	var owned sync.WaitGroup
 	own := func(f func()) {
 		owned.Add(1)
@@ -125,17 +130,18 @@
 	defer grace.Stop()
 
 	in := newInbound(ln, n.inbound, n.engine.Figures)
+	n.in = in
 	if a := n.cfg.Features.Addresses; a != nil {
 		in.doors = &doors{lists: n.set.Addresses, timeout: a.ProxyTimeout, log: n.log}
 	}
 	lastFigures := n.report()
 	server := &http.Server{
-		Handler: &callers{engine: n.engine, clock: n.clock, effects: effects(n.cfg.Settings), ready: n.ready,
+		Handler: &callers{engine: n.engine, clock: n.clock, rules: n.rules.Load, ready: n.ready,
 			drills:  drills.NewKeys(n.cfg.Features.Drills),
 			figures: n.engine.Figures,
 			lists:   n.set.Addresses,
-			closing: func() bool { return n.state.Load() >= closing },
-			cutoff:  func() time.Duration { return time.Duration(n.cutoff.Load()) }},
+			closing: func() bool { return n.life.Load().EndsConnections(n.clock.Now()) },
+			cutoff:  func() time.Duration { return n.life.Load().Cutoff() }},
 		ReadHeaderTimeout: headTime,
 		ConnState:         in.watch,
 		IdleTimeout:       idleTime,
@@ -147,6 +153,16 @@
 	}
 	failed := make(chan error, 1)
 	go func() { failed <- server.Serve(in) }()
+	n.step(lifecycle.Started)
+	var operators *control.Server
+	if ctl != nil {
+		operators = control.New(ctl, operated{n}, n.log)
+		own(func() {
+			if err := operators.Run(); err != nil {
+				n.log.Error("operators are not heard any more", "err", err)
+			}
+		})
+	}
 	n.log.Info("serving", "name", n.cfg.Name, "listen", ln.Addr().String(), "tier", n.cfg.Settings.Tier)
 
 	var err error
@@ -159,6 +175,11 @@
 			err = fmt.Errorf("serve: %w", serveErr)
 		}
 	}
+	if operators != nil {
+		operators.Close()
+	}
+	close(n.ended)
+	n.sweeps.Wait()
 	stopWatching()
 	n.pool.shut()
 	n.engine.Stop()
@@ -200,7 +221,18 @@
 
 // ready says that the node can serve: it knows a server in service, from discovery itself if that answers.
 func (n *Node) ready() bool {
-	return n.heard.Load() && n.engine.Usable() && n.state.Load() == serving
+	return n.heard.Load() && n.engine.Usable() && n.life.Load().Ready()
+}
+
+// step tells the lifecycle of an event.
+func (n *Node) step(e lifecycle.Event) lifecycle.Machine {
+	for {
+		old := n.life.Load()
+		next := old.Step(n.clock.Now(), e, min(n.rules.Load().longest, n.most)+killSpare, false)
+		if n.life.CompareAndSwap(old, &next) {
+			return next
+		}
+	}
 }
 
 // drain stops serving without losing a request. A listener closed at once would reset the
@@ -208,18 +240,13 @@
 // use the connections they have while these stay open, and may have no other node to go to: they are served
 // for as long as each answer comes before SIGKILL can.
 func (n *Node) drain(server *http.Server) {
-	longest := longestDeadline(n.cfg.Settings)
-	kill := min(longest, n.most) + killSpare
 	n.log.Info("leaving")
-	n.cutoff.Store(int64(n.clock.Now() + kill - killMargin))
-	n.state.Store(leaving)
+	life := n.step(lifecycle.Terminate)
 	if len(n.cfg.Features.Drills) > 0 { // an event that changes nothing would still be one more than before
 		n.engine.Leave()
 	}
-	time.Sleep(max(frontNotice, kill-lastAnswers))
-	n.state.Store(closing)
-	time.Sleep(lastCalls)
-	ctx, cancel := context.WithTimeout(context.Background(), longest+20*time.Millisecond)
+	time.Sleep(life.Stops(n.clock.Now()))
+	ctx, cancel := context.WithTimeout(context.Background(), n.rules.Load().longest+20*time.Millisecond)
 	defer cancel()
 	if err := server.Shutdown(ctx); err != nil {
 		n.log.Warn("connections left open", "err", err) // none of them is owed an answer any more
--- /dev/null
+++ b/internal/node/rules.go
@@ -0,0 +1,90 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"reflect"
+	"time"
+
+	"hookwalk.example/hookwalk/deckrelay"
+)
+
+// lateFor is how long a class that was dropped is still served: clients learn of settings later than the node.
+const lateFor = 3 * time.Second
+
+// rules are what the front knows of the classes. A request is read by those of its arrival; the module is told which
+// they were.
+type rules struct {
+	effects    map[string]deckrelay.Effect
+	generation int // settings taken over before these
+	longest    time.Duration
+	before     *rules // without its own before
+	until      time.Duration
+}
+
+func newRules(set deckrelay.Settings, before *rules, now time.Duration) *rules {
+	r := &rules{effects: map[string]deckrelay.Effect{}}
+	for _, c := range set.Classes {
+		r.effects[c.Name] = c.Effect
+		r.longest = max(r.longest, c.Deadline)
+	}
+	if before != nil {
+		old := *before
+		old.before = nil
+		r.generation, r.before, r.until = before.generation+1, &old, now+lateFor
+	}
+	return r
+}
+
+// of gives the effect of a class, and which settings say so: a class that was dropped a moment ago is the one before's.
+func (r *rules) of(class string, now time.Duration) (e deckrelay.Effect, generation int, known bool) {
+	if e, known = r.effects[class]; known || r.before == nil || now >= r.until {
+		return e, r.generation, known
+	}
+	e, known = r.before.effects[class]
+	return e, r.before.generation, known
+}
+
+// Reload takes over what of a changed configuration can change while the node runs, settings and the address of
+// discovery, or nothing of it, and says why. Connections, open requests and the servers held stay as they are.
+func (n *Node) Reload(cfg Config) error {
+	n.reloads.Lock()
+	defer n.reloads.Unlock()
+	if err := cfg.follows(n.cfg); err != nil {
+		return err
+	}
+	cfg.Features = n.cfg.Features
+	set, err := cfg.moduleSettings()
+	if err != nil {
+		return fmt.Errorf("settings: %w", err)
+	}
+	if err := set.Check(); err != nil {
+		return fmt.Errorf("settings: %w", err)
+	}
+	if !reflect.DeepEqual(set, n.set) {
+		if err := n.engine.Retune(context.Background(), set); err != nil {
+			return err
+		}
+		n.rules.Store(newRules(set, n.rules.Load(), n.clock.Now()))
+		n.engine.Figures.Name(cfg.classNames(), cfg.tenants)
+		n.set = set
+	}
+	n.pool.retune(cfg)
+	n.disc.move(cfg.Discovery)
+	n.cfg.Discovery, n.cfg.Settings, n.cfg.keys = cfg.Discovery, cfg.Settings, cfg.keys
+	n.log.Info("configuration read again", "discovery", cfg.Discovery, "classes", cfg.classNames())
+	return nil
+}
+
+// follows says why a configuration can't take the place of another while the node runs. A file that was cut off may
+// still be sound as JSON: what the one before had is to be there again, but for what the platform leaves out at times.
+func (c Config) follows(old Config) error {
+	if at := lacks(old.keys, c.keys, ""); at != "" {
+		return fmt.Errorf("%s is missing or of another kind", at)
+	}
+	if c.Settings.MaxAttempts <= 0 {
+		return errors.New("settings.limits.max-attempts must be above 0")
+	}
+	return nil
+}
--- a/internal/node/servers.go
+++ b/internal/node/servers.go
@@ -48,6 +48,13 @@
 		open: map[*conn]bool{}, idle: list.New(), kept: map[*engine.Target][]*conn{}}
 }
 
+// retune takes over other settings of connections.
+func (p *pool) retune(cfg Config) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.dialer.Timeout, p.idleFor = cfg.connectTimeout, cfg.connIdle/2
+}
+
 // conn is a connection to a server. Its own goroutine always reads, also while it is idle, so a
 // close by the server is seen before the next use.
 type conn struct {
@@ -214,9 +221,9 @@
 		return nil, false, errFull
 	}
 	p.dial++
+	d := p.dialer
 	p.mu.Unlock()
 
-	d := p.dialer
 	d.Deadline = deadline
 	nc, err := d.Dial("tcp", t.Addr)
 	p.mu.Lock()
