--- a/deckrelay/checkpoint.go
+++ b/deckrelay/checkpoint.go
@@ -341,3 +341,39 @@
 	}
 	return found
 }
+
+// Heir returns what a Balancer in another process of the same node has to know: all that was learned and is held of
+// servers, without the requests, which stay with this one.
+func (b *Balancer) Heir() ([]byte, error) {
+	text, err := b.Checkpoint()
+	if err != nil {
+		return nil, err
+	}
+	var s saved
+	if err := json.Unmarshal(text, &s); err != nil {
+		return nil, fmt.Errorf("heir: %w", err)
+	}
+	s.Requests, s.Lines, s.Before, s.Rules, s.Leaving, s.SubWanted = nil, nil, nil, 0, false, 0
+	s.Classes = s.Classes[:len(b.order)]
+	s.Servers = s.Servers[:s.Mapped]
+	for i := range s.Servers {
+		s.Servers[i].Open = nil
+	}
+	for i := range s.Pools {
+		s.Pools[i].Held, s.Pools[i].InFlight = nil, 0
+	}
+	if s.Drills != nil {
+		s.Drills.Delayed = nil
+	}
+	return json.Marshal(s)
+}
+
+// Inherit returns a Balancer that knows what Heir has of one with the same settings, and draws by a seed of its own.
+func Inherit(set Settings, heir []byte, seed uint64) (*Balancer, error) {
+	b, err := Restore(set, heir)
+	if err != nil {
+		return nil, err
+	}
+	b.src.Seed(seed, 0x51a7e)
+	return b, nil
+}
--- a/deckrelay/hand.go
+++ b/deckrelay/hand.go
@@ -4,11 +4,12 @@
 
 import (
 	"errors"
+	"slices"
 	"time"
 )
 
 const (
-	mostHands = 1024        // ids remembered
+	MostHands = 1024        // MostHands is how many ids are remembered.
 	feedAfter = time.Second // when a server put back and still unused is given a request; owed within 5 s
 )
 
@@ -34,7 +35,7 @@
 		return ErrUnknownServer
 	}
 	b.forgetHands()
-	if _, known := b.hands[id]; !known && len(b.hands) >= mostHands {
+	if _, known := b.hands[id]; !known && len(b.hands) >= MostHands {
 		return ErrTooManyOut
 	}
 	return nil
@@ -73,3 +74,21 @@
 	}
 	return nil
 }
+
+// Handed are the servers that are out by hand.
+func (b *Balancer) Handed() (ids []string) {
+	for id, h := range b.hands {
+		if h.out {
+			ids = append(ids, id)
+		}
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+// Remember takes servers out that were so in an earlier life of the node. It comes before any event.
+func (b *Balancer) Remember(ids []string) {
+	for _, id := range ids[:min(len(ids), MostHands)] {
+		b.hands[id] = hand{out: true}
+	}
+}
--- a/deckrelay/hand_test.go
+++ b/deckrelay/hand_test.go
@@ -54,7 +54,7 @@
 // Only listed servers and those that are out are known; nothing is remembered beyond the bound.
 func TestWhoCanBeTakenOut(t *testing.T) {
 	b := newBalancer(t, nil)
-	b.Handle(0, list(mostHands+2))
+	b.Handle(0, list(MostHands+2))
 	if err := b.CanHand("nobody"); err != ErrUnknownServer {
 		t.Errorf("an unknown server: %v", err)
 	}
@@ -62,10 +62,10 @@
 	if b.Out("nobody") {
 		t.Error("an unknown server was taken out")
 	}
-	for i := range mostHands {
+	for i := range MostHands {
 		b.Handle(0, Hand{Server: fmt.Sprintf("s%02d", i), Out: true})
 	}
-	over := fmt.Sprintf("s%02d", mostHands)
+	over := fmt.Sprintf("s%02d", MostHands)
 	if err := b.CanHand(over); err != ErrTooManyOut {
 		t.Errorf("one more than can be remembered: %v", err)
 	}
--- a/internal/engine/orders.go
+++ b/internal/engine/orders.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 
 	"hookwalk.example/hookwalk/deckrelay"
 )
@@ -55,3 +57,20 @@
 		return nil
 	})
 }
+
+// Estate is what another process of the node has to know: the module's heir, the servers in service with their
+// addresses, and those out by hand. commit is called in the loop with nothing happening between; it must not wait.
+func (e *Engine) Estate(ctx context.Context, commit func()) (heir []byte, boxes []Box, out []string, err error) {
+	err = e.order(ctx, func() error {
+		if heir, err = e.Balancer.Heir(); err != nil {
+			return err
+		}
+		for _, id := range slices.Sorted(maps.Keys(e.boxes)) {
+			boxes = append(boxes, e.boxes[id])
+		}
+		out = e.Balancer.Handed()
+		commit()
+		return nil
+	})
+	return heir, boxes, out, err
+}
--- /dev/null
+++ b/internal/handover/handover.go
@@ -0,0 +1,321 @@
+// Package handover lets one process of a node take over from another while both run: the new one, the heir, gets the
+// listening socket and what the node knows over a Unix socket, and the two tell each other what operators say until one
+// of them ends. It carries; what it means is the node's.
+package handover
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"hash/fnv"
+	"net"
+	"os"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+
+	"hookwalk.example/hookwalk/deckrelay"
+	"hookwalk.example/hookwalk/internal/engine"
+)
+
+// Version is that of what is handed over and of the file. Another version hands nothing over.
+const Version = 1
+
+const (
+	patience = time.Second // for the whole of what is handed over; a process that is hung must not hold up its heir
+	longest  = 100         // bytes of a socket's path; the system takes 107
+)
+
+// Estate is what a node knows.
+type Estate struct {
+	Version  int
+	Node     string
+	Listen   string
+	Settings json.RawMessage // the module's, by which Module was made
+	Module   json.RawMessage // as deckrelay.Inherit takes it
+	Boxes    []engine.Box    // in service
+	Seq      int64           // of discovery
+	Kept
+}
+
+// Kept is the part of an estate that also stands in a file.
+type Kept struct {
+	Out     []string // servers out by hand
+	Drained bool     // clients are sent away
+}
+
+// Word is what one process tells the other.
+type Word struct {
+	N      int    `json:"n,omitempty"`   // asks for an answer
+	Ack    int    `json:"ack,omitempty"` // is one
+	Serves bool   `json:"serves,omitempty"`
+	Server string `json:"server,omitempty"` // by hand
+	Out    bool   `json:"out,omitempty"`
+	Drain  *bool  `json:"drain,omitempty"` // clients are sent away, or taken again
+}
+
+// Path is where the processes of a node meet. An error says that there is no such place.
+func Path(dir, node, listen string) (string, error) {
+	sum := fnv.New64a()
+	fmt.Fprintf(sum, "%s\n%s", node, listen)
+	path := filepath.Join(dir, fmt.Sprintf("hookwalk-%016x.sock", sum.Sum64()))
+	if len(path) > longest {
+		return "", errors.New("the path of $TMPDIR is too long for a socket")
+	}
+	return path, nil
+}
+
+// ---- The heir ----
+
+// Claim asks the process that serves at a path for its estate. The link is to be run.
+func Claim(path, node, listen string) (Estate, net.Listener, *Link, error) {
+	var e Estate
+	nc, err := net.DialTimeout("unix", path, patience)
+	if err != nil {
+		return e, nil, nil, err
+	}
+	c := nc.(*net.UnixConn)
+	c.SetDeadline(time.Now().Add(patience))
+	ln, err := takeListener(c)
+	if err != nil {
+		c.Close()
+		return e, nil, nil, err
+	}
+	link := newLink(c)
+	if err = link.in.Decode(&e); err == nil && (e.Version != Version || e.Node != node || e.Listen != listen) {
+		err = fmt.Errorf("an estate of version %d, node %q at %q", e.Version, e.Node, e.Listen)
+	}
+	if err != nil {
+		ln.Close()
+		c.Close()
+		return e, nil, nil, err
+	}
+	c.SetDeadline(time.Time{})
+	return e, ln, link, nil
+}
+
+// takeListener reads the one byte that carries the listening socket.
+func takeListener(c *net.UnixConn) (net.Listener, error) {
+	b, oob := make([]byte, 1), make([]byte, syscall.CmsgSpace(4))
+	_, n, _, _, err := c.ReadMsgUnix(b, oob)
+	if err != nil {
+		return nil, err
+	}
+	msgs, err := syscall.ParseSocketControlMessage(oob[:n])
+	if err != nil || len(msgs) != 1 {
+		return nil, fmt.Errorf("no listener came: %v", err)
+	}
+	fds, err := syscall.ParseUnixRights(&msgs[0])
+	if err != nil || len(fds) != 1 {
+		return nil, fmt.Errorf("no listener came: %v", err)
+	}
+	syscall.CloseOnExec(fds[0])
+	f := os.NewFile(uintptr(fds[0]), "listener")
+	defer f.Close()
+	return net.FileListener(f)
+}
+
+// ---- The one that hands over ----
+
+// Offer is a place where heirs can ask.
+type Offer struct {
+	ln *net.UnixListener
+}
+
+// NewOffer opens the place, in the stead of whoever had it before.
+func NewOffer(path string) (*Offer, error) {
+	fresh := fmt.Sprintf("%s.%d", path, os.Getpid())
+	os.Remove(fresh)
+	ln, err := net.ListenUnix("unix", &net.UnixAddr{Name: fresh, Net: "unix"})
+	if err != nil {
+		return nil, err
+	}
+	ln.SetUnlinkOnClose(false) // by then the path may be another's
+	if err := os.Rename(fresh, path); err != nil {
+		ln.Close()
+		os.Remove(fresh)
+		return nil, err
+	}
+	return &Offer{ln}, nil
+}
+
+// Accept waits for an heir.
+func (o *Offer) Accept() (*Link, error) {
+	c, err := o.ln.AcceptUnix()
+	if err != nil {
+		return nil, err
+	}
+	return newLink(c), nil
+}
+
+// Close ends Accept. The path stays: nobody answers there.
+func (o *Offer) Close() error { return o.ln.Close() }
+
+// Give hands an estate and the listener to an heir. Words that were told meanwhile follow it.
+func (l *Link) Give(e Estate, ln *net.TCPListener) error {
+	raw, err := ln.SyscallConn()
+	if err != nil {
+		return err
+	}
+	l.c.SetDeadline(time.Now().Add(patience))
+	var sent error
+	if err := raw.Control(func(fd uintptr) {
+		_, _, sent = l.c.WriteMsgUnix([]byte{'h'}, syscall.UnixRights(int(fd)), nil)
+	}); err != nil {
+		return err
+	}
+	if sent != nil {
+		return sent
+	}
+	e.Version = Version
+	if err := json.NewEncoder(l.c).Encode(e); err != nil {
+		return err
+	}
+	return l.c.SetDeadline(time.Time{})
+}
+
+// ---- Both ----
+
+// Link is the connection between two processes of a node.
+type Link struct {
+	c  *net.UnixConn
+	in *json.Decoder
+
+	mu    sync.Mutex // over writing
+	next  int
+	waits map[int]chan struct{}
+	over  chan struct{}
+	end   sync.Once
+}
+
+func newLink(c *net.UnixConn) *Link {
+	return &Link{c: c, in: json.NewDecoder(c), waits: map[int]chan struct{}{}, over: make(chan struct{})}
+}
+
+// ErrOver says that the other process is gone, or does not answer.
+var ErrOver = errors.New("the other process is gone")
+
+// Run hands every word of the other process to take, in order, and answers it after, until the link ends.
+func (l *Link) Run(take func(Word)) {
+	defer l.Close()
+	for {
+		var w Word
+		if l.in.Decode(&w) != nil {
+			return
+		}
+		if w.Ack > 0 {
+			l.mu.Lock()
+			if done := l.waits[w.Ack]; done != nil {
+				close(done)
+				delete(l.waits, w.Ack)
+			}
+			l.mu.Unlock()
+			continue
+		}
+		take(w)
+		if w.N > 0 && l.write(Word{Ack: w.N}) != nil {
+			return
+		}
+	}
+}
+
+// Tell tells the other process a word and waits until it has taken it.
+func (l *Link) Tell(w Word, patience time.Duration) error {
+	done := make(chan struct{})
+	l.mu.Lock()
+	l.next++
+	w.N = l.next
+	l.waits[w.N] = done
+	l.mu.Unlock()
+	if err := l.write(w); err != nil {
+		return err
+	}
+	late := time.NewTimer(patience)
+	defer late.Stop()
+	select {
+	case <-done:
+		return nil
+	case <-l.over:
+	case <-late.C:
+		l.mu.Lock()
+		delete(l.waits, w.N)
+		l.mu.Unlock()
+	}
+	return ErrOver
+}
+
+func (l *Link) write(w Word) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.c.SetWriteDeadline(time.Now().Add(patience))
+	return json.NewEncoder(l.c).Encode(w)
+}
+
+// Over is closed when the link has ended.
+func (l *Link) Over() <-chan struct{} { return l.over }
+
+// Close ends the link.
+func (l *Link) Close() {
+	l.end.Do(func() {
+		close(l.over)
+		l.c.Close()
+	})
+}
+
+// ---- The file ----
+
+// file is what stands on disk.
+type file struct {
+	Version int
+	Sum     uint64 // of Kept
+	Kept    json.RawMessage
+}
+
+func sum(b []byte) uint64 {
+	h := fnv.New64a()
+	h.Write(b)
+	return h.Sum64()
+}
+
+// Keep writes a file beside the path, in the stead of the one before.
+func Keep(path string, k Kept) error {
+	text, err := json.Marshal(k)
+	if err != nil {
+		return err
+	}
+	whole, err := json.Marshal(file{Version: Version, Sum: sum(text), Kept: text})
+	if err != nil {
+		return err
+	}
+	fresh := fmt.Sprintf("%s.kept.%d", path, os.Getpid())
+	if err := os.WriteFile(fresh, whole, 0o600); err != nil {
+		return err
+	}
+	return os.Rename(fresh, path+".kept")
+}
+
+// Read reads the file, if there is one that is whole and of this version.
+func Read(path string) (k Kept, err error) {
+	text, err := os.ReadFile(path + ".kept")
+	if errors.Is(err, os.ErrNotExist) {
+		return k, nil
+	}
+	if err != nil {
+		return k, err
+	}
+	var f file
+	if err := json.Unmarshal(text, &f); err != nil {
+		return k, fmt.Errorf("%s.kept: %w", path, err)
+	}
+	if f.Version != Version || f.Sum != sum(f.Kept) {
+		return k, fmt.Errorf("%s.kept: of version %d, or torn", path, f.Version)
+	}
+	if err := json.Unmarshal(f.Kept, &k); err != nil {
+		return Kept{}, fmt.Errorf("%s.kept: %w", path, err)
+	}
+	if len(k.Out) > deckrelay.MostHands {
+		return Kept{}, fmt.Errorf("%s.kept: %d servers", path, len(k.Out))
+	}
+	return k, nil
+}
--- /dev/null
+++ b/internal/handover/handover_test.go
@@ -0,0 +1,210 @@
+package handover
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+	"net"
+	"os"
+	"path/filepath"
+	"reflect"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"hookwalk.example/hookwalk/deckrelay"
+	"hookwalk.example/hookwalk/internal/engine"
+)
+
+func place(t *testing.T) string {
+	t.Helper()
+	path, err := Path(t.TempDir(), "n0", "127.0.0.1:5000")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return path
+}
+
+// listening is a socket of clients.
+func listening(t *testing.T) *net.TCPListener {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { ln.Close() })
+	return ln.(*net.TCPListener)
+}
+
+// offering answers the first heir with f.
+func offering(t *testing.T, path string, f func(*Link)) {
+	t.Helper()
+	o, err := NewOffer(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		if l, err := o.Accept(); err == nil {
+			defer l.Close()
+			f(l)
+		}
+	}()
+	t.Cleanup(func() {
+		o.Close()
+		<-done
+	})
+}
+
+// The heir has the estate and the very socket: what waited in its queue is there, and outlives the first process's
+// copy. Words come in order, each answered after it was taken.
+func TestWhatAnHeirGets(t *testing.T) {
+	path, ln := place(t), listening(t)
+	estate := Estate{Node: "n0", Listen: "127.0.0.1:5000", Module: json.RawMessage(`{}`), Settings: json.RawMessage(`{"a":1}`),
+		Boxes: []engine.Box{{Server: deckrelay.Server{ID: "s-1", Boot: 7}, Addr: "10.0.0.1:1"}}, Seq: 41,
+		Kept: Kept{Out: []string{"s-2"}, Drained: true}}
+	var wg sync.WaitGroup
+	var told []Word
+	offering(t, path, func(l *Link) {
+		if err := l.Give(estate, ln); err != nil {
+			t.Error(err)
+		}
+		l.Run(func(w Word) { told = append(told, w) })
+	})
+	waiting, err := net.Dial("tcp", ln.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer waiting.Close()
+	got, heir, link, err := Claim(path, "n0", "127.0.0.1:5000")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer heir.Close()
+	if got.Version = 0; !reflect.DeepEqual(got, estate) {
+		t.Errorf("got %+v, want %+v", got, estate)
+	}
+	ln.Close()
+	c, err := heir.Accept()
+	if err != nil || c.RemoteAddr().String() != waiting.LocalAddr().String() {
+		t.Errorf("accepted %v, %v, and %v had waited", c, err, waiting.LocalAddr())
+	}
+	wg.Go(func() { link.Run(func(Word) {}) })
+	for i := range 3 {
+		if err := link.Tell(Word{Server: "s", Out: i%2 == 0}, 10*time.Second); err != nil {
+			t.Fatal(err)
+		}
+		if len(told) != i+1 || told[i].Out != (i%2 == 0) { // answered, so it was taken
+			t.Errorf("told %v", told)
+		}
+	}
+	link.Close()
+	wg.Wait()
+	if link.Tell(Word{}, time.Second) == nil {
+		t.Error("told to nobody")
+	}
+}
+
+// An old process that is of no use hands nothing over, and soon.
+func TestClaimOfNoUse(t *testing.T) {
+	good := Estate{Node: "n0", Listen: "l"}
+	for name, f := range map[string]func(t *testing.T, path string){
+		"nobody there": func(t *testing.T, path string) {},
+		"a plain file": func(t *testing.T, path string) { os.WriteFile(path, []byte("x"), 0o600) },
+		"a stale socket": func(t *testing.T, path string) {
+			o, err := NewOffer(path)
+			if err != nil {
+				t.Fatal(err)
+			}
+			o.Close()
+		},
+		"hung": func(t *testing.T, path string) {
+			offering(t, path, func(l *Link) { io.Copy(io.Discard, l.c) })
+		},
+		"ends at once": func(t *testing.T, path string) { offering(t, path, func(*Link) {}) },
+		"no listener": func(t *testing.T, path string) {
+			offering(t, path, func(l *Link) { l.c.Write([]byte("h{}\n")) })
+		},
+		"half an estate": func(t *testing.T, path string) {
+			offering(t, path, func(l *Link) {
+				long := good
+				long.Module = json.RawMessage(`"` + strings.Repeat("x", 1<<20) + `"`)
+				l.c.SetWriteBuffer(1 << 12)
+				ln := listening(t)
+				given := make(chan struct{})
+				go func() {
+					l.Give(long, ln)
+					close(given)
+				}()
+				l.c.SetReadDeadline(time.Now()) // the heir reads nothing of it before it is cut
+				l.Close()
+				<-given
+			})
+		},
+		"another node": func(t *testing.T, path string) {
+			offering(t, path, func(l *Link) { l.Give(Estate{Node: "n1", Listen: "l"}, listening(t)) })
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			path := place(t)
+			f(t, path)
+			begin := time.Now()
+			_, ln, link, err := Claim(path, "n0", "l")
+			if err == nil || ln != nil || link != nil {
+				t.Errorf("got %v, %v, %v", ln, link, err)
+			}
+			if took := time.Since(begin); took > 3*patience {
+				t.Errorf("it took %v", took)
+			}
+		})
+	}
+}
+
+// What an operator said is found again whole, or not at all.
+func TestFile(t *testing.T) {
+	path := place(t)
+	if k, err := Read(path); err != nil || !reflect.DeepEqual(k, Kept{}) {
+		t.Errorf("without a file: %v, %v", k, err)
+	}
+	want := Kept{Out: []string{"s-1", "s-2"}, Drained: true}
+	for range 2 {
+		if err := Keep(path, want); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if k, err := Read(path); err != nil || !reflect.DeepEqual(k, want) {
+		t.Errorf("got %v, %v", k, err)
+	}
+	if left, _ := filepath.Glob(filepath.Dir(path) + "/*"); len(left) != 1 {
+		t.Errorf("left %v", left)
+	}
+	whole, err := os.ReadFile(path + ".kept")
+	if err != nil {
+		t.Fatal(err)
+	}
+	torn := func(b []byte) {
+		t.Helper()
+		os.WriteFile(path+".kept", b, 0o600)
+		if k, err := Read(path); err == nil || !reflect.DeepEqual(k, Kept{}) {
+			t.Errorf("%q: got %v, %v", b, k, err)
+		}
+	}
+	for i := range whole {
+		torn(whole[:i])
+	}
+	torn(bytes.Replace(whole, []byte("s-2"), []byte("s-3"), 1))
+	torn(bytes.Replace(whole, []byte(`"Version":1`), []byte(`"Version":2`), 1))
+}
+
+func FuzzRead(f *testing.F) {
+	f.Add([]byte(`{"Version":1,"Sum":0,"Kept":{}}`))
+	path := filepath.Join(f.TempDir(), "p")
+	f.Fuzz(func(t *testing.T, text []byte) {
+		os.WriteFile(path+".kept", text, 0o600)
+		if k, err := Read(path); err != nil && !reflect.DeepEqual(k, Kept{}) {
+			t.Errorf("%v beside %v", k, err)
+		}
+	})
+}
--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -13,6 +13,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"hookwalk.example/hookwalk/deckrelay"
@@ -77,6 +78,7 @@
 	tell    func(context.Context, engine.News) error // hands news to the engine
 	asks    chan struct{}                            // the module's wish for a watch
 	silence time.Duration
+	version atomic.Int64 // seq, for others
 
 	mu        sync.Mutex
 	addr      string
@@ -130,6 +132,7 @@
 
 // run watches until ctx ends.
 func (d *discovery) run(ctx context.Context) {
+	d.version.Store(d.seq)
 	wait, last := retryMin, ""
 	for ctx.Err() == nil {
 		here, addr := d.here(ctx)
@@ -243,6 +246,7 @@
 		return err
 	}
 	d.seq = n.Seq
+	d.version.Store(n.Seq)
 	d.lost = d.lost && !n.Whole
 	return nil
 }
--- a/internal/node/inbound.go
+++ b/internal/node/inbound.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"hookwalk.example/hookwalk/internal/figures"
@@ -26,6 +27,7 @@
 	changed chan struct{}     // a place may be free
 	done    chan struct{}
 	end     func()
+	retired atomic.Bool // the listener is closed, and connections go on
 
 	mu    sync.Mutex
 	open  int
@@ -73,6 +75,9 @@
 		in.mu.Lock()
 		in.open--
 		in.mu.Unlock()
+		if in.retired.Load() {
+			<-in.done
+		}
 		return nil, err
 	}
 	if in.doors != nil {
@@ -90,6 +95,12 @@
 	return in.Listener.Close()
 }
 
+// retire closes the listener, of which another process has a copy. Accept waits for Close.
+func (in *inbound) retire() {
+	in.retired.Store(true)
+	in.Listener.Close()
+}
+
 // takePlace takes a free place or makes one. If it can't, it says when to try again.
 func (in *inbound) takePlace() (wait time.Duration, ok bool) {
 	in.mu.Lock()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -54,6 +54,9 @@
 	sweeps  sync.WaitGroup
 	ended   chan struct{}
 
+	kin       kin
+	inherited []engine.Box // the servers, where another process handed them over
+
 	reloads sync.Mutex // over cfg and set, once it serves
 }
 
@@ -95,7 +98,7 @@
 // Run serves until ctx ends, then drains: it takes what still comes while the front notices, answers
 // what it holds and returns nil.
 func (n *Node) Run(ctx context.Context) error {
-	ln, err := net.Listen("tcp", n.cfg.Listen)
+	ln, err := n.listen(ctx)
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
@@ -122,9 +125,7 @@
 	n.switchOn()
 	own(n.engine.Run)
 	watching, stopWatching := context.WithCancel(context.Background())
-	known := n.cfg.Known.whole().news()
-	known.Cached = true
-	n.engine.Tell(watching, known) // neither has ended
+	n.engine.Tell(watching, n.known()) // neither has ended
 	own(func() { n.disc.run(watching) })
 	grace := time.AfterFunc(firstList, func() { n.heard.Store(true) })
 	defer grace.Stop()
@@ -153,7 +154,10 @@
 	}
 	failed := make(chan error, 1)
 	go func() { failed <- server.Serve(in) }()
-	n.step(lifecycle.Started)
+	if life := n.step(lifecycle.Started); life.Drained() {
+		n.sweepAfter(life)
+	}
+	parted := n.meet(ln, own)
 	var operators *control.Server
 	if ctl != nil {
 		operators = control.New(ctl, operated{n}, n.log)
@@ -178,6 +182,7 @@
 	if operators != nil {
 		operators.Close()
 	}
+	parted()
 	close(n.ended)
 	n.sweeps.Wait()
 	stopWatching()
@@ -228,7 +233,7 @@
 func (n *Node) step(e lifecycle.Event) lifecycle.Machine {
 	for {
 		old := n.life.Load()
-		next := old.Step(n.clock.Now(), e, min(n.rules.Load().longest, n.most)+killSpare, false)
+		next := old.Step(n.clock.Now(), e, min(n.rules.Load().longest, n.most)+killSpare, n.followed())
 		if n.life.CompareAndSwap(old, &next) {
 			return next
 		}
@@ -245,15 +250,28 @@
 	if len(n.cfg.Features.Drills) > 0 { // an event that changes nothing would still be one more than before
 		n.engine.Leave()
 	}
+	if n.followed() {
+		n.handOff(life)
+	}
 	time.Sleep(life.Stops(n.clock.Now()))
 	ctx, cancel := context.WithTimeout(context.Background(), n.rules.Load().longest+20*time.Millisecond)
 	defer cancel()
-	if err := server.Shutdown(ctx); err != nil {
+	if err := server.Shutdown(ctx); err != nil && !errors.Is(err, net.ErrClosed) {
 		n.log.Warn("connections left open", "err", err) // none of them is owed an answer any more
 		server.Close()
 	}
 }
 
+// handOff leaves new clients to the heir and waits until those of this process have left. Kept connections end with
+// their next answer, those at rest as late as may be: none crosses a request of its client's that way but the last.
+func (n *Node) handOff(life lifecycle.Machine) {
+	n.in.retire()
+	n.sweepAfter(life)
+	for n.in.count() > 0 && n.clock.Now() < life.Cutoff() {
+		time.Sleep(goneTime)
+	}
+}
+
 // whole marks the list that a node starts with as complete.
 func (l roster) whole() roster {
 	l.Whole = true
--- a/internal/node/operated.go
+++ b/internal/node/operated.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"hookwalk.example/hookwalk/internal/handover"
 	"hookwalk.example/hookwalk/internal/lifecycle"
 )
 
@@ -14,6 +15,13 @@
 // TakesClients says why the process does not take clients, if it does not. One that has sent its clients away takes
 // whoever comes all the same: that it is out of service is the front's to know, from /ready.
 func (o operated) TakesClients() error {
+	if synced := o.n.kin.synced; synced != nil {
+		select {
+		case <-synced:
+		default:
+			return errors.New("it has not all that the process before it knows")
+		}
+	}
 	switch life := o.n.life.Load(); {
 	case life.Leaving():
 		return errors.New("the process is about to end")
@@ -27,17 +35,28 @@
 
 // Hand takes a server out of use, or puts it back.
 func (o operated) Hand(ctx context.Context, id string, out bool) error {
-	return o.n.engine.Hand(ctx, id, out)
+	if err := o.n.engine.Hand(ctx, id, out); err != nil {
+		return err
+	}
+	o.n.pass(ctx, handover.Word{Server: id, Out: out})
+	return nil
 }
 
 // Serve sends clients away, or takes them again.
-func (o operated) Serve(_ context.Context, in bool) error {
+func (o operated) Serve(ctx context.Context, in bool) error {
+	o.n.setService(in)
+	out := !in
+	o.n.pass(ctx, handover.Word{Drain: &out})
+	return nil
+}
+
+// setService puts the node in service, or out of it.
+func (n *Node) setService(in bool) {
 	if in {
-		o.n.step(lifecycle.InService)
-		return nil
+		n.step(lifecycle.InService)
+		return
 	}
-	o.n.sweepAfter(o.n.step(lifecycle.OutOfService))
-	return nil
+	n.sweepAfter(n.step(lifecycle.OutOfService))
 }
 
 // sweepAfter closes connections at rest for as long as the node stays as it is.
--- a/internal/node/rules.go
+++ b/internal/node/rules.go
@@ -77,6 +77,13 @@
 	return nil
 }
 
+// settings are the module's, as they are now.
+func (n *Node) settings() deckrelay.Settings {
+	n.reloads.Lock()
+	defer n.reloads.Unlock()
+	return n.set
+}
+
 // follows says why a configuration can't take the place of another while the node runs. A file that was cut off may
 // still be sound as JSON: what the one before had is to be there again, but for what the platform leaves out at times.
 func (c Config) follows(old Config) error {
--- a/internal/node/servers.go
+++ b/internal/node/servers.go
@@ -31,7 +31,8 @@
 	clock   engine.Clock
 	dialer  net.Dialer
 	idleFor time.Duration
-	most    int                 // connections at once
+	most    int                 // connections at once, of
+	whole   int                 // what this process may have while it is alone
 	ended   func(engine.Result) // takes how an attempt ended
 
 	mu   sync.Mutex
@@ -44,10 +45,19 @@
 
 func newPool(ck engine.Clock, cfg Config, most int, ended func(engine.Result)) *pool {
 	return &pool{clock: ck, dialer: net.Dialer{Timeout: cfg.connectTimeout, KeepAlive: -1},
-		idleFor: cfg.connIdle / 2, most: most, ended: ended,
+		idleFor: cfg.connIdle / 2, most: most, whole: most, ended: ended,
 		open: map[*conn]bool{}, idle: list.New(), kept: map[*engine.Target][]*conn{}}
 }
 
+// share leaves half of the connections to another process of the node, or takes them back.
+func (p *pool) share(with bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.most = p.whole; with {
+		p.most = p.whole / 2
+	}
+}
+
 // retune takes over other settings of connections.
 func (p *pool) retune(cfg Config) {
 	p.mu.Lock()
--- /dev/null
+++ b/internal/node/takeover.go
@@ -0,0 +1,255 @@
+package node
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io/fs"
+	"net"
+	"os"
+	"sync"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"hookwalk.example/hookwalk/deckrelay"
+	"hookwalk.example/hookwalk/internal/engine"
+	"hookwalk.example/hookwalk/internal/handover"
+	"hookwalk.example/hookwalk/internal/lifecycle"
+)
+
+const (
+	agreed   = 400 * time.Millisecond // for the other process to take what an operator said; an answer is owed in 1 s
+	goneTime = 50 * time.Millisecond  // between two looks at whether the last client has left
+)
+
+// kin is the other process of the node, while two run. Only a node with operators has any.
+type kin struct {
+	path string // where the processes meet; "": they can't
+
+	mu     sync.Mutex
+	link   *handover.Link // nil: this process is alone
+	heir   bool           // the other one is the newer
+	serves bool           // and takes clients
+	synced chan struct{}  // closed when all that the older one had to tell was taken; nil: this process took over from none
+}
+
+// listen opens the clients' listener: the one that another process of the node hands over, else one of its own.
+// Where operators may replace the process, the address can be had twice, for a process that is hung hands nothing over.
+func (n *Node) listen(ctx context.Context) (net.Listener, error) {
+	var lc net.ListenConfig
+	if n.cfg.Control != "" {
+		if ln := n.claim(); ln != nil {
+			return ln, nil
+		}
+		lc.Control = func(_, _ string, c syscall.RawConn) (err error) {
+			if e := c.Control(func(fd uintptr) {
+				err = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_REUSEPORT, 1)
+			}); e != nil {
+				return e
+			}
+			return err
+		}
+	}
+	return lc.Listen(ctx, "tcp", n.cfg.Listen)
+}
+
+// claim takes over from another process of the node, if there is one. Without it, it knows at least what stands on
+// disk of what operators said.
+func (n *Node) claim() net.Listener {
+	var err error
+	if n.kin.path, err = handover.Path(os.TempDir(), n.cfg.Name, n.cfg.Listen); err != nil {
+		n.log.Warn("no process can take over from this one", "err", err)
+		return nil
+	}
+	estate, ln, link, err := handover.Claim(n.kin.path, n.cfg.Name, n.cfg.Listen)
+	if err != nil {
+		if !errors.Is(err, fs.ErrNotExist) {
+			n.log.Warn("nothing was handed over", "err", err)
+		}
+		kept, err := handover.Read(n.kin.path)
+		if err != nil {
+			n.log.Warn("what stood on disk is passed over", "err", err)
+		}
+		n.engine.Balancer.Remember(kept.Out)
+		if kept.Drained {
+			n.step(lifecycle.OutOfService)
+		}
+		return nil
+	}
+	n.inherit(estate)
+	n.kin.link, n.kin.synced = link, make(chan struct{})
+	n.pool.share(true)
+	n.log.Info("took over", "servers", len(estate.Boxes), "out", estate.Out, "drained", estate.Drained)
+	return ln
+}
+
+// inherit makes an estate this node's, before it serves. What was learned under other settings is of no use: then
+// the servers and what operators said of them must do.
+func (n *Node) inherit(e handover.Estate) {
+	set, err := json.Marshal(n.set)
+	if err == nil && bytes.Equal(set, e.Settings) {
+		var b *deckrelay.Balancer
+		if b, err = deckrelay.Inherit(n.set, e.Module, n.cfg.Seed); err == nil {
+			n.engine.Balancer = b
+		}
+	}
+	if err != nil {
+		n.log.Warn("what was learned is passed over", "err", err)
+	}
+	n.engine.Balancer.Remember(e.Out)
+	n.inherited = e.Boxes
+	n.disc.seq = e.Seq
+	n.heard.Store(true)
+	if e.Drained {
+		n.step(lifecycle.OutOfService)
+	}
+}
+
+// meet runs the link to the process that this one took over from, and lets others take over from this one.
+func (n *Node) meet(ln net.Listener, own func(func())) (end func()) {
+	if n.kin.path == "" {
+		return func() {}
+	}
+	if link := n.kin.link; link != nil {
+		own(func() { n.talk(link) })
+		own(func() {
+			// All that was told before this comes first; and the older process knows that it may go.
+			if link.Tell(handover.Word{Serves: true}, 2*time.Second) != nil {
+				n.log.Warn("the process before this one is gone")
+			}
+			close(n.kin.synced)
+		})
+	}
+	offer, err := handover.NewOffer(n.kin.path)
+	if err != nil {
+		n.log.Warn("no process can take over from this one", "err", err)
+		offer = nil
+	} else {
+		own(func() { n.offer(offer, ln, own) })
+	}
+	return func() {
+		if offer != nil {
+			offer.Close()
+		}
+		n.kin.mu.Lock()
+		defer n.kin.mu.Unlock()
+		if n.kin.link != nil {
+			n.kin.link.Close()
+		}
+	}
+}
+
+// offer hands over to whoever asks; the newest heir counts.
+func (n *Node) offer(o *handover.Offer, ln net.Listener, own func(func())) {
+	for {
+		link, err := o.Accept()
+		if err != nil {
+			return
+		}
+		if err := n.give(link, ln); err != nil {
+			n.log.Warn("could not hand over", "err", err)
+			link.Close()
+			continue
+		}
+		own(func() { n.talk(link) })
+	}
+}
+
+// give hands this node's estate to an heir. From then on the heir is told what operators say.
+func (n *Node) give(link *handover.Link, ln net.Listener) error {
+	tcp, ok := ln.(*net.TCPListener)
+	if !ok {
+		return fmt.Errorf("no socket to hand over in a %T", ln)
+	}
+	set, err := json.Marshal(n.settings())
+	if err != nil {
+		return err
+	}
+	// What is told to the heir waits for the lock until the estate is written.
+	n.kin.mu.Lock()
+	defer n.kin.mu.Unlock()
+	e := handover.Estate{Node: n.cfg.Name, Listen: n.cfg.Listen, Settings: set, Seq: n.disc.version.Load()}
+	e.Module, e.Boxes, e.Out, err = n.engine.Estate(context.Background(), func() {
+		e.Drained = n.life.Load().Drained()
+	})
+	if err != nil {
+		return err
+	}
+	if err := link.Give(e, tcp); err != nil {
+		return err
+	}
+	if n.kin.link != nil {
+		n.kin.link.Close()
+	}
+	n.kin.link, n.kin.heir, n.kin.serves = link, true, false
+	n.pool.share(true)
+	n.log.Info("handed over")
+	return nil
+}
+
+// talk takes what the other process tells until one of the two ends.
+func (n *Node) talk(link *handover.Link) {
+	link.Run(func(w handover.Word) {
+		switch {
+		case w.Serves:
+			n.kin.mu.Lock()
+			n.kin.serves = n.kin.link == link
+			n.kin.mu.Unlock()
+		case w.Drain != nil:
+			n.setService(!*w.Drain)
+		case w.Server != "":
+			if err := n.engine.Hand(context.Background(), w.Server, w.Out); err != nil {
+				n.log.Warn("not taken from the other process", "server", w.Server, "out", w.Out, "err", err)
+			}
+		}
+	})
+	n.kin.mu.Lock()
+	defer n.kin.mu.Unlock()
+	if n.kin.link == link {
+		n.kin.link, n.kin.serves = nil, false
+		n.pool.share(false)
+	}
+}
+
+// pass tells the other process what an operator said, if there is one, and keeps it on disk.
+func (n *Node) pass(ctx context.Context, w handover.Word) {
+	if n.kin.path == "" {
+		return
+	}
+	n.kin.mu.Lock()
+	link := n.kin.link
+	n.kin.mu.Unlock()
+	if link != nil {
+		if err := link.Tell(w, agreed); err != nil {
+			n.log.Warn("the other process was not told", "err", err)
+		}
+	}
+	_, _, out, err := n.engine.Estate(ctx, func() {})
+	if err == nil {
+		err = handover.Keep(n.kin.path, handover.Kept{Out: out, Drained: n.life.Load().Drained()})
+	}
+	if err != nil {
+		n.log.Warn("what operators said is not on disk", "err", err)
+	}
+}
+
+// follows says whether another process of the node takes the clients that come from now on.
+func (n *Node) followed() bool {
+	n.kin.mu.Lock()
+	defer n.kin.mu.Unlock()
+	return n.kin.heir && n.kin.serves
+}
+
+// boxes is the list that a node starts with.
+func (n *Node) known() engine.News {
+	news := n.cfg.Known.whole().news()
+	if n.inherited != nil {
+		news = engine.News{Boxes: n.inherited, Whole: true, Version: n.disc.seq}
+	}
+	news.Cached = true
+	return news
+}
