--- a/internal/node/rules.go
+++ b/internal/node/rules.go
@@ -90,7 +90,7 @@
 	if at := lacks(old.keys, c.keys, ""); at != "" {
 		return fmt.Errorf("%s is missing or of another kind", at)
 	}
-	if c.Settings.MaxAttempts <= 0 {
+	if c.Settings.MaxAttempts <= 0 && old.Settings.MaxAttempts > 0 {
 		return errors.New("settings.limits.max-attempts must be above 0")
 	}
 	return nil
