Pass large bodies and answers on as they come; take chunked bodies

Cause: bodies over 64 KiB were 413, chunked ones 400, answers over 1 MiB or without a length broken, and a head had 1.5 s. Held whole up to 64 KiB as before; beyond, one attempt once the rest is begun, latency to the first byte, stalls bounded, nothing cut while it comes. Heads are followed byte by byte, as net/http drops a second length. A handler whose client left aborts: net/http wrote an empty 200 in its place, seen as a stalled body was answered 200 in a test.

--- a/deckrelay/checkpoint.go
+++ b/deckrelay/checkpoint.go
@@ -63,6 +63,7 @@
 	Wake      time.Duration
 	Resume    time.Duration
 	Most      int
+	Bulk      bool `json:",omitempty"`
 }
 
 type savedAttempt struct {
@@ -171,7 +172,7 @@
 }
 
 func (b *Balancer) saveRequest(r *request, servers *places[*server], classes *places[*class]) savedRequest {
-	o := savedRequest{ID: []byte(r.id), Class: classes.of(r.class), Most: r.most, Arrived: r.arrived, Deadline: r.deadline,
+	o := savedRequest{ID: []byte(r.id), Class: classes.of(r.class), Most: r.most, Bulk: r.bulk, Arrived: r.arrived, Deadline: r.deadline,
 		Repeat: r.repeat, Answered: r.answered, Streaming: r.streaming, Wake: r.wake, Resume: r.resume}
 	if r.line != nil {
 		o.Line = &r.line.key
@@ -315,7 +316,7 @@
 
 func (b *Balancer) loadRequest(o savedRequest, servers []*server, classes []*class, f *fetcher) *request {
 	r := &request{id: string(o.ID), arrived: o.Arrived, deadline: o.Deadline, repeat: o.Repeat,
-		answered: o.Answered, streaming: o.Streaming, wake: o.Wake, resume: o.Resume, most: o.Most}
+		answered: o.Answered, streaming: o.Streaming, wake: o.Wake, resume: o.Resume, most: o.Most, bulk: o.Bulk}
 	if c := fetch(f, classes, []int{o.Class}); len(c) == 1 {
 		r.class = c[0]
 	}
--- a/deckrelay/deckrelay.go
+++ b/deckrelay/deckrelay.go
@@ -136,6 +136,7 @@
 		HasKey   bool
 		Client   netip.Addr // whose it is, where Addresses are set
 		Rules    int        // Retunes that its front knew of
+		Bulk     bool       // its body is passed on as it comes: its attempts' time runs from the last byte
 	}
 	// Outcome ends one attempt. Ended: the request has its final answer.
 	Outcome struct {
--- a/deckrelay/policy.go
+++ b/deckrelay/policy.go
@@ -146,6 +146,7 @@
 	answered  bool
 	streaming bool
 	wake      time.Duration
+	bulk      bool
 	most      int  // attempts, by the settings that it came with
 	delayed   bool // by a drill, until resume
 	resume    time.Duration
@@ -395,7 +396,7 @@
 		c = b.order[len(b.order)-1] // unknown: unsafe
 	}
 	r := &request{id: e.ID, class: c, arrived: b.now, deadline: min(e.Deadline, b.now+c.Deadline),
-		repeat: e.Repeat, most: max(1, b.set.MaxAttempts)}
+		repeat: e.Repeat, bulk: e.Bulk, most: max(1, b.set.MaxAttempts)}
 	b.requests[e.ID] = r
 	b.backdate(r)
 	for _, k := range b.order {
@@ -592,7 +593,8 @@
 	}
 	switch {
 	case e.Ended:
-		if e.Ending == Success && !r.answered && b.now <= r.arrived+r.class.Aim {
+		late := r.arrived + r.class.Aim
+		if e.Ending == Success && !r.answered && (b.now <= late || a.sent+b.latency(r, a, e) <= late) {
 			r.class.serve++
 		}
 		b.close(r)
@@ -802,7 +804,9 @@
 // silent says that an old call to the server is unanswered while a younger one was answered
 // elsewhere: a machine gone quiet, hung or pausing shows nothing else until time-outs end.
 func (b *Balancer) silent(s *server) bool {
-	i := slices.IndexFunc(s.open, func(a *attempt) bool { return a.boot == s.start() })
+	i := slices.IndexFunc(s.open, func(a *attempt) bool {
+		return a.boot == s.start() && !a.req.bulk && !a.req.streaming
+	})
 	if i < 0 {
 		return false
 	}
@@ -811,9 +815,10 @@
 	return b.now-a.sent > wait && b.lastOK > a.sent+wait/2 && s.lastOK < a.sent+wait/2
 }
 
-// latency is how long an attempt took; of a stream, till its first message, as the host has seen it.
+// latency is how long an attempt took; of what is passed on as it comes, from its last byte till the answer's
+// first, as the host has seen it.
 func (b *Balancer) latency(r *request, a *attempt, e Outcome) time.Duration {
-	if r.streaming {
+	if r.streaming || r.bulk {
 		return e.Latency
 	}
 	return b.now - a.sent
--- a/internal/capture/record.go
+++ b/internal/capture/record.go
@@ -72,6 +72,7 @@
 	Answer   int              `json:"answer,omitempty"` // the final answer that this event led to
 	Out      bool             `json:"out,omitempty"`
 	Rules    int              `json:"rules,omitempty"`
+	Bulk     bool             `json:"bulk,omitempty"`
 	Head     *head            `json:"head,omitempty"`
 
 	Settings *deckrelay.Settings `json:"settings,omitempty"`
@@ -121,7 +122,7 @@
 	switch e := e.(type) {
 	case deckrelay.Request:
 		return record{Kind: kindRequest, ID: plain(e.ID), Class: plain(e.Class), Tenant: plain(aside.Tenant), Budget: aside.Budget,
-			Deadline: e.Deadline, Repeat: e.Repeat, Key: e.Key, HasKey: e.HasKey, Client: e.Client, Rules: e.Rules}, nil
+			Deadline: e.Deadline, Repeat: e.Repeat, Key: e.Key, HasKey: e.HasKey, Client: e.Client, Rules: e.Rules, Bulk: e.Bulk}, nil
 	case deckrelay.Outcome:
 		r := record{Kind: kindOutcome, ID: plain(e.ID), Attempt: e.Attempt, Server: e.Server, Ending: e.Ending,
 			Latency: e.Latency, Ended: e.Ended}
@@ -161,7 +162,7 @@
 	switch r.Kind {
 	case kindRequest:
 		return deckrelay.Request{ID: raw(r.ID), Class: raw(r.Class), Deadline: r.Deadline, Repeat: r.Repeat, Key: r.Key,
-			HasKey: r.HasKey, Client: r.Client, Rules: r.Rules}, nil
+			HasKey: r.HasKey, Client: r.Client, Rules: r.Rules, Bulk: r.Bulk}, nil
 	case kindOutcome:
 		return deckrelay.Outcome{ID: raw(r.ID), Attempt: r.Attempt, Server: r.Server, Ending: r.Ending,
 			Latency: r.Latency, Ended: r.Ended}, nil
--- a/internal/engine/call.go
+++ b/internal/engine/call.go
@@ -14,6 +14,7 @@
 	Request  deckrelay.Request
 	Tenant   string
 	Budget   time.Duration // as the client gave it
+	Upload   time.Duration // of a bulk call: the longest that its body may take
 	Tags     figures.Tags
 	Stranger bool // the lists keep its client out; of its request there is only the id
 	Payload  any  // what the sender needs of it; the engine does not look at it
@@ -80,7 +81,8 @@
 	Call     *Call
 	N        int
 	Target   *Target
-	Deadline time.Duration
+	Deadline time.Duration // of a bulk call: no more than a bound; its time runs from its body's last byte
+	Patience time.Duration // how long the module waits for it
 	Started  time.Duration
 
 	begun bool // a streamed answer is the client's; the loop's own
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -36,7 +36,7 @@
 	arrivals chan *Call
 	gone     chan *Call
 	results  chan Result
-	begun    chan *Attempt
+	begun    chan beginning
 	starts   chan DrillStart
 	orders   chan order
 	dumps    chan struct{} // takes a wish to see what the capture holds without blocking
@@ -58,7 +58,7 @@
 func New(o Options) *Engine {
 	return &Engine{Options: o,
 		lists: make(chan News), arrivals: make(chan *Call), gone: make(chan *Call),
-		results: make(chan Result), begun: make(chan *Attempt), starts: make(chan DrillStart), orders: make(chan order), dumps: make(chan struct{}, 1),
+		results: make(chan Result), begun: make(chan beginning), starts: make(chan DrillStart), orders: make(chan order), dumps: make(chan struct{}, 1),
 		leaves: make(chan struct{}), stop: make(chan struct{}),
 		calls: map[string]*Call{}, boxes: map[string]Box{}, targets: map[string]*Target{}}
 }
@@ -108,7 +108,37 @@
 func (e *Engine) Ended(r Result) { e.results <- r }
 
 // Began tells that a streamed answer is the client's from here on: its call is not sent again. Like Ended.
-func (e *Engine) Began(a *Attempt) { e.begun <- a }
+func (e *Engine) Began(a *Attempt) { e.begun <- beginning{a: a} }
+
+// Answers tells that an attempt's answer begins and is passed on as it comes: it is the call's final answer. False: the
+// call is over, and nobody takes it. The attempt's Result comes when it has ended. Like Ended.
+func (e *Engine) Answers(a *Attempt, reply any) bool {
+	wanted := make(chan bool, 1)
+	e.begun <- beginning{a: a, reply: reply, wanted: wanted}
+	return <-wanted
+}
+
+// beginning is an answer that begins.
+type beginning struct {
+	a      *Attempt
+	reply  any
+	wanted chan bool // nil: the front has it already
+}
+
+func (e *Engine) takeBeginning(b beginning) {
+	c := b.a.Call
+	if b.wanted != nil {
+		wanted := c.Close()
+		b.wanted <- wanted
+		if !wanted {
+			return
+		}
+		e.tally.served++
+		c.reply <- Answer{Verdict: Served, Reply: b.reply}
+	}
+	b.a.begun = true
+	e.handle(deckrelay.Started{ID: c.Request.ID, Attempt: b.a.N})
+}
 
 // StartDrill has the module start a drill.
 func (e *Engine) StartDrill(s DrillStart) error {
@@ -179,9 +209,8 @@
 			e.takeGone(c)
 		case r := <-e.results:
 			e.takeResult(r)
-		case a := <-e.begun:
-			a.begun = true
-			e.handle(deckrelay.Started{ID: a.Call.Request.ID, Attempt: a.N})
+		case b := <-e.begun:
+			e.takeBeginning(b)
 		case s := <-e.starts:
 			e.Log.Info("drill started", append([]any{"drill", s.Name}, who(s.Client)...)...)
 			e.handle(deckrelay.DrillStart{Name: s.Name})
@@ -290,7 +319,11 @@
 		e.Log.Error("send for an unknown request", "id", a.ID)
 		return
 	}
-	att := &Attempt{Call: c, N: c.attempts, Target: e.targets[a.Server], Deadline: min(now+a.Timeout, c.Request.Deadline)}
+	att := &Attempt{Call: c, N: c.attempts, Target: e.targets[a.Server], Deadline: min(now+a.Timeout, c.Request.Deadline),
+		Patience: a.Timeout}
+	if c.Request.Bulk {
+		att.Deadline = now + c.Upload + a.Timeout
+	}
 	if att.Target == nil { // no such server any more: the attempt ends unsent
 		att.Target = &Target{ID: a.Server}
 		att.Target.Stop()
--- a/internal/node/figures.go
+++ b/internal/node/figures.go
@@ -12,8 +12,11 @@
 // gaveUp is in place of a status for a request whose client left.
 const gaveUp = 0
 
+// cutShort is in place of a status for an answer that could not be passed on to its end.
+const cutShort = -1
+
 // measured serves a request and counts it.
-func (h *callers) measured(w http.ResponseWriter, r *http.Request) {
+func (h *callers) measured(w http.ResponseWriter, r *http.Request) (status int) {
 	f, begin := h.figures, h.clock.Now()
 	tags := f.Tags(r.Header.Get("X-Call-Class"), r.Header.Get("X-Caller"))
 	f.Count(tags, figures.Requests)
@@ -21,10 +24,11 @@
 	if c := connOf(r); c != nil {
 		c.tag(tags)
 	}
-	status := h.serve(w, r, tags)
+	status = h.serve(w, r, tags)
 	f.Add(tags, figures.OpenRequests, -1)
 	f.Count(tags, counterOf(status))
 	h.latency(tags, status, h.clock.Now()-begin)
+	return status
 }
 
 // latency notes how long an answer took, if the module gave it: what is turned down at the door takes no time.
@@ -41,6 +45,8 @@
 		return figures.Left
 	case status == http.StatusOK:
 		return figures.Served
+	case status == cutShort:
+		return figures.Failed
 	case status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests:
 		return figures.Refused
 	case status < http.StatusInternalServerError || status == http.StatusHTTPVersionNotSupported:
--- /dev/null
+++ b/internal/node/heads_test.go
@@ -0,0 +1,84 @@
+package node
+
+import (
+	"bufio"
+	"bytes"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/iotest"
+)
+
+// pieces reads a text in pieces of n bytes at most.
+func pieces(text string, n int) func([]byte) (int, error) {
+	r := strings.NewReader(text)
+	return func(b []byte) (int, error) { return r.Read(b[:min(n, len(b))]) }
+}
+
+// A read never goes beyond the request that it began in, however the bytes are cut, and nothing of them is lost.
+func TestReadsEndWithTheirRequest(t *testing.T) {
+	a := "POST /a HTTP/1.1\r\nContent-Length: 5\r\n\r\nhello"
+	b := "GET /b HTTP/1.1\r\nHost: h\r\n\r\n"
+	c := "POST /c HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n"
+	for n := 1; n < len(a)+len(b)+len(c); n++ {
+		h, from := &heads{}, pieces(a+"\r\n"+b+b+c, n)
+		var got []string
+		for _, want := range []string{a, b, b, c} {
+			var one []byte
+			for len(one) < len(want) {
+				buf := make([]byte, 4096)
+				k, err := h.read(from, buf)
+				if err != nil {
+					t.Fatalf("pieces of %d: %v after %q", n, err, one)
+				}
+				one = append(one, buf[:k]...)
+			}
+			got = append(got, string(one))
+			if string(one) != want || h.seen.fault != "" {
+				t.Fatalf("pieces of %d: read %q, want %q; fault %q", n, one, want, h.seen.fault)
+			}
+		}
+		if h.count != 4 || !h.seen.coded {
+			t.Fatalf("pieces of %d: %d heads, %+v", n, h.count, h.seen)
+		}
+	}
+}
+
+// Whatever comes, all of it is read, and where net/http sees a request whose length is doubtful, so do the heads.
+func FuzzHeads(f *testing.F) {
+	for _, s := range []string{
+		"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nabcGET / HTTP/1.1\r\nHost: h\r\n\r\n",
+		"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+		"\r\n\r\nGET / HTTP/1.1\nHost: h\r\nContent-Length:\r\n 4\r\n\r\n", "\r", "\n\n", ":",
+	} {
+		f.Add(s, 3)
+	}
+	f.Fuzz(func(t *testing.T, text string, n int) {
+		h := &heads{}
+		from := pieces(text, max(n, 1))
+		var got bytes.Buffer
+		r := readFunc(func(b []byte) (int, error) { return h.read(from, b) })
+		if _, err := io.Copy(&got, r); err != nil {
+			t.Fatal(err)
+		}
+		left := strings.NewReplacer("\r", "", "\n", "")
+		if left.Replace(got.String()) != left.Replace(text) {
+			t.Fatalf("read %q of %q", got.String(), text)
+		}
+		first := &heads{}
+		in := pieces(text, 1)
+		br := bufio.NewReaderSize(iotest.OneByteReader(readFunc(func(b []byte) (int, error) { return first.read(in, b) })), 16)
+		req, err := http.ReadRequest(br)
+		if err != nil || first.count != 1 || first.seen.fault != "" {
+			return
+		}
+		if req.ContentLength > 0 && req.ContentLength != first.seen.length || (req.ContentLength < 0) != first.seen.coded {
+			t.Fatalf("%q: net/http sees %d %v, the heads %+v", text, req.ContentLength, req.TransferEncoding, first.seen)
+		}
+	})
+}
+
+type readFunc func([]byte) (int, error)
+
+func (f readFunc) Read(b []byte) (int, error) { return f(b) }
--- a/internal/node/inbound.go
+++ b/internal/node/inbound.go
@@ -43,6 +43,10 @@
 	shut  time.Time     // nothing more is read from it; zero: it is open
 	tags  figures.Tags  // of its last request
 	gone  bool
+
+	// The reader's own.
+	accepted time.Time
+	heads    heads
 }
 
 func newInbound(ln net.Listener, most int, reporter *figures.Reporter) *inbound {
@@ -83,7 +87,7 @@
 	if in.doors != nil {
 		nc = in.doors.open(nc)
 	}
-	c := &inConn{Conn: nc, in: in}
+	c := &inConn{Conn: nc, in: in, accepted: time.Now()}
 	in.figures.Add(c.tags, figures.OpenConnections, 1)
 	in.rest(c)
 	return c, nil
@@ -173,22 +177,23 @@
 	}
 	in.mu.Unlock()
 	for _, c := range shut {
-		c.closeWrite()
+		c.CloseWrite()
 	}
 	for _, c := range over {
 		c.Close()
 	}
 }
 
-// closeWrite ends the sending side.
-func (c *inConn) closeWrite() {
+// CloseWrite ends the sending side. The HTTP server does so too where it leaves something unread.
+func (c *inConn) CloseWrite() error {
 	nc := c.Conn
 	if k, ok := nc.(*knownConn); ok {
 		nc = k.Conn
 	}
 	if t, ok := nc.(interface{ CloseWrite() error }); ok {
-		t.CloseWrite()
+		return t.CloseWrite()
 	}
+	return nil
 }
 
 // count is how many connections are open.
@@ -229,7 +234,7 @@
 
 // Read sees the first byte of a request: the server's state changes only after its whole head.
 func (c *inConn) Read(b []byte) (int, error) {
-	n, err := c.Conn.Read(b)
+	n, err := c.heads.read(c.Conn.Read, b)
 	if n > 0 && !c.in.ask(c) {
 		return 0, io.EOF
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -83,7 +83,7 @@
 	}
 	n.engine = engine.New(engine.Options{Clock: n.clock, Log: logger, Balancer: bal})
 	n.inbound = (cfg.Sockets - spare) * 5 / 8
-	n.pool = newPool(n.clock, cfg, cfg.Sockets-spare-n.inbound, n.engine.Ended)
+	n.pool = newPool(n.clock, cfg, cfg.Sockets-spare-n.inbound, n.engine.Ended, n.engine.Answers)
 	n.disc = newDiscovery(cfg, logger, func(ctx context.Context, w engine.News) error {
 		if err := n.engine.Tell(ctx, w); err != nil {
 			return err
@@ -145,13 +145,11 @@
 			cutoff:  func() time.Duration { return n.life.Load().Cutoff() }},
 		ReadHeaderTimeout: headTime,
 		ConnState:         in.watch,
+		ConnContext:       withConn,
 		IdleTimeout:       idleTime,
 		MaxHeaderBytes:    16 << 10,
 		ErrorLog:          slog.NewLogLogger(n.log.Handler(), slog.LevelWarn),
 	}
-	if n.engine.Figures != nil || n.set.Addresses != nil {
-		server.ConnContext = withConn
-	}
 	failed := make(chan error, 1)
 	go func() { failed <- server.Serve(in) }()
 	if life := n.step(lifecycle.Started); life.Drained() {
--- a/internal/node/servers.go
+++ b/internal/node/servers.go
@@ -19,9 +19,8 @@
 )
 
 const (
-	maxBody   = 64 << 10          // of a request
-	maxReply  = 1 << 20           // of an answer: some that are sound have several times what a request may
-	maxAnswer = maxReply + 16<<10 // with its header and any 1xx ahead
+	maxAnswer = 2*maxHeld + 16<<10 // of an answer that is held, with its header, what chunks add and any 1xx ahead
+	maxStream = 4 * maxBulk        // of one that is passed on
 )
 
 // pool keeps the connections to servers, one request at a time on each. It is own code since
@@ -31,9 +30,10 @@
 	clock   engine.Clock
 	dialer  net.Dialer
 	idleFor time.Duration
-	most    int                 // connections at once, of
-	whole   int                 // what this process may have while it is alone
-	ended   func(engine.Result) // takes how an attempt ended
+	most    int                             // connections at once, of
+	whole   int                             // what this process may have while it is alone
+	ended   func(engine.Result)             // takes how an attempt ended
+	answers func(*engine.Attempt, any) bool // takes an answer that is passed on as it comes
 
 	mu   sync.Mutex
 	open map[*conn]bool
@@ -43,9 +43,9 @@
 	wg   sync.WaitGroup
 }
 
-func newPool(ck engine.Clock, cfg Config, most int, ended func(engine.Result)) *pool {
+func newPool(ck engine.Clock, cfg Config, most int, ended func(engine.Result), answers func(*engine.Attempt, any) bool) *pool {
 	return &pool{clock: ck, dialer: net.Dialer{Timeout: cfg.connectTimeout, KeepAlive: -1},
-		idleFor: cfg.connIdle / 2, most: most, whole: most, ended: ended,
+		idleFor: cfg.connIdle / 2, most: most, whole: most, ended: ended, answers: answers,
 		open: map[*conn]bool{}, idle: list.New(), kept: map[*engine.Target][]*conn{}}
 }
 
@@ -90,7 +90,8 @@
 // reply is what came back on a connection.
 type reply struct {
 	resp *http.Response
-	body []byte
+	body []byte  // whole, or its beginning
+	rest *stream // of one that is not held
 	err  error
 }
 
@@ -106,6 +107,10 @@
 // attempt makes the one send of an attempt and waits for what comes back.
 func (p *pool) attempt(att *engine.Attempt) engine.Result {
 	ended := func(e deckrelay.Ending) engine.Result { return engine.Result{Attempt: att, Ending: e} }
+	call := att.Call.Payload.(*call)
+	if call.rest != nil && (call.rest.spent.Load() || call.rest.lost()) {
+		return ended(deckrelay.Void) // of its body some is gone
+	}
 	if !att.MaySend(p.clock.Now()) {
 		return ended(deckrelay.Void)
 	}
@@ -136,9 +141,21 @@
 			return without(deckrelay.Unreachable, errClosed)
 		}
 	}
-	if _, err := c.Write(p.message(att)); err != nil {
+	began := att.Started
+	if call.rest == nil {
+		if _, err := c.Write(p.message(att)); err != nil {
+			p.close(c)
+			return without(deckrelay.Unreachable, err) // the last byte was not written
+		}
+	} else if err := p.upload(c, att); err != nil {
+		e := c.unsent()
 		p.close(c)
-		return without(deckrelay.Unreachable, err) // the last byte was not written
+		if call.rest.lost() {
+			return ended(deckrelay.Void) // it says nothing of the server
+		}
+		return without(e, err)
+	} else {
+		began = p.clock.Now()
 	}
 	r := <-c.replies
 	switch {
@@ -148,6 +165,26 @@
 		return without(deckrelay.Broken, r.err)
 	}
 	res := engine.Result{Attempt: att, Ending: ending(r.resp), Reply: r}
+	if call.rest != nil || r.rest != nil {
+		res.Latency = max(p.clock.Now()-began, 1)
+	}
+	if r.rest != nil {
+		if res.Ending != deckrelay.Success || !p.answers(att, r) {
+			p.close(c)
+			close(r.rest.over)
+			res.Reply = nil
+			if res.Ending == deckrelay.Success {
+				res.Ending = deckrelay.Withdrawn // nobody waits for it
+			}
+			return res
+		}
+		end := <-r.rest.ended
+		if end.ending != deckrelay.Success {
+			p.close(c)
+		}
+		close(r.rest.over)
+		res.Ending, res.Err = end.ending, end.err
+	}
 	if r.resp.Close {
 		p.close(c)
 	} else {
@@ -156,18 +193,11 @@
 	return res
 }
 
-// message is the request as it goes to a server: as it came, but for the time that is left.
+// message is the request as it goes to a server.
 func (p *pool) message(att *engine.Attempt) []byte {
 	c := att.Call.Payload.(*call)
-	header := c.header.Clone()
-	left := max((att.Deadline - p.clock.Now()).Microseconds(), 1)
-	header.Set("X-Budget", strconv.FormatInt(left, 10)+"u")
-	if _, ok := header["User-Agent"]; !ok {
-		header["User-Agent"] = nil // else Request.Write adds its own
-	}
-	req := http.Request{Method: c.method, URL: c.url, Host: c.host, Header: header,
-		ContentLength: int64(len(c.body))}
-	if len(c.body) > 0 {
+	req := p.request(att, att.Deadline-p.clock.Now())
+	if req.ContentLength = int64(len(c.body)); len(c.body) > 0 {
 		req.Body = io.NopCloser(bytes.NewReader(c.body))
 	}
 	var b bytes.Buffer
@@ -175,6 +205,57 @@
 	return b.Bytes()
 }
 
+// upload writes a request whose body is not held. From the last byte on its time runs.
+func (p *pool) upload(c *conn, att *engine.Attempt) error {
+	call := att.Call.Payload.(*call)
+	req := p.request(att, att.Patience)
+	req.ContentLength = call.length
+	req.Body = io.NopCloser(io.MultiReader(bytes.NewReader(call.body), rest{call.rest}))
+	out := &errWriter{w: c, before: func() { c.SetWriteDeadline(time.Now().Add(stallTime)) }}
+	if err := req.Write(out); err != nil {
+		return err
+	}
+	if call.rest.lost() { // what came of it would pass as the whole
+		return errBody
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	c.deadline = time.Now().Add(att.Patience)
+	return c.SetDeadline(c.deadline)
+}
+
+// unsent says how an attempt ended whose last byte was not written. A server may have said why.
+func (c *conn) unsent() deckrelay.Ending {
+	c.pool.mu.Lock()
+	c.deadline = time.Now().Add(lastWord)
+	c.SetReadDeadline(c.deadline)
+	c.pool.mu.Unlock()
+	if r := <-c.replies; r.err == nil {
+		if r.rest != nil {
+			close(r.rest.over)
+		}
+		if e := ending(r.resp); e == deckrelay.Overloaded {
+			return e
+		}
+	}
+	return deckrelay.Unreachable
+}
+
+// request is a request as it came, but for its body and the time that is left.
+func (p *pool) request(att *engine.Attempt, wait time.Duration) *http.Request {
+	c := att.Call.Payload.(*call)
+	header := c.header.Clone()
+	left := max(wait.Microseconds(), 1)
+	header.Set("X-Budget", strconv.FormatInt(left, 10)+"u")
+	if _, ok := header["User-Agent"]; !ok {
+		header["User-Agent"] = nil // else Request.Write adds its own
+	}
+	return &http.Request{Method: c.method, URL: c.url, Host: c.host, Header: header}
+}
+
+// lastWord is how long a server that stopped reading is given for its answer to come.
+const lastWord = 50 * time.Millisecond
+
 // ending reads off an answer how the attempt ended.
 func ending(r *http.Response) deckrelay.Ending {
 	switch {
@@ -352,6 +433,9 @@
 			}
 		}
 		c.replies <- r
+		if r.rest != nil {
+			<-r.rest.over
+		}
 		if r.err != nil || r.resp.Close {
 			return
 		}
@@ -380,16 +464,29 @@
 		if resp.StatusCode >= 100 && resp.StatusCode < 200 && resp.StatusCode != http.StatusSwitchingProtocols {
 			continue
 		}
-		// Without a length the end of the connection would pass as the end of the body, however early it came.
-		if resp.StatusCode < 100 || resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 || resp.ContentLength > maxReply {
+		if resp.StatusCode < 100 || resp.ContentLength > maxStream {
 			return &reply{err: errAnswer}
 		}
-		body, err := io.ReadAll(io.LimitReader(resp.Body, maxReply+1))
-		if err == nil && len(body) > maxReply {
-			err = errAnswer
+		if resp.ContentLength > maxHeld {
+			return c.large(resp, make([]byte, chunk))
+		}
+		body, err := io.ReadAll(io.LimitReader(resp.Body, maxHeld+1))
+		if err == nil && len(body) > maxHeld {
+			c.left = maxStream
+			return &reply{resp: resp, body: body, rest: newStream(c, resp.Body)}
 		}
 		// Bytes that nobody asked for would pass as the answer to the next request.
 		resp.Close = resp.Close || c.br.Buffered() > 0
 		return &reply{resp: resp, body: body, err: err}
 	}
 }
+
+// large is an answer that is passed on from its first bytes.
+func (c *conn) large(resp *http.Response, buf []byte) *reply {
+	n, err := resp.Body.Read(buf)
+	if err != nil && n == 0 {
+		return &reply{err: err}
+	}
+	c.left = maxStream
+	return &reply{resp: resp, body: buf[:n], rest: newStream(c, resp.Body)}
+}
