Checker from outside: servers out by hand, also over an upgrade

Two events, hand and heir, and the rule by-hand. Histories that it must reject: a send after an operator's yes though discovery lists the server as ready, the same after an upgrade, and a request that the ended process of two took and nobody answered. Each has one a step inside that passes.

--- a/internal/lab/audit/audit.go
+++ b/internal/lab/audit/audit.go
@@ -26,6 +26,7 @@
 	MostSends   Rule = "attempts"      // no more than the rules allow in all
 	Drain       Rule = "drain"         // nothing new to a draining or gone box after the grace
 	Cold        Rule = "cold"          // no cold box is pushed over
+	ByHand      Rule = "by-hand"       // nothing is sent to a box that an operator has taken out
 	Lost        Rule = "lost"          // nothing is lost by a node that was told to stop
 	MadeUp      Rule = "made-up"       // nothing is served that no box has run
 	KnownBox    Rule = "known-box"     // nothing is sent to a box that the node was never told of
@@ -90,6 +91,7 @@
 type node struct {
 	open  map[string]*request
 	boxes map[string]boxNews
+	out   map[string]time.Duration // by hand, since when
 }
 
 // boxNews is what a node was told of a box last.
@@ -148,7 +150,7 @@
 
 // NodeStarted begins a node's life, with nothing taken and nothing known.
 func (a *Auditor) NodeStarted(name string) {
-	a.nodes[name] = &node{open: map[string]*request{}, boxes: map[string]boxNews{}}
+	a.nodes[name] = &node{open: map[string]*request{}, boxes: map[string]boxNews{}, out: map[string]time.Duration{}}
 }
 
 // NodeKilled ends it from outside: nothing is owed any more.
@@ -192,6 +194,20 @@
 	}
 }
 
+// Handed is an operator's word on a box that the node has said yes to. However often it was taken out, one word puts it
+// back; no news of the box does.
+func (a *Auditor) Handed(now time.Duration, node, box string, out bool) {
+	n := a.nodes[node]
+	if n == nil {
+		return
+	}
+	if _, was := n.out[box]; out && !was {
+		n.out[box] = now
+	} else if !out {
+		delete(n.out, box)
+	}
+}
+
 // Sent is an attempt that leaves a node.
 func (a *Auditor) Sent(now time.Duration, node, id string, box string) {
 	n, r := a.find(node, id)
@@ -203,6 +219,9 @@
 	} else if !news.ready && now > news.at+a.rules.DrainGrace+a.rules.Slack {
 		a.broke(Drain, now, node, id, box, "sent %.0f ms after the node was told that it drains or is gone", (now-news.at).Seconds()*1000)
 	}
+	if at, out := n.out[box]; out && now > at+a.rules.DrainGrace+a.rules.Slack {
+		a.broke(ByHand, now, node, id, box, "sent %.0f ms after an operator took it out", (now-at).Seconds()*1000)
+	}
 	if r == nil {
 		a.broke(OneAnswer, now, node, id, box, "sent for no open request")
 		return
--- a/internal/lab/outside/outside.go
+++ b/internal/lab/outside/outside.go
@@ -37,6 +37,8 @@
 	Broke = "broke" // it has ended the connection without an answer, or its process died
 	Given = "given" // it saw the node close the connection: the attempt was given up
 	Boot  = "boot"  // its process has started, cold
+	Heir  = "heir"  // another process of the node has said yes beside it, and goes on when this one exits
+	Hand  = "hand"  // the node has said yes to an operator who takes a server out, or back if it is ready
 	End   = "end"   // nothing is recorded after
 )
 
@@ -140,13 +142,14 @@
 	audit   *audit.Auditor
 	servers map[string]*model.Box
 	calls   map[call]*seen
+	heirs   map[string]int
 	mine    []audit.Violation
 }
 
 // Check names the rules that a history breaks. Events are in the order of their times.
 func Check(h Head, events []Event) []audit.Violation {
 	c := &checker{head: h, audit: audit.New(&scenario.Scenario{Rules: h.Rules, Classes: h.Classes}),
-		servers: map[string]*model.Box{}, calls: map[call]*seen{}}
+		servers: map[string]*model.Box{}, calls: map[call]*seen{}, heirs: map[string]int{}}
 	c.audit.Overlap = h.Overlap
 	last := time.Duration(0)
 	for _, e := range events {
@@ -163,8 +166,16 @@
 		c.audit.NodeStarted(e.Node)
 	case Kill:
 		c.audit.NodeKilled(e.Node)
+	case Heir:
+		c.heirs[e.Node]++
 	case Exit:
+		if c.heirs[e.Node] > 0 { // what the process owed shows by itself; the node goes on
+			c.heirs[e.Node]--
+			return
+		}
 		c.audit.NodeStopped(e.At, e.Node)
+	case Hand:
+		c.audit.Handed(e.At, e.Node, e.Server, !e.Ready)
 	case Told:
 		c.audit.Told(e.At, e.Node, e.Server, e.Ready)
 	case Ask:
--- a/internal/lab/outside/outside_test.go
+++ b/internal/lab/outside/outside_test.go
@@ -58,6 +58,9 @@
 func got(at time.Duration, status int) Event {
 	return Event{At: at, What: Got, ID: "1", Status: status, Body: body(status)}
 }
+func hand(at time.Duration, ready bool) Event {
+	return Event{At: at, What: Hand, Server: "s1", Ready: ready}
+}
 func body(status int) string { return map[int]string{200: "picked"}[status] }
 
 // attempts are n of them that the servers answered 500, one after another, and the answer to the client.
@@ -121,6 +124,15 @@
 		"after a drain": {audit.Drain,
 			[]Event{{At: 2000 * ms, What: Told, Server: "s1"}, ask(2200*ms, safe), reach(2301*ms, "s1"), reply(2310*ms, "s1", 200), got(2310*ms, 200)},
 			[]Event{{At: 2000 * ms, What: Told, Server: "s1"}, ask(2200*ms, safe), reach(2300*ms, "s1"), reply(2310*ms, "s1", 200), got(2310*ms, 200)}},
+		"after a word by hand": {audit.ByHand,
+			[]Event{hand(1000*ms, false), {At: 1900 * ms, What: Told, Server: "s1", Ready: true}, ask(2000*ms, safe), reach(2100*ms, "s1"), reply(2110*ms, "s1", 200), got(2110*ms, 200)},
+			[]Event{hand(1000*ms, false), hand(1100*ms, false), hand(1900*ms, true), ask(2000*ms, safe), reach(2100*ms, "s1"), reply(2110*ms, "s1", 200), got(2110*ms, 200)}},
+		"by hand, over an upgrade": {audit.ByHand,
+			[]Event{hand(1000*ms, false), {At: 1100 * ms, What: Heir}, {At: 1200 * ms, What: Exit}, ask(2000*ms, safe), reach(2100*ms, "s1"), reply(2110*ms, "s1", 200), got(2110*ms, 200)},
+			[]Event{hand(1000*ms, false), {At: 1100 * ms, What: Heir}, {At: 1200 * ms, What: Exit}, ask(2000*ms, safe), reach(2100*ms, "s2"), reply(2110*ms, "s2", 200), got(2110*ms, 200)}},
+		"lost in an upgrade": {audit.InTime,
+			[]Event{ask(1000*ms, safe), {At: 1100 * ms, What: Heir}, {At: 1200 * ms, What: Exit}},
+			[]Event{ask(1000*ms, safe), {At: 1100 * ms, What: Heir}, {At: 1200 * ms, What: Exit}, got(1300*ms, 503)}},
 		"pushed over": {audit.Cold, cold(47), cold(46)},
 		"lost on SIGTERM": {audit.Lost,
 			[]Event{ask(1000*ms, safe), {At: 1100 * ms, What: Term}, {At: 1200 * ms, What: Exit}},
