Module: slow bodies and answers no longer fill the window

A body never counts now, an answer until it begins; as own calls of their servers they count to the end.

--- a/cmd/hookwalk/main_test.go
+++ b/cmd/hookwalk/main_test.go
@@ -25,7 +25,7 @@
 }
 
 // written is a file that holds a text.
-func written(t *testing.T, name, text string) (path string) {
+func written(t testing.TB, name, text string) (path string) {
 	t.Helper()
 	path = filepath.Join(t.TempDir(), name)
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
@@ -45,7 +45,7 @@
 	return c.ProcessState.ExitCode(), out.String(), errs.String()
 }
 
-func program(t *testing.T, config string, args ...string) *exec.Cmd {
+func program(t testing.TB, config string, args ...string) *exec.Cmd {
 	t.Helper()
 	path := written(t, "config.json", config)
 	c := exec.Command(os.Args[0], args...)
--- /dev/null
+++ b/cmd/hookwalk/operations_test.go
@@ -0,0 +1,161 @@
+package main
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+)
+
+// The figures of docs/operations.md, each with real processes on loopback:
+//
+//	go test ./cmd/hookwalk -run '^$' -bench Operations -benchtime 1x -count 5
+
+// BenchmarkOperationsUpgrade replaces the process under the load of 32 clients.
+func BenchmarkOperationsUpgrade(b *testing.B) {
+	for b.Loop() {
+		s := newSite(b)
+		p := s.start(b)
+		p.waitReady(b)
+		l := s.load(32)
+		begin := time.Now()
+		heir := s.start(b)
+		heir.waitReady(b)
+		yes := time.Since(begin)
+		p.terminate(b)
+		close(l.stop)
+		l.wg.Wait()
+		b.ReportMetric(float64(l.wrong.Load()), "lost")
+		b.ReportMetric(float64(l.unread.Load()), "unread")
+		b.ReportMetric(float64(l.served.Load()), "served")
+		b.ReportMetric(float64(yes.Milliseconds()), "ms-to-yes")
+		heir.terminate(b)
+	}
+}
+
+// BenchmarkOperationsControl makes operators' calls at full load, beside connections that hold their places.
+func BenchmarkOperationsControl(b *testing.B) {
+	for b.Loop() {
+		s := newSite(b)
+		p := s.start(b)
+		p.waitReady(b)
+		l := s.load(64)
+		var held []net.Conn
+		var took []time.Duration
+		for i := range 200 {
+			if i%20 == 0 {
+				c, err := net.Dial("tcp", p.control)
+				if err != nil {
+					b.Fatal(err)
+				}
+				io.WriteString(c, "POST /control/servers/")
+				held = append(held, c)
+			}
+			begin := time.Now()
+			if got := p.call("POST", "/control/servers/s-1/"+[]string{"offline", "online"}[i%2]); got != http.StatusOK {
+				b.Errorf("answered %d", got)
+			}
+			took = append(took, time.Since(begin))
+		}
+		for _, c := range held {
+			c.Close()
+		}
+		close(l.stop)
+		l.wg.Wait()
+		worst, sum := time.Duration(0), time.Duration(0)
+		for _, d := range took {
+			worst, sum = max(worst, d), sum+d
+		}
+		b.ReportMetric(float64(worst.Microseconds())/1000, "ms-worst")
+		b.ReportMetric(float64(sum.Microseconds())/1000/float64(len(took)), "ms-mean")
+		p.terminate(b)
+	}
+}
+
+// BenchmarkOperationsSize passes bodies and answers of 32 MB on, 24 at a time, 1.5 GB in all.
+func BenchmarkOperationsSize(b *testing.B) {
+	for b.Loop() {
+		peak, wrong := manyLarge(b, 24, 32<<20)
+		b.ReportMetric(float64(peak)/1024, "MB-peak")
+		b.ReportMetric(float64(wrong), "wrong")
+	}
+}
+
+// Large bodies and answers, together far over what the node may have, cost it next to nothing.
+func TestManyLargeAtOnce(t *testing.T) {
+	if peak, wrong := manyLarge(t, 12, 8<<20); wrong > 0 || peak > 64<<10 {
+		t.Errorf("%d went wrong, %d KiB of memory at most for 192 MiB", wrong, peak)
+	}
+}
+
+// manyLarge has n clients send a body of a size and read an answer of the same size. It returns the node's peak of
+// memory in KiB, and how many of them went wrong.
+func manyLarge(t testing.TB, n, size int) (peak int, wrong int64) {
+	t.Helper()
+	piece := bytes.Repeat([]byte("brix 23.4;"), 3277)
+	s := newSiteOf(t, func(w http.ResponseWriter, r *http.Request) {
+		got, err := io.Copy(io.Discard, r.Body)
+		if err != nil || got != int64(size) {
+			return
+		}
+		w.Header().Set("Content-Length", fmt.Sprint(size))
+		for left := size; left > 0; left -= len(piece) {
+			if _, err := w.Write(piece[:min(left, len(piece))]); err != nil {
+				return
+			}
+		}
+	})
+	p := s.start(t)
+	p.waitReady(t)
+	var faults atomic.Int64
+	var wg sync.WaitGroup
+	for i := range n {
+		wg.Go(func() {
+			r, _ := http.NewRequest("POST", "http://"+s.listen+"/api", io.LimitReader(&repeating{text: piece}, int64(size)))
+			r.ContentLength = int64(size) * int64(i%2*2-1) // every second one is chunked
+			if r.ContentLength < 0 {
+				r.ContentLength = -1
+			}
+			r.Header = http.Header{"X-Call-Id": {fmt.Sprint("big", i)}, "X-Call-Class": {"a"}, "X-Budget": {"2000m"}}
+			resp, err := (&http.Client{Transport: &http.Transport{DisableKeepAlives: true}}).Do(r)
+			if err != nil {
+				faults.Add(1)
+				return
+			}
+			defer resp.Body.Close()
+			if got, err := io.Copy(io.Discard, resp.Body); got != int64(size) || err != nil || resp.StatusCode != http.StatusOK {
+				faults.Add(1)
+			}
+		})
+	}
+	wg.Wait()
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.Process.Pid))
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, after, _ := strings.Cut(string(text), "VmHWM:")
+	if _, err := fmt.Sscan(after, &peak); err != nil {
+		t.Fatal(err)
+	}
+	p.terminate(t)
+	return peak, faults.Load()
+}
+
+// repeating is a text without end.
+type repeating struct {
+	text []byte
+	at   int
+}
+
+func (r *repeating) Read(b []byte) (int, error) {
+	n := copy(b, r.text[r.at:])
+	r.at = (r.at + n) % len(r.text)
+	return n, nil
+}
--- a/cmd/hookwalk/upgrade_test.go
+++ b/cmd/hookwalk/upgrade_test.go
@@ -28,7 +28,7 @@
 }
 
 // free is an address that nobody listens on.
-func free(t *testing.T) string {
+func free(t testing.TB) string {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -38,14 +38,20 @@
 	return ln.Addr().String()
 }
 
-func newSite(t *testing.T) *site {
+func newSite(t testing.TB) *site {
+	t.Helper()
+	return newSiteOf(t, func(w http.ResponseWriter, r *http.Request) { fmt.Fprint(w, r.Header.Get("X-Call-Id")) })
+}
+
+// newSiteOf is a site whose servers answer in a way.
+func newSiteOf(t testing.TB, answer http.HandlerFunc) *site {
 	t.Helper()
 	s := &site{listen: free(t), tmp: t.TempDir()}
 	var hosts []string
 	for i := range s.ran {
 		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			s.ran[i].Add(1)
-			fmt.Fprint(w, r.Header.Get("X-Call-Id"))
+			answer(w, r)
 		}))
 		t.Cleanup(server.Close)
 		hosts = append(hosts, fmt.Sprintf(`{"host":"s-%d","dial":%q,"health":"in_service"}`, i, server.Listener.Addr()))
@@ -74,7 +80,7 @@
 	ended   chan error
 }
 
-func (s *site) start(t *testing.T) *process {
+func (s *site) start(t testing.TB) *process {
 	t.Helper()
 	p := &process{control: free(t), ended: make(chan error, 1)}
 	p.Cmd = program(t, fmt.Sprintf(s.config, p.control))
@@ -106,7 +112,7 @@
 	return resp.StatusCode
 }
 
-func (p *process) waitReady(t *testing.T) {
+func (p *process) waitReady(t testing.TB) {
 	t.Helper()
 	for end := time.Now().Add(20 * time.Second); p.call("GET", "/control/ready") != http.StatusOK; time.Sleep(5 * time.Millisecond) {
 		if time.Now().After(end) {
@@ -116,7 +122,7 @@
 }
 
 // terminate ends a process and wants it to end well.
-func (p *process) terminate(t *testing.T) {
+func (p *process) terminate(t testing.TB) {
 	t.Helper()
 	p.Process.Signal(syscall.SIGTERM)
 	select {
--- a/deckrelay/checkpoint.go
+++ b/deckrelay/checkpoint.go
@@ -73,6 +73,7 @@
 	Cell          int
 	Boot          time.Duration
 	Ended, Unsent bool
+	Outside       bool `json:",omitempty"`
 }
 
 type savedClass struct {
@@ -179,7 +180,7 @@
 	}
 	for _, a := range r.attempts {
 		o.Attempts = append(o.Attempts, savedAttempt{Server: servers.of(a.srv), Sent: a.sent, Zone: a.zone,
-			Cell: a.cell, Boot: a.boot, Ended: a.ended, Unsent: a.unsent})
+			Cell: a.cell, Boot: a.boot, Ended: a.ended, Unsent: a.unsent, Outside: a.outside})
 	}
 	return o
 }
@@ -323,7 +324,7 @@
 	for n, a := range o.Attempts {
 		if v := fetch(f, servers, []int{a.Server}); len(v) == 1 {
 			r.attempts = append(r.attempts, &attempt{req: r, srv: v[0], n: n, sent: a.Sent, zone: a.Zone,
-				cell: a.Cell, boot: a.Boot, ended: a.Ended, unsent: a.Unsent})
+				cell: a.Cell, boot: a.Boot, ended: a.Ended, unsent: a.Unsent, outside: a.Outside})
 		}
 	}
 	return r
@@ -378,3 +379,21 @@
 	b.src.Seed(seed, 0x51a7e)
 	return b, nil
 }
+
+// Handed are the servers that are out by hand.
+func (b *Balancer) Handed() (ids []string) {
+	for id, h := range b.hands {
+		if h.out {
+			ids = append(ids, id)
+		}
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+// Remember takes servers out that were so in an earlier life of the node. It comes before any event.
+func (b *Balancer) Remember(ids []string) {
+	for _, id := range ids[:min(len(ids), MostHands)] {
+		b.hands[id] = hand{out: true}
+	}
+}
--- a/deckrelay/hand.go
+++ b/deckrelay/hand.go
@@ -4,7 +4,6 @@
 
 import (
 	"errors"
-	"slices"
 	"time"
 )
 
@@ -74,21 +73,3 @@
 	}
 	return nil
 }
-
-// Handed are the servers that are out by hand.
-func (b *Balancer) Handed() (ids []string) {
-	for id, h := range b.hands {
-		if h.out {
-			ids = append(ids, id)
-		}
-	}
-	slices.Sort(ids)
-	return ids
-}
-
-// Remember takes servers out that were so in an earlier life of the node. It comes before any event.
-func (b *Balancer) Remember(ids []string) {
-	for _, id := range ids[:min(len(ids), MostHands)] {
-		b.hands[id] = hand{out: true}
-	}
-}
--- a/deckrelay/hand_test.go
+++ b/deckrelay/hand_test.go
@@ -198,3 +198,30 @@
 		}
 	})
 }
+
+// What is passed on as it comes fills the window for nobody else: a body never, an answer from its beginning on. Its
+// end gives nothing back twice, and its latency is what the host saw.
+func TestSlowMessagesLeaveTheWindow(t *testing.T) {
+	b := newBalancer(t, nil)
+	b.Handle(0, list(4))
+	p := b.pools[0]
+	up := asked("up", "pay", 0, time.Second)
+	up.Bulk = true
+	first := sends(b.Handle(0, up))
+	second := sends(b.Handle(0, asked("down", "pay", 0, time.Second)))
+	if p.inFlight != 1 {
+		t.Fatalf("%d in flight beside a body that comes", p.inFlight)
+	}
+	b.Handle(10*msec, Started{ID: "down"})
+	b = restored(t, b.set, b)
+	p = b.pools[0]
+	for i, id := range []string{"up", "down"} {
+		if calls := b.servers[[]string{first[0].Server, second[0].Server}[i]].calls(); p.inFlight != 0 || calls == 0 {
+			t.Fatalf("%d in flight, %d at its server", p.inFlight, calls)
+		}
+		b.Handle(time.Minute, Outcome{ID: id, Server: "s", Ending: Success, Latency: 20 * msec, Ended: true})
+	}
+	if p.inFlight != 0 || b.classes["pay"].mean > float64(time.Second) {
+		t.Errorf("%d in flight, mean latency %v", p.inFlight, time.Duration(b.classes["pay"].mean))
+	}
+}
--- a/deckrelay/policy.go
+++ b/deckrelay/policy.go
@@ -179,6 +179,18 @@
 	boot   time.Duration
 	ended  bool
 	unsent bool // proven never to have run
+
+	outside bool // it does not count for the window
+}
+
+// leave takes an attempt out of the window, once. A message that is passed on as it comes is slow for its
+// client's sake: its server does nothing before it has it all, and no more while it is read. Were these
+// counted, a few slow clients would turn all others away. As calls of their servers they count to the end.
+func (a *attempt) leave() {
+	if !a.outside {
+		a.outside = true
+		a.req.class.pool.inFlight--
+	}
 }
 
 // New returns a Balancer that knows no servers yet. The error names the setting at fault.
@@ -211,8 +223,9 @@
 	case Outcome:
 		b.takeOutcome(e)
 	case Started:
-		if r := b.requests[e.ID]; r != nil {
+		if r := b.requests[e.ID]; r != nil && e.Attempt >= 0 && e.Attempt < len(r.attempts) {
 			r.streaming = true
+			r.attempts[e.Attempt].leave()
 		}
 	case ClientGone:
 		if r := b.requests[e.ID]; r != nil {
@@ -493,6 +506,9 @@
 		s.hungry = b.now + feedAfter
 	}
 	p.inFlight++
+	if r.bulk {
+		a.leave()
+	}
 	p.peak = max(float64(p.inFlight), p.peak-memory/4*(p.peak-float64(p.inFlight)))
 	b.do(Send{ID: r.id, Server: s.ID, Timeout: max(b.patience(r), b.set.Tick)})
 }
@@ -575,7 +591,7 @@
 	a := r.attempts[e.Attempt]
 	a.ended = true
 	a.unsent = e.Ending == Overloaded || e.Ending == Unreachable || e.Ending == Void
-	r.class.pool.inFlight--
+	a.leave()
 	if l := r.line; l != nil && (e.Ending == TimedOut || e.Ending == Broken || e.Ending == Withdrawn) {
 		l.rest = b.now + b.set.OrderSettle // it may still run
 	}
--- a/internal/node/bulk_test.go
+++ b/internal/node/bulk_test.go
@@ -253,7 +253,8 @@
 	}
 }
 
-// Clients that don't read their large answers hold up nobody else.
+// Clients that don't read their large answers, or bring large bodies slowly, hold up nobody else, more of them than the
+// window admits.
 func TestSlowReadersCostOnlyThemselves(t *testing.T) {
 	want := pattern(8 << 20)
 	b := newBackend(t, func(i int, c net.Conn, r *http.Request) bool {
@@ -264,7 +265,7 @@
 	})
 	n := startWith(t, b, b)
 	var held []*http.Response
-	for i := range 8 {
+	for i := range 24 {
 		resp, err := http.DefaultClient.Do(newRequest(t, n.url, "unsafe", fmt.Sprint("big", i), "x"))
 		if err != nil {
 			t.Fatal(err)
@@ -272,6 +273,14 @@
 		defer resp.Body.Close()
 		held = append(held, resp)
 	}
+	for i := range 24 {
+		c, err := net.Dial("tcp", strings.TrimPrefix(n.url, "http://"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		fmt.Fprintf(c, "POST /api HTTP/1.1\r\nHost: h\r\nX-Call-Id: up%d\r\nX-Call-Class: unsafe\r\nX-Budget: 30000m\r\nContent-Length: 2000000\r\n\r\n%s", i, want[:400_000])
+	}
 	for i := range 20 {
 		if got, _, _ := do(t, newRequest(t, n.url, "unsafe", fmt.Sprint("small", i), "x")); got != http.StatusOK {
 			t.Errorf("beside them one is answered %d", got)
