Discovery: a list that was cut is no news; what is held is bounded by memory

A line without its end ended the watch as unreadable and the whole list was asked for besides, twice the calls at a service that already cuts its answers short. It is passed over now and the watch goes on from the version held. A whole list without hosts read as an empty one, which would have taken every server out of use. Tried: lists cut at every seventh byte, and at the last. Held bodies take a quarter of the node's memory at most, held answers a sixth, by their number of places: what does not fit is passed on as it comes. Rejected: a counter of bytes, at whose bound somebody has to wait or be refused.

--- a/internal/node/bulk.go
+++ b/internal/node/bulk.go
@@ -12,19 +12,32 @@
 	"hookwalk.example/hookwalk/deckrelay"
 )
 
-// What is larger than maxHeld is passed on as it comes, through buffers of chunk.
+// What is larger than may be held is passed on as it comes, through buffers of chunk.
 const (
-	maxHeld   = 64 << 10                         // of a body or an answer that is held whole
-	maxBulk   = 64 << 20                         // of a body; twice what is asked of the node
-	chunk     = 32 << 10                         // passed on at once
-	bodyBase  = 800 * time.Millisecond           // for a body, and besides what its bytes take
-	bodyRate  = 32 << 10                         // bytes a second that a body has to come at; clients have twice that
-	firstEnd  = 2900 * time.Millisecond          // after connecting, by which a client that sends nothing sound is told or left
-	stallTime = 5 * time.Second                  // between two pieces of an answer, or of a body on its way to a server
-	slowest   = 10 * time.Second                 // for a client to take a piece of an answer
-	longest   = maxBulk / bodyRate * time.Second // for all of a body; none that keeps to the rate takes longer
+	bodyPart   = 4                                // part of the node's memory that all held bodies together may take
+	answerPart = 6                                // the same of held answers
+	minHeld    = 4 << 10                          // of a body or an answer, however little memory there is
+	maxHeld    = 64 << 10                         // of a body or an answer that is held whole
+	maxBulk    = 64 << 20                         // of a body; twice what is asked of the node
+	chunk      = 32 << 10                         // passed on at once
+	bodyBase   = 800 * time.Millisecond           // for a body, and besides what its bytes take
+	bodyRate   = 32 << 10                         // bytes a second that a body has to come at; clients have twice that
+	firstEnd   = 2900 * time.Millisecond          // after connecting, by which a client that sends nothing sound is told or left
+	stallTime  = 5 * time.Second                  // between two pieces of an answer, or of a body on its way to a server
+	slowest    = 10 * time.Second                 // for a client to take a piece of an answer
+	longest    = maxBulk / bodyRate * time.Second // for all of a body; none that keeps to the rate takes longer
 )
 
+// held is how much of one body or answer is held, where so many may be at once: at most maxHeld, and all together no
+// more than a part of the node's memory. Nothing has to be counted, and nobody has to wait or be refused at the bound:
+// what does not fit is passed on.
+func held(memoryMB, part, places int) int {
+	if memoryMB == 0 {
+		return maxHeld
+	}
+	return min(max(memoryMB<<20/part/max(places, 1), minHeld), maxHeld)
+}
+
 // bodyReader reads a client's body and holds it to a rate. Only time in which the client is waited for counts.
 type bodyReader struct {
 	body     io.Reader
--- a/internal/node/bulk_test.go
+++ b/internal/node/bulk_test.go
@@ -292,3 +292,16 @@
 		}
 	}
 }
+
+// All that is held at once stays within its part of the memory, on the smallest nodes that there are too.
+func TestHeldTogether(t *testing.T) {
+	for _, c := range []struct{ memory, places, part, want int }{
+		{0, 1000, 4, maxHeld}, {64, 209, bodyPart, maxHeld}, {32, 129, bodyPart, 65027}, {32, 609, bodyPart, 13774},
+		{192, 365, answerPart, maxHeld}, {32, 365, answerPart, 15321}, {32, 1 << 20, 4, minHeld},
+	} {
+		got := held(c.memory, c.part, c.places)
+		if got != c.want || c.memory > 0 && got > minHeld && got*c.places > c.memory<<20/c.part {
+			t.Errorf("%d MB, %d places: %d, want %d", c.memory, c.places, got, c.want)
+		}
+	}
+}
--- a/internal/node/callers.go
+++ b/internal/node/callers.go
@@ -45,6 +45,7 @@
 	engine  *engine.Engine
 	clock   engine.Clock
 	rules   func() *rules
+	held    int // of a body
 	drills  *drills.Keys
 	figures *figures.Reporter    // nil: off
 	lists   *deckrelay.Addresses // nil: everybody is let in
@@ -224,7 +225,7 @@
 		sum.Write([]byte(key))
 		c.Request.Key, c.Request.HasKey = sum.Sum64(), true
 	}
-	if err := c.readBody(w, r); err != nil {
+	if err := c.readBody(w, r, h.held); err != nil {
 		return bad("%v", err)
 	}
 	if r.Method == http.MethodGet && len(c.body) > 0 { // chunked
@@ -280,13 +281,13 @@
 }
 
 // readBody reads a body, or its beginning if it is too large to be held.
-func (c *call) readBody(w http.ResponseWriter, r *http.Request) error {
+func (c *call) readBody(w http.ResponseWriter, r *http.Request, held int) error {
 	c.length = r.ContentLength
 	if c.length == 0 {
 		return nil
 	}
 	in := newBodyReader(w, r)
-	size := int64(maxHeld)
+	size := int64(held)
 	if c.length > 0 {
 		size = min(size, c.length)
 	}
--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -199,6 +200,7 @@
 	}
 	defer body.Close()
 	in := bufio.NewScanner(body)
+	in.Split(wholeLines)
 	in.Buffer(make([]byte, 0, 4<<10), maxLine)
 	for in.Scan() {
 		watchdog.Reset(d.silence)
@@ -208,8 +210,11 @@
 		}
 		var n roster
 		err := json.Unmarshal(in.Bytes(), &n)
-		if err == nil && !n.Whole && n.Seq < d.seq {
+		switch {
+		case err == nil && !n.Whole && n.Seq < d.seq:
 			err = errGap
+		case err == nil && n.Whole && n.Hosts == nil:
+			err = errNoHosts
 		}
 		if err != nil {
 			d.lost = true
@@ -226,6 +231,24 @@
 	return lines, io.EOF
 }
 
+// errCut says that an answer ended within a line. What came of that is no news, however it reads; nothing before it is in
+// doubt, so the next watch goes on from the version held.
+var errCut = errors.New("cut short")
+
+// wholeLines splits at line ends and takes nothing that has none.
+func wholeLines(data []byte, atEnd bool) (advance int, line []byte, err error) {
+	if i := bytes.IndexByte(data, '\n'); i >= 0 {
+		return i + 1, bytes.TrimSuffix(data[:i], []byte{'\r'}), nil
+	}
+	if atEnd && len(data) > 0 {
+		return 0, nil, errCut
+	}
+	return 0, nil, nil
+}
+
+// errNoHosts says that a whole list has no servers' entry at all: then it can't be told from an empty one.
+var errNoHosts = errors.New("a whole list without hosts")
+
 // whole fetches the whole list; the watch goes on from there.
 func (d *discovery) whole(ctx context.Context, addr string) error {
 	body, err := d.get(ctx, addr, "")
@@ -238,6 +261,9 @@
 		return fmt.Errorf("whole list: %w", err)
 	}
 	n.Whole = true
+	if n.Hosts == nil {
+		return errNoHosts
+	}
 	return d.take(ctx, n)
 }
 
--- a/internal/node/discovery_test.go
+++ b/internal/node/discovery_test.go
@@ -248,3 +248,41 @@
 		t.Errorf("after the whole list the absent server got %d, the listed one %d", moved.requests()-10, third.requests())
 	}
 }
+
+// A list that is cut at any byte is no news: what is held stays, and the next watch asks for the same changes again,
+// without a whole list in between. What is whole but has no hosts is not believed either.
+func TestCutListsAreNoNews(t *testing.T) {
+	whole := `{"seq":42,"whole":true,"hosts":[{"host":"s-2","dial":"127.0.0.1:2","health":"in_service"}]}`
+	for cut := 1; cut <= len(whole); cut += 7 {
+		cut := min(cut, len(whole)) // the last has all but its line's end
+		if cut+7 > len(whole) {
+			cut = len(whole)
+		}
+		from := make(chan string, 100)
+		addr := newDiscoveryServer(t, func(w http.ResponseWriter, r *http.Request) {
+			from <- r.URL.RawQuery
+			if len(from) == 1 {
+				fmt.Fprint(w, whole[:cut])
+				w.(http.Flusher).Flush()
+				panic(http.ErrAbortHandler)
+			}
+			fmt.Fprintln(w, `{"seq":43,"whole":false,"hosts":[]}`)
+			w.(http.Flusher).Flush()
+			<-r.Context().Done()
+		})
+		_, heard := watchOn(t, addr, "pushed", time.Minute)
+		if n := <-heard; n.Version != 43 || n.Whole {
+			t.Fatalf("cut at %d: told %+v", cut, n)
+		}
+		if a, b := <-from, <-from; a != b || a == "" {
+			t.Errorf("cut at %d: asked for %q, then for %q", cut, a, b)
+		}
+	}
+	a, addr := newAgent(t, whole)
+	_, heard := watchOn(t, addr, "pushed", time.Minute)
+	<-a.calls
+	a.lines <- `{"seq":44,"whole":true}`
+	if n := <-heard; n.Version != 42 || len(n.Boxes) != 1 {
+		t.Errorf("told %+v", n)
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -138,6 +138,7 @@
 	lastFigures := n.report()
 	server := &http.Server{
 		Handler: &callers{engine: n.engine, clock: n.clock, rules: n.rules.Load, ready: n.ready,
+			held:    held(n.cfg.MemoryMB, bodyPart, n.inbound),
 			drills:  drills.NewKeys(n.cfg.Features.Drills),
 			figures: n.engine.Figures,
 			lists:   n.set.Addresses,
--- a/internal/node/servers.go
+++ b/internal/node/servers.go
@@ -30,6 +30,7 @@
 	clock   engine.Clock
 	dialer  net.Dialer
 	idleFor time.Duration
+	held    int                             // of an answer
 	most    int                             // connections at once, of
 	whole   int                             // what this process may have while it is alone
 	ended   func(engine.Result)             // takes how an attempt ended
@@ -45,7 +46,7 @@
 
 func newPool(ck engine.Clock, cfg Config, most int, ended func(engine.Result), answers func(*engine.Attempt, any) bool) *pool {
 	return &pool{clock: ck, dialer: net.Dialer{Timeout: cfg.connectTimeout, KeepAlive: -1},
-		idleFor: cfg.connIdle / 2, most: most, whole: most, ended: ended, answers: answers,
+		idleFor: cfg.connIdle / 2, held: held(cfg.MemoryMB, answerPart, most), most: most, whole: most, ended: ended, answers: answers,
 		open: map[*conn]bool{}, idle: list.New(), kept: map[*engine.Target][]*conn{}}
 }
 
@@ -467,11 +468,12 @@
 		if resp.StatusCode < 100 || resp.ContentLength > maxStream {
 			return &reply{err: errAnswer}
 		}
-		if resp.ContentLength > maxHeld {
+		held := c.pool.held
+		if resp.ContentLength > int64(held) {
 			return c.large(resp, make([]byte, chunk))
 		}
-		body, err := io.ReadAll(io.LimitReader(resp.Body, maxHeld+1))
-		if err == nil && len(body) > maxHeld {
+		body, err := io.ReadAll(io.LimitReader(resp.Body, int64(held)+1))
+		if err == nil && len(body) > held {
 			c.left = maxStream
 			return &reply{resp: resp, body: body, rest: newStream(c, resp.Body)}
 		}
