--- a/internal/node/bulk.go
+++ b/internal/node/bulk.go
@@ -43,7 +43,8 @@
 	body     io.Reader
 	deadline func(time.Time) error
 	left     time.Duration // beside what the bytes to come earn
-	spent    atomic.Bool   // the rest of it was begun: it can't be sent again
+	got      int64
+	spent    atomic.Bool // the rest of it was begun: it can't be sent again
 
 	mu     sync.Mutex // over the deadline
 	closed bool
@@ -68,6 +69,9 @@
 	}
 	n, err := p.body.Read(b[:min(len(b), chunk)])
 	p.left = min(p.left+time.Duration(n)*time.Second/bodyRate-time.Since(begin), stallTime)
+	if p.got += int64(n); p.got > maxBulk { // chunked: it did not say so
+		err = errBody
+	}
 	if err != nil {
 		p.finish(err)
 	}
--- a/internal/node/bulk_test.go
+++ b/internal/node/bulk_test.go
@@ -243,10 +243,15 @@
 	}
 	begin := time.Now()
 	p.left = time.Second
-	p.body = io.MultiReader(strings.NewReader("x"), p.body)
+	p.body = io.MultiReader(strings.NewReader("x"), strings.NewReader("yz"))
 	if p.Read(make([]byte, 9)); deadline.Sub(begin) < time.Second || deadline.Sub(begin) > 2*time.Second {
 		t.Errorf("a read with 1 s left ends %v on", deadline.Sub(begin))
 	}
+	p.got = maxBulk
+	if _, err := p.Read(make([]byte, 1)); !errors.Is(err, errBody) || !p.lost() {
+		t.Errorf("beyond the bound it ends with %v", err)
+	}
+	p.err = nil
 	p.close()
 	if _, err := p.Read(make([]byte, 1)); !errors.Is(err, errBody) || !deadline.Before(time.Now().Add(time.Millisecond)) {
 		t.Errorf("closed, a read ends with %v", err)
