--- a/internal/node/callers.go
+++ b/internal/node/callers.go
@@ -97,7 +97,7 @@
 	if c.length < 0 || !whole {
 		w.Header().Set("Connection", "close") // where the body ends is not known here, or there is more of it
 	}
-	if lost {
+	if lost || err != nil && !whole { // net/http reports a body that stalls as a client that left, at times before the reader
 		http.Error(w, errBody.Error(), http.StatusBadRequest)
 		return http.StatusBadRequest
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -43,10 +43,10 @@
 	engine  *engine.Engine
 	pool    *pool
 	disc    *discovery
-	set     deckrelay.Settings // the module's
-	stderr  io.Writer          // of figures and capture
-	inbound int                // connections from callers at once
-	heard   atomic.Bool        // discovery has spoken, or had its time
+	lists   *deckrelay.Addresses // nil: everybody is let in
+	stderr  io.Writer            // of figures and capture
+	inbound int                  // connections from callers at once
+	heard   atomic.Bool          // discovery has spoken, or had its time
 	life    atomic.Pointer[lifecycle.Machine]
 	rules   atomic.Pointer[rules] // what the front knows of the classes
 	in      *inbound
@@ -57,7 +57,9 @@
 	kin       kin
 	inherited []engine.Box // the servers, where another process handed them over
 
-	reloads sync.Mutex // over cfg and set, once it serves
+	reloads sync.Mutex         // over what follows
+	now     Config             // as it was read last; cfg is that of the start
+	set     deckrelay.Settings // the module's
 }
 
 // New wires a node. It opens nothing yet.
@@ -73,7 +75,7 @@
 	if cfg.Sockets == 0 {
 		cfg.Sockets = anyLimit
 	}
-	n := &Node{cfg: cfg, log: logger, clock: engine.NewClock(), most: killMost, set: set, stderr: spool.Stderr,
+	n := &Node{cfg: cfg, now: cfg, lists: set.Addresses, log: logger, clock: engine.NewClock(), most: killMost, set: set, stderr: spool.Stderr,
 		ended: make(chan struct{})}
 	n.life.Store(&lifecycle.Machine{})
 	n.rules.Store(newRules(set, nil, 0))
@@ -133,7 +135,7 @@
 	in := newInbound(ln, n.inbound, n.engine.Figures)
 	n.in = in
 	if a := n.cfg.Features.Addresses; a != nil {
-		in.doors = &doors{lists: n.set.Addresses, timeout: a.ProxyTimeout, log: n.log}
+		in.doors = &doors{lists: n.lists, timeout: a.ProxyTimeout, log: n.log}
 	}
 	lastFigures := n.report()
 	server := &http.Server{
@@ -141,7 +143,7 @@
 			held:    held(n.cfg.MemoryMB, bodyPart, n.inbound),
 			drills:  drills.NewKeys(n.cfg.Features.Drills),
 			figures: n.engine.Figures,
-			lists:   n.set.Addresses,
+			lists:   n.lists,
 			closing: func() bool { return n.life.Load().EndsConnections(n.clock.Now()) },
 			cutoff:  func() time.Duration { return n.life.Load().Cutoff() }},
 		ReadHeaderTimeout: headTime,
@@ -200,7 +202,7 @@
 		n.engine.Figures = figures.New(*f, n.cfg.classNames(), n.cfg.tenants, n.stderr, n.log)
 	}
 	if c := n.cfg.Features.Capture; c != nil {
-		n.engine.Capture = capture.New(*c, n.cfg.Name, n.engine.Balancer, n.set, n.cfg.Seed, n.stderr, n.log)
+		n.engine.Capture = capture.New(*c, n.cfg.Name, n.engine.Balancer, n.settings(), n.cfg.Seed, n.stderr, n.log)
 	}
 }
 
--- a/internal/node/rules.go
+++ b/internal/node/rules.go
@@ -51,7 +51,7 @@
 func (n *Node) Reload(cfg Config) error {
 	n.reloads.Lock()
 	defer n.reloads.Unlock()
-	if err := cfg.follows(n.cfg); err != nil {
+	if err := cfg.follows(n.now); err != nil {
 		return err
 	}
 	cfg.Features = n.cfg.Features
@@ -62,7 +62,7 @@
 	if err := set.Check(); err != nil {
 		return fmt.Errorf("settings: %w", err)
 	}
-	if !reflect.DeepEqual(set, n.set) {
+	if set.Addresses = n.lists; !reflect.DeepEqual(set, n.set) {
 		if err := n.engine.Retune(context.Background(), set); err != nil {
 			return err
 		}
@@ -72,7 +72,7 @@
 	}
 	n.pool.retune(cfg)
 	n.disc.move(cfg.Discovery)
-	n.cfg.Discovery, n.cfg.Settings, n.cfg.keys = cfg.Discovery, cfg.Settings, cfg.keys
+	n.now = cfg
 	n.log.Info("configuration read again", "discovery", cfg.Discovery, "classes", cfg.classNames())
 	return nil
 }
--- a/internal/node/takeover.go
+++ b/internal/node/takeover.go
@@ -90,10 +90,11 @@
 // inherit makes an estate this node's, before it serves. What was learned under other settings is of no use: then
 // the servers and what operators said of them must do.
 func (n *Node) inherit(e handover.Estate) {
-	set, err := json.Marshal(n.set)
+	now := n.settings()
+	set, err := json.Marshal(now)
 	if err == nil && bytes.Equal(set, e.Settings) {
 		var b *deckrelay.Balancer
-		if b, err = deckrelay.Inherit(n.set, e.Module, n.cfg.Seed); err == nil {
+		if b, err = deckrelay.Inherit(now, e.Module, n.cfg.Seed); err == nil {
 			n.engine.Balancer = b
 		}
 	}
