--- a/deckrelay/checkpoint.go
+++ b/deckrelay/checkpoint.go
@@ -63,6 +63,7 @@
 	Wake      time.Duration
 	Resume    time.Duration
 	Most      int
+	Bulk      bool `json:",omitempty"`
 }
 
 type savedAttempt struct {
@@ -72,6 +73,7 @@
 	Cell          int
 	Boot          time.Duration
 	Ended, Unsent bool
+	Outside       bool `json:",omitempty"`
 }
 
 type savedClass struct {
@@ -171,14 +173,14 @@
 }
 
 func (b *Balancer) saveRequest(r *request, servers *places[*server], classes *places[*class]) savedRequest {
-	o := savedRequest{ID: []byte(r.id), Class: classes.of(r.class), Most: r.most, Arrived: r.arrived, Deadline: r.deadline,
+	o := savedRequest{ID: []byte(r.id), Class: classes.of(r.class), Most: r.most, Bulk: r.bulk, Arrived: r.arrived, Deadline: r.deadline,
 		Repeat: r.repeat, Answered: r.answered, Streaming: r.streaming, Wake: r.wake, Resume: r.resume}
 	if r.line != nil {
 		o.Line = &r.line.key
 	}
 	for _, a := range r.attempts {
 		o.Attempts = append(o.Attempts, savedAttempt{Server: servers.of(a.srv), Sent: a.sent, Zone: a.zone,
-			Cell: a.cell, Boot: a.boot, Ended: a.ended, Unsent: a.unsent})
+			Cell: a.cell, Boot: a.boot, Ended: a.ended, Unsent: a.unsent, Outside: a.outside})
 	}
 	return o
 }
@@ -315,14 +317,14 @@
 
 func (b *Balancer) loadRequest(o savedRequest, servers []*server, classes []*class, f *fetcher) *request {
 	r := &request{id: string(o.ID), arrived: o.Arrived, deadline: o.Deadline, repeat: o.Repeat,
-		answered: o.Answered, streaming: o.Streaming, wake: o.Wake, resume: o.Resume, most: o.Most}
+		answered: o.Answered, streaming: o.Streaming, wake: o.Wake, resume: o.Resume, most: o.Most, bulk: o.Bulk}
 	if c := fetch(f, classes, []int{o.Class}); len(c) == 1 {
 		r.class = c[0]
 	}
 	for n, a := range o.Attempts {
 		if v := fetch(f, servers, []int{a.Server}); len(v) == 1 {
 			r.attempts = append(r.attempts, &attempt{req: r, srv: v[0], n: n, sent: a.Sent, zone: a.Zone,
-				cell: a.Cell, boot: a.Boot, ended: a.Ended, unsent: a.Unsent})
+				cell: a.Cell, boot: a.Boot, ended: a.Ended, unsent: a.Unsent, outside: a.Outside})
 		}
 	}
 	return r
@@ -341,3 +343,57 @@
 	}
 	return found
 }
+
+// Heir returns what a Balancer in another process of the same node has to know: all that was learned and is held of
+// servers, without the requests, which stay with this one.
+func (b *Balancer) Heir() ([]byte, error) {
+	text, err := b.Checkpoint()
+	if err != nil {
+		return nil, err
+	}
+	var s saved
+	if err := json.Unmarshal(text, &s); err != nil {
+		return nil, fmt.Errorf("heir: %w", err)
+	}
+	s.Requests, s.Lines, s.Before, s.Rules, s.Leaving, s.SubWanted = nil, nil, nil, 0, false, 0
+	s.Classes = s.Classes[:len(b.order)]
+	s.Servers = s.Servers[:s.Mapped]
+	for i := range s.Servers {
+		s.Servers[i].Open = nil
+	}
+	for i := range s.Pools {
+		s.Pools[i].Held, s.Pools[i].InFlight = nil, 0
+	}
+	if s.Drills != nil {
+		s.Drills.Delayed = nil
+	}
+	return json.Marshal(s)
+}
+
+// Inherit returns a Balancer that knows what Heir has of one with the same settings, and draws by a seed of its own.
+func Inherit(set Settings, heir []byte, seed uint64) (*Balancer, error) {
+	b, err := Restore(set, heir)
+	if err != nil {
+		return nil, err
+	}
+	b.src.Seed(seed, 0x51a7e)
+	return b, nil
+}
+
+// Handed are the servers that are out by hand.
+func (b *Balancer) Handed() (ids []string) {
+	for id, h := range b.hands {
+		if h.out {
+			ids = append(ids, id)
+		}
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+// Remember takes servers out that were so in an earlier life of the node. It comes before any event.
+func (b *Balancer) Remember(ids []string) {
+	for _, id := range ids[:min(len(ids), MostHands)] {
+		b.hands[id] = hand{out: true}
+	}
+}
--- a/deckrelay/hand.go
+++ b/deckrelay/hand.go
@@ -8,7 +8,7 @@
 )
 
 const (
-	mostHands = 1024        // ids remembered
+	MostHands = 1024        // MostHands is how many ids are remembered.
 	feedAfter = time.Second // when a server put back and still unused is given a request; owed within 5 s
 )
 
@@ -34,7 +34,7 @@
 		return ErrUnknownServer
 	}
 	b.forgetHands()
-	if _, known := b.hands[id]; !known && len(b.hands) >= mostHands {
+	if _, known := b.hands[id]; !known && len(b.hands) >= MostHands {
 		return ErrTooManyOut
 	}
 	return nil
--- a/deckrelay/policy.go
+++ b/deckrelay/policy.go
@@ -146,6 +146,7 @@
 	answered  bool
 	streaming bool
 	wake      time.Duration
+	bulk      bool
 	most      int  // attempts, by the settings that it came with
 	delayed   bool // by a drill, until resume
 	resume    time.Duration
@@ -178,6 +179,18 @@
 	boot   time.Duration
 	ended  bool
 	unsent bool // proven never to have run
+
+	outside bool // it does not count for the window
+}
+
+// leave takes an attempt out of the window, once. A message that is passed on as it comes is slow for its
+// client's sake: its server does nothing before it has it all, and no more while it is read. Were these
+// counted, a few slow clients would turn all others away. As calls of their servers they count to the end.
+func (a *attempt) leave() {
+	if !a.outside {
+		a.outside = true
+		a.req.class.pool.inFlight--
+	}
 }
 
 // New returns a Balancer that knows no servers yet. The error names the setting at fault.
@@ -210,8 +223,9 @@
 	case Outcome:
 		b.takeOutcome(e)
 	case Started:
-		if r := b.requests[e.ID]; r != nil {
+		if r := b.requests[e.ID]; r != nil && e.Attempt >= 0 && e.Attempt < len(r.attempts) {
 			r.streaming = true
+			r.attempts[e.Attempt].leave()
 		}
 	case ClientGone:
 		if r := b.requests[e.ID]; r != nil {
@@ -395,7 +409,7 @@
 		c = b.order[len(b.order)-1] // unknown: unsafe
 	}
 	r := &request{id: e.ID, class: c, arrived: b.now, deadline: min(e.Deadline, b.now+c.Deadline),
-		repeat: e.Repeat, most: max(1, b.set.MaxAttempts)}
+		repeat: e.Repeat, bulk: e.Bulk, most: max(1, b.set.MaxAttempts)}
 	b.requests[e.ID] = r
 	b.backdate(r)
 	for _, k := range b.order {
@@ -492,6 +506,9 @@
 		s.hungry = b.now + feedAfter
 	}
 	p.inFlight++
+	if r.bulk {
+		a.leave()
+	}
 	p.peak = max(float64(p.inFlight), p.peak-memory/4*(p.peak-float64(p.inFlight)))
 	b.do(Send{ID: r.id, Server: s.ID, Timeout: max(b.patience(r), b.set.Tick)})
 }
@@ -574,7 +591,7 @@
 	a := r.attempts[e.Attempt]
 	a.ended = true
 	a.unsent = e.Ending == Overloaded || e.Ending == Unreachable || e.Ending == Void
-	r.class.pool.inFlight--
+	a.leave()
 	if l := r.line; l != nil && (e.Ending == TimedOut || e.Ending == Broken || e.Ending == Withdrawn) {
 		l.rest = b.now + b.set.OrderSettle // it may still run
 	}
@@ -592,7 +609,8 @@
 	}
 	switch {
 	case e.Ended:
-		if e.Ending == Success && !r.answered && b.now <= r.arrived+r.class.Aim {
+		late := r.arrived + r.class.Aim
+		if e.Ending == Success && !r.answered && (b.now <= late || a.sent+b.latency(r, a, e) <= late) {
 			r.class.serve++
 		}
 		b.close(r)
@@ -802,7 +820,9 @@
 // silent says that an old call to the server is unanswered while a younger one was answered
 // elsewhere: a machine gone quiet, hung or pausing shows nothing else until time-outs end.
 func (b *Balancer) silent(s *server) bool {
-	i := slices.IndexFunc(s.open, func(a *attempt) bool { return a.boot == s.start() })
+	i := slices.IndexFunc(s.open, func(a *attempt) bool {
+		return a.boot == s.start() && !a.req.bulk && !a.req.streaming
+	})
 	if i < 0 {
 		return false
 	}
@@ -811,9 +831,10 @@
 	return b.now-a.sent > wait && b.lastOK > a.sent+wait/2 && s.lastOK < a.sent+wait/2
 }
 
-// latency is how long an attempt took; of a stream, till its first message, as the host has seen it.
+// latency is how long an attempt took; of what is passed on as it comes, from its last byte till the answer's
+// first, as the host has seen it.
 func (b *Balancer) latency(r *request, a *attempt, e Outcome) time.Duration {
-	if r.streaming {
+	if r.streaming || r.bulk {
 		return e.Latency
 	}
 	return b.now - a.sent
--- a/internal/node/inbound.go
+++ b/internal/node/inbound.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"hookwalk.example/hookwalk/internal/figures"
@@ -26,6 +27,7 @@
 	changed chan struct{}     // a place may be free
 	done    chan struct{}
 	end     func()
+	retired atomic.Bool // the listener is closed, and connections go on
 
 	mu    sync.Mutex
 	open  int
@@ -41,6 +43,10 @@
 	shut  time.Time     // nothing more is read from it; zero: it is open
 	tags  figures.Tags  // of its last request
 	gone  bool
+
+	// The reader's own.
+	accepted time.Time
+	heads    heads
 }
 
 func newInbound(ln net.Listener, most int, reporter *figures.Reporter) *inbound {
@@ -73,12 +79,15 @@
 		in.mu.Lock()
 		in.open--
 		in.mu.Unlock()
+		if in.retired.Load() {
+			<-in.done
+		}
 		return nil, err
 	}
 	if in.doors != nil {
 		nc = in.doors.open(nc)
 	}
-	c := &inConn{Conn: nc, in: in}
+	c := &inConn{Conn: nc, in: in, accepted: time.Now()}
 	in.figures.Add(c.tags, figures.OpenConnections, 1)
 	in.rest(c)
 	return c, nil
@@ -90,6 +99,12 @@
 	return in.Listener.Close()
 }
 
+// retire closes the listener, of which another process has a copy. Accept waits for Close.
+func (in *inbound) retire() {
+	in.retired.Store(true)
+	in.Listener.Close()
+}
+
 // takePlace takes a free place or makes one. If it can't, it says when to try again.
 func (in *inbound) takePlace() (wait time.Duration, ok bool) {
 	in.mu.Lock()
@@ -162,22 +177,23 @@
 	}
 	in.mu.Unlock()
 	for _, c := range shut {
-		c.closeWrite()
+		c.CloseWrite()
 	}
 	for _, c := range over {
 		c.Close()
 	}
 }
 
-// closeWrite ends the sending side.
-func (c *inConn) closeWrite() {
+// CloseWrite ends the sending side. The HTTP server does so too where it leaves something unread.
+func (c *inConn) CloseWrite() error {
 	nc := c.Conn
 	if k, ok := nc.(*knownConn); ok {
 		nc = k.Conn
 	}
 	if t, ok := nc.(interface{ CloseWrite() error }); ok {
-		t.CloseWrite()
+		return t.CloseWrite()
 	}
+	return nil
 }
 
 // count is how many connections are open.
@@ -218,7 +234,7 @@
 
 // Read sees the first byte of a request: the server's state changes only after its whole head.
 func (c *inConn) Read(b []byte) (int, error) {
-	n, err := c.Conn.Read(b)
+	n, err := c.heads.read(c.Conn.Read, b)
 	if n > 0 && !c.in.ask(c) {
 		return 0, io.EOF
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -43,10 +43,10 @@
 	engine  *engine.Engine
 	pool    *pool
 	disc    *discovery
-	set     deckrelay.Settings // the module's
-	stderr  io.Writer          // of figures and capture
-	inbound int                // connections from callers at once
-	heard   atomic.Bool        // discovery has spoken, or had its time
+	lists   *deckrelay.Addresses // nil: everybody is let in
+	stderr  io.Writer            // of figures and capture
+	inbound int                  // connections from callers at once
+	heard   atomic.Bool          // discovery has spoken, or had its time
 	life    atomic.Pointer[lifecycle.Machine]
 	rules   atomic.Pointer[rules] // what the front knows of the classes
 	in      *inbound
@@ -54,7 +54,12 @@
 	sweeps  sync.WaitGroup
 	ended   chan struct{}
 
-	reloads sync.Mutex // over cfg and set, once it serves
+	kin       kin
+	inherited []engine.Box // the servers, where another process handed them over
+
+	reloads sync.Mutex         // over what follows
+	now     Config             // as it was read last; cfg is that of the start
+	set     deckrelay.Settings // the module's
 }
 
 // New wires a node. It opens nothing yet.
@@ -70,7 +75,7 @@
 	if cfg.Sockets == 0 {
 		cfg.Sockets = anyLimit
 	}
-	n := &Node{cfg: cfg, log: logger, clock: engine.NewClock(), most: killMost, set: set, stderr: spool.Stderr,
+	n := &Node{cfg: cfg, now: cfg, lists: set.Addresses, log: logger, clock: engine.NewClock(), most: killMost, set: set, stderr: spool.Stderr,
 		ended: make(chan struct{})}
 	n.life.Store(&lifecycle.Machine{})
 	n.rules.Store(newRules(set, nil, 0))
@@ -80,7 +85,7 @@
 	}
 	n.engine = engine.New(engine.Options{Clock: n.clock, Log: logger, Balancer: bal})
 	n.inbound = (cfg.Sockets - spare) * 5 / 8
-	n.pool = newPool(n.clock, cfg, cfg.Sockets-spare-n.inbound, n.engine.Ended)
+	n.pool = newPool(n.clock, cfg, cfg.Sockets-spare-n.inbound, n.engine.Ended, n.engine.Answers)
 	n.disc = newDiscovery(cfg, logger, func(ctx context.Context, w engine.News) error {
 		if err := n.engine.Tell(ctx, w); err != nil {
 			return err
@@ -95,7 +100,7 @@
 // Run serves until ctx ends, then drains: it takes what still comes while the front notices, answers
 // what it holds and returns nil.
 func (n *Node) Run(ctx context.Context) error {
-	ln, err := net.Listen("tcp", n.cfg.Listen)
+	ln, err := n.listen(ctx)
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
@@ -122,9 +127,7 @@
 	n.switchOn()
 	own(n.engine.Run)
 	watching, stopWatching := context.WithCancel(context.Background())
-	known := n.cfg.Known.whole().news()
-	known.Cached = true
-	n.engine.Tell(watching, known) // neither has ended
+	n.engine.Tell(watching, n.known()) // neither has ended
 	own(func() { n.disc.run(watching) })
 	grace := time.AfterFunc(firstList, func() { n.heard.Store(true) })
 	defer grace.Stop()
@@ -132,28 +135,30 @@
 	in := newInbound(ln, n.inbound, n.engine.Figures)
 	n.in = in
 	if a := n.cfg.Features.Addresses; a != nil {
-		in.doors = &doors{lists: n.set.Addresses, timeout: a.ProxyTimeout, log: n.log}
+		in.doors = &doors{lists: n.lists, timeout: a.ProxyTimeout, log: n.log}
 	}
 	lastFigures := n.report()
 	server := &http.Server{
 		Handler: &callers{engine: n.engine, clock: n.clock, rules: n.rules.Load, ready: n.ready,
+			held:    held(n.cfg.MemoryMB, bodyPart, n.inbound),
 			drills:  drills.NewKeys(n.cfg.Features.Drills),
 			figures: n.engine.Figures,
-			lists:   n.set.Addresses,
+			lists:   n.lists,
 			closing: func() bool { return n.life.Load().EndsConnections(n.clock.Now()) },
 			cutoff:  func() time.Duration { return n.life.Load().Cutoff() }},
 		ReadHeaderTimeout: headTime,
 		ConnState:         in.watch,
+		ConnContext:       withConn,
 		IdleTimeout:       idleTime,
 		MaxHeaderBytes:    16 << 10,
 		ErrorLog:          slog.NewLogLogger(n.log.Handler(), slog.LevelWarn),
 	}
-	if n.engine.Figures != nil || n.set.Addresses != nil {
-		server.ConnContext = withConn
-	}
 	failed := make(chan error, 1)
 	go func() { failed <- server.Serve(in) }()
-	n.step(lifecycle.Started)
+	if life := n.step(lifecycle.Started); life.Drained() {
+		n.sweepAfter(life)
+	}
+	parted := n.meet(ln, own)
 	var operators *control.Server
 	if ctl != nil {
 		operators = control.New(ctl, operated{n}, n.log)
@@ -178,6 +183,7 @@
 	if operators != nil {
 		operators.Close()
 	}
+	parted()
 	close(n.ended)
 	n.sweeps.Wait()
 	stopWatching()
@@ -196,7 +202,7 @@
 		n.engine.Figures = figures.New(*f, n.cfg.classNames(), n.cfg.tenants, n.stderr, n.log)
 	}
 	if c := n.cfg.Features.Capture; c != nil {
-		n.engine.Capture = capture.New(*c, n.cfg.Name, n.engine.Balancer, n.set, n.cfg.Seed, n.stderr, n.log)
+		n.engine.Capture = capture.New(*c, n.cfg.Name, n.engine.Balancer, n.settings(), n.cfg.Seed, n.stderr, n.log)
 	}
 }
 
@@ -228,7 +234,7 @@
 func (n *Node) step(e lifecycle.Event) lifecycle.Machine {
 	for {
 		old := n.life.Load()
-		next := old.Step(n.clock.Now(), e, min(n.rules.Load().longest, n.most)+killSpare, false)
+		next := old.Step(n.clock.Now(), e, min(n.rules.Load().longest, n.most)+killSpare, n.followed())
 		if n.life.CompareAndSwap(old, &next) {
 			return next
 		}
@@ -245,15 +251,28 @@
 	if len(n.cfg.Features.Drills) > 0 { // an event that changes nothing would still be one more than before
 		n.engine.Leave()
 	}
+	if n.followed() {
+		n.handOff(life)
+	}
 	time.Sleep(life.Stops(n.clock.Now()))
 	ctx, cancel := context.WithTimeout(context.Background(), n.rules.Load().longest+20*time.Millisecond)
 	defer cancel()
-	if err := server.Shutdown(ctx); err != nil {
+	if err := server.Shutdown(ctx); err != nil && !errors.Is(err, net.ErrClosed) {
 		n.log.Warn("connections left open", "err", err) // none of them is owed an answer any more
 		server.Close()
 	}
 }
 
+// handOff leaves new clients to the heir and waits until those of this process have left. Kept connections end with
+// their next answer, those at rest as late as may be: none crosses a request of its client's that way but the last.
+func (n *Node) handOff(life lifecycle.Machine) {
+	n.in.retire()
+	n.sweepAfter(life)
+	for n.in.count() > 0 && n.clock.Now() < life.Cutoff() {
+		time.Sleep(goneTime)
+	}
+}
+
 // whole marks the list that a node starts with as complete.
 func (l roster) whole() roster {
 	l.Whole = true
--- a/internal/node/rules.go
+++ b/internal/node/rules.go
@@ -51,7 +51,7 @@
 func (n *Node) Reload(cfg Config) error {
 	n.reloads.Lock()
 	defer n.reloads.Unlock()
-	if err := cfg.follows(n.cfg); err != nil {
+	if err := cfg.follows(n.now); err != nil {
 		return err
 	}
 	cfg.Features = n.cfg.Features
@@ -62,7 +62,7 @@
 	if err := set.Check(); err != nil {
 		return fmt.Errorf("settings: %w", err)
 	}
-	if !reflect.DeepEqual(set, n.set) {
+	if set.Addresses = n.lists; !reflect.DeepEqual(set, n.set) {
 		if err := n.engine.Retune(context.Background(), set); err != nil {
 			return err
 		}
@@ -72,18 +72,25 @@
 	}
 	n.pool.retune(cfg)
 	n.disc.move(cfg.Discovery)
-	n.cfg.Discovery, n.cfg.Settings, n.cfg.keys = cfg.Discovery, cfg.Settings, cfg.keys
+	n.now = cfg
 	n.log.Info("configuration read again", "discovery", cfg.Discovery, "classes", cfg.classNames())
 	return nil
 }
 
+// settings are the module's, as they are now.
+func (n *Node) settings() deckrelay.Settings {
+	n.reloads.Lock()
+	defer n.reloads.Unlock()
+	return n.set
+}
+
 // follows says why a configuration can't take the place of another while the node runs. A file that was cut off may
 // still be sound as JSON: what the one before had is to be there again, but for what the platform leaves out at times.
 func (c Config) follows(old Config) error {
 	if at := lacks(old.keys, c.keys, ""); at != "" {
 		return fmt.Errorf("%s is missing or of another kind", at)
 	}
-	if c.Settings.MaxAttempts <= 0 {
+	if c.Settings.MaxAttempts <= 0 && old.Settings.MaxAttempts > 0 {
 		return errors.New("settings.limits.max-attempts must be above 0")
 	}
 	return nil
