--- a/deckrelay/hand_test.go
+++ b/deckrelay/hand_test.go
@@ -225,3 +225,52 @@
 		t.Errorf("%d in flight, mean latency %v", p.inFlight, time.Duration(b.classes["pay"].mean))
 	}
 }
+
+// A process and its heir together send a cold server no more than one process would, within chance, each knowing what
+// is out, cold and draining.
+func TestHeirsShareTheCareOfColdServers(t *testing.T) {
+	cold := list(4)
+	cold.Servers[1].Boot = 100 * time.Second
+	cold.Servers[2].State = Draining
+	begin := func(seed uint64) *Balancer {
+		b, err := New(testSettings(), seed)
+		if err != nil {
+			t.Fatal(err)
+		}
+		b.Handle(99*time.Second, cold)
+		b.Handle(99*time.Second, Hand{Server: "s03", Out: true})
+		return b
+	}
+	count := func(bs ...*Balancer) (n int) {
+		for i := range 2000 {
+			now, id, b := 100*time.Second+time.Duration(i)*msec, fmt.Sprint(i), bs[i%len(bs)]
+			for _, s := range sends(b.Handle(now, asked(id, "pay", now, time.Second))) {
+				switch s.Server {
+				case "s01":
+					n++
+				case "s02", "s03":
+					t.Fatalf("sent to %s", s.Server)
+				}
+				settle(b, now, id, s, Success)
+			}
+		}
+		return n
+	}
+	alone, together := 0, 0
+	for seed := range uint64(10) {
+		alone += count(begin(seed))
+		b := begin(seed)
+		text, err := b.Heir()
+		if err != nil {
+			t.Fatal(err)
+		}
+		heir, err := Inherit(testSettings(), text, seed+100)
+		if err != nil {
+			t.Fatal(err)
+		}
+		together += count(b, heir)
+	}
+	if alone == 0 || float64(together) > 1.1*float64(alone) {
+		t.Errorf("sent %d together, %d alone", together, alone)
+	}
+}
