--- a/cmd/hookwalk/upgrade_test.go
+++ b/cmd/hookwalk/upgrade_test.go
@@ -227,6 +227,9 @@
 	for round := range 2 {
 		heir := s.start(t)
 		heir.waitReady(t)
+		for _, each := range []*process{p, heir} { // settings that are read again in the overlap change nothing of it
+			each.Process.Signal(syscall.SIGHUP)
+		}
 		said := []*process{p, heir}[round]
 		if got := said.call("POST", "/control/servers/s-1/offline"); got != http.StatusOK {
 			t.Errorf("offline is answered %d", got)
@@ -276,6 +279,24 @@
 	}
 }
 
+// SIGTERM ends a node well at any stage of a drain and of the return from it.
+func TestSIGTERMInADrain(t *testing.T) {
+	for name, calls := range map[string][]string{"drained": {"out-of-service"}, "drained twice": {"out-of-service", "out-of-service"},
+		"back": {"out-of-service", "in-service"}, "drained again": {"out-of-service", "in-service", "out-of-service"}} {
+		t.Run(name, func(t *testing.T) {
+			s := newSite(t)
+			p := s.start(t)
+			p.waitReady(t)
+			for _, c := range calls {
+				if got := p.call("POST", "/control/"+c); got != http.StatusOK {
+					t.Errorf("%s is answered %d", c, got)
+				}
+			}
+			p.terminate(t)
+		})
+	}
+}
+
 // An heir that dies before or after its yes leaves the old process serving as before.
 func TestHeirThatDies(t *testing.T) {
 	s := newSite(t)
