--- /dev/null
+++ b/cmd/hookwalk/restart_test.go
@@ -0,0 +1,66 @@
+package main
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// A node that starts owes an answer to every request whose connection came up, the first one to arrive at its listener
+// included: what waits unread between the opening of the listener and the first read is taken all the same. Clients
+// here try without a pause while the process is killed and started again, so that each start meets some at that moment.
+func TestNothingIsLostAsANodeStarts(t *testing.T) {
+	const rounds, clients, owed = 5, 8, 2 * time.Second
+	s := newSite(t)
+	var first [rounds]atomic.Int64
+	for round := range rounds {
+		p := s.start(t)
+		stop := make(chan struct{})
+		var wg sync.WaitGroup
+		for n := range clients {
+			wg.Go(func() {
+				for i := range 100000 {
+					select {
+					case <-stop:
+						return
+					default:
+					}
+					c, err := net.Dial("tcp", s.listen)
+					if errors.Is(err, syscall.ECONNREFUSED) {
+						continue // nobody listens yet
+					}
+					if err != nil {
+						t.Errorf("no connection: %v", err)
+						return
+					}
+					first[round].Add(1)
+					c.SetDeadline(time.Now().Add(owed + 500*time.Millisecond))
+					fmt.Fprintf(c, "POST /api HTTP/1.1\r\nHost: h\r\nX-Call-Id: r%d-c%d-%d\r\nX-Call-Class: a\r\nX-Budget: %dm\r\nContent-Length: 0\r\nConnection: close\r\n\r\n",
+						round, n, i, owed.Milliseconds())
+					resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+					if err != nil {
+						t.Errorf("round %d: taken and not answered: %v", round, err)
+					} else if resp.StatusCode != http.StatusOK && resp.StatusCode != http.StatusServiceUnavailable {
+						t.Errorf("round %d: answered %d", round, resp.StatusCode)
+					}
+					c.Close()
+				}
+			})
+		}
+		p.waitReady(t)
+		for had := first[round].Load(); first[round].Load() < had+3*clients; {
+			time.Sleep(time.Millisecond)
+		}
+		close(stop)
+		wg.Wait() // nobody asks while it is killed: what it held then would be owed nothing
+		p.Process.Kill()
+		<-p.ended
+	}
+}
