--- /dev/null
+++ b/cmd/hookwalk/fleet_test.go
@@ -0,0 +1,119 @@
+package main
+
+import (
+	"bytes"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strconv"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"hookwalk.example/hookwalk/internal/lab/scenario"
+)
+
+const smallFleet = "../../lab/fleets/small.hcl"
+
+// children are the processes that have a folder in their environment.
+func children(t *testing.T, dir string) (pids []string) {
+	t.Helper()
+	list, err := filepath.Glob("/proc/[0-9]*/environ")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, name := range list {
+		if text, err := os.ReadFile(name); err == nil && bytes.Contains(text, []byte("TMPDIR="+dir)) {
+			pids = append(pids, filepath.Base(filepath.Dir(name)))
+		}
+	}
+	return pids
+}
+
+// gone waits until no process of a folder is left.
+func gone(t *testing.T, dir string) {
+	t.Helper()
+	for end := time.Now().Add(20 * time.Second); ; time.Sleep(20 * time.Millisecond) {
+		left := children(t, dir)
+		if len(left) == 0 {
+			return
+		}
+		if time.Now().After(end) {
+			t.Fatalf("processes %v are left", left)
+		}
+	}
+}
+
+// Twelve nodes and three kinds of stand-in as processes of their own, with every kind of trouble between them, keep the
+// rules as they are seen from outside; and nothing is left of them.
+func TestFleetKeepsTheRules(t *testing.T) {
+	s, err := scenario.Load(smallFleet)
+	if err != nil {
+		t.Fatal(err)
+	}
+	met := map[string]bool{}
+	for _, trouble := range s.Troubles {
+		met[trouble.Kind] = true
+	}
+	for _, kind := range scenario.FleetKinds {
+		if !met[kind] {
+			t.Errorf("no %s is played", kind)
+		}
+	}
+	for try := range 3 {
+		dir := t.TempDir()
+		c := program(t, "", "lab", "fleet", "--no-calm", smallFleet)
+		c.Env = append(c.Env, "TMPDIR="+dir)
+		code, said, warned := ends(t, c)
+		gone(t, dir)
+		if code == exitLate && try < 2 {
+			t.Logf("the machine was too slow: %s", said)
+			continue
+		}
+		if code != 0 || !strings.Contains(said, "\nrules broken   0\n") || !strings.Contains(said, ": 12 nodes, 6 other processes\n") {
+			t.Errorf("exit %d, %s%s", code, said, warned)
+		}
+		if m := regexp.MustCompile(`worth served   0\.(\d)`).FindStringSubmatch(said); m == nil || m[1] < "8" {
+			t.Errorf("it served little: %s", said)
+		}
+		if left, err := os.ReadDir(dir); code == 0 && (err != nil || len(left) > 0) {
+			t.Errorf("it leaves %v, %v", left, err)
+		}
+		return
+	}
+}
+
+// Whatever ends the parent, no other process survives it, one that is stopped included.
+func TestFleetDiesWithItsParent(t *testing.T) {
+	for _, sig := range []syscall.Signal{syscall.SIGINT, syscall.SIGKILL} {
+		dir := t.TempDir()
+		c := program(t, "", "lab", "fleet", "--no-calm", smallFleet)
+		c.Env = append(c.Env, "TMPDIR="+dir)
+		if err := c.Start(); err != nil {
+			t.Fatal(err)
+		}
+		ended := make(chan struct{})
+		go func() {
+			c.Wait()
+			close(ended)
+		}()
+		t.Cleanup(func() {
+			c.Process.Kill()
+			<-ended
+		})
+		for end := time.Now().Add(60 * time.Second); len(children(t, dir)) < 1+12+6; time.Sleep(10 * time.Millisecond) {
+			if time.Now().After(end) {
+				t.Fatalf("only %d processes", len(children(t, dir)))
+			}
+		}
+		for _, pid := range children(t, dir)[:3] {
+			if n, err := strconv.Atoi(pid); err == nil && n != c.Process.Pid {
+				syscall.Kill(n, syscall.SIGSTOP)
+			}
+		}
+		c.Process.Signal(sig)
+		<-ended
+		gone(t, dir)
+	}
+}
--- a/cmd/hookwalk/lab.go
+++ b/cmd/hookwalk/lab.go
@@ -25,6 +25,8 @@
 	Diff   labDiff   `cmd:"" help:"What changed between two sweeps; status 1 where a named figure fell."`
 	Up     labUp     `cmd:"" help:"Bring a scenario's world up on loopback, print how to reach it, and stay until Ctrl-C."`
 	Paper  labPaper  `cmd:"" help:"Compute the tables of the design's paper beside the published ones, and the module in the same world; status 1 where one differs."`
+	Fleet  labFleet  `cmd:"" help:"Play a scenario with a process for every node, for boxes, discovery and clients, and faults between them; status 1 where a rule is broken, 3 where the machine was too slow to tell."`
+	Part   labPart   `cmd:"" hidden:"" help:"A process of lab fleet."`
 	Run    labRun    `cmd:"" help:"Play a scenario and hold it to the rules; status 1 where one is broken."`
 }
 
--- a/internal/lab/audit/audit.go
+++ b/internal/lab/audit/audit.go
@@ -92,6 +92,8 @@
 	open  map[string]*request
 	boxes map[string]boxNews
 	out   map[string]time.Duration // by hand, since when
+
+	stalled time.Duration // its process is stopped since then; 0: it runs
 }
 
 // boxNews is what a node was told of a box last.
@@ -170,6 +172,75 @@
 	delete(a.nodes, name)
 }
 
+// NodeStalled says that a node's process is stopped: its machine takes requests and news, and it can answer none.
+func (a *Auditor) NodeStalled(now time.Duration, name string) {
+	if n := a.nodes[name]; n != nil {
+		n.stalled = max(now, 1)
+	}
+}
+
+// NodeResumed says that it runs again. What it was told and asked meanwhile counts from now.
+func (a *Auditor) NodeResumed(now time.Duration, name string) {
+	n := a.nodes[name]
+	if n == nil || n.stalled == 0 {
+		return
+	}
+	for box, news := range n.boxes {
+		if news.at >= n.stalled {
+			n.boxes[box] = boxNews{news.ready, now}
+		}
+	}
+	for _, r := range n.open {
+		r.deadline = max(r.deadline, now+a.Overlap)
+	}
+	n.stalled = 0
+}
+
+// NodeHeard says that what was held up between a node and its clients arrives: its time for what they asked begins now
+// at the latest.
+func (a *Auditor) NodeHeard(now time.Duration, name string) {
+	n := a.nodes[name]
+	if n == nil {
+		return
+	}
+	for _, r := range n.open {
+		r.deadline = max(r.deadline, now+a.classes[r.class].Deadline)
+	}
+}
+
+// Unseen says of an attempt that nobody can see whether it is still out.
+func (a *Auditor) Unseen(now time.Duration, node, id string, n int) {
+	at, r := a.find(node, id)
+	if r == nil || n >= len(r.attempts) || r.attempts[n].ended {
+		return
+	}
+	r.attempts[n].ended = true
+	r.out--
+	a.forget(now, at, id, r)
+}
+
+// SentUnseen is an attempt that reached a stopped server at some time: it may have run, and counts as one, but neither
+// when it came nor whether it is still out is known.
+func (a *Auditor) SentUnseen(now time.Duration, node, id, box string) {
+	n, r := a.find(node, id)
+	if r == nil {
+		return
+	}
+	if _, ok := n.boxes[box]; !ok {
+		a.broke(KnownBox, now, node, id, box, "the node was never told of it")
+	}
+	for _, t := range r.attempts { // whichever of the two came first: it may have run when the other was sent
+		if !t.never && a.classes[r.class].Effect == deckrelay.Unsafe {
+			a.broke(NoSecondRun, now, node, id, box, "sent here and to %s, and each may have run it", t.box)
+			break
+		}
+	}
+	r.attempts = append(r.attempts, attempt{at: now, box: box, ended: true})
+	if len(r.attempts) > a.rules.MaxAttempts {
+		a.broke(MostSends, now, node, id, box, "attempt %d of %d", len(r.attempts), a.rules.MaxAttempts)
+	}
+}
+
 // Taken is a request that a node has read to its end.
 func (a *Auditor) Taken(now time.Duration, node, id string, class int, deadline time.Duration) {
 	n := a.nodes[node]
--- /dev/null
+++ b/internal/lab/fleet/result_test.go
@@ -0,0 +1,81 @@
+package fleet
+
+import (
+	"testing"
+	"time"
+
+	"hookwalk.example/hookwalk/internal/lab/outside"
+	"hookwalk.example/hookwalk/internal/lab/scenario"
+)
+
+// even is a course of 20 s in which each second asks for 10 and is served so much.
+func even(got func(second int) float64) (c Course) {
+	for i := range 201 {
+		c.Asked, c.Got = append(c.Asked, 1), append(c.Got, got(i/10))
+	}
+	return c
+}
+
+func TestTimeToFullService(t *testing.T) {
+	calm := even(func(int) float64 { return 1 })
+	for name, tc := range map[string]struct {
+		got  func(int) float64
+		took time.Duration
+		lost float64
+		ok   bool
+	}{
+		"nothing lost":      {func(int) float64 { return 1 }, 0, 0, true},
+		"two seconds lost":  {func(s int) float64 { return map[bool]float64{true: 0.5, false: 1}[s == 5 || s == 6] }, 2 * time.Second, 1, true},
+		"a dip later":       {func(s int) float64 { return map[bool]float64{true: 0.8, false: 1}[s == 5 || s == 9] }, 5 * time.Second, 0.4, true},
+		"a dip much later":  {func(s int) float64 { return map[bool]float64{true: 0.8, false: 1}[s == 5 || s == 12] }, time.Second, 0.2, true},
+		"1% is full":        {func(s int) float64 { return 0.9901 }, 0, 0, true},
+		"2% is not":         {func(s int) float64 { return 0.98 }, 0, 0, false},
+		"never whole again": {func(s int) float64 { return map[bool]float64{true: 0.5, false: 1}[s >= 5] }, 0, 0, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			took, lost, ok := Whole(even(tc.got), calm, 5*time.Second)
+			if ok != tc.ok || ok && (took != tc.took || lost < tc.lost-0.03 || lost > tc.lost+0.03) {
+				t.Errorf("%v, %.2f lost, %v", took, lost, ok)
+			}
+		})
+	}
+	// A calm play that serves half of a second asks no more than that.
+	half := func(s int) float64 { return map[bool]float64{true: 0.5, false: 1}[s == 5] }
+	if took, _, ok := Whole(even(half), even(half), 5*time.Second); !ok || took != 0 {
+		t.Errorf("as without the fault: %v, %v", took, ok)
+	}
+}
+
+func TestCourseAndPeaks(t *testing.T) {
+	s := &scenario.Scenario{Length: 10 * time.Second, Classes: []scenario.Class{{Worth: 4, LateShare: 0.5, Aim: time.Second, Deadline: 2 * time.Second}}}
+	wish := func(at time.Duration) outside.Event { return outside.Event{At: at, What: outside.Wish} }
+	over := func(at, took time.Duration, served bool) outside.Event {
+		return outside.Event{At: at + took, What: outside.Over, Budget: took, Ready: served}
+	}
+	c := CourseOf(s, []outside.Event{wish(time.Second), over(time.Second, 900*time.Millisecond, true),
+		wish(time.Second), over(time.Second, 1500*time.Millisecond, true),
+		wish(2 * time.Second), over(2*time.Second, 100*time.Millisecond, false), wish(3 * time.Second)})
+	asked, got := c.Between(time.Second, 2*time.Second)
+	if asked != 8 || got != 6 || c.Share() != 6.0/16 {
+		t.Errorf("asked %v, got %v, share %v", asked, got, c.Share())
+	}
+	var events []outside.Event
+	for i := range 100 { // one a tenth of a second, and after 5 s seven at once
+		events = append(events, outside.Event{At: time.Duration(i) * piece10, What: outside.Reach, Server: "s"})
+	}
+	for range 6 {
+		events = append(events, outside.Event{At: 7 * time.Second, What: outside.Reach, Server: "s"})
+	}
+	for _, p := range Peaks(events, 5*time.Second, s.Length) {
+		switch p.What {
+		case "requests at one box", "requests at all boxes":
+			if p.Most != 7 || p.Times != 7 {
+				t.Errorf("%+v", p)
+			}
+		default:
+			if p.Most != 0 {
+				t.Errorf("%+v", p)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/lab/fleet/rig.go
@@ -0,0 +1,416 @@
+// Package fleet plays a scenario with a process for each node, for the boxes of each machine, for discovery and for the
+// clients with their front, joined by links on which faults are made, and judges what they did from outside: each
+// process writes what it saw, by the one monotonic clock, and package outside holds the merged history to the rules.
+//
+// Play is the parent of all processes. Nothing survives it: parts end when their pipe closes, and every process is
+// killed by the system when its parent's thread is gone.
+package fleet
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"runtime"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"hookwalk.example/hookwalk/internal/lab/outside"
+	"hookwalk.example/hookwalk/internal/lab/scenario"
+	"hookwalk.example/hookwalk/internal/lab/sockets"
+)
+
+// Options say how processes are started.
+type Options struct {
+	Program []string // `run` and `lab part` are added to it
+	Old     []string // another build, for a part of the nodes
+	Env     []string // added to the environment
+}
+
+// MostNodes is how many node processes a rig starts.
+const MostNodes = 400
+
+// rig is a fleet that runs.
+type rig struct {
+	s      *scenario.Scenario
+	opt    Options
+	dir    string
+	nodes  *sockets.Nodes
+	infos  []sockets.NodeInfo
+	ctx    context.Context
+	end    context.CancelCauseFunc
+	starts chan func()
+	wires  *wires
+	lists  *lists
+	rec    *outside.Recorder
+	files  []string // of histories; the parent's own is the first
+
+	mu        sync.Mutex
+	boxes     []*part          // that run, or are to run again
+	at        map[string]*part // by box
+	addrs     map[string]string
+	discovery *part
+	clients   *part
+	doors     map[string]string
+	done      chan struct{}
+	began     time.Duration
+	wall      time.Time
+	late      atomic.Int64 // the longest that the parent itself was late
+	wg        sync.WaitGroup
+}
+
+// part is a process of the rig that is no node.
+type part struct {
+	r     *rig
+	name  string
+	has   string
+	boxes [][2]int
+	lives int
+
+	mu     sync.Mutex
+	cmd    *exec.Cmd
+	in     io.WriteCloser
+	ready  chan sockets.Message
+	exited chan struct{}
+	killed bool
+}
+
+// begin starts a process that does not outlive the parent, whatever ends that.
+func (r *rig) begin(cmd *exec.Cmd) error {
+	// The system's signal comes when the thread that started a process ends: one thread starts all, and stays.
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL, Setpgid: true}
+	err := make(chan error, 1)
+	r.starts <- func() { err <- cmd.Start() }
+	return <-err
+}
+
+// tell sends a line to a part. One that is gone needs none.
+func (p *part) tell(m sockets.Message) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.in == nil {
+		return
+	}
+	text, err := json.Marshal(m)
+	if err == nil {
+		p.in.Write(append(text, '\n'))
+	}
+}
+
+// start begins a life of a part and returns what it says once it is ready.
+func (p *part) start(m sockets.Message) (sockets.Message, error) {
+	r := p.r
+	p.lives++
+	m.Do, m.Scenario, m.Has, m.Boxes = sockets.DoInit, r.s, p.has, p.boxes
+	m.History = filepath.Join(r.dir, fmt.Sprintf("%s.%d.jsonl", p.name, p.lives))
+	cmd := exec.Command(r.opt.Program[0], append(append([]string(nil), r.opt.Program[1:]...), "lab", "part")...)
+	cmd.Env = append(os.Environ(), append(r.opt.Env, "TMPDIR="+r.dir)...)
+	in, err := cmd.StdinPipe()
+	if err != nil {
+		return m, err
+	}
+	out, err := cmd.StdoutPipe()
+	if err != nil {
+		return m, err
+	}
+	log, err := os.OpenFile(filepath.Join(r.dir, p.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return m, err
+	}
+	cmd.Stderr = log
+	err = r.begin(cmd)
+	log.Close()
+	if err != nil {
+		return m, fmt.Errorf("%s: %w", p.name, err)
+	}
+	ready, exited := make(chan sockets.Message, 1), make(chan struct{})
+	p.mu.Lock()
+	p.cmd, p.in, p.ready, p.exited, p.killed = cmd, in, ready, exited, false
+	p.mu.Unlock()
+	r.mu.Lock()
+	r.files = append(r.files, m.History)
+	r.mu.Unlock()
+	r.wg.Go(func() {
+		lines := bufio.NewReader(out)
+		for {
+			text, err := lines.ReadBytes('\n')
+			if err != nil {
+				break
+			}
+			var got sockets.Message
+			if err := json.Unmarshal(text, &got); err != nil {
+				r.end(fmt.Errorf("%s: %w", p.name, err))
+				continue
+			}
+			if got.Do == sockets.DoReady {
+				ready <- got
+				continue
+			}
+			r.heard(p, got)
+		}
+		err := cmd.Wait()
+		p.mu.Lock()
+		killed := p.killed
+		p.in = nil
+		p.mu.Unlock()
+		close(exited)
+		if !killed {
+			r.end(fmt.Errorf("%s ended by itself: %v; see %s", p.name, err, p.name+".log"))
+		}
+	})
+	p.tell(m)
+	select {
+	case got := <-ready:
+		if got.Err != "" {
+			return got, fmt.Errorf("%s: %s", p.name, got.Err)
+		}
+		return got, nil
+	case <-exited:
+		return m, fmt.Errorf("%s ended before it was ready", p.name)
+	case <-time.After(partReady):
+		return m, fmt.Errorf("%s is not ready", p.name)
+	case <-r.ctx.Done():
+		return m, context.Cause(r.ctx)
+	}
+}
+
+const partReady = 20 * time.Second
+
+// signal sends a signal to a part that runs.
+func (p *part) signal(s syscall.Signal) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.cmd == nil || p.in == nil {
+		return
+	}
+	p.killed = p.killed || s == syscall.SIGKILL
+	p.cmd.Process.Signal(s) // one that has just ended needs none
+}
+
+// stop ends a part as it is meant to, by closing its pipe.
+func (p *part) stop() {
+	p.mu.Lock()
+	in, cmd, exited := p.in, p.cmd, p.exited
+	p.killed, p.in = true, nil
+	p.mu.Unlock()
+	if cmd == nil {
+		return
+	}
+	cmd.Process.Signal(syscall.SIGCONT)
+	if in != nil {
+		in.Close()
+	}
+	select {
+	case <-exited:
+	case <-time.After(partReady):
+		cmd.Process.Kill()
+		<-exited
+	}
+}
+
+// own runs something that the rig waits for at its end.
+func (r *rig) own(f func()) { r.nodes.Own(f) }
+
+// up brings a fleet up: all processes run, all nodes are ready, no client has come yet.
+func up(ctx context.Context, s *scenario.Scenario, opt Options) (r *rig, err error) {
+	r = &rig{s: s, opt: opt, starts: make(chan func()), at: map[string]*part{}, addrs: map[string]string{}, done: make(chan struct{})}
+	r.ctx, r.end = context.WithCancelCause(ctx)
+	go func() {
+		runtime.LockOSThread() // and never unlocked: the thread ends with this function, after the last process
+		for f := range r.starts {
+			f()
+		}
+	}()
+	if r.dir, err = os.MkdirTemp("", "hookwalk-fleet-"); err != nil {
+		return r, err
+	}
+	own, err := os.Create(filepath.Join(r.dir, "parent.jsonl"))
+	if err != nil {
+		return r, err
+	}
+	r.files, r.rec = append(r.files, own.Name()), outside.Continue(own)
+	r.wires, r.lists = newWires(), newLists(r)
+	r.nodes, err = sockets.NewNodes(r.ctx, s, sockets.Options{Program: opt.Program, Env: append(opt.Env, "TMPDIR="+r.dir), Record: r.rec, Begin: r.begin, Dir: r.dir}, r.lists)
+	if err != nil {
+		return r, err
+	}
+	if r.infos = r.nodes.Infos(); len(r.infos) > MostNodes {
+		return r, fmt.Errorf("%s needs %d node processes, at most %d are started", s.Name, len(r.infos), MostNodes)
+	}
+	for i := range r.infos {
+		// Spread over the numbers, so that each part of the fleet has both.
+		if float64(i+1)*s.Fleet.Old-float64(int(float64(i)*s.Fleet.Old)) >= 1 && opt.Old != nil {
+			r.nodes.SetProgram(i, opt.Old)
+		}
+	}
+	if err := r.startBoxes(); err != nil {
+		return r, err
+	}
+	if err := r.wire(); err != nil {
+		return r, err
+	}
+	r.discovery = &part{r: r, name: "discovery", has: "discovery"}
+	got, err := r.discovery.start(sockets.Message{Dials: r.lists.dials})
+	if err != nil {
+		return r, err
+	}
+	r.mu.Lock()
+	r.doors = got.Addrs
+	r.mu.Unlock()
+	r.clients = &part{r: r, name: "clients", has: "clients"}
+	if _, err := r.clients.start(sockets.Message{}); err != nil {
+		return r, err
+	}
+	return r, r.startNodes()
+}
+
+// startBoxes starts the processes of the boxes, each with those of one machine.
+func (r *rig) startBoxes() error {
+	for t, tier := range r.s.Tiers {
+		for first := 0; first < tier.Boxes(); first += r.s.Fleet.BoxesPer {
+			p := &part{r: r, name: fmt.Sprintf("boxes-%s-%d", tier.Name, first/r.s.Fleet.BoxesPer), has: "boxes"}
+			ids, _ := r.nodes.BoxNames(t)
+			for i := first; i < min(first+r.s.Fleet.BoxesPer, tier.Boxes()); i++ {
+				p.boxes = append(p.boxes, [2]int{t, i})
+				r.at[ids[i]] = p
+			}
+			r.boxes = append(r.boxes, p)
+		}
+	}
+	return each(len(r.boxes), func(i int) error {
+		got, err := r.boxes[i].start(sockets.Message{})
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		for id, addr := range got.Addrs {
+			r.addrs[id] = addr
+		}
+		return err
+	})
+}
+
+// each does something for so many things at once and gives the first error.
+func each(n int, f func(i int) error) error {
+	errs := make(chan error, n)
+	for i := range n {
+		go func() { errs <- f(i) }()
+	}
+	var first error
+	for range n {
+		if err := <-errs; err != nil && first == nil {
+			first = err
+		}
+	}
+	return first
+}
+
+// startNodes starts all nodes; a few at once, or the machine would be what makes them late.
+func (r *rig) startNodes() error {
+	turns := make(chan struct{}, 2*runtime.NumCPU())
+	return each(len(r.infos), func(i int) error {
+		turns <- struct{}{}
+		defer func() { <-turns }()
+		return r.startNode(i)
+	})
+}
+
+// startNode begins a node's next life and tells all who ought to know.
+func (r *rig) startNode(i int) error {
+	err := r.nodes.Start(r.ctx, i)
+	if err != nil {
+		return err
+	}
+	info := r.infos[i]
+	name, _ := r.nodes.Life(i)
+	r.wires.refuse(toNode(info.Place), false)
+	m := sockets.Message{Do: sockets.DoLife, Place: info.Place, Name: name, Addr: r.wires.addr(info.Place)}
+	r.discovery.tell(m)
+	if info.Front < 0 {
+		r.at[info.HostName].tell(m)
+		return nil
+	}
+	r.clients.tell(m)
+	r.clients.tell(sockets.Message{Do: sockets.DoHear, Index: info.Front, Hears: true})
+	return nil
+}
+
+// heard is what a part says while it runs.
+func (r *rig) heard(p *part, m sockets.Message) {
+	ids := []string{}
+	if m.Tier >= 0 && m.Tier < len(r.s.Tiers) {
+		ids, _ = r.nodes.BoxNames(m.Tier)
+	}
+	id := ""
+	if m.Index >= 0 && m.Index < len(ids) {
+		id = ids[m.Index]
+	}
+	switch m.Do {
+	case sockets.DoLearn:
+		r.lists.learn(m)
+		r.discovery.tell(m)
+	case sockets.DoDown:
+		r.wires.refuse(toBox(id), true)
+		r.killHosted(id)
+	case sockets.DoUp:
+		r.mu.Lock()
+		r.addrs[id] = m.Addr
+		r.mu.Unlock()
+		r.wires.refuse(toBox(id), false)
+	case sockets.DoWant:
+		r.own(func() {
+			for i, info := range r.infos {
+				if info.HostName == id && r.startNode(i) == nil {
+					p.tell(sockets.Message{Do: sockets.DoUp, Tier: m.Tier, Index: m.Index})
+				}
+			}
+		})
+	case sockets.DoDone:
+		close(r.done)
+	default:
+		r.end(fmt.Errorf("%s says %q", p.name, m.Do))
+	}
+}
+
+// killHosted ends the node beside a box, as it dies with it.
+func (r *rig) killHosted(id string) {
+	for i, info := range r.infos {
+		if info.HostName == id && info.Front < 0 {
+			r.wires.refuse(toNode(info.Place), true)
+			r.own(func() { r.nodes.Kill(i) })
+		}
+	}
+}
+
+var errOver = errors.New("the fleet has ended")
+
+// down ends all processes. The folder is removed unless it is to be kept.
+func (r *rig) down(keep bool) {
+	r.end(errOver)
+	if r.nodes != nil {
+		r.nodes.Down(keep) // its folder is in the rig's
+	}
+	parts := r.boxes
+	for _, p := range []*part{r.clients, r.discovery} {
+		if p != nil {
+			parts = append(parts, p)
+		}
+	}
+	each(len(parts), func(i int) error {
+		parts[i].stop()
+		return nil
+	})
+	if r.wires != nil {
+		r.wires.close()
+	}
+	r.wg.Wait()
+	close(r.starts)
+	if !keep && r.dir != "" {
+		os.RemoveAll(r.dir) // a folder of ours that stays behind is no reason to fail
+	}
+}
--- /dev/null
+++ b/internal/lab/link/link_test.go
@@ -0,0 +1,267 @@
+package link
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"io"
+	"net"
+	"os"
+	"syscall"
+	"testing"
+	"time"
+)
+
+const soon = 10 * time.Second // an upper bound that only a broken link meets
+
+// opened is a link to a listener whose connections come out of a channel.
+func opened(t *testing.T) (l *Link, far <-chan net.Conn) {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	got := make(chan net.Conn, 16)
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			got <- c
+		}
+	}()
+	if l, err = Open(func() string { return ln.Addr().String() }); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		ln.Close()
+		l.Close()
+	})
+	return l, got
+}
+
+func dial(t *testing.T, l *Link) net.Conn {
+	t.Helper()
+	c, err := net.DialTimeout("tcp", l.Addr(), soon)
+	if err != nil {
+		t.Fatal(err)
+	}
+	c.SetDeadline(time.Now().Add(soon))
+	t.Cleanup(func() { c.Close() })
+	return c
+}
+
+func next(t *testing.T, far <-chan net.Conn) net.Conn {
+	t.Helper()
+	select {
+	case c := <-far:
+		c.SetDeadline(time.Now().Add(soon))
+		t.Cleanup(func() { c.Close() })
+		return c
+	case <-time.After(soon):
+		t.Fatal("nothing came up at the far side")
+		return nil
+	}
+}
+
+func line(t *testing.T, c net.Conn, want string) {
+	t.Helper()
+	got, err := bufio.NewReader(c).ReadString('\n')
+	if err != nil || got != want+"\n" {
+		t.Fatalf("read %q, %v", got, err)
+	}
+}
+
+func TestBothWaysAndTheEnd(t *testing.T) {
+	l, far := opened(t)
+	near := dial(t, l)
+	f := next(t, far)
+	io.WriteString(near, "there\n")
+	line(t, f, "there")
+	big := bytes.Repeat([]byte("0123456789abcdef"), 1<<16)
+	go func() {
+		f.Write(big)
+		f.(*net.TCPConn).CloseWrite()
+	}()
+	got, err := io.ReadAll(near)
+	if err != nil || !bytes.Equal(got, big) {
+		t.Fatalf("%d bytes came back of %d, %v", len(got), len(big), err)
+	}
+	io.WriteString(near, "still\n") // only the far side's sending has ended
+	line(t, f, "still")
+	if l.Opened() != 1 {
+		t.Errorf("%d opened", l.Opened())
+	}
+}
+
+// What is sent into silence arrives after it, the other direction goes on, and nothing new comes up.
+func TestSilenceInOneDirection(t *testing.T) {
+	for way, name := range []string{"out", "back"} {
+		t.Run(name, func(t *testing.T) {
+			l, far := opened(t)
+			near := dial(t, l)
+			f := next(t, far)
+			var fault Fault
+			fault.Silent[way] = true
+			if err := l.Set(fault); err != nil {
+				t.Fatal(err)
+			}
+			ends := [2]net.Conn{near, f} // the writers, by way
+			io.WriteString(ends[way], "held\n")
+			io.WriteString(ends[1-way], "passes\n")
+			line(t, ends[way], "passes")
+			reader := ends[1-way]
+			reader.SetReadDeadline(time.Now().Add(50 * time.Millisecond))
+			if n, err := reader.Read(make([]byte, 1)); !errors.Is(err, os.ErrDeadlineExceeded) {
+				t.Fatalf("read %d in silence, %v", n, err)
+			}
+			if c, err := net.DialTimeout("tcp", l.Addr(), 100*time.Millisecond); err == nil {
+				c.Close()
+				t.Error("a new connection came up")
+			}
+			if err := l.Set(Fault{}); err != nil {
+				t.Fatal(err)
+			}
+			reader.SetReadDeadline(time.Now().Add(soon))
+			line(t, reader, "held")
+			io.WriteString(dial(t, l), "anew\n")
+			for { // connections that the queue held come first, and say nothing
+				c := next(t, far)
+				if got, err := bufio.NewReader(c).ReadString('\n'); err == nil && got == "anew\n" {
+					break
+				}
+			}
+		})
+	}
+}
+
+func TestRefusedAndAgainNot(t *testing.T) {
+	l, far := opened(t)
+	for range 2 {
+		if err := l.Set(Fault{Refuse: true}); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := net.Dial("tcp", l.Addr()); !errors.Is(err, syscall.ECONNREFUSED) {
+			t.Fatalf("dialed while refused: %v", err)
+		}
+		if err := l.Set(Fault{}); err != nil {
+			t.Fatal(err)
+		}
+		dial(t, l)
+		next(t, far)
+	}
+}
+
+func TestResetReachesBothSides(t *testing.T) {
+	l, far := opened(t)
+	near := dial(t, l)
+	f := next(t, far)
+	io.WriteString(near, "up\n")
+	line(t, f, "up")
+	l.Reset()
+	for _, c := range []net.Conn{near, f} {
+		if _, err := c.Read(make([]byte, 1)); !errors.Is(err, syscall.ECONNRESET) {
+			t.Errorf("read: %v", err)
+		}
+	}
+}
+
+func TestBreaksInTheMiddleOfAnAnswer(t *testing.T) {
+	l, far := opened(t)
+	near := dial(t, l)
+	f := next(t, far)
+	if err := l.Set(Fault{Break: 7}); err != nil {
+		t.Fatal(err)
+	}
+	io.WriteString(near, "a question that is longer\n")
+	line(t, f, "a question that is longer")
+	io.WriteString(f, "an answer")
+	got, err := io.ReadAll(near)
+	if string(got) != "an answ"[:len(got)] || !errors.Is(err, syscall.ECONNRESET) {
+		t.Errorf("got %q, %v", got, err)
+	}
+}
+
+// A far side that ends is not noticed while its end does not arrive.
+func TestHalfOpen(t *testing.T) {
+	l, far := opened(t)
+	near := dial(t, l)
+	f := next(t, far)
+	fault := Fault{}
+	fault.Deaf[Back] = true
+	if err := l.Set(fault); err != nil {
+		t.Fatal(err)
+	}
+	f.(*net.TCPConn).CloseWrite()
+	near.SetReadDeadline(time.Now().Add(50 * time.Millisecond))
+	if _, err := near.Read(make([]byte, 1)); !errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Fatalf("the end arrived: %v", err)
+	}
+	if err := l.Set(Fault{}); err != nil {
+		t.Fatal(err)
+	}
+	near.SetReadDeadline(time.Now().Add(soon))
+	if _, err := near.Read(make([]byte, 1)); err != io.EOF {
+		t.Errorf("after it: %v", err)
+	}
+}
+
+func TestDelayAndRate(t *testing.T) {
+	l, far := opened(t)
+	near := dial(t, l)
+	f := next(t, far)
+	const delay = 60 * time.Millisecond
+	if err := l.Set(Fault{Delay: delay}); err != nil {
+		t.Fatal(err)
+	}
+	began := time.Now()
+	for range 5 { // pieces on their way at once are late together
+		io.WriteString(near, "x")
+	}
+	io.WriteString(near, "\n")
+	line(t, f, "xxxxx")
+	if took := time.Since(began); took < delay {
+		t.Errorf("it took %v", took)
+	}
+	if err := l.Set(Fault{Rate: 100e3}); err != nil {
+		t.Fatal(err)
+	}
+	began = time.Now()
+	go f.Write(make([]byte, 20e3))
+	if _, err := io.ReadFull(near, make([]byte, 20e3)); err != nil {
+		t.Fatal(err)
+	}
+	if took := time.Since(began); took < 150*time.Millisecond {
+		t.Errorf("20 kB at 100 kB a second took %v", took)
+	}
+}
+
+// A far side that nobody listens at resets the caller, and Close ends whatever runs, also in silence.
+func TestNobodyThereAndClose(t *testing.T) {
+	l, err := Open(func() string { return "127.0.0.1:1" })
+	if err != nil {
+		t.Fatal(err)
+	}
+	near, err := net.DialTimeout("tcp", l.Addr(), soon)
+	if err == nil { // the reset may be there already
+		near.SetDeadline(time.Now().Add(soon))
+		_, err = near.Read(make([]byte, 1))
+		near.Close()
+	}
+	if !errors.Is(err, syscall.ECONNRESET) && err != io.EOF {
+		t.Errorf("nobody there: %v", err)
+	}
+	l.Close()
+	silent, far := opened(t)
+	near = dial(t, silent)
+	next(t, far)
+	if err := silent.Set(Fault{Silent: [2]bool{true, true}}); err != nil {
+		t.Fatal(err)
+	}
+	io.WriteString(near, "x")
+	silent.Close()
+	if err := silent.Set(Fault{}); !errors.Is(err, net.ErrClosed) {
+		t.Errorf("set after close: %v", err)
+	}
+}
--- a/internal/lab/model/troubles.go
+++ b/internal/lab/model/troubles.go
@@ -129,6 +129,12 @@
 				add(at, w, i, 0)
 				add(at+step, NodeStart, i, 0)
 			}
+		case "kill":
+			for _, i := range part(rng, s.Front.Nodes, t.Part) { // not one after another: all, within the spread
+				at := t.At + time.Duration(rng.Float64()*float64(t.Spread))
+				add(at, NodeKill, i, 0)
+				add(at+t.Length, NodeStart, i, 0)
+			}
 		case "discovery_down":
 			add(t.At, DiscoveryDown, 0, 0)
 			add(end, DiscoveryUp, 0, 0)
@@ -141,7 +147,7 @@
 			add(t.At, Storm, 0, t.Size)
 			add(end, Storm, 0, 1)
 		default:
-			return nil, fmt.Errorf("%s: unknown trouble %q", t.Pos, t.Kind)
+			return nil, fmt.Errorf("%s: trouble %q needs processes: lab fleet plays it", t.Pos, t.Kind)
 		}
 	}
 	slices.SortStableFunc(list, func(a, b Change) int { return cmp.Compare(a.At, b.At) })
--- /dev/null
+++ b/internal/lab/model/upsets_test.go
@@ -0,0 +1,93 @@
+package model
+
+import (
+	"reflect"
+	"strings"
+	"testing"
+	"time"
+
+	"hookwalk.example/hookwalk/internal/lab/scenario"
+)
+
+const chain = `scenario "a" { seed = 3 }
+tier "front" { kind "k" { count = 7 } }
+tier "store" { kind "k" { count = 9 } }
+class "c" {}
+front { nodes = 10 }
+fleet { boxes_per_process = 2 }
+`
+
+func parsed(t *testing.T, text string) *scenario.Scenario {
+	t.Helper()
+	s, err := scenario.Parse("a.hcl", []byte(chain+text), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
+// The same file and seed upset the same processes at the same times; another seed others.
+func TestUpsetsAreOfTheSeed(t *testing.T) {
+	const text = `trouble "stall" { at_s = 2 length_s = 3 spread_s = 1 part = 0.5 }
+trouble "box_kill" { at_s = 4 tier = "front" part = 0.5 }
+trouble "cut" { who = "discovery" whom = "nodes" part = 1 }
+trouble "kill" { at_s = 1 length_s = 2 part = 0.7 spread_s = 0.4 }`
+	s := parsed(t, text)
+	first, err := Upsets(s)
+	if err != nil {
+		t.Fatal(err)
+	}
+	again, _ := Upsets(parsed(t, text))
+	if !reflect.DeepEqual(first, again) {
+		t.Error("two draws of one seed differ")
+	}
+	s.Seed = 4
+	if other, _ := Upsets(s); reflect.DeepEqual(first, other) {
+		t.Error("another seed draws the same")
+	}
+	counts := map[string]int{}
+	for _, u := range first {
+		counts[u.Kind]++
+		if u.From < u.At || u.From > u.At+u.Spread || u.To-u.From != u.Length {
+			t.Errorf("%s from %v to %v", u.Kind, u.From, u.To)
+		}
+	}
+	if !reflect.DeepEqual(counts, map[string]int{"stall": 5, "box_kill": 2, "cut": 1}) {
+		t.Errorf("met: %v", counts)
+	}
+	changes, err := Troubles(WithoutUpsets(s))
+	if err != nil {
+		t.Fatal(err)
+	}
+	kills := map[int]time.Duration{}
+	for _, c := range changes {
+		switch c.What {
+		case NodeKill:
+			kills[c.Index] = c.At
+		case NodeStart:
+			if c.At-kills[c.Index] != 2*time.Second {
+				t.Errorf("node %d is away for %v", c.Index, c.At-kills[c.Index])
+			}
+		}
+	}
+	if len(kills) != 7 {
+		t.Errorf("%d of 10 nodes are killed", len(kills))
+	}
+	for i, at := range kills {
+		if at < time.Second || at > 1400*time.Millisecond {
+			t.Errorf("node %d is killed at %v", i, at)
+		}
+	}
+}
+
+// What needs processes is no trouble of virtual time, and a link that is not there can't be cut.
+func TestUpsetsElsewhere(t *testing.T) {
+	for _, kind := range scenario.FleetKinds {
+		if _, err := Troubles(parsed(t, `trouble "`+kind+`" {}`)); err == nil || !strings.Contains(err.Error(), "lab fleet") {
+			t.Errorf("%s in virtual time: %v", kind, err)
+		}
+	}
+	if _, err := Upsets(parsed(t, `trouble "cut" { who = "boxes" whom = "boxes" }`)); err == nil {
+		t.Error("boxes are cut from boxes")
+	}
+}
--- a/internal/lab/outside/outside.go
+++ b/internal/lab/outside/outside.go
@@ -8,10 +8,12 @@
 
 import (
 	"bufio"
+	"cmp"
 	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
+	"slices"
 	"sync"
 	"time"
 
@@ -40,6 +42,25 @@
 	Heir  = "heir"  // another process of the node has said yes beside it, and goes on when this one exits
 	Hand  = "hand"  // the node has said yes to an operator who takes a server out, or back if it is ready
 	End   = "end"   // nothing is recorded after
+
+	// Where the world's parts are processes of their own:
+	Down   = "down"   // a server's process has died, with all that was out at it
+	Stall  = "stall"  // a node's or a server's process is stopped, and its machine goes on
+	Resume = "resume" // and runs again
+	Deaf   = "deaf"   // what discovery writes to the node does not arrive from now on
+	Hears  = "hears"  // and from now on it does
+	Hold   = "hold"   // what goes between the node and the server is held up
+	Free   = "free"   // and arrives, what was held at first
+	Mute   = "mute"   // what goes between clients and the node is held up
+	Speak  = "speak"  // and arrives
+	Sever  = "sever"  // connections between clients and the node are reset, by neither
+
+	// For reports; no rule is about them.
+	Conn = "conn" // a connection has come up at a server
+	Call = "call" // a node has called discovery
+	Away = "away" // a client's try was turned away
+	Wish = "wish" // a client's first try
+	Over = "over" // its end: Budget after the first try, Ready if it was served
 )
 
 // Event is something that was seen.
@@ -49,7 +70,7 @@
 	Node   string        `json:"node,omitempty"`
 	ID     string        `json:"id,omitempty"`
 	Server string        `json:"server,omitempty"`
-	Ready  bool          `json:"ready,omitempty"`  // told
+	Ready  bool          `json:"ready,omitempty"`  // told; cut: the connection had carried a request before
 	Class  int           `json:"class,omitempty"`  // ask
 	Budget time.Duration `json:"budget,omitempty"` // ask
 	Work   time.Duration `json:"work,omitempty"`   // reach
@@ -143,13 +164,20 @@
 	servers map[string]*model.Box
 	calls   map[call]*seen
 	heirs   map[string]int
+	stalled map[string]time.Duration    // servers, until when what is seen of them says nothing of its time
+	held    map[[2]string]time.Duration // the same of a node and a server
+	deaf    map[string][]Event          // by node: what it is told once it hears
 	mine    []audit.Violation
 }
 
+// lateNews is how long a server that was stopped may take to have noted all that came meanwhile.
+const lateNews = 300 * time.Millisecond
+
 // Check names the rules that a history breaks. Events are in the order of their times.
 func Check(h Head, events []Event) []audit.Violation {
 	c := &checker{head: h, audit: audit.New(&scenario.Scenario{Rules: h.Rules, Classes: h.Classes}),
-		servers: map[string]*model.Box{}, calls: map[call]*seen{}, heirs: map[string]int{}}
+		servers: map[string]*model.Box{}, calls: map[call]*seen{}, heirs: map[string]int{},
+		stalled: map[string]time.Duration{}, held: map[[2]string]time.Duration{}, deaf: map[string][]Event{}}
 	c.audit.Overlap = h.Overlap
 	last := time.Duration(0)
 	for _, e := range events {
@@ -163,7 +191,10 @@
 func (c *checker) take(e Event) {
 	switch key := (call{e.Node, e.ID}); e.What {
 	case Start:
+		delete(c.deaf, e.Node)
 		c.audit.NodeStarted(e.Node)
+	case Stall, Resume, Deaf, Hears, Down, Hold, Free, Mute, Speak, Sever:
+		c.upset(e)
 	case Kill:
 		c.audit.NodeKilled(e.Node)
 	case Heir:
@@ -177,6 +208,10 @@
 	case Hand:
 		c.audit.Handed(e.At, e.Node, e.Server, !e.Ready)
 	case Told:
+		if late, deaf := c.deaf[e.Node]; deaf {
+			c.deaf[e.Node] = append(late, e)
+			return
+		}
 		c.audit.Told(e.At, e.Node, e.Server, e.Ready)
 	case Ask:
 		c.audit.Taken(e.At, e.Node, e.ID, e.Class, e.At+e.Budget)
@@ -184,6 +219,10 @@
 	case Got:
 		c.got(e, key)
 	case Cut:
+		if s := c.calls[key]; e.Ready && s != nil && len(s.out) == 0 {
+			c.audit.Gone(e.At, e.Node, e.ID) // the end of a kept connection crossed a request that was not read
+			return
+		}
 		c.audit.Dropped(e.At, e.Node, e.ID)
 	case Left:
 		c.audit.Gone(e.At, e.Node, e.ID)
@@ -210,6 +249,68 @@
 	}
 }
 
+// upset is what happens to a process, or between two.
+func (c *checker) upset(e Event) {
+	switch {
+	case e.What == Down:
+		for key, s := range c.calls {
+			for n, server := range s.out {
+				if server == e.Server {
+					s.out[n] = ""
+					c.audit.Ended(e.At, key.node, key.id, n, deckrelay.Broken)
+				}
+			}
+		}
+		delete(c.stalled, e.Server)
+	case e.What == Deaf:
+		if c.deaf[e.Node] == nil {
+			c.deaf[e.Node] = []Event{}
+		}
+	case e.What == Hears:
+		late := c.deaf[e.Node]
+		delete(c.deaf, e.Node)
+		for _, t := range late {
+			c.audit.Told(e.At, t.Node, t.Server, t.Ready)
+		}
+	case e.What == Hold:
+		c.held[[2]string{e.Node, e.Server}] = forEver
+		c.unseen(e, e.Node)
+	case e.What == Free:
+		c.held[[2]string{e.Node, e.Server}] = e.At + lateNews
+	case e.What == Sever:
+		for key := range c.calls {
+			if key.node == e.Node {
+				c.audit.Gone(e.At, key.node, key.id)
+			}
+		}
+	case e.What == Mute:
+	case e.What == Speak:
+		c.audit.NodeHeard(e.At, e.Node)
+	case e.Node != "" && e.What == Stall:
+		c.audit.NodeStalled(e.At, e.Node)
+	case e.Node != "":
+		c.audit.NodeResumed(e.At, e.Node)
+	case e.What == Stall:
+		c.stalled[e.Server] = forEver
+		c.unseen(e, "")
+	default:
+		c.stalled[e.Server] = e.At + lateNews
+	}
+}
+
+// unseen says of the attempts that are out at a server, of one node or of all, that their end is not to be seen.
+func (c *checker) unseen(e Event, node string) {
+	for key, s := range c.calls {
+		for n, server := range s.out {
+			if server == e.Server && (node == "" || node == key.node) {
+				c.audit.Unseen(e.At, key.node, key.id, n)
+			}
+		}
+	}
+}
+
+const forEver = time.Duration(1<<63 - 1)
+
 // got is an answer. One that says served must be what a server has said.
 func (c *checker) got(e Event, key call) {
 	how := audit.Failed
@@ -228,6 +329,13 @@
 
 // reach is an attempt. Whatever becomes of it, it loads the server.
 func (c *checker) reach(e Event, key call) {
+	if e.At < max(c.stalled[e.Server], c.held[[2]string{e.Node, e.Server}]) { // it was sent at some time of the stop, or given up meanwhile
+		if s := c.calls[key]; s != nil {
+			s.out = append(s.out, e.Server)
+			c.audit.SentUnseen(e.At, e.Node, e.ID, e.Server)
+		}
+		return
+	}
 	c.audit.Sent(e.At, e.Node, e.ID, e.Server)
 	if s := c.calls[key]; s != nil {
 		s.out = append(s.out, e.Server)
@@ -265,3 +373,30 @@
 	b.Start(e.At)
 	c.servers[e.Server] = b
 }
+
+// Continue records without a head: one of several histories of a world, which Merge brings together.
+func Continue(w io.Writer) *Recorder { return &Recorder{out: json.NewEncoder(w)} }
+
+// Merge reads histories without heads and gives their events in the order of their times; of equal times those of the
+// earlier history come first. A process that is killed ends in the middle of a line: such a last line is left out.
+func Merge(histories ...io.Reader) (events []Event, err error) {
+	for n, in := range histories {
+		text := bufio.NewReader(in)
+		for line := 1; ; line++ {
+			b, err := text.ReadBytes('\n')
+			if errors.Is(err, io.EOF) {
+				break // of what stands here the end is missing
+			}
+			if err != nil {
+				return nil, fmt.Errorf("history %d, line %d: %w", n, line, err)
+			}
+			var e Event
+			if err := json.Unmarshal(b, &e); err != nil {
+				return nil, fmt.Errorf("history %d, line %d: %w", n, line, err)
+			}
+			events = append(events, e)
+		}
+	}
+	slices.SortStableFunc(events, func(a, b Event) int { return cmp.Compare(a.At, b.At) })
+	return events, nil
+}
--- /dev/null
+++ b/internal/lab/outside/upset_test.go
@@ -0,0 +1,102 @@
+package outside
+
+import (
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"hookwalk.example/hookwalk/internal/lab/audit"
+)
+
+func at(t time.Duration, what string) Event    { return Event{At: t, What: what} }
+func atBox(t time.Duration, what string) Event { return Event{At: t, What: what, Server: "s1"} }
+func news(t time.Duration, ready bool) Event {
+	return Event{At: t, What: Told, Server: "s1", Ready: ready}
+}
+func keptCut(t time.Duration, kept bool) Event { return Event{At: t, What: Cut, ID: "1", Ready: kept} }
+func served(t time.Duration) []Event           { return []Event{reply(t, "s1", 200), got(t, 200)} }
+func all(parts ...[]Event) []Event             { return slices.Concat(parts...) }
+
+// A rule that is broken beside a fault is rejected all the same; what the fault alone explains is not.
+func TestRulesBesideFaults(t *testing.T) {
+	late := []Event{ask(1000*ms, safe), reach(1010*ms, "s1")}
+	for name, tc := range map[string]struct {
+		rule          audit.Rule
+		wrong, inside []Event
+	}{
+		"late though it ran": {audit.InTime,
+			all(late, []Event{at(1100*ms, Stall), at(1300*ms, Resume)}, served(2200*ms)),
+			all(late, []Event{at(1100*ms, Stall), at(2190*ms, Resume)}, served(2200*ms))},
+		"never answered after a stop": {audit.InTime,
+			all(late, []Event{at(1100*ms, Stall), at(2190*ms, Resume), reply(2200*ms, "s1", 200)}),
+			all(late, []Event{at(1100*ms, Stall), at(2190*ms, Resume), reply(2200*ms, "s1", 200), {At: 2210 * ms, What: Left, ID: "1"}})},
+		"sent on after a drain that it was told in a stop": {audit.Drain,
+			all([]Event{at(500*ms, Stall), news(600*ms, false), at(1000*ms, Resume), ask(1200*ms, safe), reach(1301*ms, "s1")}, served(1310*ms)),
+			all([]Event{at(500*ms, Stall), news(600*ms, false), at(1000*ms, Resume), ask(1200*ms, safe), reach(1300*ms, "s1")}, served(1310*ms))},
+		"sent on after a drain that reached it at last": {audit.Drain,
+			all([]Event{at(500*ms, Deaf), news(600*ms, false), at(1000*ms, Hears), ask(1200*ms, safe), reach(1301*ms, "s1")}, served(1310*ms)),
+			all([]Event{at(500*ms, Deaf), news(600*ms, false), at(1000*ms, Hears), ask(1200*ms, safe), reach(1300*ms, "s1")}, served(1310*ms))},
+		"sent again though a dead box may have run it": {audit.NoSecondRun,
+			[]Event{ask(1000*ms, unsafe), reach(1010*ms, "s1"), atBox(1100*ms, Down), reach(1110*ms, "s2"), reply(1200*ms, "s2", 200), got(1200*ms, 200)},
+			[]Event{ask(1000*ms, safe), reach(1010*ms, "s1"), atBox(1100*ms, Down), reach(1110*ms, "s2"), reply(1200*ms, "s2", 200), got(1200*ms, 200)}},
+		"sent again though a stopped box may run it yet": {audit.NoSecondRun,
+			[]Event{ask(1000*ms, unsafe), reach(1010*ms, "s1"), atBox(1100*ms, Stall), reach(1110*ms, "s2"), reply(1200*ms, "s2", 200), got(1200*ms, 200)},
+			[]Event{ask(1000*ms, safe), reach(1010*ms, "s1"), atBox(1100*ms, Stall), reach(1110*ms, "s2"), reply(1200*ms, "s2", 200), got(1200*ms, 200),
+				atBox(1500*ms, Resume)}},
+		"sent to two, and one is stopped": {audit.NoSecondRun,
+			[]Event{ask(1000*ms, unsafe), atBox(1000*ms, Stall), reach(1010*ms, "s2"), got(1100*ms, 502), reply(1105*ms, "s2", 500), atBox(1150*ms, Resume), reach(1160*ms, "s1")},
+			[]Event{ask(1000*ms, unsafe), atBox(1000*ms, Stall), reach(1010*ms, "s2"), reply(1050*ms, "s2", 503), atBox(1100*ms, Resume), reach(1110*ms, "s1"), got(1150*ms, 502)}},
+		"sent after the answer, and nothing was held up by then": {audit.OneAnswer,
+			[]Event{ask(1000*ms, safe), atBox(1010*ms, Hold), got(1100*ms, 503), atBox(1200*ms, Free), reach(1501*ms, "s1"), given(1510*ms, "s1")},
+			[]Event{ask(1000*ms, safe), atBox(1010*ms, Hold), got(1100*ms, 503), atBox(1200*ms, Free), reach(1499*ms, "s1"), given(1500*ms, "s1")}},
+		"four attempts, one of them held up": {audit.MostSends,
+			all(attempts(3)[:7], []Event{atBox(1100*ms, Hold), reach(1110*ms, "s1"), got(1200*ms, 502)}),
+			all(attempts(2)[:5], []Event{atBox(1100*ms, Hold), reach(1110*ms, "s1"), got(1200*ms, 502)})},
+		"held up on the way to the client, and late by more": {audit.InTime,
+			all(late, []Event{at(1100*ms, Mute), at(2500*ms, Speak)}, served(3700*ms)),
+			all(late, []Event{at(1100*ms, Mute), at(2500*ms, Speak)}, served(2600*ms))},
+		"cut after a box had it": {audit.Lost,
+			[]Event{ask(1000*ms, safe), reach(1010*ms, "s1"), keptCut(1100*ms, true), given(1110*ms, "s1")},
+			[]Event{ask(1000*ms, safe), keptCut(1100*ms, true)}},
+		"cut on a fresh connection": {audit.Lost,
+			[]Event{ask(1000*ms, safe), keptCut(1100*ms, false)},
+			[]Event{ask(1000*ms, safe), at(1099*ms, Sever), keptCut(1100*ms, false)}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := head()
+			h.Classes[safe].Deadline, h.Classes[unsafe].Deadline = time.Second, time.Second
+			found := Check(h, story(tc.wrong...))
+			for _, v := range found {
+				if v.Rule != tc.rule {
+					t.Errorf("also rejected by %v", v)
+				}
+			}
+			if len(found) == 0 {
+				t.Error("not rejected")
+			}
+			for _, v := range Check(h, story(tc.inside...)) {
+				t.Errorf("what the fault explains: %v", v)
+			}
+		})
+	}
+}
+
+// Histories of several processes become one, by time; the last line of a killed process may end anywhere.
+func TestMerge(t *testing.T) {
+	events, err := Merge(strings.NewReader(`{"at":5,"what":"start"}`+"\n"+`{"at":9,"what":"kill"}`+"\n"),
+		strings.NewReader(`{"at":5,"what":"told"}`+"\n"+`{"at":7,"what":"ask"}`+"\n"+`{"at":8,"wha`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	var order []string
+	for _, e := range events {
+		order = append(order, e.What)
+	}
+	if got := strings.Join(order, " "); got != "start told ask kill" {
+		t.Errorf("merged: %s", got)
+	}
+	if _, err := Merge(strings.NewReader("{}\nx\n{}\n")); err == nil || !strings.Contains(err.Error(), "history 0, line 2") {
+		t.Errorf("a broken line within: %v", err)
+	}
+}
--- a/internal/lab/scenario/scenario.go
+++ b/internal/lab/scenario/scenario.go
@@ -29,6 +29,7 @@
 	Discovery Discovery
 	Net       Net
 	Rules     Rules
+	Fleet     Fleet
 	Troubles  []Trouble
 }
 
@@ -138,6 +139,14 @@
 	Slack         time.Duration // on every limit of time
 }
 
+// Fleet says how a world is split into processes, and what its nodes are given at their start.
+type Fleet struct {
+	BoxesPer int           // boxes of one process, as on one machine
+	Known    string        // the list that a node starts with: fresh, old or none
+	Age      time.Duration // of an old one
+	Old      float64       // share of the nodes that run another build
+}
+
 // Trouble is something that goes wrong for a while.
 type Trouble struct {
 	Kind   string
@@ -150,11 +159,23 @@
 	Share  float64       // of requests
 	Period time.Duration // on and off for so long each; 0: on throughout
 	Class  string
+
+	// Of troubles between processes:
+	Who, Whom string        // nodes, boxes or discovery; whom also clients or all
+	Spread    time.Duration // it meets each within so long after At
+	Way       string        // both, out (from who to whom) or back
+	Heal      string        // held (what was sent meanwhile arrives) or reset
+	Delay     time.Duration
+	Rate      float64 // bytes a second
+	Bytes     int
 }
 
+// FleetKinds are the troubles that need processes with links between them. A kill is also played in virtual time.
+var FleetKinds = []string{"stall", "cut", "slow_link", "reset_link", "refuse_link", "half_open", "break_link", "box_kill"}
+
 // TroubleKinds are all that a scenario can name.
 var TroubleKinds = []string{"crash", "cut_off", "neighbour", "heavy_tail", "shared_slow", "broken_answers",
-	"kept_resets", "release", "node_restart", "node_kill", "discovery_down", "discovery_moved", "overload", "retry_storm"}
+	"kept_resets", "release", "node_restart", "node_kill", "discovery_down", "discovery_moved", "overload", "retry_storm", "kill"}
 
 // Policies are the names that a scenario may choose from.
 var Policies = []string{"deckrelay", "random", "round-robin", "least-of-two", "two-random", "two-left", "oracle"}
@@ -184,7 +205,7 @@
 }
 
 // order is that in which blocks are read: troubles name tiers and classes, so they come last.
-var order = []string{"scenario", "tier", "class", "tenant", "clients", "front", "discovery", "net", "rules", "trouble"}
+var order = []string{"scenario", "tier", "class", "tenant", "clients", "front", "discovery", "net", "rules", "fleet", "trouble"}
 
 // Parse reads the text of a scenario file. Errors begin with its name and the line. Where the file names a base,
 // read gives that file's text: blocks of the kinds that the file has none of are the base's, but for troubles.
@@ -207,14 +228,14 @@
 		}
 	}
 	s := &Scenario{}
-	for _, kind := range []string{"clients", "front", "discovery", "net", "rules"} {
+	for _, kind := range []string{"clients", "front", "discovery", "net", "rules", "fleet"} {
 		if len(byKind[kind]) == 0 { // all defaults
 			byKind[kind] = []*settings.Reader{settings.NewReader(name, settings.Block{Kind: kind, Line: 1})}
 		}
 	}
 	take := map[string]func(*settings.Reader, bool){"scenario": s.takeHead, "tier": s.takeTier, "class": s.takeClass,
 		"tenant": s.takeTenant, "clients": s.takeClients, "front": s.takeFront, "discovery": s.takeDiscovery,
-		"net": s.takeNet, "rules": s.takeRules, "trouble": s.takeTrouble}
+		"net": s.takeNet, "rules": s.takeRules, "fleet": s.takeFleet, "trouble": s.takeTrouble}
 	for _, kind := range order {
 		for i, r := range byKind[kind] {
 			take[kind](r, i > 0)
@@ -241,7 +262,7 @@
 		return fmt.Errorf("%s: want block.setting or block.label.setting", o.Path)
 	}
 	kind, set := parts[0], parts[len(parts)-1]
-	single := slices.Contains([]string{"clients", "front", "discovery", "net", "rules"}, kind)
+	single := slices.Contains([]string{"clients", "front", "discovery", "net", "rules", "fleet"}, kind)
 	if single && len(byKind[kind]) == 0 {
 		byKind[kind] = []*settings.Reader{settings.NewReader(name, settings.Block{Kind: kind, Line: 1})}
 	}
@@ -424,12 +445,22 @@
 		Slack: r.Millis("slack_ms", 20*ms, 0, time.Second)}
 }
 
+func (s *Scenario) takeFleet(r *settings.Reader, again bool) {
+	r.Once(again)
+	s.Fleet = Fleet{BoxesPer: r.Whole("boxes_per_process", 4, 1, 1000), Known: r.OneOf("known", "fresh", "old", "none"),
+		Age: r.Seconds("known_age_s", 0, 0, day), Old: r.Number("old_build", 0, 0, 1)}
+}
+
 func (s *Scenario) takeTrouble(r *settings.Reader, _ bool) {
 	t := Trouble{Kind: r.Label(), Pos: fmt.Sprintf("%s:%d", r.File, r.Block.Line), At: r.Seconds("at_s", 0, 0, day),
 		Length: r.Seconds("length_s", 10*time.Second, 0, day), Tier: r.Text("tier", ""),
 		Part: r.Number("part", 0.2, 0, 1), Size: r.Number("size", 2, 0, 1e4), Share: r.Number("share", 0.02, 0, 1),
-		Period: r.Seconds("period_s", 0, 0, time.Hour), Class: r.Text("class", "")}
-	if !slices.Contains(TroubleKinds, t.Kind) {
+		Period: r.Seconds("period_s", 0, 0, time.Hour), Class: r.Text("class", ""),
+		Who: r.OneOf("who", "nodes", "boxes", "discovery"), Whom: r.OneOf("whom", "all", "nodes", "boxes", "discovery", "clients"),
+		Spread: r.Seconds("spread_s", 0, 0, time.Hour), Way: r.OneOf("way", "both", "out", "back"),
+		Heal: r.OneOf("heal", "held", "reset"), Delay: r.Millis("delay_ms", 0, 0, minute),
+		Rate: r.Number("rate_kb", 0, 0, 1e9) * 1000, Bytes: r.Whole("bytes", 0, 0, 1<<30)}
+	if !slices.Contains(TroubleKinds, t.Kind) && !slices.Contains(FleetKinds, t.Kind) {
 		r.Fail(r.Block.Line, "unknown trouble %q", t.Kind)
 	}
 	if t.Tier == "" && len(s.Tiers) > 0 {
--- a/internal/lab/sockets/box.go
+++ b/internal/lab/sockets/box.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -11,10 +10,10 @@
 	"os"
 	"strconv"
 	"sync"
-	"syscall"
 	"time"
 
 	"hookwalk.example/hookwalk/deckrelay"
+	"hookwalk.example/hookwalk/internal/lab/link"
 	"hookwalk.example/hookwalk/internal/lab/model"
 	"hookwalk.example/hookwalk/internal/lab/outside"
 	"hookwalk.example/hookwalk/internal/lab/scenario"
@@ -95,7 +94,7 @@
 			reset(c)
 			continue
 		}
-		b.w.facts.handshake()
+		b.w.facts.handshake(b.w.now(), b.model.ID)
 		b.w.own(func() { b.serve(k, died) })
 	}
 }
@@ -431,7 +430,7 @@
 func (b *box) stop() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.model.State == model.Down {
+	if b.model.State == model.Down || b.ln == nil { // or it is another process's
 		return
 	}
 	b.rejoin()
@@ -456,19 +455,11 @@
 		return nil
 	}
 	b.back, b.model.Cut = make(chan struct{}), true
-	b.ln.SetDeadline(time.Now())
-	if err := backlog(b.ln, 0); err != nil {
+	fill, err := link.Hush(b.ln)
+	if err != nil {
 		return fmt.Errorf("box %s: cut off: %w", b.model.ID, err)
 	}
-	for range 3 {
-		ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
-		c, err := (&net.Dialer{}).DialContext(ctx, "tcp", b.addr)
-		cancel()
-		if err != nil {
-			return nil // full
-		}
-		b.fill = append(b.fill, c)
-	}
+	b.fill = fill
 	return nil
 }
 
@@ -481,25 +472,12 @@
 		reset(c)
 	}
 	b.fill, b.model.Cut = nil, false
-	backlog(b.ln, 1024)
+	link.Backlog(b.ln, 1024)
 	b.ln.SetDeadline(time.Time{})
 	close(b.back)
 	b.back = nil
 }
 
-// backlog sets how many connections wait to be accepted.
-func backlog(ln *net.TCPListener, n int) error {
-	raw, err := ln.SyscallConn()
-	if err != nil {
-		return err
-	}
-	var failed error
-	if err := raw.Control(func(fd uintptr) { failed = syscall.Listen(int(fd), n) }); err != nil {
-		return err
-	}
-	return failed
-}
-
 // resetKept marks connections to be reset when they are next used.
 func (b *box) resetKept(share float64) {
 	b.mu.Lock()
--- a/internal/lab/sockets/discovery.go
+++ b/internal/lab/sockets/discovery.go
@@ -102,12 +102,22 @@
 	return d.doors[p].addr
 }
 
-// list is the whole list of a tier.
-func (d *discovery) list(tier int) roster {
+// known is the whole list of a node's tier.
+func (d *discovery) known(p *process) roster {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	l := d.tiers[tier]
-	return roster{Seq: l.seq, Whole: true, Hosts: slices.Clone(l.hosts)}
+	l := d.tiers[p.tier]
+	return roster{Seq: l.seq, Whole: true, Hosts: p.dialed(slices.Clone(l.hosts))}
+}
+
+// dialed are boxes with the addresses at which a node reaches them.
+func (p *process) dialed(hosts []entry) []entry {
+	for i, h := range hosts {
+		if addr := p.dials[h.Host]; addr != "" {
+			hosts[i].Dial = addr
+		}
+	}
+	return hosts
 }
 
 // learn lists a box's state after a while; what is older and comes later is stale.
@@ -128,7 +138,7 @@
 		l.seq++
 		l.hosts[i].Health, l.changed[i] = health, l.seq
 		if boot > 0 {
-			l.hosts[i].Born = millis(time.Duration(d.w.began.Load().UnixNano()) + boot)
+			l.hosts[i].Born = millis(time.Duration(d.w.wall.Load()) + boot)
 		}
 		close(l.news)
 		l.news = make(chan struct{})
@@ -167,13 +177,14 @@
 		http.NotFound(rw, r)
 		return
 	}
+	d.w.facts.called(d.w.now(), p.lifeName())
 	if !d.turn(r) {
 		http.Error(rw, "too busy", http.StatusServiceUnavailable)
 		return
 	}
 	enc := json.NewEncoder(rw)
 	if r.URL.Query().Get("watch") == "" {
-		enc.Encode(d.list(p.tier)) // one that has gone away reads nothing
+		enc.Encode(d.known(p)) // one that has gone away reads nothing
 		return
 	}
 	from, err := strconv.ParseInt(r.URL.Query().Get("from"), 10, 64)
@@ -201,6 +212,7 @@
 			}
 		}
 		n.Whole = from == 0
+		p.dialed(n.Hosts)
 		news := l.news
 		d.mu.Unlock()
 		if first || n.Seq > from {
@@ -212,11 +224,12 @@
 					return
 				}
 			}
+			name, before := p.lifeName(), d.w.now()
 			if enc.Encode(n) != nil {
 				return
 			}
 			rw.(http.Flusher).Flush()
-			d.w.facts.told(d.w.now(), p.lifeName(), n)
+			d.w.facts.told(before, d.w.now(), name, n)
 			from = n.Seq
 		}
 		select {
--- a/internal/lab/sockets/facts.go
+++ b/internal/lab/sockets/facts.go
@@ -48,7 +48,17 @@
 // seen records an event, under the lock that keeps the order.
 func (f *facts) seen(e outside.Event) { f.do(func() { f.rec.Note(e) }) }
 
-func (f *facts) handshake() { f.do(func() { f.score.Handshakes++ }) }
+func (f *facts) handshake(now time.Duration, box string) {
+	f.do(func() {
+		f.score.Handshakes++
+		f.rec.Note(outside.Event{At: now, What: outside.Conn, Server: box})
+	})
+}
+
+// called is a call to discovery.
+func (f *facts) called(now time.Duration, node string) {
+	f.seen(outside.Event{At: now, What: outside.Call, Node: node})
+}
 
 func (f *facts) started(now time.Duration, name string, known roster) {
 	f.do(func() {
@@ -75,10 +85,16 @@
 	})
 }
 
-func (f *facts) told(now time.Duration, name string, n roster) {
+// told is a list, or changes, that discovery has written. A node may use what it is told before the writer knows that
+// it is written, so a server in service counts as told from before; that one is not counts from after.
+func (f *facts) told(before, now time.Duration, name string, n roster) {
 	f.do(func() {
 		for _, h := range n.Hosts {
-			f.rec.Note(outside.Event{At: now, What: outside.Told, Node: name, Server: h.Host, Ready: h.Health == "in_service"})
+			at := now
+			if h.Health == "in_service" {
+				at = before
+			}
+			f.rec.Note(outside.Event{At: at, What: outside.Told, Node: name, Server: h.Host, Ready: h.Health == "in_service"})
 			f.audit.Told(now, name, h.Host, h.Health == "in_service")
 		}
 	})
@@ -99,10 +115,10 @@
 	})
 }
 
-func (f *facts) dropped(now time.Duration, node, id string) {
+func (f *facts) dropped(now time.Duration, node, id string, kept bool) {
 	f.do(func() {
 		f.audit.Dropped(now, node, id)
-		f.rec.Note(outside.Event{At: now, What: outside.Cut, Node: node, ID: id})
+		f.rec.Note(outside.Event{At: now, What: outside.Cut, Node: node, ID: id, Ready: kept})
 	})
 }
 
@@ -166,16 +182,25 @@
 }
 
 func (f *facts) asked(at time.Duration, class, tenant int) {
-	f.do(func() { f.score.Asked(at, class, tenant) })
+	f.do(func() {
+		f.score.Asked(at, class, tenant)
+		f.rec.Note(outside.Event{At: at, What: outside.Wish, Class: class})
+	})
 }
 
 func (f *facts) try() { f.do(func() { f.score.Tries++ }) }
 
-func (f *facts) refused(at time.Duration) { f.do(func() { f.score.Refused(at) }) }
+func (f *facts) refused(at time.Duration) {
+	f.do(func() {
+		f.score.Refused(at)
+		f.rec.Note(outside.Event{At: at, What: outside.Away})
+	})
+}
 
 func (f *facts) over(r *root, took time.Duration, how score.End) {
 	f.do(func() {
 		id := strconv.Itoa(r.number)
+		f.rec.Note(outside.Event{At: r.At + took, What: outside.Over, ID: id, Class: r.Class, Budget: took, Ready: how == score.Served})
 		f.score.Over(r.At, took, r.Class, r.Tenant, f.sends[id], how)
 		delete(f.sends, id)
 	})
--- a/internal/lab/sockets/process.go
+++ b/internal/lab/sockets/process.go
@@ -8,11 +8,13 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/http/httptrace"
 	"net/url"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"regexp"
+	"slices"
 	"strconv"
 	"sync"
 	"syscall"
@@ -30,7 +32,10 @@
 	tier  int
 	self  int
 	of    int
-	host  *box // nil: a front node
+	host  *box              // nil: a front node
+	dials map[string]string // where it reaches boxes; none: where they are
+
+	program []string // of its next life; nil: as the others
 
 	mu     sync.Mutex
 	name   string // of this life: what is owed in one is not in the next
@@ -47,7 +52,7 @@
 var serving = regexp.MustCompile(`msg=serving .*listen=(\S+)`)
 
 // config is the node's configuration file.
-func (p *process) config() ([]byte, error) {
+func (p *process) config(known roster) ([]byte, error) {
 	set := model.Settings(p.w.s, p.tier, p.self, p.of)
 	effects := map[deckrelay.Effect]string{deckrelay.Safe: "read_like", deckrelay.Keyed: "idempotency_key", deckrelay.Unsafe: "non_idempotent"}
 	type object = map[string]any
@@ -67,9 +72,9 @@
 	if listen == "" {
 		listen = "127.0.0.1:0"
 	}
-	return json.Marshal(object{"name": p.name, "listen": listen, "discovery": p.w.disc.addr(p),
+	return json.Marshal(object{"name": p.name, "listen": listen, "discovery": p.w.lists.addr(p),
 		"seed":   strconv.FormatUint(model.Stream(p.w.s.Seed, "node "+p.place, p.life).Uint64(), 16),
-		"limits": object{"cores": 1, "memory_mb": 128, "sockets": 512}, "known": p.w.disc.list(p.tier),
+		"limits": object{"cores": 1, "memory_mb": 128, "sockets": 512}, "known": known,
 		"settings": object{"balancers": set.Balancers, "me": set.Self, "tier": set.Tier, "registry-mode": mode, "tick-ms": millis(set.Tick),
 			"zone": "", "blend": object{"whole": set.WholeWeight, "worst-class": set.ClassWeight},
 			"callers": object{"marks-retry": set.MarksRepeats}, "lanes": lanes, "tenants": tenants,
@@ -83,8 +88,8 @@
 func millis(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
 
 // write puts the configuration where the node reads it.
-func (p *process) write() (path string, err error) {
-	text, err := p.config()
+func (p *process) write(known roster) (path string, err error) {
+	text, err := p.config(known)
 	if err != nil {
 		return "", err
 	}
@@ -102,11 +107,16 @@
 	p.life++
 	p.name = fmt.Sprintf("%s.%d", p.place, p.life)
 	p.mu.Unlock()
-	path, err := p.write()
+	known := p.w.lists.known(p)
+	path, err := p.write(known)
 	if err != nil {
 		return fmt.Errorf("node %s: %w", p.place, err)
 	}
-	cmd := exec.Command(p.w.opt.Program[0], append(p.w.opt.Program[1:], "run")...)
+	program := p.w.opt.Program
+	if p.program != nil {
+		program = p.program
+	}
+	cmd := exec.Command(program[0], append(slices.Clone(program[1:]), "run")...)
 	cmd.Env = append(os.Environ(), append(p.w.opt.Env, "ROUTER_CONFIG="+path)...)
 	stderr, err := cmd.StderrPipe()
 	if err != nil {
@@ -116,8 +126,8 @@
 	if err != nil {
 		return fmt.Errorf("node %s: %w", p.place, err)
 	}
-	p.w.facts.started(p.w.now(), p.name, p.w.disc.list(p.tier))
-	if err := cmd.Start(); err != nil {
+	p.w.facts.started(p.w.now(), p.name, known)
+	if err := p.w.opt.begin(cmd); err != nil {
 		log.Close()
 		return fmt.Errorf("node %s: %w", p.place, err)
 	}
@@ -127,7 +137,6 @@
 	p.client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 256, IdleConnTimeout: time.Second, DisableCompression: true}}
 	p.mu.Unlock()
 	p.w.own(func() {
-		defer close(exited)
 		defer log.Close()
 		lines := bufio.NewScanner(stderr)
 		for lines.Scan() {
@@ -138,10 +147,11 @@
 		}
 		cmd.Wait() // how it ended shows in the log and in what it answered
 		p.mu.Lock()
-		defer p.mu.Unlock()
 		if p.cmd == cmd {
 			p.cmd = nil
 		}
+		p.mu.Unlock()
+		close(exited)
 	})
 	late := time.NewTimer(readyWithin)
 	defer late.Stop()
@@ -211,7 +221,7 @@
 
 // reload has the node read its configuration again.
 func (p *process) reload() error {
-	if _, err := p.write(); err != nil {
+	if _, err := p.write(p.w.lists.known(p)); err != nil {
 		return err
 	}
 	p.signal(syscall.SIGHUP)
@@ -261,8 +271,17 @@
 		r.Header.Set("Idempotency-Key", id)
 	}
 	p.w.facts.taken(now, name, id, class, deadline)
+	kept := false
+	r = r.WithContext(httptrace.WithClientTrace(r.Context(), &httptrace.ClientTrace{
+		GotConn: func(c httptrace.GotConnInfo) { kept = c.Reused }}))
 	resp, err := client.Do(r)
-	if err != nil && ctx.Err() == nil && !errors.Is(err, syscall.ECONNREFUSED) && p.w.facts.unread(name, id) {
+	unread := func() bool {
+		if p.w.away != nil { // nobody here sees the boxes
+			return kept && c.Effect == deckrelay.Safe
+		}
+		return p.w.facts.unread(name, id)
+	}
+	if err != nil && ctx.Err() == nil && !errors.Is(err, syscall.ECONNREFUSED) && unread() {
 		// A node may close a connection between requests. One that crosses that is sent once more on a new one.
 		client.CloseIdleConnections()
 		resp, err = client.Do(r)
@@ -275,7 +294,7 @@
 	case ctx.Err() != nil: // no answer in all the time that there was: it stays open for the auditor to find
 		return reply{}
 	default:
-		p.w.facts.dropped(p.w.now(), name, id)
+		p.w.facts.dropped(p.w.now(), name, id, kept)
 		return reply{}
 	}
 	defer resp.Body.Close()
--- a/internal/lab/sockets/world.go
+++ b/internal/lab/sockets/world.go
@@ -10,11 +10,14 @@
 	"fmt"
 	"math/rand/v2"
 	"os"
+	"os/exec"
 	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"hookwalk.example/hookwalk/internal/lab/audit"
 	"hookwalk.example/hookwalk/internal/lab/model"
 	"hookwalk.example/hookwalk/internal/lab/outside"
@@ -27,6 +30,16 @@
 	Program []string          // what `run` is added to
 	Env     []string          // added to the environment
 	Record  *outside.Recorder // takes what can be seen from outside; nil: nothing does
+
+	Begin func(*exec.Cmd) error // starts a process; nil: as usual
+	Dir   string                // where the folder of configurations and logs is made; "": where the system has such
+}
+
+func (o Options) begin(c *exec.Cmd) error {
+	if o.Begin != nil {
+		return o.Begin(c)
+	}
+	return c.Start()
 }
 
 // World is a scenario being played, or just held up.
@@ -34,7 +47,8 @@
 	s     *scenario.Scenario
 	opt   Options
 	dir   string
-	began atomic.Pointer[time.Time]
+	began atomic.Int64 // on the system's monotonic clock, as all its processes read it
+	wall  atomic.Int64 // the same moment in Unix time, in ns
 	ctx   context.Context
 	end   context.CancelCauseFunc
 	wg    sync.WaitGroup
@@ -42,6 +56,8 @@
 	facts *facts
 	disc  *discovery
 	front *front
+	away  *Part // nil: this process has the whole world; else what it has of it
+	lists lists // what nodes are given at their start
 
 	boxes     [][]*box
 	processes []*process
@@ -58,13 +74,17 @@
 // most is how many processes a world may start.
 const mostNodes = 64
 
-// Up brings a scenario's world up: boxes listen, discovery lists them, nodes are ready. Down must follow, also
-// after an error.
-func Up(ctx context.Context, s *scenario.Scenario, opt Options) (*World, error) {
+// lists tells a node's configuration what it is given: where discovery is for it, and the servers as it last had them.
+type lists interface {
+	addr(p *process) string
+	known(p *process) roster
+}
+
+// newWorld makes a world of which nothing runs yet.
+func newWorld(ctx context.Context, s *scenario.Scenario, opt Options) (*World, error) {
 	w := &World{s: s, opt: opt, facts: newFacts(s), storm: 1,
 		rng: model.Stream(s.Seed, "sockets", 0), tails: make([]tail, len(s.Classes))}
 	w.facts.rec = opt.Record
-	w.restartClock()
 	w.ctx, w.end = context.WithCancelCause(ctx)
 	var err error
 	if s.Policy != "deckrelay" {
@@ -73,7 +93,7 @@
 	if w.arrivals, err = model.NewArrivals(s); err != nil {
 		return w, err
 	}
-	if w.dir, err = os.MkdirTemp("", "hookwalk-lab-"); err != nil {
+	if w.dir, err = os.MkdirTemp(opt.Dir, "hookwalk-lab-"); err != nil {
 		return w, err
 	}
 	w.front = &front{}
@@ -93,18 +113,34 @@
 					b.node = &process{w: w, place: s.Tiers[t].Name + "-" + b.model.ID, tier: t + 1, self: len(row), of: tier.Boxes(), host: b}
 					w.processes = append(w.processes, b.node)
 				}
-				if err := b.start(); err != nil {
-					return w, err
-				}
 				row = append(row, b)
 			}
 		}
 		w.boxes = append(w.boxes, row)
 	}
+	return w, nil
+}
+
+// Up brings a scenario's world up: boxes listen, discovery lists them, nodes are ready. Down must follow, also
+// after an error.
+func Up(ctx context.Context, s *scenario.Scenario, opt Options) (*World, error) {
+	w, err := newWorld(ctx, s, opt)
+	if err != nil {
+		return w, err
+	}
+	w.restartClock()
+	for _, row := range w.boxes {
+		for _, b := range row {
+			if err := b.start(); err != nil {
+				return w, err
+			}
+		}
+	}
 	if len(w.processes) > mostNodes {
 		return w, fmt.Errorf("%s needs %d node processes, at most %d are started: play it in virtual time", s.Name, len(w.processes), mostNodes)
 	}
 	w.disc = &discovery{w: w, doors: map[*process]*door{}}
+	w.lists = w.disc
 	if err := w.disc.open(); err != nil {
 		return w, err
 	}
@@ -162,7 +198,16 @@
 }
 
 // now is the world's clock.
-func (w *World) now() time.Duration { return time.Since(*w.began.Load()) }
+func (w *World) now() time.Duration { return Monotonic() - time.Duration(w.began.Load()) }
+
+// Monotonic is the system's monotonic clock, which is one for all its processes.
+func Monotonic() time.Duration {
+	var t unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_MONOTONIC, &t); err != nil {
+		panic(err) // every Linux has it
+	}
+	return time.Duration(t.Nano())
+}
 
 // afterwards does something after a while, unless the world ends first.
 func (w *World) afterwards(wait time.Duration, f func()) {
@@ -260,8 +305,13 @@
 func (w *World) restartClock() {
 	// Boxes have done nothing yet and discovery knows no boot times, so nothing holds a time of before; what nodes
 	// were told so far counts as told at the start.
-	now := time.Now()
-	w.began.Store(&now)
+	w.setClock(Monotonic(), time.Now())
+}
+
+// setClock begins the scenario's time at a moment of the monotonic clock, which is one of the wall's.
+func (w *World) setClock(began time.Duration, wall time.Time) {
+	w.wall.Store(wall.UnixNano())
+	w.began.Store(int64(began))
 }
 
 // change carries out one change of the world.
@@ -276,15 +326,15 @@
 	case model.Drain:
 		if b.is(model.Up) {
 			b.set(func() { b.model.State = model.Draining })
-			w.disc.learn(b, "terminating", 0, d.Drain)
+			w.learn(b, "terminating", 0, d.Drain)
 		}
 	case model.CutOff:
-		w.disc.learn(b, "terminated", 0, d.Silent)
+		w.learn(b, "terminated", 0, d.Silent)
 		return b.cut()
 	case model.Rejoin:
 		b.set(b.rejoin)
 		if b.is(model.Up) {
-			w.disc.learn(b, "in_service", 0, d.Add)
+			w.learn(b, "in_service", 0, d.Add)
 		}
 	case model.Slow:
 		b.set(func() {
@@ -349,7 +399,10 @@
 	if b.is(model.Down) {
 		return
 	}
-	if b.node != nil {
+	switch {
+	case w.away != nil:
+		w.away.tell(Message{Do: DoDown, Tier: b.model.Tier, Index: b.model.Index})
+	case b.node != nil:
 		w.facts.killed(w.now(), b.node.lifeName())
 		b.node.signal(syscall.SIGKILL)
 	}
@@ -358,7 +411,16 @@
 	if planned {
 		notice = w.s.Discovery.Drain
 	}
-	w.disc.learn(b, "terminated", 0, notice)
+	w.learn(b, "terminated", 0, notice)
+}
+
+// learn has discovery list a box's state after a while.
+func (w *World) learn(b *box, health string, boot, wait time.Duration) {
+	if w.away != nil {
+		w.away.tell(Message{Do: DoLearn, Tier: b.model.Tier, Index: b.model.Index, Health: health, Boot: boot, Wait: wait})
+		return
+	}
+	w.disc.learn(b, health, boot, wait)
 }
 
 // boot starts a box that is down, cold, once its node is ready.
@@ -366,6 +428,10 @@
 	if !b.is(model.Down) {
 		return nil
 	}
+	if b.node != nil && w.away != nil {
+		w.away.tell(Message{Do: DoWant, Place: b.node.place, Tier: b.model.Tier, Index: b.model.Index}) // a DoUp follows
+		return nil
+	}
 	if b.node != nil {
 		w.own(func() {
 			if b.node.start(w.ctx) == nil {
@@ -384,7 +450,10 @@
 	if err := b.start(); err != nil {
 		return err
 	}
-	w.disc.learn(b, "in_service", now, w.s.Discovery.Add)
+	if w.away != nil {
+		w.away.tell(Message{Do: DoUp, Tier: b.model.Tier, Index: b.model.Index, Addr: b.addr})
+	}
+	w.learn(b, "in_service", now, w.s.Discovery.Add)
 	return nil
 }
 
