--- a/cmd/hookwalk/fleet.go
+++ b/cmd/hookwalk/fleet.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"os"
 	"os/signal"
+	"strings"
 	"syscall"
 
 	"hookwalk.example/hookwalk/internal/lab/fleet"
@@ -16,20 +18,77 @@
 const exitLate = 3
 
 type labFleet struct {
-	File string  `arg:"" help:"The scenario."`
-	Seed *uint64 `placeholder:"N" help:"Instead of the file's."`
-	Calm bool    `default:"true" negatable:"" help:"Play the same seed without the troubles first, for the time to full service."`
-	Old  string  `placeholder:"PATH" help:"Another build of the program, for the part of the nodes that the file's fleet block says."`
+	Play labFleetPlay `cmd:"" default:"withargs" help:"Play scenarios (the default)."`
+	Hunt labFleetHunt `cmd:"" help:"Draw schedules of several troubles at once, keep those that break a rule or after which service does not come back, and make them smaller; status 1 where one was found."`
 }
 
-// Run plays a fleet. The report goes to standard output.
-func (c labFleet) Run(io streams) error {
-	s, err := scenario.Load(c.File)
+type labFleetHunt struct {
+	World  string `arg:"" help:"The scenario whose world is played; its own troubles are not."`
+	Seeds  int    `default:"200" help:"How many schedules."`
+	First  uint64 `default:"1" help:"The first seed."`
+	AtOnce int    `default:"2" help:"Plays side by side. Each needs about half a core."`
+	Output string `short:"o" default:"found" placeholder:"DIR" help:"Where what is found is put."`
+}
+
+// Run hunts. What it does goes to standard error, what it found to standard output.
+func (c labFleetHunt) Run(io streams) error {
+	s, err := scenario.Load(c.World)
 	if err != nil {
 		return err
 	}
-	if c.Seed != nil {
-		s.Seed = *c.Seed
+	self, err := os.Executable()
+	if err != nil {
+		return fmt.Errorf("lab: %w", err)
+	}
+	if c.Seeds < 1 || c.AtOnce < 1 || c.AtOnce > 64 {
+		return errors.New("--seeds must be above 0 and --at-once from 1 to 64")
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	h := &fleet.Hunt{World: s, Seeds: c.Seeds, First: c.First, AtOnce: c.AtOnce, Folder: c.Output, Base: c.World,
+		Opt:  fleet.Options{Program: []string{self}},
+		Tell: func(format string, args ...any) { fmt.Fprintf(io.stderr, format, args...) }}
+	found, err := h.Run(ctx)
+	for _, f := range found {
+		fmt.Fprintf(io.stdout, "%s: %s, %d troubles\n", f.File, f.Why, len(f.Troubles))
+	}
+	fmt.Fprintf(io.stdout, "%d schedules, %d found\n", c.Seeds, len(found))
+	switch {
+	case err != nil:
+		return fmt.Errorf("lab: %w", err)
+	case len(found) > 0:
+		return exitStatus(exitFailed)
+	}
+	return nil
+}
+
+type labFleetPlay struct {
+	Files []string `arg:"" help:"The scenarios."`
+	Seed  *uint64  `placeholder:"N" help:"Instead of the file's."`
+	Set   []string `placeholder:"PATH=VALUE" help:"Another value of a setting, as with sweep."`
+	Plays int      `default:"1" help:"How often each is played."`
+	Calm  bool     `default:"true" negatable:"" help:"Play the same seed without the troubles first, for the time to full service."`
+	Old   string   `placeholder:"PATH" help:"Another build of the program, for the part of the nodes that the file's fleet block says."`
+	Table bool     `help:"A line for each file: the median of its plays, and the least and the most."`
+}
+
+// Validate wants plays that end.
+func (c labFleetPlay) Validate() error {
+	if c.Plays < 1 || c.Plays > 1000 {
+		return errors.New("--plays must be from 1 to 1000")
+	}
+	return nil
+}
+
+// Run plays fleets. The report goes to standard output.
+func (c labFleetPlay) Run(io streams) error {
+	var over []scenario.Override
+	for _, text := range c.Set {
+		path, value, ok := strings.Cut(text, "=")
+		if !ok {
+			return fmt.Errorf("--set %s: want PATH=VALUE", text)
+		}
+		over = append(over, scenario.Override{Path: path, Value: value})
 	}
 	self, err := os.Executable()
 	if err != nil {
@@ -41,33 +100,71 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
-	var calm *fleet.Played
-	if c.Calm && len(s.Troubles) > 0 {
-		quiet := *s
-		quiet.Troubles = nil
-		if calm, err = fleet.Play(ctx, &quiet, opt); err != nil {
-			return fmt.Errorf("lab: without troubles: %w", err)
+	broken, late := 0, false
+	var calm fleet.Calm
+	if c.Table {
+		fleet.WriteHead(io.stdout)
+	}
+	for _, file := range c.Files {
+		s, err := scenario.Load(file, over...)
+		if err != nil {
+			return err
+		}
+		if c.Seed != nil {
+			s.Seed = *c.Seed
+		}
+		var quiet *fleet.Played
+		if c.Calm && len(s.Troubles) > 0 {
+			if quiet, err = calm.Of(ctx, s, opt); err != nil {
+				return fmt.Errorf("lab: without troubles: %w", err)
+			}
+			late = late || quiet.TooLate()
+		}
+		var plays []*fleet.Played
+		for range c.Plays {
+			played, err := fleet.Play(ctx, s, opt)
+			if err != nil {
+				return fmt.Errorf("lab: %w", err)
+			}
+			plays = append(plays, played)
+			broken += len(played.Broken)
+			late = late || played.TooLate()
+			if !c.Table {
+				played.Write(io.stdout, s, quiet)
+			}
+			c.tell(io, played)
+		}
+		if c.Table {
+			fleet.WriteRow(io.stdout, s, plays, quiet)
 		}
 	}
-	played, err := fleet.Play(ctx, s, opt)
-	if err != nil {
-		return fmt.Errorf("lab: %w", err)
+	switch {
+	case late:
+		return exitStatus(exitLate)
+	case broken > 0:
+		return exitStatus(exitFailed)
 	}
-	played.Write(io.stdout, s, calm)
+	return nil
+}
+
+// tell says what a play has broken.
+func (c labFleetPlay) tell(io streams, p *fleet.Played) {
 	const shown = 20
-	for _, v := range played.Broken[:min(len(played.Broken), shown)] {
-		fmt.Fprintf(io.stdout, "violation: %v\n", v)
+	out := io.stdout
+	if c.Table { // which has the numbers
+		out = io.stderr
 	}
-	if played.TooLate() || calm != nil && calm.TooLate() {
-		fmt.Fprintf(io.stdout, "rules          not judged: the rig itself was over %v late\n", fleet.TooLate)
-		return exitStatus(exitLate)
+	for _, v := range p.Broken[:min(len(p.Broken), shown)] {
+		fmt.Fprintf(out, "violation: %v\n", v)
 	}
-	fmt.Fprintf(io.stdout, "rules broken   %d\n", len(played.Broken))
-	if len(played.Broken) > 0 {
-		fmt.Fprintf(io.stderr, "histories, configurations and logs are in %s\n", played.Folder)
-		return exitStatus(exitFailed)
+	if p.TooLate() {
+		fmt.Fprintf(out, "rules          not judged: the rig itself was over %v late\n", fleet.TooLate)
+	} else if !c.Table {
+		fmt.Fprintf(out, "rules broken   %d\n", len(p.Broken))
+	}
+	if len(p.Broken) > 0 {
+		fmt.Fprintf(io.stderr, "histories, configurations and logs are in %s\n", p.Folder)
 	}
-	return nil
 }
 
 type labPart struct{}
--- a/internal/lab/audit/audit.go
+++ b/internal/lab/audit/audit.go
@@ -93,7 +93,7 @@
 	boxes map[string]boxNews
 	out   map[string]time.Duration // by hand, since when
 
-	stalled time.Duration // its process is stopped since then; 0: it runs
+	away time.Duration // it can't be heard since then; 0: it can
 }
 
 // boxNews is what a node was told of a box last.
@@ -104,7 +104,9 @@
 
 type request struct {
 	class    int
+	at       time.Duration
 	deadline time.Duration
+	excused  bool // whether its answer comes, and in time, is not its node's doing
 	answered bool
 	ended    time.Duration // when it was
 	gone     bool          // its client left: nothing is owed
@@ -125,6 +127,8 @@
 	box   string
 	ended bool
 	never bool // proven never to have run
+
+	unseen bool // whether it is still out can't be seen: it does not count as out
 }
 
 // New returns an Auditor for a scenario's rules and classes.
@@ -165,56 +169,61 @@
 		return
 	}
 	for _, id := range sorted(n.open) {
-		if r := n.open[id]; !r.answered && !r.gone {
+		if r := n.open[id]; !r.answered && !r.gone && !r.excused {
 			a.broke(Lost, now, name, id, "", "taken and not answered when the node stopped")
 		}
 	}
 	delete(a.nodes, name)
 }
 
-// NodeStalled says that a node's process is stopped: its machine takes requests and news, and it can answer none.
-func (a *Auditor) NodeStalled(now time.Duration, name string) {
-	if n := a.nodes[name]; n != nil {
-		n.stalled = max(now, 1)
+// patience is how long a client listens after its time is over.
+const patience = 500 * time.Millisecond
+
+// NodeAway says that a node can't be heard: its process is stopped, or what goes between it and its clients is held up.
+// Its machine may take requests and news all the same.
+func (a *Auditor) NodeAway(now time.Duration, name string) {
+	if n := a.nodes[name]; n != nil && n.away == 0 {
+		n.away = max(now, 1)
 	}
 }
 
-// NodeResumed says that it runs again. What it was told and asked meanwhile counts from now.
-func (a *Auditor) NodeResumed(now time.Duration, name string) {
+// NodeBack says that it is heard again. What it was told meanwhile counts from now, and what it owed before has its time
+// from now on, so long as its client still listens. How long a request has waited that came meanwhile the node can't
+// know, and its client may leave before the node's time for it is over: whether that gets an answer is not judged.
+func (a *Auditor) NodeBack(now time.Duration, name string, more time.Duration) {
 	n := a.nodes[name]
-	if n == nil || n.stalled == 0 {
+	if n == nil || n.away == 0 {
 		return
 	}
 	for box, news := range n.boxes {
-		if news.at >= n.stalled {
+		if news.at >= n.away {
 			n.boxes[box] = boxNews{news.ready, now}
 		}
 	}
 	for _, r := range n.open {
-		r.deadline = max(r.deadline, now+a.Overlap)
+		r.excused = r.excused || r.at >= n.away || r.deadline+patience <= now
+		r.deadline = max(r.deadline, now+a.Overlap+more)
 	}
-	n.stalled = 0
+	n.away = 0
 }
 
-// NodeHeard says that what was held up between a node and its clients arrives: its time for what they asked begins now
-// at the latest.
-func (a *Auditor) NodeHeard(now time.Duration, name string) {
-	n := a.nodes[name]
-	if n == nil {
-		return
-	}
-	for _, r := range n.open {
-		r.deadline = max(r.deadline, now+a.classes[r.class].Deadline)
+// Severed says that the connections between a node and its clients were reset by neither: what was asked on them may
+// get an answer or none.
+func (a *Auditor) Severed(name string) {
+	if n := a.nodes[name]; n != nil {
+		for _, r := range n.open {
+			r.excused = true
+		}
 	}
 }
 
 // Unseen says of an attempt that nobody can see whether it is still out.
 func (a *Auditor) Unseen(now time.Duration, node, id string, n int) {
 	at, r := a.find(node, id)
-	if r == nil || n >= len(r.attempts) || r.attempts[n].ended {
+	if r == nil || n >= len(r.attempts) || r.attempts[n].ended || r.attempts[n].unseen {
 		return
 	}
-	r.attempts[n].ended = true
+	r.attempts[n].unseen = true
 	r.out--
 	a.forget(now, at, id, r)
 }
@@ -235,7 +244,7 @@
 			break
 		}
 	}
-	r.attempts = append(r.attempts, attempt{at: now, box: box, ended: true})
+	r.attempts = append(r.attempts, attempt{at: now, box: box, unseen: true})
 	if len(r.attempts) > a.rules.MaxAttempts {
 		a.broke(MostSends, now, node, id, box, "attempt %d of %d", len(r.attempts), a.rules.MaxAttempts)
 	}
@@ -251,7 +260,7 @@
 		a.broke(OneAnswer, now, node, id, "", "taken twice under one id")
 		return
 	}
-	n.open[id] = &request{class: class, deadline: deadline}
+	n.open[id] = &request{class: class, at: now, deadline: deadline}
 }
 
 // Told is news of a box that has reached a node, or counts as having reached it.
@@ -346,6 +355,9 @@
 	}
 	r.attempts[n].ended = true
 	r.attempts[n].never = e == deckrelay.Overloaded || e == deckrelay.Unreachable || e == deckrelay.Void
+	if r.attempts[n].unseen {
+		return
+	}
 	a.stillOut(now, node, id, r)
 	r.out--
 	if r.out <= 1 {
@@ -368,7 +380,7 @@
 		return
 	}
 	r.answered, r.ended = true, now
-	if now > r.deadline+a.rules.Slack && !r.gone {
+	if now > r.deadline+a.rules.Slack && !r.gone && !r.excused {
 		a.broke(InTime, now, node, id, "", "answered %.0f ms after its deadline", (now-r.deadline).Seconds()*1000)
 	}
 	if how == Served && r.ran == 0 {
@@ -388,7 +400,9 @@
 // Dropped is a taken request whose connection the node has ended without a whole answer.
 func (a *Auditor) Dropped(now time.Duration, node, id string) {
 	if n, r := a.find(node, id); r != nil && !r.answered {
-		a.broke(Lost, now, node, id, "", "its connection ended without an answer")
+		if !r.excused {
+			a.broke(Lost, now, node, id, "", "its connection ended without an answer")
+		}
 		r.answered, r.ended = true, now
 		a.forget(now, n, id, r)
 	}
@@ -413,7 +427,7 @@
 		n := a.nodes[name]
 		for _, id := range sorted(n.open) {
 			a.stillOut(now, name, id, n.open[id])
-			if r := n.open[id]; !r.answered && now > r.deadline+a.rules.Slack {
+			if r := n.open[id]; !r.answered && !r.excused && now > r.deadline+a.rules.Slack {
 				a.broke(InTime, now, name, id, "", "never answered; its deadline was %.3f s", r.deadline.Seconds())
 			}
 		}
--- /dev/null
+++ b/internal/lab/fleet/hunt_test.go
@@ -0,0 +1,125 @@
+package fleet
+
+import (
+	"context"
+	"os"
+	"path/filepath"
+	"reflect"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"hookwalk.example/hookwalk/internal/lab/audit"
+	"hookwalk.example/hookwalk/internal/lab/model"
+	"hookwalk.example/hookwalk/internal/lab/scenario"
+)
+
+const world = `scenario "w" { length_s = 14 }
+tier "front" { kind "k" { count = 4 } }
+tier "store" { kind "k" { count = 4 } }
+class "c" {}
+front { nodes = 4 }
+`
+
+func load(t *testing.T, name, text string) *scenario.Scenario {
+	t.Helper()
+	s, err := scenario.Parse(name, []byte(text), os.ReadFile)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
+// A drawn schedule is of its seed, is over before the end, can be played, and reads back from a file as it is.
+func TestDrawnSchedulesPlayAgain(t *testing.T) {
+	s := load(t, "w.hcl", world)
+	kinds := map[string]bool{}
+	for seed := range uint64(300) {
+		list := Draw(s, seed)
+		if !reflect.DeepEqual(list, Draw(s, seed)) {
+			t.Fatalf("seed %d is drawn in two ways", seed)
+		}
+		text := world
+		for _, d := range list {
+			kinds[d.Kind] = true
+			text += Text(d)
+			if d.At < time.Second || d.Length <= 0 || d.At+d.Length > s.Length-heals {
+				t.Errorf("seed %d: %s from %v for %v", seed, d.Kind, d.At, d.Length)
+			}
+		}
+		again := load(t, "again.hcl", text)
+		if len(again.Troubles) != len(list) {
+			t.Fatalf("seed %d: %d troubles of %d", seed, len(again.Troubles), len(list))
+		}
+		again.Seed = seed
+		drawn := *again
+		drawn.Troubles = list
+		want, err := model.Upsets(&drawn)
+		if err != nil {
+			t.Fatalf("seed %d: %v", seed, err)
+		}
+		got, err := model.Upsets(again)
+		if err != nil || len(got) != len(want) {
+			t.Fatalf("seed %d: %d upsets of %d, %v", seed, len(got), len(want), err)
+		}
+		for i := range got {
+			got[i].Pos, want[i].Pos = "", ""
+			if !reflect.DeepEqual(got[i], want[i]) {
+				t.Errorf("seed %d: %+v is played as %+v", seed, want[i], got[i])
+			}
+		}
+	}
+	for _, kind := range scenario.FleetKinds {
+		if !kinds[kind] {
+			t.Errorf("%s is never drawn", kind)
+		}
+	}
+}
+
+// What a hunt finds holds no trouble that can go, and is a file that plays again.
+func TestHuntMakesFindsSmaller(t *testing.T) {
+	dir := t.TempDir()
+	base := filepath.Join(dir, "w.hcl")
+	if err := os.WriteFile(base, []byte(world), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	var mu sync.Mutex
+	plays := 0
+	has := func(s *scenario.Scenario, kind string) bool {
+		return slices.ContainsFunc(s.Troubles, func(t scenario.Trouble) bool { return t.Kind == kind })
+	}
+	h := &Hunt{World: load(t, base, world), Seeds: 200, First: 1, AtOnce: 4, Folder: filepath.Join(dir, "found"), Base: base, Tell: t.Logf,
+		play: func(_ context.Context, s *scenario.Scenario) (*Played, error) {
+			mu.Lock()
+			defer mu.Unlock()
+			plays++
+			p := &Played{}
+			if plays%7 == 0 {
+				p.Late = time.Second // the machine was slow: nothing is told
+			} else if has(s, "kill") && has(s, "cut") {
+				p.Broken = []audit.Violation{{Rule: audit.Lost}}
+			}
+			return p, nil
+		}}
+	found, err := h.Run(t.Context())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(found) < 3 {
+		t.Fatalf("%d found", len(found))
+	}
+	for _, f := range found {
+		again, err := scenario.Load(f.File)
+		if err != nil {
+			t.Fatal(err)
+		}
+		kinds := map[string]int{}
+		for _, d := range again.Troubles {
+			kinds[d.Kind]++
+		}
+		if !reflect.DeepEqual(kinds, map[string]int{"kill": 1, "cut": 1}) || again.Seed != f.Seed || f.Why != "breaks lost" {
+			t.Errorf("seed %d: %s, %v", f.Seed, f.Why, kinds)
+		}
+	}
+}
--- a/internal/lab/fleet/play.go
+++ b/internal/lab/fleet/play.go
@@ -78,8 +78,7 @@
 }
 
 const (
-	lead  = 100 * time.Millisecond // from the word to play to the first arrival
-	watch = 10 * time.Millisecond  // between two looks at how late the rig is
+	lead = 100 * time.Millisecond // from the word to play to the first arrival
 )
 
 // play lets the clients come, does what the schedule says, and returns when all is answered.
@@ -96,7 +95,7 @@
 	r.clients.tell(begin)
 	stop := make(chan struct{})
 	defer close(stop)
-	r.own(func() { r.look(stop) })
+	r.own(func() { sockets.Lateness(stop, func(late time.Duration) { r.late.Store(int64(late)) }) })
 	r.own(func() {
 		for _, a := range list {
 			if !r.nodes.Sleep(a.at - r.nodes.Now()) {
@@ -124,21 +123,6 @@
 	return context.Cause(r.ctx)
 }
 
-// look measures how late the rig itself is: what is late then may not be the program's fault.
-func (r *rig) look(stop chan struct{}) {
-	for {
-		before := sockets.Monotonic()
-		select {
-		case <-stop:
-			return
-		case <-time.After(watch):
-		}
-		if late := sockets.Monotonic() - before - watch; int64(late) > r.late.Load() {
-			r.late.Store(int64(late))
-		}
-	}
-}
-
 // judge stops the parts, for their histories to be whole, and holds what they saw to the rules.
 func (r *rig) judge(result *Played) error {
 	r.mu.Lock()
@@ -165,8 +149,11 @@
 	if result.Events, err = outside.Merge(readers...); err != nil {
 		return err
 	}
-	for i, e := range result.Events { // what a part still noted while it was ended
-		if e.What == outside.End {
+	for i, e := range result.Events {
+		if e.What == outside.Late && !r.stopped(e) {
+			result.Late = max(result.Late, e.Budget)
+		}
+		if e.What == outside.End { // what a part still noted while it was ended is nothing
 			result.Events = result.Events[:i+1]
 			break
 		}
@@ -177,6 +164,16 @@
 	return nil
 }
 
+// stopped says that a process was late since the rig itself had stopped one.
+func (r *rig) stopped(e outside.Event) bool {
+	for _, t := range r.s.Troubles {
+		if t.Kind == "stall" && e.At >= t.At && e.At-e.Budget <= t.At+t.Spread+t.Length {
+			return true
+		}
+	}
+	return false
+}
+
 // schedule turns the scenario's troubles into what the rig does.
 func (r *rig) schedule(result *Played) (list []act, err error) {
 	changes, err := model.Troubles(model.WithoutUpsets(r.s))
@@ -441,14 +438,22 @@
 			func() error { r.discovery.signal(syscall.SIGCONT); return nil }, nil
 	}
 	p := r.partsOf(u.Tier)[u.Who[0]]
-	note := func(what string) {
+	// A box that is stopped is a client that does not read, too: to the node beside it.
+	note := func(what, beside string) {
 		for _, at := range p.boxes {
 			ids, _ := r.nodes.BoxNames(at[0])
-			r.nodes.Note(outside.Event{What: what, Server: ids[at[1]]})
+			id := ids[at[1]]
+			r.nodes.Note(outside.Event{What: what, Server: id})
+			for n, info := range r.infos {
+				if info.HostName == id {
+					name, _ := r.nodes.Life(n)
+					r.nodes.Note(outside.Event{What: beside, Node: name})
+				}
+			}
 		}
 	}
-	return func() error { p.signal(syscall.SIGSTOP); note(outside.Stall); return nil },
-		func() error { note(outside.Resume); p.signal(syscall.SIGCONT); return nil }, nil
+	return func() error { p.signal(syscall.SIGSTOP); note(outside.Stall, outside.Mute); return nil },
+		func() error { note(outside.Resume, outside.Speak); p.signal(syscall.SIGCONT); return nil }, nil
 }
 
 // boxKill ends a process of boxes as a machine dies, with the nodes beside them.
@@ -457,7 +462,7 @@
 	for _, at := range p.boxes {
 		ids, _ := r.nodes.BoxNames(at[0])
 		id := ids[at[1]]
-		r.wires.refuse(toBox(id), true)
+		r.gone(id)
 		r.nodes.Note(outside.Event{What: outside.Down, Server: id})
 		r.killHosted(id)
 		r.tellList(sockets.Message{Do: sockets.DoLearn, Tier: at[0], Index: at[1], Health: "terminated", Wait: r.s.Discovery.Notice})
--- a/internal/lab/fleet/result.go
+++ b/internal/lab/fleet/result.go
@@ -1,8 +1,10 @@
 package fleet
 
 import (
+	"context"
 	"fmt"
 	"io"
+	"reflect"
 	"slices"
 	"time"
 
@@ -174,3 +176,91 @@
 	}
 	fmt.Fprintf(w, "rig            %.0f ms late at most\n", float64(p.Late)/float64(time.Millisecond))
 }
+
+// Calm plays worlds without their troubles, each world once: scenarios that differ in what goes wrong share it.
+type Calm struct {
+	world  scenario.Scenario
+	played *Played
+}
+
+// Of is a scenario's play without its troubles.
+func (c *Calm) Of(ctx context.Context, s *scenario.Scenario, opt Options) (*Played, error) {
+	quiet := *s
+	quiet.Name, quiet.Troubles, quiet.Fleet.Old, quiet.Discovery.Capacity = "", nil, 0, 0
+	if c.played != nil && reflect.DeepEqual(c.world, quiet) {
+		return c.played, nil
+	}
+	c.world = quiet
+	quiet.Name, quiet.Discovery.Capacity = s.Name, s.Discovery.Capacity
+	var err error
+	c.played, err = Play(ctx, &quiet, opt)
+	return c.played, err
+}
+
+// WriteHead begins a table.
+func WriteHead(w io.Writer) {
+	fmt.Fprintln(w, "| scenario | worth | without | full service, s | worth lost, s | refusals a try | peak at boxes | handshakes | discovery | nodes ready, s | rules broken | rig late, ms |")
+	fmt.Fprintln(w, "| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |")
+}
+
+// spreadOf is the median of some figures, with the least and the most.
+func spreadOf(format string, list []float64) string {
+	if len(list) == 0 {
+		return "-"
+	}
+	slices.Sort(list)
+	if len(list) == 1 {
+		return fmt.Sprintf(format, list[0])
+	}
+	return fmt.Sprintf(format+" ("+format+" to "+format+")", list[len(list)/2], list[0], list[len(list)-1])
+}
+
+// WriteRow writes the figures of a scenario's plays: medians, with the least and the most. Peaks are the most in a tenth
+// of a second after the first fault, in multiples of the mean before.
+func WriteRow(w io.Writer, s *scenario.Scenario, plays []*Played, calm *Played) {
+	var worth, full, lost, refused, boxes, shakes, calls, ready, late []float64
+	broken, never, quiet := 0, 0, "-"
+	var without Course
+	if calm != nil {
+		without = CourseOf(s, calm.Events)
+		quiet = fmt.Sprintf("%.4f", without.Share())
+	}
+	for _, p := range plays {
+		c := CourseOf(s, p.Events)
+		worth = append(worth, c.Share())
+		wishes, away := 0, 0
+		for _, e := range p.Events {
+			switch e.What {
+			case outside.Wish:
+				wishes++
+			case outside.Away:
+				away++
+			}
+		}
+		refused = append(refused, float64(away)/float64(max(wishes, 1)))
+		for _, d := range p.Restart {
+			ready = append(ready, d.Seconds())
+		}
+		late = append(late, float64(p.Late)/float64(time.Millisecond))
+		broken += len(p.Broken)
+		if len(p.Faults) == 0 {
+			continue
+		}
+		first := p.Faults[0].At
+		peaks := Peaks(p.Events, first, s.Length)
+		boxes, shakes = append(boxes, peaks[1].Times), append(shakes, peaks[2].Times)
+		calls = append(calls, float64(peaks[3].Most))
+		if took, gone, ok := Whole(c, without, first); ok && calm != nil {
+			full, lost = append(full, took.Seconds()), append(lost, gone)
+		} else {
+			never++
+		}
+	}
+	when := spreadOf("%.1f", full)
+	if never > 0 && calm != nil {
+		when += fmt.Sprintf("; %d of %d not within the play", never, len(plays))
+	}
+	fmt.Fprintf(w, "| %s | %s | %s | %s | %s | %s | %s | %s | %s | %s | %d | %s |\n", s.Name, spreadOf("%.4f", worth), quiet, when,
+		spreadOf("%.2f", lost), spreadOf("%.3f", refused), spreadOf("%.1f", boxes), spreadOf("%.1f", shakes), spreadOf("%.0f", calls),
+		spreadOf("%.2f", ready), broken, spreadOf("%.0f", late))
+}
--- a/internal/lab/fleet/rig.go
+++ b/internal/lab/fleet/rig.go
@@ -17,11 +17,13 @@
 	"os/exec"
 	"path/filepath"
 	"runtime"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
 
+	"hookwalk.example/hookwalk/internal/lab/link"
 	"hookwalk.example/hookwalk/internal/lab/outside"
 	"hookwalk.example/hookwalk/internal/lab/scenario"
 	"hookwalk.example/hookwalk/internal/lab/sockets"
@@ -37,6 +39,19 @@
 // MostNodes is how many node processes a rig starts.
 const MostNodes = 400
 
+// mostLinks is how many links have room in a rig's own block of ports.
+const mostLinks = 2000
+
+// links counts those of a scenario: from each node to the boxes of its tier, to discovery, and from its callers.
+func links(s *scenario.Scenario) (n int) {
+	nodes := s.Front.Nodes
+	for _, t := range s.Tiers {
+		n += nodes * (t.Boxes() + 2)
+		nodes = t.Boxes()
+	}
+	return n
+}
+
 // rig is a fleet that runs.
 type rig struct {
 	s      *scenario.Scenario
@@ -62,6 +77,8 @@
 	done      chan struct{}
 	began     time.Duration
 	wall      time.Time
+	ports     int // the block of this rig
+	release   func()
 	late      atomic.Int64 // the longest that the parent itself was late
 	wg        sync.WaitGroup
 }
@@ -108,10 +125,10 @@
 func (p *part) start(m sockets.Message) (sockets.Message, error) {
 	r := p.r
 	p.lives++
-	m.Do, m.Scenario, m.Has, m.Boxes = sockets.DoInit, r.s, p.has, p.boxes
+	m.Do, m.Scenario, m.Has, m.Boxes, m.Ports = sockets.DoInit, r.s, p.has, p.boxes, r.ports
 	m.History = filepath.Join(r.dir, fmt.Sprintf("%s.%d.jsonl", p.name, p.lives))
 	cmd := exec.Command(r.opt.Program[0], append(append([]string(nil), r.opt.Program[1:]...), "lab", "part")...)
-	cmd.Env = append(os.Environ(), append(r.opt.Env, "TMPDIR="+r.dir)...)
+	cmd.Env = append(os.Environ(), append(slices.Clone(r.opt.Env), "TMPDIR="+r.dir)...)
 	in, err := cmd.StdinPipe()
 	if err != nil {
 		return m, err
@@ -228,6 +245,9 @@
 			f()
 		}
 	}()
+	if links(s) <= mostLinks { // more find room in the whole range only, beside no other rig
+		r.ports, r.release = link.Claim()
+	}
 	if r.dir, err = os.MkdirTemp("", "hookwalk-fleet-"); err != nil {
 		return r, err
 	}
@@ -236,8 +256,8 @@
 		return r, err
 	}
 	r.files, r.rec = append(r.files, own.Name()), outside.Continue(own)
-	r.wires, r.lists = newWires(), newLists(r)
-	r.nodes, err = sockets.NewNodes(r.ctx, s, sockets.Options{Program: opt.Program, Env: append(opt.Env, "TMPDIR="+r.dir), Record: r.rec, Begin: r.begin, Dir: r.dir}, r.lists)
+	r.wires, r.lists = &wires{ports: r.ports}, newLists(r)
+	r.nodes, err = sockets.NewNodes(r.ctx, s, sockets.Options{Program: opt.Program, Env: append(slices.Clone(opt.Env), "TMPDIR="+r.dir), Record: r.rec, Begin: r.begin, Dir: r.dir}, r.lists)
 	if err != nil {
 		return r, err
 	}
@@ -355,7 +375,7 @@
 		r.lists.learn(m)
 		r.discovery.tell(m)
 	case sockets.DoDown:
-		r.wires.refuse(toBox(id), true)
+		r.gone(id)
 		r.killHosted(id)
 	case sockets.DoUp:
 		r.mu.Lock()
@@ -377,6 +397,14 @@
 	}
 }
 
+// gone notes that nobody listens for a box any more.
+func (r *rig) gone(id string) {
+	r.wires.refuse(toBox(id), true)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.addrs, id)
+}
+
 // killHosted ends the node beside a box, as it dies with it.
 func (r *rig) killHosted(id string) {
 	for i, info := range r.infos {
@@ -410,6 +438,9 @@
 	}
 	r.wg.Wait()
 	close(r.starts)
+	if r.release != nil {
+		r.release()
+	}
 	if !keep && r.dir != "" {
 		os.RemoveAll(r.dir) // a folder of ours that stays behind is no reason to fail
 	}
--- a/internal/lab/fleet/wires.go
+++ b/internal/lab/fleet/wires.go
@@ -35,6 +35,8 @@
 	from, to end
 	down     bool // nobody listens at its far end
 	causes   map[int]link.Fault
+
+	setting sync.Mutex // one at a time, and each with the causes of then
 }
 
 // wires are all links of a fleet.
@@ -42,13 +44,13 @@
 	mu   sync.Mutex
 	list []*wire
 	next int
-}
 
-func newWires() *wires { return &wires{} }
+	ports int // the rig's block
+}
 
 // open adds a link.
 func (w *wires) open(from, to end, where func() string) (addr string, err error) {
-	l, err := link.Open(where)
+	l, err := link.Open(w.ports, where)
 	if err != nil {
 		return "", fmt.Errorf("%s %s to %s %s: %w", from.kind, from.name, to.kind, to.name, err)
 	}
@@ -72,18 +74,26 @@
 
 // refuse has new connections to an end refused, as where nobody listens, or ends that.
 func (w *wires) refuse(to end, down bool) {
+	var met []*wire
 	w.mu.Lock()
-	defer w.mu.Unlock()
 	for _, l := range w.list {
 		if l.to == to && l.down != down {
 			l.down = down
-			l.apply()
+			met = append(met, l)
 		}
 	}
+	w.mu.Unlock()
+	for _, l := range met {
+		w.apply(l)
+	}
 }
 
-// apply brings a link's causes together. A link that has just been closed needs none.
-func (l *wire) apply() {
+// apply brings a link's causes together. A link that has just been closed needs none. Silence takes a moment to make:
+// the lock over all links is not held meanwhile.
+func (w *wires) apply(l *wire) {
+	l.setting.Lock()
+	defer l.setting.Unlock()
+	w.mu.Lock()
 	sum := link.Fault{Refuse: l.down}
 	for _, f := range l.causes {
 		for way := range f.Silent {
@@ -100,6 +110,7 @@
 			sum.Break = f.Break
 		}
 	}
+	w.mu.Unlock()
 	l.Set(sum)
 }
 
@@ -126,11 +137,11 @@
 	n := w.next
 	w.mu.Unlock()
 	change := func(f func(i int, l *wire)) {
-		each(len(list), func(i int) error { // silence takes a moment for each
+		each(len(list), func(i int) error {
 			w.mu.Lock()
 			f(i, list[i])
 			w.mu.Unlock()
-			list[i].mend(w)
+			w.apply(list[i])
 			return nil
 		})
 	}
@@ -145,17 +156,6 @@
 	}
 }
 
-// mend applies without the lock over all links while silence is made.
-func (l *wire) mend(w *wires) {
-	w.mu.Lock()
-	copied := &wire{Link: l.Link, down: l.down, causes: map[int]link.Fault{}}
-	for n, f := range l.causes {
-		copied.causes[n] = f
-	}
-	w.mu.Unlock()
-	copied.apply()
-}
-
 func (w *wires) close() {
 	w.mu.Lock()
 	list := w.list
@@ -174,7 +174,7 @@
 		if info.Front < 0 {
 			caller = toBox(info.HostName)
 		}
-		if _, err := r.wires.open(caller, me, func() string { _, addr := r.nodes.Life(i); return addr }); err != nil {
+		if _, err := r.wires.open(caller, me, func() string { return r.nodes.Addr(i) }); err != nil {
 			return err
 		}
 		door, err := r.wires.open(me, end{theList, ""}, func() string {
--- a/internal/lab/link/link.go
+++ b/internal/lab/link/link.go
@@ -60,12 +60,14 @@
 // pair is one connection and its continuation.
 type pair struct{ near, far net.Conn }
 
-// Open listens for callers; to says where a new connection leads.
-func Open(to func() string) (*Link, error) {
+// Open listens for callers, in a rig's block of ports; to says where a new connection leads, "": nowhere.
+func Open(ports int, to func() string) (*Link, error) {
 	l := &Link{to: to, changed: make(chan struct{}), pairs: map[*pair]bool{}}
-	if err := l.listen("127.0.0.1:0"); err != nil {
-		return nil, err
+	ln, err := Listen(ports, ForLink)
+	if err != nil {
+		return nil, fmt.Errorf("link: %w", err)
 	}
+	l.serve(ln)
 	return l, nil
 }
 
@@ -85,12 +87,66 @@
 	if err != nil {
 		return fmt.Errorf("link: %w", err)
 	}
-	tcp := ln.(*net.TCPListener)
-	l.ln, l.addr = tcp, ln.Addr().String()
-	l.wg.Go(func() { l.accept(tcp) })
+	l.serve(ln.(*net.TCPListener))
 	return nil
 }
 
+func (l *Link) serve(ln *net.TCPListener) {
+	l.ln, l.addr = ln, ln.Addr().String()
+	l.wg.Go(func() { l.accept(ln) })
+}
+
+// The system takes the ports of outgoing connections, and of listeners that ask for any, from 32768 on. An address that
+// is given up for a while and opened again must not be taken meanwhile, so it is below; and each rig has a block of its
+// own, for what was meant for one must not reach another.
+const (
+	firstPort = 12000
+	blocks    = 5
+	block     = 4000
+)
+
+// Claim takes a block of ports for a rig, until release, and gives its first. Where all are taken that is 0, and the whole
+// range is used.
+func Claim() (ports int, release func()) {
+	for _, n := range rand.Perm(blocks) {
+		first := firstPort + n*block
+		if ln, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", first)); err == nil { // held: others see that it is taken
+			return first, func() { ln.Close() }
+		}
+	}
+	return 0, func() {}
+}
+
+// Use is what an address is for: one that is closed for a while must not be taken for another use meanwhile.
+type Use int
+
+// Uses. A box that starts again gets another address.
+const (
+	ForLink Use = iota
+	ForDoor
+	ForBox
+)
+
+var uses = [...]struct{ from, to int }{ForLink: {1, 2500}, ForDoor: {2500, 3000}, ForBox: {3000, block}}
+
+// Listen opens a listener on loopback, in a rig's block of ports if that is above 0, at an address that is nobody's for
+// another use.
+func Listen(ports int, use Use) (*net.TCPListener, error) {
+	first, many := firstPort, blocks*block
+	if ports > 0 {
+		first, many = ports+uses[use].from, uses[use].to-uses[use].from
+	}
+	var last error
+	for range 1000 {
+		ln, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", first+rand.IntN(many)))
+		if err == nil {
+			return ln.(*net.TCPListener), nil
+		}
+		last = err
+	}
+	return nil, last
+}
+
 // Set changes what is wrong with the link. Connections that are up feel it at once. What was held in silence arrives
 // after it; Reset throws it away.
 func (l *Link) Set(f Fault) error {
@@ -197,7 +253,12 @@
 
 // relay joins a caller's connection to one to the far side until both have ended.
 func (l *Link) relay(near net.Conn) {
-	far, err := net.DialTimeout("tcp", l.to(), dialTime)
+	to := l.to()
+	if to == "" { // nobody is there: the address of before may be another's by now
+		reset(near)
+		return
+	}
+	far, err := net.DialTimeout("tcp", to, dialTime)
 	if err != nil {
 		reset(near)
 		return
--- a/internal/lab/link/link_test.go
+++ b/internal/lab/link/link_test.go
@@ -31,7 +31,7 @@
 			got <- c
 		}
 	}()
-	if l, err = Open(func() string { return ln.Addr().String() }); err != nil {
+	if l, err = Open(0, func() string { return ln.Addr().String() }); err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() {
@@ -239,7 +239,7 @@
 
 // A far side that nobody listens at resets the caller, and Close ends whatever runs, also in silence.
 func TestNobodyThereAndClose(t *testing.T) {
-	l, err := Open(func() string { return "127.0.0.1:1" })
+	l, err := Open(0, func() string { return "127.0.0.1:1" })
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/lab/model/upsets.go
+++ b/internal/lab/model/upsets.go
@@ -34,7 +34,7 @@
 			i := slices.IndexFunc(s.Tiers, func(k scenario.Tier) bool { return k.Name == t.Tier })
 			count = (s.Tiers[i].Boxes() + s.Fleet.BoxesPer - 1) / s.Fleet.BoxesPer
 		}
-		if t.Whom == who {
+		if t.Whom == who && t.Kind != "stall" && t.Kind != "box_kill" {
 			return nil, fmt.Errorf("%s: %s and %s have no link", t.Pos, t.Who, t.Whom)
 		}
 		t.Who = who
--- a/internal/lab/outside/outside.go
+++ b/internal/lab/outside/outside.go
@@ -60,6 +60,7 @@
 	Call = "call" // a node has called discovery
 	Away = "away" // a client's try was turned away
 	Wish = "wish" // a client's first try
+	Late = "late" // a process of the rig was late by Budget: the machine is too slow, or the process was stopped
 	Over = "over" // its end: Budget after the first try, Ready if it was served
 )
 
@@ -278,18 +279,17 @@
 	case e.What == Free:
 		c.held[[2]string{e.Node, e.Server}] = e.At + lateNews
 	case e.What == Sever:
-		for key := range c.calls {
-			if key.node == e.Node {
-				c.audit.Gone(e.At, key.node, key.id)
-			}
-		}
-	case e.What == Mute:
+		c.audit.Severed(e.Node)
+	case e.Node != "" && (e.What == Mute || e.What == Stall):
+		c.audit.NodeAway(e.At, e.Node)
 	case e.What == Speak:
-		c.audit.NodeHeard(e.At, e.Node)
-	case e.Node != "" && e.What == Stall:
-		c.audit.NodeStalled(e.At, e.Node)
+		more := time.Duration(0) // a node's time for what arrives now may begin now
+		for _, k := range c.head.Classes {
+			more = max(more, k.Deadline)
+		}
+		c.audit.NodeBack(e.At, e.Node, more)
 	case e.Node != "":
-		c.audit.NodeResumed(e.At, e.Node)
+		c.audit.NodeBack(e.At, e.Node, 0)
 	case e.What == Stall:
 		c.stalled[e.Server] = forEver
 		c.unseen(e, "")
--- a/internal/lab/sockets/box.go
+++ b/internal/lab/sockets/box.go
@@ -48,21 +48,33 @@
 // start listens; at is where it did before, if it did.
 func (b *box) start() error {
 	addr := b.addr
-	if addr == "" {
-		addr = "127.0.0.1:0"
+	if b.w.away != nil { // its links know where it is: nobody keeps the address of one that is down
+		addr = ""
 	}
-	ln, err := net.Listen("tcp", addr)
+	ln, err := b.w.listenAt(addr, link.ForBox)
 	if err != nil {
 		return fmt.Errorf("box %s: %w", b.model.ID, err)
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.ln, b.addr = ln.(*net.TCPListener), ln.Addr().String()
+	b.ln, b.addr = ln, ln.Addr().String()
 	b.conns, b.died = map[*conn]bool{}, make(chan struct{})
 	b.w.own(func() { b.accept(b.ln, b.died) })
 	return nil
 }
 
+// listenAt listens where something did before, if it did.
+func (w *World) listenAt(addr string, use link.Use) (*net.TCPListener, error) {
+	if addr == "" {
+		return link.Listen(w.opt.Ports, use)
+	}
+	ln, err := net.Listen("tcp", addr)
+	if err != nil {
+		return nil, err
+	}
+	return ln.(*net.TCPListener), nil
+}
+
 func (b *box) accept(ln *net.TCPListener, died chan struct{}) {
 	for {
 		c, err := ln.Accept()
--- a/internal/lab/sockets/discovery.go
+++ b/internal/lab/sockets/discovery.go
@@ -3,13 +3,13 @@
 import (
 	"encoding/json"
 	"fmt"
-	"net"
 	"net/http"
 	"slices"
 	"strconv"
 	"sync"
 	"time"
 
+	"hookwalk.example/hookwalk/internal/lab/link"
 	"hookwalk.example/hookwalk/internal/lab/model"
 )
 
@@ -79,11 +79,7 @@
 
 // listen begins to serve a node's list, at its old address if it had one.
 func (d *discovery) listen(p *process) error {
-	addr := d.addr(p)
-	if addr == "" {
-		addr = "127.0.0.1:0"
-	}
-	ln, err := net.Listen("tcp", addr)
+	ln, err := d.w.listenAt(d.addr(p), link.ForDoor)
 	if err != nil {
 		return fmt.Errorf("discovery: %w", err)
 	}
--- a/internal/lab/sockets/nodes.go
+++ b/internal/lab/sockets/nodes.go
@@ -99,6 +99,9 @@
 			return ctx.Err()
 		}
 	}
+	p.mu.Lock()
+	p.addr = "" // another one each time: nobody keeps it for a node that is dead
+	p.mu.Unlock()
 	return p.start(ctx)
 }
 
@@ -110,6 +113,17 @@
 	return p.name, p.addr
 }
 
+// Addr is where a node that runs listens; "": it does not run.
+func (n *Nodes) Addr(i int) string {
+	p := n.w.processes[i]
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.cmd == nil {
+		return ""
+	}
+	return p.addr
+}
+
 // Runs says that a node's process runs.
 func (n *Nodes) Runs(i int) bool {
 	p := n.w.processes[i]
--- a/internal/lab/sockets/part.go
+++ b/internal/lab/sockets/part.go
@@ -33,6 +33,7 @@
 	Has      string             `json:"has,omitempty"`      // init: boxes, discovery or clients
 	History  string             `json:"history,omitempty"`  // init: the file
 	Boxes    [][2]int           `json:"boxes,omitempty"`    // init: tier and index of each
+	Ports    int                `json:"ports,omitempty"`    // init: the rig's block
 	Cold     bool               `json:"cold,omitempty"`     // init: they are down until DoUp
 
 	Addrs map[string]string            `json:"addrs,omitempty"` // ready: of boxes by id, or of discovery by node
@@ -78,6 +79,26 @@
 	_ = p.out.Encode(m) // a parent that is gone has closed the other pipe too
 }
 
+// Lateness tells, until stop, by how much a process of the rig is late, each time that it is worse than before: what is
+// late then may be the machine's doing.
+func Lateness(stop <-chan struct{}, tell func(late time.Duration)) {
+	const every, least = 10 * time.Millisecond, 20 * time.Millisecond
+	tick := time.NewTimer(every)
+	defer tick.Stop()
+	for worst := least; ; tick.Reset(every) {
+		before := Monotonic()
+		select {
+		case <-stop:
+			return
+		case <-tick.C:
+		}
+		if late := Monotonic() - before - every; late > worst {
+			worst = late
+			tell(late)
+		}
+	}
+}
+
 // beforePlay is the clock of a part until the play begins: all that it notes so far is noted at 0.
 const beforePlay = time.Duration(1) << 60
 
@@ -97,7 +118,7 @@
 		return fmt.Errorf("part: %w", err)
 	}
 	defer file.Close()
-	w, err := newWorld(ctx, first.Scenario, Options{Record: outside.Continue(file)})
+	w, err := newWorld(ctx, first.Scenario, Options{Record: outside.Continue(file), Ports: first.Ports})
 	if w.dir != "" {
 		defer os.RemoveAll(w.dir)
 	}
@@ -217,6 +238,9 @@
 		return w.change(*m.Change)
 	case DoPlay:
 		w.setClock(m.Began, time.Unix(0, m.Wall))
+		w.own(func() {
+			Lateness(w.ctx.Done(), func(late time.Duration) { w.facts.seen(outside.Event{At: w.now(), What: outside.Late, Budget: late}) })
+		})
 		if m.Has == "clients" {
 			w.own(func() {
 				w.sleep(-w.now())
--- a/internal/lab/sockets/world.go
+++ b/internal/lab/sockets/world.go
@@ -32,6 +32,7 @@
 	Record  *outside.Recorder // takes what can be seen from outside; nil: nothing does
 
 	Begin func(*exec.Cmd) error // starts a process; nil: as usual
+	Ports int                   // a rig's block of them; 0: any
 	Dir   string                // where the folder of configurations and logs is made; "": where the system has such
 }
 
