--- a/deckrelay/policy.go
+++ b/deckrelay/policy.go
@@ -22,7 +22,8 @@
 	chance      = 0.08  // a run of time-outs likelier than this by the peers' share of bad endings is luck
 	errorChance = 0.001 // the same for a run that ends in an error or a reset, which says less of the server
 	tailSpread  = 3.0   // deviations above the mean at which a wait counts as overlong
-	trySpread   = 5.0   // the same for an attempt that is given up for another one
+	trySpread   = 5.0   // the same for an attempt that is given up for another one,
+	tryErrors   = 0.03  // where no more than this share of all attempts ends badly
 	comeBack    = 10    // part of the aim after which a refused client should ask again
 	spareShed   = 0.02  // share answered without an attempt above which there is no room to spare
 	minSamples  = 3     // good endings in a row that end a trial
@@ -514,11 +515,12 @@
 }
 
 // patience is how long an attempt is waited for: to the deadline, unless another may follow. A machine that
-// is cut off takes requests and says nothing: what has waited there to the end has no time left for another.
+// is cut off takes requests and says nothing: what has waited there to the end has no time left for another. Where
+// many wait long it is the load: what is given up is worked on all the same, and sent again makes it more.
 func (b *Balancer) patience(r *request) time.Duration {
 	c, left := r.class, r.deadline-b.now
 	if wait := c.longest(trySpread); c.Effect == Safe && c.samples >= 1/memory && b.tokens >= 1 &&
-		b.maySendAgain(r) && left-wait > time.Duration(c.mean) {
+		b.errors <= tryErrors && b.maySendAgain(r) && left-wait > time.Duration(c.mean) {
 		return wait
 	}
 	return left
