--- a/deckrelay/policy.go
+++ b/deckrelay/policy.go
@@ -515,8 +515,8 @@
 }
 
 // patience is how long an attempt is waited for: to the deadline, unless another may follow. A machine that
-// is cut off takes requests and says nothing: what has waited there to the end has no time left for another. Where
-// many wait long it is the load: what is given up is worked on all the same, and sent again makes it more.
+// is cut off takes requests and says nothing: what has waited there to the end has no time left for another.
+// Where many wait long it is the load: what is given up is worked on all the same, and sent again adds to it.
 func (b *Balancer) patience(r *request) time.Duration {
 	c, left := r.class, r.deadline-b.now
 	if wait := c.longest(trySpread); c.Effect == Safe && c.samples >= 1/memory && b.tokens >= 1 &&
