lab fleet: loops of crashes, nodes killed as they start, resets between a box and its node

Need: a loop of crashes is a trouble of its own (kill with period_s), and a kill that meets a node as it starts ended the rig. Where links fall silent is noted in one place.

--- a/internal/lab/fleet/play.go
+++ b/internal/lab/fleet/play.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"os"
@@ -207,12 +208,14 @@
 	switch c.What {
 	case model.NodeKill:
 		place := r.infos[c.Index].Place
+		r.kills[c.Index].Add(1)
 		r.wires.refuse(toNode(place), true)
 		r.own(func() {
 			r.nodes.Kill(c.Index)
 			r.frontNotices(c.Index)
 		})
 	case model.NodeLeave:
+		r.leaves[c.Index].Store(true)
 		r.nodes.Stop(c.Index, func() {
 			if r.nodes.Sleep(model.FrontDeals) {
 				r.clients.tell(sockets.Message{Do: sockets.DoHear, Index: c.Index})
@@ -222,7 +225,9 @@
 		r.own(func() {
 			began := r.nodes.Now()
 			if err := r.startNode(c.Index); err != nil {
-				r.end(err)
+				if !errors.Is(err, errKilled) {
+					r.end(err)
+				}
 				return
 			}
 			r.mu.Lock()
@@ -272,17 +277,12 @@
 		if u.Kind == "reset_link" {
 			for _, l := range list {
 				r.note(outside.Sever, l, aNode, theClient)
+				r.note(outside.Sever, l, aNode, aBox)
 				l.Reset()
 			}
 			return nil
 		}
-		for i, l := range list {
-			if s := faults[i].Silent; s[link.Out] || s[link.Back] {
-				r.note(outside.Hold, l, aBox, aNode)
-				r.note(outside.Mute, l, aNode, theClient)
-				r.note(outside.Mute, l, aNode, aBox)
-			}
-		}
+		r.silence(list, faults, outside.Hold, outside.Mute)
 		// Nodes that hear nothing of discovery are told nothing from before the silence until after its end.
 		for _, place := range r.deafened(list, faults) {
 			r.nodes.Note(outside.Event{What: outside.Deaf, Node: place})
@@ -297,16 +297,11 @@
 		if u.Heal == "reset" {
 			for _, l := range list {
 				r.note(outside.Sever, l, aNode, theClient)
+				r.note(outside.Sever, l, aNode, aBox)
 			}
 		}
 		heal(u.Heal == "reset")
-		for i, l := range list {
-			if s := faults[i].Silent; s[link.Out] || s[link.Back] {
-				r.note(outside.Free, l, aBox, aNode)
-				r.note(outside.Speak, l, aNode, theClient)
-				r.note(outside.Speak, l, aNode, aBox)
-			}
-		}
+		r.silence(list, faults, outside.Free, outside.Speak)
 		for _, place := range r.deafened(list, faults) {
 			r.nodes.Note(outside.Event{What: outside.Hears, Node: place})
 		}
@@ -315,6 +310,17 @@
 	return begin, over, nil
 }
 
+// silence notes where links are silent, or are no more: to boxes, and to nodes.
+func (r *rig) silence(list []*wire, faults []link.Fault, box, node string) {
+	for i, l := range list {
+		if s := faults[i].Silent; s[link.Out] || s[link.Back] {
+			r.note(box, l, aBox, aNode)
+			r.note(node, l, aNode, theClient)
+			r.note(node, l, aNode, aBox)
+		}
+	}
+}
+
 // note adds an event of a link, if it goes from one kind of end to another: of a node in its present life, and of the
 // box where that is the callee.
 func (r *rig) note(what string, l *wire, to, from kind) {
@@ -428,7 +434,7 @@
 				}
 				return nil
 			}, func() error {
-				if r.nodes.Freeze(i, false) {
+				if r.nodes.Freeze(i, false) && !r.leaves[i].Load() { // one that is about to end says no
 					r.clients.tell(sockets.Message{Do: sockets.DoHear, Index: i, Hears: true})
 				}
 				return nil
--- a/internal/lab/fleet/rig.go
+++ b/internal/lab/fleet/rig.go
@@ -75,6 +75,8 @@
 	clients   *part
 	doors     map[string]string
 	done      chan struct{}
+	kills     []atomic.Int64 // of each node, so far
+	leaves    []atomic.Bool  // nodes that were told to end
 	began     time.Duration
 	wall      time.Time
 	ports     int // the block of this rig
@@ -264,6 +266,7 @@
 	if r.infos = r.nodes.Infos(); len(r.infos) > MostNodes {
 		return r, fmt.Errorf("%s needs %d node processes, at most %d are started", s.Name, len(r.infos), MostNodes)
 	}
+	r.kills, r.leaves = make([]atomic.Int64, len(r.infos)), make([]atomic.Bool, len(r.infos))
 	for i := range r.infos {
 		// Spread over the numbers, so that each part of the fleet has both.
 		if float64(i+1)*s.Fleet.Old-float64(int(float64(i)*s.Fleet.Old)) >= 1 && opt.Old != nil {
@@ -340,12 +343,19 @@
 	})
 }
 
+// errKilled says that a node was killed while it started, as the schedule has it.
+var errKilled = errors.New("killed while it started")
+
 // startNode begins a node's next life and tells all who ought to know.
 func (r *rig) startNode(i int) error {
-	err := r.nodes.Start(r.ctx, i)
-	if err != nil {
+	kills := r.kills[i].Load()
+	if err := r.nodes.Start(r.ctx, i); err != nil {
+		if r.kills[i].Load() != kills {
+			return errKilled
+		}
 		return err
 	}
+	r.leaves[i].Store(false)
 	info := r.infos[i]
 	name, _ := r.nodes.Life(i)
 	r.wires.refuse(toNode(info.Place), false)
@@ -385,8 +395,14 @@
 	case sockets.DoWant:
 		r.own(func() {
 			for i, info := range r.infos {
-				if info.HostName == id && r.startNode(i) == nil {
+				if info.HostName != id {
+					continue
+				}
+				switch err := r.startNode(i); {
+				case err == nil:
 					p.tell(sockets.Message{Do: sockets.DoUp, Tier: m.Tier, Index: m.Index})
+				case !errors.Is(err, errKilled):
+					r.end(err)
 				}
 			}
 		})
@@ -409,6 +425,7 @@
 func (r *rig) killHosted(id string) {
 	for i, info := range r.infos {
 		if info.HostName == id && info.Front < 0 {
+			r.kills[i].Add(1)
 			r.wires.refuse(toNode(info.Place), true)
 			r.own(func() { r.nodes.Kill(i) })
 		}
--- a/internal/lab/model/troubles.go
+++ b/internal/lab/model/troubles.go
@@ -132,8 +132,14 @@
 		case "kill":
 			for _, i := range part(rng, s.Front.Nodes, t.Part) { // not one after another: all, within the spread
 				at := t.At + time.Duration(rng.Float64()*float64(t.Spread))
-				add(at, NodeKill, i, 0)
-				add(at+t.Length, NodeStart, i, 0)
+				if t.Period == 0 {
+					add(at, NodeKill, i, 0)
+					add(at+t.Length, NodeStart, i, 0)
+				}
+				for ; t.Period > 0 && at < end; at += t.Period { // a loop of crashes
+					add(at, NodeKill, i, 0)
+					add(at+min(t.Period/4, time.Second), NodeStart, i, 0)
+				}
 			}
 		case "discovery_down":
 			add(t.At, DiscoveryDown, 0, 0)
--- a/internal/lab/model/upsets_test.go
+++ b/internal/lab/model/upsets_test.go
@@ -80,6 +80,21 @@
 	}
 }
 
+// A kill with a period is a loop of crashes: each start is killed again until the length is over, and the last one stays.
+func TestLoopOfCrashes(t *testing.T) {
+	changes, err := Troubles(parsed(t, `trouble "kill" { at_s = 2 length_s = 6 part = 0.1 period_s = 2 }`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	var got []string
+	for _, c := range changes {
+		got = append(got, c.What.String()+" "+c.At.String())
+	}
+	if want := "node killed 2s, node starts 2.5s, node killed 4s, node starts 4.5s, node killed 6s, node starts 6.5s"; strings.Join(got, ", ") != want {
+		t.Errorf("%v", got)
+	}
+}
+
 // What needs processes is no trouble of virtual time, and a link that is not there can't be cut.
 func TestUpsetsElsewhere(t *testing.T) {
 	for _, kind := range scenario.FleetKinds {
