lab fleet: a call to discovery is of the life that makes it

The histories show the news of its return, written to the node's second life, under the name of its first: the parent told discovery of a life only once it was ready, and a node calls before. No send was wrong. Discovery hears of a life before it begins now, and a watch keeps the name of the life that opened it.

--- a/internal/lab/fleet/rig.go
+++ b/internal/lab/fleet/rig.go
@@ -259,7 +259,7 @@
 	}
 	r.files, r.rec = append(r.files, own.Name()), outside.Continue(own)
 	r.wires, r.lists = &wires{ports: r.ports}, newLists(r)
-	r.nodes, err = sockets.NewNodes(r.ctx, s, sockets.Options{Program: opt.Program, Env: append(slices.Clone(opt.Env), "TMPDIR="+r.dir), Record: r.rec, Begin: r.begin, Dir: r.dir}, r.lists)
+	r.nodes, err = sockets.NewNodes(r.ctx, s, sockets.Options{Program: opt.Program, Env: append(slices.Clone(opt.Env), "TMPDIR="+r.dir), Record: r.rec, Begin: r.begin, Dir: r.dir, Born: r.born}, r.lists)
 	if err != nil {
 		return r, err
 	}
@@ -343,6 +343,11 @@
 	})
 }
 
+// born tells discovery whom it will speak to: a node calls before it is ready.
+func (r *rig) born(place, name string) {
+	r.discovery.tell(sockets.Message{Do: sockets.DoLife, Place: place, Name: name})
+}
+
 // errKilled says that a node was killed while it started, as the schedule has it.
 var errKilled = errors.New("killed while it started")
 
@@ -360,7 +365,6 @@
 	name, _ := r.nodes.Life(i)
 	r.wires.refuse(toNode(info.Place), false)
 	m := sockets.Message{Do: sockets.DoLife, Place: info.Place, Name: name, Addr: r.wires.addr(info.Place)}
-	r.discovery.tell(m)
 	if info.Front < 0 {
 		r.at[info.HostName].tell(m)
 		return nil
--- a/internal/lab/sockets/discovery.go
+++ b/internal/lab/sockets/discovery.go
@@ -173,7 +173,8 @@
 		http.NotFound(rw, r)
 		return
 	}
-	d.w.facts.called(d.w.now(), p.lifeName())
+	life := p.lifeName() // a call is of one life, whatever becomes of the node while it waits or watches
+	d.w.facts.called(d.w.now(), life)
 	if !d.turn(r) {
 		http.Error(rw, "too busy", http.StatusServiceUnavailable)
 		return
@@ -188,11 +189,11 @@
 		http.Error(rw, "from is no number", http.StatusBadRequest)
 		return
 	}
-	d.watch(rw, r, enc, p, from)
+	d.watch(rw, r, enc, p, life, from)
 }
 
 // watch writes the changes since a version, and then every change, until the connection ends.
-func (d *discovery) watch(rw http.ResponseWriter, r *http.Request, enc *json.Encoder, p *process, from int64) {
+func (d *discovery) watch(rw http.ResponseWriter, r *http.Request, enc *json.Encoder, p *process, life string, from int64) {
 	beat := time.NewTicker(2 * time.Second)
 	defer beat.Stop()
 	for first := true; ; first = false {
@@ -220,12 +221,12 @@
 					return
 				}
 			}
-			name, before := p.lifeName(), d.w.now()
+			before := d.w.now()
 			if enc.Encode(n) != nil {
 				return
 			}
 			rw.(http.Flusher).Flush()
-			d.w.facts.told(before, d.w.now(), name, n)
+			d.w.facts.told(before, d.w.now(), life, n)
 			from = n.Seq
 		}
 		select {
--- a/internal/lab/sockets/process.go
+++ b/internal/lab/sockets/process.go
@@ -107,6 +107,9 @@
 	p.life++
 	p.name = fmt.Sprintf("%s.%d", p.place, p.life)
 	p.mu.Unlock()
+	if p.w.opt.Born != nil {
+		p.w.opt.Born(p.place, p.lifeName())
+	}
 	known := p.w.lists.known(p)
 	path, err := p.write(known)
 	if err != nil {
--- a/internal/lab/sockets/world.go
+++ b/internal/lab/sockets/world.go
@@ -31,9 +31,10 @@
 	Env     []string          // added to the environment
 	Record  *outside.Recorder // takes what can be seen from outside; nil: nothing does
 
-	Begin func(*exec.Cmd) error // starts a process; nil: as usual
-	Ports int                   // a rig's block of them; 0: any
-	Dir   string                // where the folder of configurations and logs is made; "": where the system has such
+	Begin func(*exec.Cmd) error    // starts a process; nil: as usual
+	Born  func(place, name string) // is told of a node's life before it begins; may be nil
+	Ports int                      // a rig's block of them; 0: any
+	Dir   string                   // where the folder of configurations and logs is made; "": where the system has such
 }
 
 func (o Options) begin(c *exec.Cmd) error {
