--- a/check.sh
+++ b/check.sh
@@ -18,6 +18,11 @@
 [ "$(printf 'sync\t1\neob\n' | sh -c "$sim")" = yield ] || { echo "deploy: the adapter gave no reply" >&2; exit 1; }
 run=$(sed -n 's/^run = "\(.*\)"$/\1/p' deploy/balancer.toml)
 [ -n "$run" ] || { echo "deploy/balancer.toml: no run command" >&2; exit 1; }
+# The build for service has no lab, and says so.
+status=0
+said=$(bin/hookwalk lab run x.hcl 2>&1) || status=$?
+[ "$status" = 1 ] && [ "$(printf '%s\n' "$said" | grep -c '^hookwalk: this build is for service')" = 1 ] ||
+    { echo "deploy: the lab in the build for service exited $status: $said" >&2; exit 1; }
 # Without a configuration the node says so in one line and exits 1; the tests start it with one.
 status=0
 said=$(ROUTER_CONFIG= sh -c "$run" 2>&1) || status=$?
--- a/cmd/hookwalk/fleet.go
+++ b/cmd/hookwalk/fleet.go
@@ -1,3 +1,5 @@
+//go:build !nolab
+
 package main
 
 import (
@@ -12,6 +14,7 @@
 	"hookwalk.example/hookwalk/internal/lab/fleet"
 	"hookwalk.example/hookwalk/internal/lab/scenario"
 	"hookwalk.example/hookwalk/internal/lab/sockets"
+	"hookwalk.example/hookwalk/internal/lab/sweep"
 )
 
 // exitLate is the status of a play that the machine was too slow for: it says nothing of the program.
@@ -52,7 +55,7 @@
 	for _, f := range found {
 		fmt.Fprintf(io.stdout, "%s: %s, %d troubles\n", f.File, f.Why, len(f.Troubles))
 	}
-	fmt.Fprintf(io.stdout, "%d schedules, %d found\n", c.Seeds, len(found))
+	fmt.Fprintf(io.stdout, "%d schedules, %d found\n", h.Played, len(found))
 	switch {
 	case err != nil:
 		return fmt.Errorf("lab: %w", err)
@@ -63,13 +66,14 @@
 }
 
 type labFleetPlay struct {
-	Files []string `arg:"" help:"The scenarios."`
-	Seed  *uint64  `placeholder:"N" help:"Instead of the file's."`
-	Set   []string `placeholder:"PATH=VALUE" help:"Another value of a setting, as with sweep."`
-	Plays int      `default:"1" help:"How often each is played."`
-	Calm  bool     `default:"true" negatable:"" help:"Play the same seed without the troubles first, for the time to full service."`
-	Old   string   `placeholder:"PATH" help:"Another build of the program, for the part of the nodes that the file's fleet block says."`
-	Table bool     `help:"A line for each file: the median of its plays, and the least and the most."`
+	Files  []string `arg:"" help:"The scenarios."`
+	Seed   *uint64  `placeholder:"N" help:"Instead of the file's."`
+	Set    []string `placeholder:"PATH=VALUE" help:"Another value of a setting, as with sweep."`
+	Plays  int      `default:"1" help:"How often each is played."`
+	Calm   bool     `default:"true" negatable:"" help:"Play the same seed without the troubles first, for the time to full service."`
+	Old    string   `placeholder:"PATH" help:"Another build of the program, for the part of the nodes that the file's fleet block says."`
+	Output string   `short:"o" placeholder:"DIR" help:"Put results there too, for lab report."`
+	Table  bool     `help:"A line for each file: the median of its plays, and the least and the most."`
 }
 
 // Validate wants plays that end.
@@ -102,6 +106,12 @@
 	defer stop()
 	broken, late := 0, false
 	var calm fleet.Calm
+	var cells []sweep.Cell
+	if c.Output != "" {
+		if err := os.MkdirAll(c.Output, 0o755); err != nil {
+			return fmt.Errorf("lab: %w", err)
+		}
+	}
 	if c.Table {
 		fleet.WriteHead(io.stdout)
 	}
@@ -137,6 +147,12 @@
 		if c.Table {
 			fleet.WriteRow(io.stdout, s, plays, quiet)
 		}
+		cells = append(cells, fleet.Cells(s, plays, quiet)...)
+	}
+	if c.Output != "" {
+		if err := sweep.Write(c.Output, cells); err != nil {
+			return fmt.Errorf("lab: %w", err)
+		}
 	}
 	switch {
 	case late:
--- a/cmd/hookwalk/fleet_test.go
+++ b/cmd/hookwalk/fleet_test.go
@@ -84,11 +84,20 @@
 	}
 }
 
-// Whatever ends the parent, no other process survives it, one that is stopped included.
+// Whatever ends the parent, no other process survives it, one that is stopped included; one that is asked to end leaves
+// no folder either. A hunt that plays two at once is a parent too.
 func TestFleetDiesWithItsParent(t *testing.T) {
-	for _, sig := range []syscall.Signal{syscall.SIGINT, syscall.SIGKILL} {
-		dir := t.TempDir()
-		c := program(t, "", "lab", "fleet", "--no-calm", smallFleet)
+	for _, tc := range []struct {
+		sig syscall.Signal
+		two bool
+	}{{syscall.SIGINT, false}, {syscall.SIGKILL, false}, {syscall.SIGINT, true}, {syscall.SIGTERM, true}, {syscall.SIGKILL, true}} {
+		dir, found := t.TempDir(), t.TempDir()
+		c, processes := program(t, "", "lab", "fleet", "--no-calm", smallFleet), 1+12+6
+		if tc.two {
+			c, processes = program(t, "", "lab", "fleet", "hunt", "--at-once", "2", "-o", found, smallFleet), 1+2*(12+6)
+		}
+		var said strings.Builder
+		c.Stdout = &said
 		c.Env = append(c.Env, "TMPDIR="+dir)
 		if err := c.Start(); err != nil {
 			t.Fatal(err)
@@ -102,7 +111,7 @@
 			c.Process.Kill()
 			<-ended
 		})
-		for end := time.Now().Add(60 * time.Second); len(children(t, dir)) < 1+12+6; time.Sleep(10 * time.Millisecond) {
+		for end := time.Now().Add(60 * time.Second); len(children(t, dir)) < processes; time.Sleep(10 * time.Millisecond) {
 			if time.Now().After(end) {
 				t.Fatalf("only %d processes", len(children(t, dir)))
 			}
@@ -112,8 +121,21 @@
 				syscall.Kill(n, syscall.SIGSTOP)
 			}
 		}
-		c.Process.Signal(sig)
-		<-ended
+		c.Process.Signal(tc.sig)
+		select {
+		case <-ended:
+		case <-time.After(20 * time.Second):
+			t.Fatalf("%v does not end it", tc.sig)
+		}
 		gone(t, dir)
+		if tc.sig == syscall.SIGKILL {
+			continue
+		}
+		if left, err := os.ReadDir(dir); err != nil || len(left) > 0 {
+			t.Errorf("%v: it leaves %v, %v", tc.sig, left, err)
+		}
+		if tc.two && said.String() != "0 schedules, 0 found\n" {
+			t.Errorf("%v: it says %s", tc.sig, said.String())
+		}
 	}
 }
--- a/cmd/hookwalk/main.go
+++ b/cmd/hookwalk/main.go
@@ -171,6 +171,7 @@
 	if cfg.Cores > 0 {
 		runtime.GOMAXPROCS(int(math.Ceil(cfg.Cores)))
 	}
+	signal.Ignore(syscall.SIGXFSZ) // a disk without room fails a write, not the node
 	defer spool.Stderr.Flush(lastWords)
 	log := slog.New(slog.NewTextHandler(spool.Stderr, nil))
 	n, err := node.New(cfg, log)
--- a/cmd/hookwalk/sweep.go
+++ b/cmd/hookwalk/sweep.go
@@ -1,3 +1,5 @@
+//go:build !nolab
+
 package main
 
 import (
@@ -81,7 +83,7 @@
 }
 
 type labReport struct {
-	Folder string `arg:"" help:"A sweep's results."`
+	Folder string `arg:"" help:"A sweep's results, or what lab fleet -o has put."`
 	Output string `short:"o" placeholder:"FILE" help:"The page; without it, report.html in the folder."`
 }
 
@@ -95,11 +97,16 @@
 	if path == "" {
 		path = filepath.Join(c.Folder, "report.html")
 	}
+	names := sweep.Names(cells)
+	figures := slices.DeleteFunc(slices.Clone(mainFigures), func(name string) bool { return !slices.Contains(names, name) })
+	if len(figures) < len(mainFigures) { // not of a sweep
+		figures = names
+	}
 	f, err := os.Create(path)
 	if err != nil {
 		return err
 	}
-	if err := errors.Join(sweep.Report(f, cells, mainFigures), f.Close()); err != nil {
+	if err := errors.Join(sweep.Report(f, cells, figures), f.Close()); err != nil {
 		return fmt.Errorf("%s: %w", path, err)
 	}
 	fmt.Fprintln(io.stdout, path)
--- a/internal/lab/fleet/hunt.go
+++ b/internal/lab/fleet/hunt.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -25,6 +26,7 @@
 	Base   string // the world's file, which found schedules build on
 	Opt    Options
 	Tell   func(format string, args ...any)
+	Played int // schedules that were played to their verdict
 
 	play func(context.Context, *scenario.Scenario) (*Played, error) // in tests another than Play
 }
@@ -48,6 +50,9 @@
 func Draw(s *scenario.Scenario, seed uint64) []scenario.Trouble {
 	rng := model.Stream(seed, "hunt", 0)
 	kinds := append([]string{"kill", "crash", "discovery_down", "release", "node_restart", "shared_slow", "overload"}, scenario.FleetKinds...)
+	if !s.Fleet.Control { // then nodes have neither a folder of their own nor anyone who replaces them
+		kinds = slices.DeleteFunc(kinds, func(kind string) bool { return kind == "upgrade" || kind == "hand" })
+	}
 	var list []scenario.Trouble
 	for range 2 + rng.IntN(4) {
 		kind := kinds[rng.IntN(len(kinds))]
@@ -67,6 +72,10 @@
 	t.Spread = time.Duration(rng.IntN(3)) * time.Second / 8
 	t.Way = []string{"both", "out", "back"}[rng.IntN(3)]
 	t.Heal = []string{"held", "reset"}[rng.IntN(2)]
+	t.Folder = "kept"
+	if s.Fleet.Control {
+		t.Folder = scenario.Folders[rng.IntN(len(scenario.Folders))]
+	}
 	switch kind {
 	case "stall":
 		t.Who = []string{"nodes", "boxes", "discovery"}[rng.IntN(3)]
@@ -87,6 +96,9 @@
 	var b strings.Builder
 	fmt.Fprintf(&b, "trouble %q { at_s = %.3f length_s = %.3f part = %g tier = %q size = %g share = %g", t.Kind, t.At.Seconds(), t.Length.Seconds(),
 		t.Part, t.Tier, t.Size, t.Share)
+	if t.Folder != "kept" {
+		fmt.Fprintf(&b, " folder = %q", t.Folder)
+	}
 	if t.Spread > 0 {
 		fmt.Fprintf(&b, " spread_s = %.3f", t.Spread.Seconds())
 	}
@@ -118,7 +130,10 @@
 			for seed := range seeds {
 				f, err := h.one(ctx, seed)
 				mu.Lock()
-				if err != nil && failed == nil {
+				switch {
+				case err == nil:
+					h.Played++
+				case failed == nil:
 					failed = err
 				}
 				if f != nil {
--- a/internal/lab/fleet/hunt_test.go
+++ b/internal/lab/fleet/hunt_test.go
@@ -20,6 +20,7 @@
 tier "store" { kind "k" { count = 4 } }
 class "c" {}
 front { nodes = 4 }
+fleet { control = "on" }
 `
 
 func load(t *testing.T, name, text string) *scenario.Scenario {
--- a/internal/lab/fleet/play.go
+++ b/internal/lab/fleet/play.go
@@ -56,7 +56,10 @@
 	acts := func(r *rig) ([]act, error) { return r.schedule(result) }
 	r, err := up(ctx, s, opt)
 	if err != nil {
-		r.down(true)
+		r.down(ctx.Err() == nil)
+		if ctx.Err() != nil {
+			return nil, fmt.Errorf("fleet: %w", context.Cause(ctx))
+		}
 		return nil, fmt.Errorf("fleet: %w (logs in %s)", err, r.dir)
 	}
 	list, err := acts(r)
@@ -66,7 +69,7 @@
 	if err == nil {
 		err = r.judge(result)
 	}
-	keep := err != nil || len(result.Broken) > 0
+	keep := err != nil && ctx.Err() == nil || len(result.Broken) > 0
 	result.Nodes, result.Parts = len(r.infos), len(r.boxes)+2
 	if keep {
 		result.Folder = r.dir
@@ -87,6 +90,9 @@
 	r.wall = time.Now().Add(lead)
 	r.began = sockets.Monotonic() + lead
 	r.nodes.SetClock(r.began, r.wall)
+	if err := r.folders.remember(); err != nil {
+		return err
+	}
 	begin := sockets.Message{Do: sockets.DoPlay, Began: r.began, Wall: r.wall.UnixNano()}
 	for _, p := range r.boxes {
 		p.tell(begin)
@@ -209,6 +215,7 @@
 	case model.NodeKill:
 		place := r.infos[c.Index].Place
 		r.kills[c.Index].Add(1)
+		r.folders.met(c.Index, c.Folder)
 		r.wires.refuse(toNode(place), true)
 		r.own(func() {
 			r.nodes.Kill(c.Index)
@@ -216,6 +223,7 @@
 		})
 	case model.NodeLeave:
 		r.leaves[c.Index].Store(true)
+		r.folders.met(c.Index, c.Folder)
 		r.nodes.Stop(c.Index, func() {
 			if r.nodes.Sleep(model.FrontDeals) {
 				r.clients.tell(sockets.Message{Do: sockets.DoHear, Index: c.Index})
@@ -264,9 +272,14 @@
 	switch u.Kind {
 	case "stall":
 		return r.stall(u)
+	case "hand":
+		begin, over = r.hand(u)
+		return begin, over, nil
+	case "upgrade":
+		return func() error { r.upgrade(u.Who[0]); return nil }, nil, nil
 	case "box_kill":
 		p := r.partsOf(u.Tier)[u.Who[0]]
-		return func() error { r.boxKill(p); return nil }, func() error { return r.boxBack(p) }, nil
+		return func() error { r.boxKill(p, u.Folder); return nil }, func() error { return r.boxBack(p) }, nil
 	}
 	list, faults, err := r.faults(u)
 	if err != nil {
@@ -462,14 +475,38 @@
 		func() error { note(outside.Resume, outside.Speak); p.signal(syscall.SIGCONT); return nil }, nil
 }
 
+// upgrade has a node's process replaced, both side by side for a while.
+func (r *rig) upgrade(i int) {
+	kills := r.kills[i].Load()
+	if r.folders.apart(i) { // then a successor can't know what operators said
+		ids, _ := r.nodes.BoxNames(r.infos[i].Tier)
+		for _, id := range ids {
+			r.hands.forget(i, id)
+		}
+	}
+	r.own(func() {
+		if err := r.nodes.Replace(r.ctx, i); err != nil && r.kills[i].Load() == kills && !r.leaves[i].Load() {
+			r.end(fmt.Errorf("upgrade: %w", err))
+		}
+	})
+}
+
 // boxKill ends a process of boxes as a machine dies, with the nodes beside them.
-func (r *rig) boxKill(p *part) {
+func (r *rig) boxKill(p *part, folder string) {
+	if p.downs++; p.downs > 1 { // it is down already
+		return
+	}
 	p.signal(syscall.SIGKILL)
 	for _, at := range p.boxes {
 		ids, _ := r.nodes.BoxNames(at[0])
 		id := ids[at[1]]
 		r.gone(id)
 		r.nodes.Note(outside.Event{What: outside.Down, Server: id})
+		for n, info := range r.infos {
+			if info.HostName == id {
+				r.folders.met(n, folder)
+			}
+		}
 		r.killHosted(id)
 		r.tellList(sockets.Message{Do: sockets.DoLearn, Tier: at[0], Index: at[1], Health: "terminated", Wait: r.s.Discovery.Notice})
 	}
@@ -480,8 +517,11 @@
 	r.discovery.tell(m)
 }
 
-// boxBack starts them again, cold, each once its node is ready.
+// boxBack starts them again, cold, each once its node is ready; where several troubles have them down, after the last.
 func (r *rig) boxBack(p *part) error {
+	if p.downs--; p.downs > 0 {
+		return nil
+	}
 	r.own(func() {
 		if _, err := p.start(sockets.Message{Cold: true, Began: r.began, Wall: r.wall.UnixNano()}); err != nil {
 			r.end(err)
--- a/internal/lab/fleet/result.go
+++ b/internal/lab/fleet/result.go
@@ -10,6 +10,7 @@
 
 	"hookwalk.example/hookwalk/internal/lab/outside"
 	"hookwalk.example/hookwalk/internal/lab/scenario"
+	"hookwalk.example/hookwalk/internal/lab/sweep"
 )
 
 // Course is what clients asked for and were served in time, in pieces of a tenth of a second of their first tries.
@@ -264,3 +265,40 @@
 		spreadOf("%.2f", lost), spreadOf("%.3f", refused), spreadOf("%.1f", boxes), spreadOf("%.1f", shakes), spreadOf("%.0f", calls),
 		spreadOf("%.2f", ready), broken, spreadOf("%.0f", late))
 }
+
+// Cells are plays and, as a group of their own, the one without the troubles, for `lab report`: worth second by second
+// with the troubles marked, and how long it took until service was whole. Where it was not within the play, that is the
+// rest of the play, and never_whole is 1.
+func Cells(s *scenario.Scenario, plays []*Played, calm *Played) (list []sweep.Cell) {
+	var without Course
+	if calm != nil {
+		without = CourseOf(s, calm.Events)
+	}
+	add := func(p *Played, which string) {
+		c := CourseOf(s, p.Events)
+		cell := sweep.Cell{Scenario: s.Name, Policy: which, Seed: s.Seed,
+			Figures: map[string]float64{"worth": c.Share(), "violations": float64(len(p.Broken)), "full_service_s": 0, "worth_lost_s": 0, "never_whole": 0}}
+		for at := time.Duration(0); at < s.Length; at += time.Second {
+			asked, got := c.Between(at, at+time.Second)
+			cell.Worth = append(cell.Worth, share(got, asked))
+		}
+		for _, t := range s.Troubles {
+			cell.Troubles = append(cell.Troubles, sweep.Mark{Kind: t.Kind, From: t.At.Seconds(), To: (t.At + t.Spread + t.Length).Seconds()})
+		}
+		if calm != nil && len(p.Faults) > 0 {
+			if took, lost, ok := Whole(c, without, p.Faults[0].At); ok {
+				cell.Figures["full_service_s"], cell.Figures["worth_lost_s"] = took.Seconds(), lost
+			} else {
+				cell.Figures["full_service_s"], cell.Figures["never_whole"] = (s.Length - p.Faults[0].At).Seconds(), 1
+			}
+		}
+		list = append(list, cell)
+	}
+	for _, p := range plays {
+		add(p, "with troubles")
+	}
+	if calm != nil {
+		add(calm, "without")
+	}
+	return list
+}
--- a/internal/lab/fleet/rig.go
+++ b/internal/lab/fleet/rig.go
@@ -76,6 +76,8 @@
 	doors     map[string]string
 	done      chan struct{}
 	kills     []atomic.Int64 // of each node, so far
+	folders   *folders       // of nodes that operators may call; nil: there is one for all
+	hands     *hands         // what operators told them
 	leaves    []atomic.Bool  // nodes that were told to end
 	began     time.Duration
 	wall      time.Time
@@ -92,10 +94,11 @@
 	has   string
 	boxes [][2]int
 	lives int
+	downs int // troubles that have it down at present
 
 	mu     sync.Mutex
 	cmd    *exec.Cmd
-	in     io.WriteCloser
+	words  chan []byte // to it, until nil
 	ready  chan sockets.Message
 	exited chan struct{}
 	killed bool
@@ -110,16 +113,41 @@
 	return <-err
 }
 
-// tell sends a line to a part. One that is gone needs none.
+// mostWords is how many lines a part that is stopped may leave unread beside what its pipe takes.
+const mostWords = 4096
+
+// tell sends a line to a part. One that is gone needs none; one that is stopped holds up nobody.
 func (p *part) tell(m sockets.Message) {
+	text, err := json.Marshal(m)
+	if err != nil {
+		p.r.end(fmt.Errorf("%s: %w", p.name, err))
+		return
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.in == nil {
+	if p.words == nil {
 		return
 	}
-	text, err := json.Marshal(m)
-	if err == nil {
-		p.in.Write(append(text, '\n'))
+	select {
+	case p.words <- append(text, '\n'):
+	default:
+		p.r.end(fmt.Errorf("%s reads nothing", p.name))
+	}
+}
+
+// speak writes what a part is told until that is over, and closes its pipe.
+func speak(in io.WriteCloser, words <-chan []byte) {
+	defer in.Close()
+	for text := range words {
+		in.Write(text) // one that is gone needs none
+	}
+}
+
+// silence ends what a part is told. The caller holds mu.
+func (p *part) silence() {
+	if p.words != nil {
+		close(p.words)
+		p.words = nil
 	}
 }
 
@@ -151,12 +179,16 @@
 	}
 	ready, exited := make(chan sockets.Message, 1), make(chan struct{})
 	p.mu.Lock()
-	p.cmd, p.in, p.ready, p.exited, p.killed = cmd, in, ready, exited, false
+	words := make(chan []byte, mostWords)
+	p.cmd, p.words, p.ready, p.exited, p.killed = cmd, words, ready, exited, false
 	p.mu.Unlock()
+	r.wg.Go(func() { speak(in, words) })
+	over := context.AfterFunc(r.ctx, func() { cmd.Process.Kill() }) // also one that begins as the fleet ends
 	r.mu.Lock()
 	r.files = append(r.files, m.History)
 	r.mu.Unlock()
 	r.wg.Go(func() {
+		defer over()
 		lines := bufio.NewReader(out)
 		for {
 			text, err := lines.ReadBytes('\n')
@@ -177,7 +209,7 @@
 		err := cmd.Wait()
 		p.mu.Lock()
 		killed := p.killed
-		p.in = nil
+		p.silence()
 		p.mu.Unlock()
 		close(exited)
 		if !killed {
@@ -206,7 +238,7 @@
 func (p *part) signal(s syscall.Signal) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.cmd == nil || p.in == nil {
+	if p.cmd == nil || p.words == nil {
 		return
 	}
 	p.killed = p.killed || s == syscall.SIGKILL
@@ -216,16 +248,14 @@
 // stop ends a part as it is meant to, by closing its pipe.
 func (p *part) stop() {
 	p.mu.Lock()
-	in, cmd, exited := p.in, p.cmd, p.exited
-	p.killed, p.in = true, nil
+	cmd, exited := p.cmd, p.exited
+	p.killed = true
+	p.silence()
 	p.mu.Unlock()
 	if cmd == nil {
 		return
 	}
 	cmd.Process.Signal(syscall.SIGCONT)
-	if in != nil {
-		in.Close()
-	}
 	select {
 	case <-exited:
 	case <-time.After(partReady):
@@ -248,7 +278,9 @@
 		}
 	}()
 	if links(s) <= mostLinks { // more find room in the whole range only, beside no other rig
-		r.ports, r.release = link.Claim()
+		if r.ports, r.release, err = link.Claim(ctx); err != nil {
+			return r, err
+		}
 	}
 	if r.dir, err = os.MkdirTemp("", "hookwalk-fleet-"); err != nil {
 		return r, err
@@ -273,6 +305,12 @@
 			r.nodes.SetProgram(i, opt.Old)
 		}
 	}
+	if s.Fleet.Control {
+		r.hands = &hands{r: r, out: map[int][]string{}}
+		if r.folders, err = newFolders(r); err != nil {
+			return r, err
+		}
+	}
 	if err := r.startBoxes(); err != nil {
 		return r, err
 	}
@@ -354,7 +392,7 @@
 // startNode begins a node's next life and tells all who ought to know.
 func (r *rig) startNode(i int) error {
 	kills := r.kills[i].Load()
-	if err := r.nodes.Start(r.ctx, i); err != nil {
+	if err := r.nodes.Start(r.ctx, i, r.folders.meanwhile(i)); err != nil {
 		if r.kills[i].Load() != kills {
 			return errKilled
 		}
--- /dev/null
+++ b/internal/lab/fleet/rogue_test.go
@@ -0,0 +1,122 @@
+package fleet
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"slices"
+	"testing"
+
+	"hookwalk.example/hookwalk/internal/lab/audit"
+	"hookwalk.example/hookwalk/internal/lab/outside"
+	"hookwalk.example/hookwalk/internal/lab/rogue"
+	"hookwalk.example/hookwalk/internal/lab/scenario"
+	"hookwalk.example/hookwalk/internal/lab/sockets"
+)
+
+// TestMain lets the test binary stand in for the rig's parts, and for nodes that break a rule.
+func TestMain(m *testing.M) {
+	fault := os.Getenv(rogue.Variable)
+	if fault == "" {
+		os.Exit(m.Run())
+	}
+	var err error
+	if slices.Equal(os.Args[1:], []string{"lab", "part"}) {
+		err = sockets.ServePart(context.Background(), os.Stdin, os.Stdout)
+	} else {
+		err = rogue.Serve(fault)
+	}
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+	os.Exit(0)
+}
+
+// Processes that break a rule are named for it, whatever fault there is meanwhile between them and others.
+func TestRoguesAreCaughtBesideFaults(t *testing.T) {
+	const nodesToBoxes = `at_s = 0.6 length_s = 0.4 part = 0.5 who = "nodes" whom = "boxes"`
+	met := map[string]bool{}
+	for trouble, tc := range map[string]struct {
+		fault string
+		want  audit.Rule
+	}{
+		`"kill" { at_s = 0.6 length_s = 0.3 part = 0.5 folder = "emptied" }`: {rogue.NoAnswer, audit.Lost},
+		`"stall" { at_s = 0.6 length_s = 0.4 part = 0.5 }`:                   {rogue.Late, audit.InTime},
+		`"cut" { ` + nodesToBoxes + ` way = "back" }`:                        {rogue.AgainAndAgain, audit.MostSends},
+		`"slow_link" { ` + nodesToBoxes + ` delay_ms = 5 }`:                  {rogue.TwoAtOnce, audit.OneOut},
+		`"reset_link" { ` + nodesToBoxes + ` }`:                              {rogue.AgainAndAgain, audit.NoSecondRun},
+		`"refuse_link" { ` + nodesToBoxes + ` }`:                             {rogue.RefusedRun, audit.Harmless},
+		`"half_open" { ` + nodesToBoxes + ` }`:                               {rogue.MadeUp, audit.MadeUp},
+		`"break_link" { ` + nodesToBoxes + ` bytes = 40 }`:                   {rogue.MadeUp, audit.MadeUp},
+		`"box_kill" { at_s = 0.5 length_s = 0.1 part = 1 }`:                  {rogue.Flood, audit.Cold},
+		`"upgrade" { at_s = 1 part = 1 }`:                                    {rogue.Hasty, audit.Lost},
+		`"hand" { at_s = 0.5 length_s = 1 part = 1 }`:                        {rogue.Hasty, audit.ByHand},
+		`"release" { at_s = 0.5 length_s = 1 part = 1 }`:                     {rogue.DeafToNews, audit.Drain},
+	} {
+		s := load(t, "rogues.hcl", `scenario "rogues" { length_s = 2 }
+tier "t" { kind "k" { count = 2 cold_s = 5 conns = 200 slots = 200 } }
+class "bin-weighin" { work_ms = 80 cv = 0 aim_ms = 500 deadline_ms = 1000 }
+clients { rate = 25 retries = 0 }
+front { nodes = 2 notice_s = 0.1 }
+discovery { drain_ms = 10 spread_ms = 10 }
+fleet { boxes_per_process = 2 control = "on" }
+trouble `+trouble)
+		met[s.Troubles[0].Kind] = true
+		t.Run(s.Troubles[0].Kind, func(t *testing.T) {
+			t.Parallel()
+			for range 3 { // a machine that is too slow judges nothing
+				p, err := Play(t.Context(), s, Options{Program: []string{os.Args[0]}, Env: []string{rogue.Variable + "=" + tc.fault}})
+				if err != nil {
+					t.Fatal(err)
+				}
+				os.RemoveAll(p.Folder)
+				if p.TooLate() {
+					continue
+				}
+				for _, v := range p.Broken {
+					if v.Rule == tc.want {
+						return
+					}
+				}
+				t.Fatalf("%q is not among the %d rules broken: %v", tc.want, len(p.Broken), p.Broken[:min(3, len(p.Broken))])
+			}
+			t.Skip("the machine is too slow")
+		})
+	}
+	for _, kind := range scenario.FleetKinds {
+		if !met[kind] {
+			t.Errorf("no rogue is played beside %s", kind)
+		}
+	}
+}
+
+// Two troubles that have one process of boxes down at a time start it once, after the later; a trouble whose end is
+// that of the play leaves no process behind. Play waits for all of them.
+func TestTroublesThatOverlap(t *testing.T) {
+	s := load(t, "overlap.hcl", `scenario "overlap" { length_s = 2 }
+tier "t" { kind "k" { count = 2 } }
+class "c" { effect = "safe" }
+clients { rate = 10 retries = 0 }
+front { nodes = 2 }
+fleet { boxes_per_process = 2 }
+trouble "box_kill" { at_s = 0.2 length_s = 0.4 part = 1 }
+trouble "box_kill" { at_s = 0.4 length_s = 0.8 part = 1 }
+trouble "kill" { at_s = 1.5 length_s = 1.8 part = 1 }
+`)
+	dir := t.TempDir()
+	p, err := Play(t.Context(), s, Options{Program: []string{os.Args[0]}, Env: []string{rogue.Variable + "=" + rogue.Hasty, "TMPDIR=" + dir}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	os.RemoveAll(p.Folder)
+	boots := 0
+	for _, e := range p.Events {
+		if e.What == outside.Boot && e.At > 0 {
+			boots++
+		}
+	}
+	if boots != 2 {
+		t.Errorf("two boxes have started %d times", boots)
+	}
+}
--- a/internal/lab/link/link.go
+++ b/internal/lab/link/link.go
@@ -105,16 +105,24 @@
 	block     = 4000
 )
 
-// Claim takes a block of ports for a rig, until release, and gives its first. Where all are taken that is 0, and the whole
-// range is used.
-func Claim() (ports int, release func()) {
-	for _, n := range rand.Perm(blocks) {
-		first := firstPort + n*block
-		if ln, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", first)); err == nil { // held: others see that it is taken
-			return first, func() { ln.Close() }
+// Claim takes a block of ports for a rig, until release, and gives its first. Where all are taken it waits for one: two
+// rigs in one block would take each other's addresses while these are given up for a fault.
+func Claim(ctx context.Context) (ports int, release func(), err error) {
+	look := time.NewTicker(50 * time.Millisecond)
+	defer look.Stop()
+	for {
+		for _, n := range rand.Perm(blocks) {
+			first := firstPort + n*block
+			if ln, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", first)); err == nil { // held: others see that it is taken
+				return first, func() { ln.Close() }, nil
+			}
+		}
+		select {
+		case <-look.C:
+		case <-ctx.Done():
+			return 0, nil, fmt.Errorf("link: all ports are other rigs': %w", context.Cause(ctx))
 		}
 	}
-	return 0, func() {}
 }
 
 // Use is what an address is for: one that is closed for a while must not be taken for another use meanwhile.
@@ -124,10 +132,11 @@
 const (
 	ForLink Use = iota
 	ForDoor
+	ForNode // and the operators' address beside it
 	ForBox
 )
 
-var uses = [...]struct{ from, to int }{ForLink: {1, 2500}, ForDoor: {2500, 3000}, ForBox: {3000, block}}
+var uses = [...]struct{ from, to int }{ForLink: {1, 2500}, ForDoor: {2500, 3000}, ForNode: {3000, 3500}, ForBox: {3500, block}}
 
 // Listen opens a listener on loopback, in a rig's block of ports if that is above 0, at an address that is nobody's for
 // another use.
--- a/internal/lab/link/link_test.go
+++ b/internal/lab/link/link_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"context"
 	"errors"
 	"io"
 	"net"
@@ -265,3 +266,42 @@
 		t.Errorf("set after close: %v", err)
 	}
 }
+
+// A rig that finds all blocks taken waits until one is free, or its time is over.
+func TestClaimWaitsForABlock(t *testing.T) {
+	var held []func()
+	taken := map[int]bool{}
+	for range blocks {
+		ctx, stop := context.WithTimeout(t.Context(), time.Minute)
+		first, release, err := Claim(ctx)
+		stop()
+		if err != nil {
+			t.Skipf("other rigs run: %v", err)
+		}
+		if taken[first] {
+			t.Errorf("block %d is given twice", first)
+		}
+		taken[first] = true
+		held = append(held, release)
+	}
+	over, end := context.WithCancel(t.Context())
+	end()
+	if _, _, err := Claim(over); err == nil {
+		t.Error("a block that is taken is given away")
+	}
+	got := make(chan error)
+	go func() {
+		_, release, err := Claim(t.Context())
+		if err == nil {
+			release()
+		}
+		got <- err
+	}()
+	held[0]()
+	if err := <-got; err != nil {
+		t.Error(err)
+	}
+	for _, release := range held[1:] {
+		release()
+	}
+}
--- a/internal/lab/model/troubles.go
+++ b/internal/lab/model/troubles.go
@@ -47,7 +47,8 @@
 	What        What
 	Tier, Index int
 	Size, Share float64
-	Class       int // -1: all
+	Class       int    // -1: all
+	Folder      string // of a node that ends: what it finds when it starts again
 }
 
 // Troubles turns a scenario's troubles into changes, in order of time. Which boxes they meet is drawn from the
@@ -60,7 +61,7 @@
 		class := slices.IndexFunc(s.Classes, func(c scenario.Class) bool { return c.Name == t.Class })
 		end := t.At + t.Length
 		add := func(at time.Duration, w What, index int, size float64) {
-			list = append(list, Change{At: at, What: w, Tier: tier, Index: index, Size: size, Share: t.Share, Class: class})
+			list = append(list, Change{At: at, What: w, Tier: tier, Index: index, Size: size, Share: t.Share, Class: class, Folder: t.Folder})
 		}
 		some := part(rng, s.Tiers[tier].Boxes(), t.Part)
 		switch t.Kind {
--- a/internal/lab/model/upsets.go
+++ b/internal/lab/model/upsets.go
@@ -12,7 +12,7 @@
 type Upset struct {
 	scenario.Trouble
 	From, To time.Duration
-	Who      []int // numbers of the front's nodes, or of the processes that have a tier's boxes; of discovery: 0
+	Who      []int // a number of the front's nodes, or of the processes that have a tier's boxes; of discovery: 0; by hand: box and tier
 }
 
 // Upsets are those of a scenario's troubles, in the order of the file. Whom they meet is drawn from the seed.
@@ -27,20 +27,31 @@
 			who = "boxes"
 		}
 		count := 1
-		switch who {
-		case "nodes":
+		tier := slices.IndexFunc(s.Tiers, func(k scenario.Tier) bool { return k.Name == t.Tier })
+		switch {
+		case t.Kind == "hand":
+			who, count = "boxes", s.Tiers[tier].Boxes()
+		case t.Kind == "upgrade": // those beside boxes too
+			who, count = "nodes", s.Front.Nodes
+			for _, tier := range s.Tiers[:len(s.Tiers)-1] {
+				count += tier.Boxes()
+			}
+		case who == "nodes":
 			count = s.Front.Nodes
-		case "boxes":
-			i := slices.IndexFunc(s.Tiers, func(k scenario.Tier) bool { return k.Name == t.Tier })
-			count = (s.Tiers[i].Boxes() + s.Fleet.BoxesPer - 1) / s.Fleet.BoxesPer
+		case who == "boxes":
+			count = (s.Tiers[tier].Boxes() + s.Fleet.BoxesPer - 1) / s.Fleet.BoxesPer
 		}
-		if t.Whom == who && t.Kind != "stall" && t.Kind != "box_kill" {
+		if t.Whom == who && !slices.Contains([]string{"stall", "box_kill", "upgrade", "hand"}, t.Kind) {
 			return nil, fmt.Errorf("%s: %s and %s have no link", t.Pos, t.Who, t.Whom)
 		}
 		t.Who = who
 		for _, i := range part(rng, count, t.Part) {
 			at := t.At + time.Duration(rng.Float64()*float64(t.Spread))
-			list = append(list, Upset{Trouble: t, From: at, To: at + t.Length, Who: []int{i}})
+			u := Upset{Trouble: t, From: at, To: at + t.Length, Who: []int{i}}
+			if t.Kind == "hand" {
+				u.Who = append(u.Who, tier)
+			}
+			list = append(list, u)
 		}
 	}
 	return list, nil
--- a/internal/lab/model/upsets_test.go
+++ b/internal/lab/model/upsets_test.go
@@ -14,7 +14,7 @@
 tier "store" { kind "k" { count = 9 } }
 class "c" {}
 front { nodes = 10 }
-fleet { boxes_per_process = 2 }
+fleet { boxes_per_process = 2 control = "on" }
 `
 
 func parsed(t *testing.T, text string) *scenario.Scenario {
@@ -95,6 +95,20 @@
 	}
 }
 
+// An upgrade meets all nodes, those beside boxes included, and needs nodes that can be replaced.
+func TestUpgradeMeetsAllNodes(t *testing.T) {
+	list, err := Upsets(parsed(t, `trouble "upgrade" { part = 1 }`))
+	if err != nil || len(list) != 10+7 {
+		t.Errorf("%d nodes are replaced, %v", len(list), err)
+	}
+	for _, text := range []string{`trouble "upgrade" {}`, `trouble "hand" {}`, `trouble "kill" { folder = "cut" }`} {
+		plain := strings.Replace(chain, ` control = "on"`, "", 1) + text
+		if _, err := scenario.Parse("a.hcl", []byte(plain), nil); err == nil || !strings.Contains(err.Error(), "a.hcl:7: ") {
+			t.Errorf("%s without operators: %v", text, err)
+		}
+	}
+}
+
 // What needs processes is no trouble of virtual time, and a link that is not there can't be cut.
 func TestUpsetsElsewhere(t *testing.T) {
 	for _, kind := range scenario.FleetKinds {
--- /dev/null
+++ b/internal/lab/rogue/rogue.go
@@ -0,0 +1,143 @@
+// Package rogue is a node that knows the wire and breaks a rule, for the lab's own tests: what judges nodes must catch
+// it, also beside a fault that explains some of what it sees. A test's binary stands in for the program with it.
+package rogue
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"sync"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// Variable names the fault in a rogue's environment.
+const Variable = "LAB_ROGUE"
+
+// What a rogue may do.
+const (
+	MadeUp        = "made-up"
+	NoAnswer      = "no answer"
+	Late          = "late"
+	TwoAtOnce     = "two at once"
+	AgainAndAgain = "again and again"
+	RefusedRun    = "refused after a run"
+	Hasty         = "hasty"        // goes at SIGTERM with requests open
+	DeafToNews    = "deaf to news" // hears discovery and sends on to whatever its first list has
+	Flood         = "flood"        // sends each request 20 times over to one server
+)
+
+type config struct {
+	Listen, Control, Discovery string
+	Known                      struct {
+		Hosts []struct{ Dial string }
+	}
+}
+
+// Serve is the node, from ROUTER_CONFIG until the process is ended.
+func Serve(fault string) error {
+	text, err := os.ReadFile(os.Getenv("ROUTER_CONFIG"))
+	if err != nil {
+		return err
+	}
+	var c config
+	if err := json.Unmarshal(text, &c); err != nil {
+		return err
+	}
+	if len(c.Known.Hosts) == 0 {
+		return fmt.Errorf("rogue: no servers in %s", os.Getenv("ROUTER_CONFIG"))
+	}
+	ln, err := listen(c.Listen)
+	if err != nil {
+		return err
+	}
+	fmt.Fprintf(os.Stderr, "msg=serving listen=%s\n", ln.Addr())
+	if c.Control != "" { // it says yes to everything
+		go http.ListenAndServe(c.Control, http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	}
+	if fault == DeafToNews {
+		go hear(c.Discovery)
+	}
+	return http.Serve(ln, http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
+		if r.URL.Path != "/ready" {
+			c.answer(fault, rw, r)
+		}
+	}))
+}
+
+// listen lets an older process of the node keep the address beside it.
+func listen(addr string) (net.Listener, error) {
+	lc := net.ListenConfig{Control: func(_, _ string, c syscall.RawConn) (err error) {
+		if e := c.Control(func(fd uintptr) {
+			err = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_REUSEPORT, 1)
+		}); e != nil {
+			return e
+		}
+		return err
+	}}
+	return lc.Listen(context.Background(), "tcp", addr)
+}
+
+// hear reads all that discovery writes, and minds none of it.
+func hear(addr string) {
+	const looks = 1000
+	for range looks {
+		resp, err := http.Get("http://" + addr + "/v1/endpoints?watch=1&from=1")
+		if err == nil {
+			io.Copy(io.Discard, resp.Body)
+			resp.Body.Close()
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+func (c config) answer(fault string, rw http.ResponseWriter, r *http.Request) {
+	pass := func(to io.Writer, n int) int {
+		out, err := http.NewRequest(r.Method, "http://"+c.Known.Hosts[n%len(c.Known.Hosts)].Dial+r.URL.String(), nil)
+		if err != nil {
+			return 0
+		}
+		out.Header = r.Header.Clone()
+		resp, err := http.DefaultClient.Do(out)
+		if err != nil {
+			return 0
+		}
+		defer resp.Body.Close()
+		io.Copy(to, resp.Body)
+		return resp.StatusCode
+	}
+	many := func(n int, to func(i int) int) {
+		var all sync.WaitGroup
+		for i := range n {
+			all.Go(func() { pass(io.Discard, to(i)) })
+		}
+		all.Wait()
+	}
+	switch fault {
+	case MadeUp:
+	case NoAnswer:
+		panic(http.ErrAbortHandler) // the connection ends without a word
+	case Late:
+		pass(rw, 0)
+		time.Sleep(1200 * time.Millisecond)
+	case TwoAtOnce:
+		many(2, func(i int) int { return i })
+	case AgainAndAgain:
+		for i := range 4 {
+			pass(rw, i)
+		}
+	case RefusedRun:
+		pass(io.Discard, 0)
+		rw.WriteHeader(http.StatusServiceUnavailable)
+	case Flood:
+		many(20, func(int) int { return 0 })
+	default:
+		pass(rw, 0)
+	}
+}
--- a/internal/lab/scenario/scenario.go
+++ b/internal/lab/scenario/scenario.go
@@ -145,6 +145,7 @@
 	Known    string        // the list that a node starts with: fresh, old or none
 	Age      time.Duration // of an old one
 	Old      float64       // share of the nodes that run another build
+	Control  bool          // nodes take operators' calls and keep their address and name over their lives
 }
 
 // Trouble is something that goes wrong for a while.
@@ -168,10 +169,14 @@
 	Delay     time.Duration
 	Rate      float64 // bytes a second
 	Bytes     int
+	Folder    string // what a node that is ended finds of its folder when it starts again
 }
 
 // FleetKinds are the troubles that need processes with links between them. A kill is also played in virtual time.
-var FleetKinds = []string{"stall", "cut", "slow_link", "reset_link", "refuse_link", "half_open", "break_link", "box_kill"}
+var FleetKinds = []string{"stall", "cut", "slow_link", "reset_link", "refuse_link", "half_open", "break_link", "box_kill", "upgrade", "hand"}
+
+// Folders are what can have become of a node's folder ($TMPDIR) between two of its lives.
+var Folders = []string{"kept", "emptied", "cut", "old", "other", "unwritable", "full"}
 
 // TroubleKinds are all that a scenario can name.
 var TroubleKinds = []string{"crash", "cut_off", "neighbour", "heavy_tail", "shared_slow", "broken_answers",
@@ -448,7 +453,8 @@
 func (s *Scenario) takeFleet(r *settings.Reader, again bool) {
 	r.Once(again)
 	s.Fleet = Fleet{BoxesPer: r.Whole("boxes_per_process", 4, 1, 1000), Known: r.OneOf("known", "fresh", "old", "none"),
-		Age: r.Seconds("known_age_s", 0, 0, day), Old: r.Number("old_build", 0, 0, 1)}
+		Age: r.Seconds("known_age_s", 0, 0, day), Old: r.Number("old_build", 0, 0, 1),
+		Control: r.OneOf("control", "off", "on") == "on"}
 }
 
 func (s *Scenario) takeTrouble(r *settings.Reader, _ bool) {
@@ -459,7 +465,8 @@
 		Who: r.OneOf("who", "nodes", "boxes", "discovery"), Whom: r.OneOf("whom", "all", "nodes", "boxes", "discovery", "clients"),
 		Spread: r.Seconds("spread_s", 0, 0, time.Hour), Way: r.OneOf("way", "both", "out", "back"),
 		Heal: r.OneOf("heal", "held", "reset"), Delay: r.Millis("delay_ms", 0, 0, minute),
-		Rate: r.Number("rate_kb", 0, 0, 1e9) * 1000, Bytes: r.Whole("bytes", 0, 0, 1<<30)}
+		Rate: r.Number("rate_kb", 0, 0, 1e9) * 1000, Bytes: r.Whole("bytes", 0, 0, 1<<30),
+		Folder: r.OneOf("folder", Folders...)}
 	if !slices.Contains(TroubleKinds, t.Kind) && !slices.Contains(FleetKinds, t.Kind) {
 		r.Fail(r.Block.Line, "unknown trouble %q", t.Kind)
 	}
@@ -472,6 +479,9 @@
 	if line, ok := r.Has("class"); ok && !slices.ContainsFunc(s.Classes, func(o Class) bool { return o.Name == t.Class }) {
 		r.Fail(line, "class %q is not one of the classes", t.Class)
 	}
+	if !s.Fleet.Control && (t.Kind == "upgrade" || t.Kind == "hand" || t.Folder != "kept") {
+		r.Fail(r.Block.Line, "%s with folder %s needs fleet { control = \"on\" }", t.Kind, t.Folder)
+	}
 	if line, ok := r.Has("size"); ok && t.Size == 0 {
 		r.Fail(line, "size must be above 0")
 	}
--- a/internal/lab/sockets/nodes.go
+++ b/internal/lab/sockets/nodes.go
@@ -83,11 +83,17 @@
 }
 
 // SetProgram has a node started from another build from its next life on.
-func (n *Nodes) SetProgram(i int, program []string) { n.w.processes[i].program = program }
+func (n *Nodes) SetProgram(i int, program []string) {
+	p := n.w.processes[i]
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.program = program
+}
 
 // Start begins a node's next life and returns once it is ready.
-// The process of the life before is waited for: one that was told to stop may still have answers to give.
-func (n *Nodes) Start(ctx context.Context, i int) error {
+// The process of the life before is waited for: one that was told to stop may still have answers to give. Between the two
+// meanwhile is called, if there is one.
+func (n *Nodes) Start(ctx context.Context, i int, meanwhile func() error) error {
 	p := n.w.processes[i]
 	p.mu.Lock()
 	ended := p.exited
@@ -99,9 +105,16 @@
 			return ctx.Err()
 		}
 	}
-	p.mu.Lock()
-	p.addr = "" // another one each time: nobody keeps it for a node that is dead
-	p.mu.Unlock()
+	if meanwhile != nil {
+		if err := meanwhile(); err != nil {
+			return err
+		}
+	}
+	if !n.w.s.Fleet.Control {
+		p.mu.Lock()
+		p.addr = "" // another one each time: nobody keeps it for a node that is dead
+		p.mu.Unlock()
+	}
 	return p.start(ctx)
 }
 
--- a/internal/lab/sockets/process.go
+++ b/internal/lab/sockets/process.go
@@ -43,7 +43,13 @@
 	addr   string
 	cmd    *exec.Cmd
 	exited chan struct{}
+	before *exec.Cmd     // in an upgrade: the older process
+	ended  chan struct{} // and its end
 	client *http.Client
+
+	control string // of the newest process, where nodes take operators' calls
+	tmp     string // its $TMPDIR; "": that of all
+	starts  func(*exec.Cmd)
 }
 
 // readyWithin is how long a node may take to start on a busy machine.
@@ -72,7 +78,11 @@
 	if listen == "" {
 		listen = "127.0.0.1:0"
 	}
-	return json.Marshal(object{"name": p.name, "listen": listen, "discovery": p.w.lists.addr(p),
+	name := p.name
+	if p.control != "" { // what stands in its folder is of a node, not of a life
+		name = p.place
+	}
+	return json.Marshal(object{"name": name, "listen": listen, "control": p.control, "discovery": p.w.lists.addr(p),
 		"seed":   strconv.FormatUint(model.Stream(p.w.s.Seed, "node "+p.place, p.life).Uint64(), 16),
 		"limits": object{"cores": 1, "memory_mb": 128, "sockets": 512}, "known": known,
 		"settings": object{"balancers": set.Balancers, "me": set.Self, "tier": set.Tier, "registry-mode": mode, "tick-ms": millis(set.Tick),
@@ -110,37 +120,78 @@
 	if p.w.opt.Born != nil {
 		p.w.opt.Born(p.place, p.lifeName())
 	}
+	if err := p.operated(); err != nil {
+		return err
+	}
 	known := p.w.lists.known(p)
+	p.w.facts.started(p.w.now(), p.name, known)
+	cmd, exited, addr, err := p.launch(known)
+	if err != nil {
+		return err
+	}
+	p.mu.Lock()
+	p.cmd, p.exited = cmd, exited
+	p.client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 256, IdleConnTimeout: time.Second, DisableCompression: true}}
+	p.mu.Unlock()
+	late := time.NewTimer(readyWithin)
+	defer late.Stop()
+	log := p.place + ".log"
+	select {
+	case at := <-addr:
+		p.mu.Lock()
+		p.addr = at
+		p.mu.Unlock()
+	case <-exited:
+		return fmt.Errorf("node %s ended without serving: see %s", p.place, log)
+	case <-late.C:
+		return fmt.Errorf("node %s does not serve: see %s", p.place, log)
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	return p.ready(ctx, "http://"+p.addr+"/ready", exited, late.C)
+}
+
+// launch starts a process of the node and gives its end, and its address once it serves.
+func (p *process) launch(known roster) (*exec.Cmd, chan struct{}, <-chan string, error) {
+	fail := func(err error) (*exec.Cmd, chan struct{}, <-chan string, error) {
+		return nil, nil, nil, fmt.Errorf("node %s: %w", p.place, err)
+	}
 	path, err := p.write(known)
 	if err != nil {
-		return fmt.Errorf("node %s: %w", p.place, err)
+		return fail(err)
 	}
 	program := p.w.opt.Program
+	p.mu.Lock()
 	if p.program != nil {
 		program = p.program
 	}
+	p.mu.Unlock()
 	cmd := exec.Command(program[0], append(slices.Clone(program[1:]), "run")...)
-	cmd.Env = append(os.Environ(), append(p.w.opt.Env, "ROUTER_CONFIG="+path)...)
+	cmd.Env = append(os.Environ(), append(slices.Clone(p.w.opt.Env), "ROUTER_CONFIG="+path)...)
+	if p.tmp != "" {
+		cmd.Env = append(cmd.Env, "TMPDIR="+p.tmp)
+	}
 	stderr, err := cmd.StderrPipe()
 	if err != nil {
-		return fmt.Errorf("node %s: %w", p.place, err)
+		return fail(err)
 	}
 	log, err := os.OpenFile(filepath.Join(p.w.dir, p.place+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
-		return fmt.Errorf("node %s: %w", p.place, err)
+		return fail(err)
 	}
-	p.w.facts.started(p.w.now(), p.name, known)
 	if err := p.w.opt.begin(cmd); err != nil {
 		log.Close()
-		return fmt.Errorf("node %s: %w", p.place, err)
+		return fail(err)
+	}
+	if p.starts != nil {
+		p.starts(cmd)
 	}
 	addr, exited := make(chan string, 1), make(chan struct{})
-	p.mu.Lock()
-	p.cmd, p.exited = cmd, exited
-	p.client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 256, IdleConnTimeout: time.Second, DisableCompression: true}}
-	p.mu.Unlock()
+	// One that begins as the world ends is met by nobody's signal: it ends with the world whatever comes first.
+	done := context.AfterFunc(p.w.ctx, func() { cmd.Process.Kill() })
 	p.w.own(func() {
 		defer log.Close()
+		defer done()
 		lines := bufio.NewScanner(stderr)
 		for lines.Scan() {
 			fmt.Fprintln(log, lines.Text())
@@ -156,22 +207,17 @@
 		p.mu.Unlock()
 		close(exited)
 	})
-	late := time.NewTimer(readyWithin)
-	defer late.Stop()
-	select {
-	case at := <-addr:
-		p.mu.Lock()
-		p.addr = at
-		p.mu.Unlock()
-	case <-exited:
-		return fmt.Errorf("node %s ended without serving: see %s", p.place, log.Name())
-	case <-late.C:
-		return fmt.Errorf("node %s does not serve: see %s", p.place, log.Name())
-	case <-ctx.Done():
-		return ctx.Err()
-	}
+	return cmd, exited, addr, nil
+}
+
+// ready waits until a node says yes at an address.
+func (p *process) ready(ctx context.Context, url string, exited <-chan struct{}, late <-chan time.Time) error {
+	log := p.place + ".log"
+	p.mu.Lock()
+	client := p.client
+	p.mu.Unlock()
 	for {
-		resp, err := p.client.Get("http://" + p.addr + "/ready")
+		resp, err := client.Get(url)
 		if err == nil {
 			resp.Body.Close()
 			if resp.StatusCode == http.StatusOK {
@@ -181,9 +227,9 @@
 		select {
 		case <-time.After(10 * time.Millisecond):
 		case <-exited:
-			return fmt.Errorf("node %s ended before it was ready: see %s", p.place, log.Name())
-		case <-late.C:
-			return fmt.Errorf("node %s is not ready: see %s", p.place, log.Name())
+			return fmt.Errorf("node %s ended before it was ready: see %s", p.place, log)
+		case <-late:
+			return fmt.Errorf("node %s is not ready: see %s", p.place, log)
 		case <-ctx.Done():
 			return ctx.Err()
 		}
@@ -205,6 +251,9 @@
 		return nil, ""
 	}
 	p.cmd.Process.Signal(s) // one that has just ended needs none
+	if p.before != nil {    // both are the node
+		p.before.Process.Signal(s)
+	}
 	return p.exited, p.name
 }
 
@@ -219,6 +268,12 @@
 	p.w.facts.killed(p.w.now(), name)
 	if ended, _ := p.signal(syscall.SIGKILL); ended != nil {
 		<-ended
+		p.mu.Lock()
+		older := p.ended
+		p.mu.Unlock()
+		if older != nil {
+			<-older
+		}
 	}
 }
 
--- a/internal/lab/sockets/rogue_test.go
+++ b/internal/lab/sockets/rogue_test.go
@@ -2,24 +2,21 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
-	"io"
-	"net"
-	"net/http"
 	"os"
-	"sync"
+	"syscall"
 	"testing"
 	"time"
 
 	"hookwalk.example/hookwalk/internal/lab/audit"
+	"hookwalk.example/hookwalk/internal/lab/rogue"
 	"hookwalk.example/hookwalk/internal/lab/scenario"
 )
 
 // TestMain lets the test binary stand in for a node that breaks a rule.
 func TestMain(m *testing.M) {
-	if fault := os.Getenv("LAB_ROGUE"); fault != "" {
-		if err := rogue(fault); err != nil {
+	if fault := os.Getenv(rogue.Variable); fault != "" {
+		if err := rogue.Serve(fault); err != nil {
 			fmt.Fprintln(os.Stderr, err)
 		}
 		os.Exit(1)
@@ -27,71 +24,14 @@
 	os.Exit(m.Run())
 }
 
-// rogue is a node that knows the wire and keeps no rule.
-func rogue(fault string) error {
-	text, err := os.ReadFile(os.Getenv("ROUTER_CONFIG"))
-	if err != nil {
-		return err
-	}
-	var c struct {
-		Known roster `json:"known"`
-	}
-	if err := json.Unmarshal(text, &c); err != nil {
-		return err
-	}
-	pass := func(r *http.Request, to entry) int {
-		out, err := http.NewRequest(r.Method, "http://"+to.Dial+r.URL.String(), nil)
-		if err != nil {
-			return 0
-		}
-		out.Header = r.Header.Clone()
-		resp, err := http.DefaultClient.Do(out)
-		if err != nil {
-			return 0
-		}
-		defer resp.Body.Close()
-		io.Copy(io.Discard, resp.Body)
-		return resp.StatusCode
-	}
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return err
-	}
-	fmt.Fprintf(os.Stderr, "msg=serving listen=%s\n", ln.Addr())
-	return http.Serve(ln, http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
-		if r.URL.Path == "/ready" {
-			return
-		}
-		box := c.Known.Hosts
-		switch fault {
-		case "made-up":
-		case "no answer":
-			panic(http.ErrAbortHandler) // the connection ends without a word
-		case "two at once":
-			var both sync.WaitGroup
-			for i := range 2 {
-				spawn(&both, func() { pass(r, box[i]) })
-			}
-			both.Wait()
-		case "again and again":
-			for i := range 4 {
-				pass(r, box[i%len(box)])
-			}
-		case "refused after a run":
-			pass(r, box[0])
-			rw.WriteHeader(http.StatusServiceUnavailable)
-		}
-	}))
-}
-
 // On sockets too each fault of a node is named for what it is.
 func TestAuditorSeesRoguesOnSockets(t *testing.T) {
 	for fault, want := range map[string][]audit.Rule{
-		"made-up":             {audit.MadeUp},
-		"no answer":           {audit.Lost},
-		"two at once":         {audit.OneOut, audit.NoSecondRun},
-		"again and again":     {audit.MostSends, audit.NoSecondRun},
-		"refused after a run": {audit.Harmless},
+		rogue.MadeUp:        {audit.MadeUp},
+		rogue.NoAnswer:      {audit.Lost},
+		rogue.TwoAtOnce:     {audit.OneOut, audit.NoSecondRun},
+		rogue.AgainAndAgain: {audit.MostSends, audit.NoSecondRun},
+		rogue.RefusedRun:    {audit.Harmless},
 	} {
 		t.Run(fault, func(t *testing.T) {
 			t.Parallel()
@@ -103,7 +43,7 @@
 			if err != nil {
 				t.Fatal(err)
 			}
-			w, err := Up(context.Background(), s, Options{Program: []string{os.Args[0]}, Env: []string{"LAB_ROGUE=" + fault}})
+			w, err := Up(context.Background(), s, Options{Program: []string{os.Args[0]}, Env: []string{rogue.Variable + "=" + fault}})
 			defer w.Down(false)
 			if err != nil {
 				t.Fatal(err)
@@ -144,3 +84,34 @@
 		t.Errorf("its folder is still there: %v", err)
 	}
 }
+
+// A node whose process begins only after its world has ended is ended too: Down has no other look at it.
+func TestNothingBeginsAfterTheEnd(t *testing.T) {
+	s, err := scenario.Parse("a.hcl", []byte(`scenario "a" {}
+tier "t" { kind "k" {} }
+class "c" {}`), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	w, err := Up(t.Context(), s, Options{Program: []string{os.Args[0]}, Env: []string{rogue.Variable + "=" + rogue.MadeUp}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	w.Down(true)
+	defer os.RemoveAll(w.Folder())
+	p := w.processes[0]
+	if err := p.start(context.Background()); err == nil {
+		t.Error("it is ready after the end")
+	}
+	ended := make(chan struct{})
+	go func() {
+		w.wg.Wait()
+		close(ended)
+	}()
+	select {
+	case <-ended:
+	case <-time.After(10 * time.Second):
+		p.signal(syscall.SIGKILL)
+		t.Error("its process goes on after the end")
+	}
+}
--- a/internal/lab/sweep/sweep.go
+++ b/internal/lab/sweep/sweep.go
@@ -188,7 +188,7 @@
 	if err := context.Cause(ctx); err != nil {
 		return nil, fmt.Errorf("sweep: %w", err)
 	}
-	return cells, write(dir, cells)
+	return cells, Write(dir, cells)
 }
 
 // fill takes a cell's results from the folder, or plays it and keeps them there.
@@ -235,8 +235,8 @@
 	return os.Rename(half, path)
 }
 
-// write puts all results into one file of JSON lines and one of CSV, in the order of the grid.
-func write(dir string, cells []Cell) error {
+// Write puts all results into one file of JSON lines and one of CSV, in the order of the grid.
+func Write(dir string, cells []Cell) error {
 	var lines, table strings.Builder
 	out := csv.NewWriter(&table)
 	figures := Names(cells)
--- a/lab/fleets/hunt.hcl
+++ b/lab/fleets/hunt.hcl
@@ -14,4 +14,4 @@
 front     { nodes = 5 notice_s = 1 }
 discovery { notice_ms = 500 silent_ms = 2000 add_ms = 200 calls_per_s = 40 }
 rules     { slack_ms = 400 drain_grace_ms = 400 }
-fleet     { boxes_per_process = 3 }
+fleet     { boxes_per_process = 3 control = "on" }
--- a/lab/fleets/small.hcl
+++ b/lab/fleets/small.hcl
@@ -18,9 +18,10 @@
 front     { nodes = 6 notice_s = 0.5 }
 discovery { notice_ms = 500 silent_ms = 2000 add_ms = 200 calls_per_s = 100 }
 rules     { slack_ms = 600 drain_grace_ms = 600 }
-fleet     { boxes_per_process = 3 }
+fleet     { boxes_per_process = 3 control = "on" }
 
-trouble "kill"        { at_s = 3    length_s = 1   part = 0.7 spread_s = 0.1 }
+trouble "hand"        { at_s = 2    length_s = 9   tier = "log-front" part = 0.3 }
+trouble "kill"        { at_s = 3    length_s = 1   part = 0.7 spread_s = 0.1 folder = "kept" }
 trouble "stall"       { at_s = 5.5  length_s = 0.8 who = "nodes" part = 0.3 }
 trouble "cut"         { at_s = 7    length_s = 1   who = "nodes" whom = "boxes" way = "out" part = 0.2 }
 trouble "cut"         { at_s = 8.5  length_s = 1.5 who = "discovery" whom = "nodes" way = "out" heal = "reset" }
@@ -31,4 +32,5 @@
 trouble "half_open"   { at_s = 12.5 length_s = 1   who = "nodes" whom = "discovery" way = "back" part = 0.3 }
 trouble "stall"       { at_s = 13.5 length_s = 0.7 who = "boxes" tier = "log-store" part = 0.5 }
 trouble "box_kill"    { at_s = 15   length_s = 1   tier = "log-store" part = 0.5 }
-trouble "node_restart" { at_s = 16.5 length_s = 1 part = 0.3 }
+trouble "node_restart" { at_s = 16.5 length_s = 1 part = 0.3 folder = "cut" }
+trouble "upgrade"     { at_s = 18   part = 1 spread_s = 0.5 }
