--- a/internal/lab/model/troubles.go
+++ b/internal/lab/model/troubles.go
@@ -158,7 +158,23 @@
 		}
 	}
 	slices.SortStableFunc(list, func(a, b Change) int { return cmp.Compare(a.At, b.At) })
-	return list, nil
+	return together(list), nil
+}
+
+// together has discovery, where several troubles have it down at a time, go once and come back after the last.
+func together(list []Change) []Change {
+	down := 0
+	return slices.DeleteFunc(list, func(c Change) bool {
+		switch c.What {
+		case DiscoveryDown:
+			down++
+			return down > 1
+		case DiscoveryUp:
+			down--
+			return down > 0
+		}
+		return false
+	})
 }
 
 // part draws a share of n things, at least one, in the order of their numbers.
--- a/internal/lab/model/upsets_test.go
+++ b/internal/lab/model/upsets_test.go
@@ -95,6 +95,24 @@
 	}
 }
 
+// Two troubles that have discovery down at a time are one, from the first one's beginning to the later one's end.
+func TestDiscoveryGoesOnce(t *testing.T) {
+	changes, err := Troubles(parsed(t, `trouble "discovery_down" { at_s = 1 length_s = 4 }
+trouble "discovery_down" { at_s = 2 length_s = 1 }
+trouble "discovery_down" { at_s = 4 length_s = 3 }
+trouble "discovery_down" { at_s = 8 length_s = 1 }`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	var got []string
+	for _, c := range changes {
+		got = append(got, c.What.String()+" "+c.At.String())
+	}
+	if want := "discovery down 1s, discovery up 7s, discovery down 8s, discovery up 9s"; strings.Join(got, ", ") != want {
+		t.Errorf("%v", got)
+	}
+}
+
 // An upgrade meets all nodes, those beside boxes included, and needs nodes that can be replaced.
 func TestUpgradeMeetsAllNodes(t *testing.T) {
 	list, err := Upsets(parsed(t, `trouble "upgrade" { part = 1 }`))
