--- a/internal/lab/fleet/play.go
+++ b/internal/lab/fleet/play.go
@@ -223,6 +223,7 @@
 		})
 	case model.NodeLeave:
 		r.leaves[c.Index].Store(true)
+		r.kills[c.Index].Add(1) // one that just starts may not even hear it as a word yet
 		r.folders.met(c.Index, c.Folder)
 		r.nodes.Stop(c.Index, func() {
 			if r.nodes.Sleep(model.FrontDeals) {
--- a/internal/lab/fleet/result_test.go
+++ b/internal/lab/fleet/result_test.go
@@ -6,6 +6,7 @@
 
 	"hookwalk.example/hookwalk/internal/lab/outside"
 	"hookwalk.example/hookwalk/internal/lab/scenario"
+	"hookwalk.example/hookwalk/internal/lab/sweep"
 )
 
 // even is a course of 20 s in which each second asks for 10 and is served so much.
@@ -79,3 +80,41 @@
 		}
 	}
 }
+
+// What a report gets of a play is its worth second by second, its troubles, and when service was whole again; of one in
+// which it never was, that it never was.
+func TestCellsForReports(t *testing.T) {
+	s := &scenario.Scenario{Name: "s", Seed: 7, Length: 20 * time.Second, Classes: []scenario.Class{{Worth: 1, Aim: time.Second, Deadline: time.Second}},
+		Troubles: []scenario.Trouble{{Kind: "kill", At: 4 * time.Second, Length: 2 * time.Second, Spread: time.Second}}}
+	played := func(bad func(second int) bool) *Played {
+		p := &Played{Faults: []Fault{{At: 4 * time.Second}}}
+		for i := range 200 {
+			at := time.Duration(i) * piece10
+			p.Events = append(p.Events, outside.Event{At: at, What: outside.Wish},
+				outside.Event{At: at, What: outside.Over, Ready: !bad(i / 10)})
+		}
+		return p
+	}
+	calm := played(func(int) bool { return false })
+	calm.Faults = nil
+	cells := Cells(s, []*Played{played(func(s int) bool { return s == 4 || s == 5 }), played(func(s int) bool { return s >= 4 })}, calm)
+	if len(cells) != 3 {
+		t.Fatalf("%d cells", len(cells))
+	}
+	for i, want := range []map[string]float64{{"full_service_s": 2, "worth_lost_s": 2, "never_whole": 0, "worth": 0.9},
+		{"full_service_s": 16, "worth_lost_s": 0, "never_whole": 1, "worth": 0.2}, {"full_service_s": 0, "never_whole": 0, "worth": 1}} {
+		c := cells[i]
+		for name, v := range want {
+			if got := c.Figures[name]; got < v-0.06 || got > v+0.06 {
+				t.Errorf("cell %d: %s is %v, want %v", i, name, got, v)
+			}
+		}
+		if len(c.Worth) != 20 || c.Worth[3] != 1 || (c.Worth[5] == 1) != (i == 2) || c.Seed != 7 || len(c.Troubles) != 1 ||
+			c.Troubles[0] != (sweep.Mark{Kind: "kill", From: 4, To: 7}) {
+			t.Errorf("cell %d: %+v", i, c)
+		}
+	}
+	if cells[0].Group() == cells[2].Group() {
+		t.Error("with and without are one group")
+	}
+}
--- a/internal/lab/fleet/rig.go
+++ b/internal/lab/fleet/rig.go
@@ -75,7 +75,7 @@
 	clients   *part
 	doors     map[string]string
 	done      chan struct{}
-	kills     []atomic.Int64 // of each node, so far
+	kills     []atomic.Int64 // of each node, so far, and words to end
 	folders   *folders       // of nodes that operators may call; nil: there is one for all
 	hands     *hands         // what operators told them
 	leaves    []atomic.Bool  // nodes that were told to end
@@ -386,8 +386,8 @@
 	r.discovery.tell(sockets.Message{Do: sockets.DoLife, Place: place, Name: name})
 }
 
-// errKilled says that a node was killed while it started, as the schedule has it.
-var errKilled = errors.New("killed while it started")
+// errKilled says that a node was ended while it started, as the schedule has it.
+var errKilled = errors.New("ended while it started")
 
 // startNode begins a node's next life and tells all who ought to know.
 func (r *rig) startNode(i int) error {
--- a/internal/lab/fleet/rogue_test.go
+++ b/internal/lab/fleet/rogue_test.go
@@ -6,6 +6,7 @@
 	"os"
 	"slices"
 	"testing"
+	"time"
 
 	"hookwalk.example/hookwalk/internal/lab/audit"
 	"hookwalk.example/hookwalk/internal/lab/outside"
@@ -91,6 +92,42 @@
 	}
 }
 
+// What operators said to a node is owed by its next life as far as its folder was kept, and no further.
+func TestWhatOperatorsSaidOutlivesAProcess(t *testing.T) {
+	for folder, owed := range map[string]bool{"kept": true, "full": true, "emptied": false, "old": false} {
+		s := load(t, "hand.hcl", `scenario "hand" { length_s = 3 }
+tier "t" { kind "k" { count = 3 } }
+class "c" { effect = "safe" }
+clients { rate = 20 retries = 0 }
+front { nodes = 2 notice_s = 0.1 }
+fleet { control = "on" }
+trouble "hand" { at_s = 0.3 length_s = 2 part = 0.7 }
+trouble "kill" { at_s = 1 length_s = 0.2 part = 1 folder = "`+folder+`" }
+`)
+		t.Run(folder, func(t *testing.T) {
+			t.Parallel()
+			p, err := Play(t.Context(), s, Options{Program: []string{os.Args[0]}, Env: []string{rogue.Variable + "=" + rogue.Forgetful}})
+			if err != nil {
+				t.Fatal(err)
+			}
+			os.RemoveAll(p.Folder)
+			if p.TooLate() {
+				t.Skip("the machine is too slow")
+			}
+			found := false
+			for _, v := range p.Broken {
+				found = found || v.Rule == audit.ByHand
+				if v.Rule != audit.ByHand || v.At < time.Second {
+					t.Errorf("also broken: %v", v)
+				}
+			}
+			if found != owed {
+				t.Errorf("it sends to what is out by hand: caught %v, want %v", found, owed)
+			}
+		})
+	}
+}
+
 // Two troubles that have one process of boxes down at a time start it once, after the later; a trouble whose end is
 // that of the play leaves no process behind. Play waits for all of them.
 func TestTroublesThatOverlap(t *testing.T) {
--- a/internal/lab/rogue/rogue.go
+++ b/internal/lab/rogue/rogue.go
@@ -10,6 +10,8 @@
 	"net"
 	"net/http"
 	"os"
+	"path"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -31,12 +33,37 @@
 	Hasty         = "hasty"        // goes at SIGTERM with requests open
 	DeafToNews    = "deaf to news" // hears discovery and sends on to whatever its first list has
 	Flood         = "flood"        // sends each request 20 times over to one server
+	Forgetful     = "forgetful"    // does what operators say, and its next life knows nothing of it
 )
 
 type config struct {
 	Listen, Control, Discovery string
 	Known                      struct {
-		Hosts []struct{ Dial string }
+		Hosts []struct{ Host, Dial string }
+	}
+
+	mu  sync.Mutex
+	out map[string]bool // by an operator's word
+}
+
+// use is a server that is not out by hand; "": there is none.
+func (c *config) use() string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, h := range c.Known.Hosts {
+		if !c.out[h.Host] {
+			return h.Dial
+		}
+	}
+	return ""
+}
+
+// operated says yes to every call, and remembers servers that are to be out.
+func (c *config) operated(_ http.ResponseWriter, r *http.Request) {
+	if id, out := path.Split(strings.TrimPrefix(r.URL.Path, "/control/servers/")); out == "offline" || out == "online" {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.out[strings.TrimSuffix(id, "/")] = out == "offline"
 	}
 }
 
@@ -46,8 +73,8 @@
 	if err != nil {
 		return err
 	}
-	var c config
-	if err := json.Unmarshal(text, &c); err != nil {
+	c := &config{out: map[string]bool{}}
+	if err := json.Unmarshal(text, c); err != nil {
 		return err
 	}
 	if len(c.Known.Hosts) == 0 {
@@ -58,8 +85,8 @@
 		return err
 	}
 	fmt.Fprintf(os.Stderr, "msg=serving listen=%s\n", ln.Addr())
-	if c.Control != "" { // it says yes to everything
-		go http.ListenAndServe(c.Control, http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	if c.Control != "" {
+		go http.ListenAndServe(c.Control, http.HandlerFunc(c.operated))
 	}
 	if fault == DeafToNews {
 		go hear(c.Discovery)
@@ -97,9 +124,9 @@
 	}
 }
 
-func (c config) answer(fault string, rw http.ResponseWriter, r *http.Request) {
-	pass := func(to io.Writer, n int) int {
-		out, err := http.NewRequest(r.Method, "http://"+c.Known.Hosts[n%len(c.Known.Hosts)].Dial+r.URL.String(), nil)
+func (c *config) answer(fault string, rw http.ResponseWriter, r *http.Request) {
+	send := func(to io.Writer, dial string) int {
+		out, err := http.NewRequest(r.Method, "http://"+dial+r.URL.String(), nil)
 		if err != nil {
 			return 0
 		}
@@ -112,6 +139,7 @@
 		io.Copy(to, resp.Body)
 		return resp.StatusCode
 	}
+	pass := func(to io.Writer, n int) int { return send(to, c.Known.Hosts[n%len(c.Known.Hosts)].Dial) }
 	many := func(n int, to func(i int) int) {
 		var all sync.WaitGroup
 		for i := range n {
@@ -135,6 +163,10 @@
 	case RefusedRun:
 		pass(io.Discard, 0)
 		rw.WriteHeader(http.StatusServiceUnavailable)
+	case Forgetful:
+		if to := c.use(); to == "" || send(rw, to) != http.StatusOK {
+			rw.WriteHeader(http.StatusBadGateway)
+		}
 	case Flood:
 		many(20, func(int) int { return 0 })
 	default:
