What operators said is on disk before the yes: internal/state, whole files under a lock

Wrong lines: Node.pass asked the engine before it wrote with nothing between two calls; handover.Keep wrote one name for all of a process; claim returned before anything was kept.

internal/state: files whole, forced to disk, with checksum, owner, age by a clock that cannot be set, and the one before; callers share a write, another process is kept out by the file's lock for 300 ms at most.

--- a/cmd/hookwalk/fleet_test.go
+++ b/cmd/hookwalk/fleet_test.go
@@ -31,6 +31,17 @@
 	return pids
 }
 
+// short is a folder in which the paths of nodes' sockets are not too long.
+func short(t *testing.T) string {
+	t.Helper()
+	dir, err := os.MkdirTemp("", "hw")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { os.RemoveAll(dir) })
+	return dir
+}
+
 // gone waits until no process of a folder is left.
 func gone(t *testing.T, dir string) {
 	t.Helper()
@@ -62,7 +73,7 @@
 		}
 	}
 	for try := range 3 {
-		dir := t.TempDir()
+		dir := short(t)
 		c := program(t, "", "lab", "fleet", "--no-calm", smallFleet)
 		c.Env = append(c.Env, "TMPDIR="+dir)
 		code, said, warned := ends(t, c)
@@ -91,7 +102,7 @@
 		sig syscall.Signal
 		two bool
 	}{{syscall.SIGINT, false}, {syscall.SIGKILL, false}, {syscall.SIGINT, true}, {syscall.SIGTERM, true}, {syscall.SIGKILL, true}} {
-		dir, found := t.TempDir(), t.TempDir()
+		dir, found := short(t), t.TempDir()
 		c, processes := program(t, "", "lab", "fleet", "--no-calm", smallFleet), 1+12+6
 		if tc.two {
 			c, processes = program(t, "", "lab", "fleet", "hunt", "--at-once", "2", "-o", found, smallFleet), 1+2*(12+6)
--- a/cmd/hookwalk/main.go
+++ b/cmd/hookwalk/main.go
@@ -37,6 +37,7 @@
 	Drill   drillCommands  `cmd:"" help:"Rehearsals of trouble."`
 	Replay  replayCommand  `cmd:"" help:"Play a capture (a .hwc file or a log with capture lines) into this build's decisions and print what is decided otherwise; status 0: nothing, 1: something, 2: it can't be played."`
 	Check   checkCommand   `cmd:"" help:"Read a settings file strictly: ok, or what is wrong and where, and status 1."`
+	State   stateCommands  `cmd:"" help:"What a node keeps on disk."`
 	Lab     labCommands    `cmd:"" help:"An emulator of the chain: scenarios in virtual time and on sockets, experiments, the paper."`
 	Version versionCommand `cmd:"" help:"Print what build this is."`
 }
--- a/cmd/hookwalk/upgrade_test.go
+++ b/cmd/hookwalk/upgrade_test.go
@@ -43,11 +43,14 @@
 	return newSiteOf(t, func(w http.ResponseWriter, r *http.Request) { fmt.Fprint(w, r.Header.Get("X-Call-Id")) })
 }
 
-// newSiteOf is a site whose servers answer in a way.
-func newSiteOf(t testing.TB, answer http.HandlerFunc) *site {
+// newSiteOf is a site whose servers answer in a way, and that lists others where nobody listens.
+func newSiteOf(t testing.TB, answer http.HandlerFunc, others ...string) *site {
 	t.Helper()
 	s := &site{listen: free(t), tmp: t.TempDir()}
 	var hosts []string
+	for _, id := range others {
+		hosts = append(hosts, fmt.Sprintf(`{"host":%q,"dial":"127.0.0.1:1","health":"in_service"}`, id))
+	}
 	for i := range s.ran {
 		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			s.ran[i].Add(1)
@@ -257,6 +260,32 @@
 	p.terminate(t)
 }
 
+// out are the servers that the folder says are out by hand.
+func (s *site) out(t testing.TB) map[string]bool {
+	t.Helper()
+	var kept struct{ Kept struct{ Out []string } }
+	names, err := os.ReadDir(s.tmp)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, n := range names {
+		if strings.HasSuffix(n.Name(), ".kept") {
+			text, err := os.ReadFile(s.tmp + "/" + n.Name())
+			if err == nil {
+				err = json.Unmarshal(text, &kept)
+			}
+			if err != nil {
+				t.Errorf("%s: %v", n.Name(), err)
+			}
+		}
+	}
+	out := map[string]bool{}
+	for _, id := range kept.Kept.Out {
+		out[id] = true
+	}
+	return out
+}
+
 // One that has sent its clients away is replaced by one that has, too.
 func TestUpgradeWhileDrained(t *testing.T) {
 	s := newSite(t)
@@ -345,16 +374,8 @@
 			if got := heir.call("POST", "/control/servers/s-1/online"); got != http.StatusOK {
 				t.Errorf("the server that was out is answered %d", got)
 			}
-			var kept struct{ Kept struct{ Out []string } }
-			names, _ := os.ReadDir(s.tmp)
-			for _, n := range names {
-				if strings.HasSuffix(n.Name(), ".kept") {
-					text, _ := os.ReadFile(s.tmp + "/" + n.Name())
-					json.Unmarshal(text, &kept)
-				}
-			}
-			if len(kept.Kept.Out) > 0 {
-				t.Errorf("on disk %v is out", kept.Kept.Out)
+			if out := s.out(t); len(out) > 0 {
+				t.Errorf("on disk %v is out", out)
 			}
 		})
 	}
--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -15,11 +15,10 @@
 	"syscall"
 	"time"
 
-	"hookwalk.example/hookwalk/deckrelay"
 	"hookwalk.example/hookwalk/internal/engine"
 )
 
-// Version is that of what is handed over and of the file. Another version hands nothing over.
+// Version is that of what is handed over. Another version hands nothing over.
 const Version = 1
 
 const (
@@ -55,13 +54,14 @@
 	Drain  *bool  `json:"drain,omitempty"` // clients are sent away, or taken again
 }
 
-// Path is where the processes of a node meet. An error says that there is no such place.
+// Path is where the processes of a node meet, and beside which it keeps what operators said. An error says that they
+// can't meet there; what is kept can be.
 func Path(dir, node, listen string) (string, error) {
 	sum := fnv.New64a()
 	fmt.Fprintf(sum, "%s\n%s", node, listen)
 	path := filepath.Join(dir, fmt.Sprintf("hookwalk-%016x.sock", sum.Sum64()))
 	if len(path) > longest {
-		return "", errors.New("the path of $TMPDIR is too long for a socket")
+		return path, errors.New("the path of $TMPDIR is too long for a socket")
 	}
 	return path, nil
 }
@@ -262,60 +262,3 @@
 		l.c.Close()
 	})
 }
-
-// ---- The file ----
-
-// file is what stands on disk.
-type file struct {
-	Version int
-	Sum     uint64 // of Kept
-	Kept    json.RawMessage
-}
-
-func sum(b []byte) uint64 {
-	h := fnv.New64a()
-	h.Write(b)
-	return h.Sum64()
-}
-
-// Keep writes a file beside the path, in the stead of the one before.
-func Keep(path string, k Kept) error {
-	text, err := json.Marshal(k)
-	if err != nil {
-		return err
-	}
-	whole, err := json.Marshal(file{Version: Version, Sum: sum(text), Kept: text})
-	if err != nil {
-		return err
-	}
-	fresh := fmt.Sprintf("%s.kept.%d", path, os.Getpid())
-	if err := os.WriteFile(fresh, whole, 0o600); err != nil {
-		return err
-	}
-	return os.Rename(fresh, path+".kept")
-}
-
-// Read reads the file, if there is one that is whole and of this version.
-func Read(path string) (k Kept, err error) {
-	text, err := os.ReadFile(path + ".kept")
-	if errors.Is(err, os.ErrNotExist) {
-		return k, nil
-	}
-	if err != nil {
-		return k, err
-	}
-	var f file
-	if err := json.Unmarshal(text, &f); err != nil {
-		return k, fmt.Errorf("%s.kept: %w", path, err)
-	}
-	if f.Version != Version || f.Sum != sum(f.Kept) {
-		return k, fmt.Errorf("%s.kept: of version %d, or torn", path, f.Version)
-	}
-	if err := json.Unmarshal(f.Kept, &k); err != nil {
-		return Kept{}, fmt.Errorf("%s.kept: %w", path, err)
-	}
-	if len(k.Out) > deckrelay.MostHands {
-		return Kept{}, fmt.Errorf("%s.kept: %d servers", path, len(k.Out))
-	}
-	return k, nil
-}
--- a/internal/handover/handover_test.go
+++ b/internal/handover/handover_test.go
@@ -1,12 +1,10 @@
 package handover
 
 import (
-	"bytes"
 	"encoding/json"
 	"io"
 	"net"
 	"os"
-	"path/filepath"
 	"reflect"
 	"strings"
 	"sync"
@@ -162,49 +160,45 @@
 	}
 }
 
-// What an operator said is found again whole, or not at all.
+// What an operator said is found again by the same node, of the build before too; another node's is not.
 func TestFile(t *testing.T) {
 	path := place(t)
-	if k, err := Read(path); err != nil || !reflect.DeepEqual(k, Kept{}) {
-		t.Errorf("without a file: %v, %v", k, err)
+	mine := NewKeeper(path, "n0", "a:1", func() {})
+	if k, found := mine.Read(); found.Body != nil || found.Bad != nil || !reflect.DeepEqual(k, Kept{}) {
+		t.Errorf("without a file: %v, %v", k, found)
 	}
-	want := Kept{Out: []string{"s-1", "s-2"}, Drained: true}
-	for range 2 {
-		if err := Keep(path, want); err != nil {
+	for _, want := range []Kept{{}, {Out: []string{"s-1", "s-2"}, Drained: true}} {
+		if err := mine.Keep(t.Context(), func() (Kept, error) { return want, nil }); err != nil {
 			t.Fatal(err)
 		}
+		if k, found := mine.Read(); found.Bad != nil || !reflect.DeepEqual(k, want) {
+			t.Errorf("got %v, %v", k, found)
+		}
 	}
-	if k, err := Read(path); err != nil || !reflect.DeepEqual(k, want) {
-		t.Errorf("got %v, %v", k, err)
+	for _, other := range []*Keeper{NewKeeper(path, "n1", "a:1", func() {}), NewKeeper(path, "n0", "a:2", func() {})} {
+		if k, found := other.Read(); len(found.Bad) != 2 || !reflect.DeepEqual(k, Kept{}) {
+			t.Errorf("another node got %v, %v", k, found)
+		}
 	}
-	if left, _ := filepath.Glob(filepath.Dir(path) + "/*"); len(left) != 1 {
-		t.Errorf("left %v", left)
+	for text, out := range map[string]int{
+		`{"Version":1,"Sum":4336933469318982132,"Kept":{"Out":["s-1"],"Drained":false}}`: 1,
+		`{"Version":1,"Sum":4336933469318982133,"Kept":{"Out":["s-1"],"Drained":false}}`: 2, // torn: the one before
+	} {
+		if err := os.WriteFile(mine.Path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		if err := os.WriteFile(mine.Path+".before", []byte(`{"Version":1,"Sum":13067960413548343350,"Kept":{"Out":["s-1","s-2"],"Drained":false}}`), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		if k, found := mine.Read(); len(k.Out) != out || found.Before != (out == 2) {
+			t.Errorf("of the build before: %v, %v", k, found.Bad)
+		}
 	}
-	whole, err := os.ReadFile(path + ".kept")
-	if err != nil {
+	many := Kept{Out: make([]string, deckrelay.MostHands+1)}
+	if err := mine.Keep(t.Context(), func() (Kept, error) { return many, nil }); err != nil {
 		t.Fatal(err)
 	}
-	torn := func(b []byte) {
-		t.Helper()
-		os.WriteFile(path+".kept", b, 0o600)
-		if k, err := Read(path); err == nil || !reflect.DeepEqual(k, Kept{}) {
-			t.Errorf("%q: got %v, %v", b, k, err)
-		}
-	}
-	for i := range whole {
-		torn(whole[:i])
+	if k, found := mine.Read(); found.Body != nil || len(found.Bad) != 1 || !reflect.DeepEqual(k, Kept{}) {
+		t.Errorf("too many: %v", found.Bad)
 	}
-	torn(bytes.Replace(whole, []byte("s-2"), []byte("s-3"), 1))
-	torn(bytes.Replace(whole, []byte(`"Version":1`), []byte(`"Version":2`), 1))
-}
-
-func FuzzRead(f *testing.F) {
-	f.Add([]byte(`{"Version":1,"Sum":0,"Kept":{}}`))
-	path := filepath.Join(f.TempDir(), "p")
-	f.Fuzz(func(t *testing.T, text []byte) {
-		os.WriteFile(path+".kept", text, 0o600)
-		if k, err := Read(path); err != nil && !reflect.DeepEqual(k, Kept{}) {
-			t.Errorf("%v beside %v", k, err)
-		}
-	})
 }
--- a/internal/node/takeover.go
+++ b/internal/node/takeover.go
@@ -19,6 +19,7 @@
 	"hookwalk.example/hookwalk/internal/engine"
 	"hookwalk.example/hookwalk/internal/handover"
 	"hookwalk.example/hookwalk/internal/lifecycle"
+	"hookwalk.example/hookwalk/internal/state"
 )
 
 const (
@@ -28,7 +29,8 @@
 
 // kin is the other process of the node, while two run. Only a node with operators has any.
 type kin struct {
-	path string // where the processes meet; "": they can't
+	path string           // where the processes meet; "": they can't
+	kept *handover.Keeper // nil: it has no folder
 
 	mu     sync.Mutex
 	link   *handover.Link // nil: this process is alone
@@ -61,24 +63,22 @@
 // claim takes over from another process of the node, if there is one. Without it, it knows at least what stands on
 // disk of what operators said.
 func (n *Node) claim() net.Listener {
-	var err error
-	if n.kin.path, err = handover.Path(os.TempDir(), n.cfg.Name, n.cfg.Listen); err != nil {
+	path, err := handover.Path(os.TempDir(), n.cfg.Name, n.cfg.Listen)
+	n.kin.kept = handover.NewKeeper(path, n.cfg.Name, n.cfg.Listen, func() {
+		n.log.Warn("another process of the node hangs with what operators said")
+	})
+	if err != nil {
 		n.log.Warn("no process can take over from this one", "err", err)
+		n.recall()
 		return nil
 	}
+	n.kin.path = path
 	estate, ln, link, err := handover.Claim(n.kin.path, n.cfg.Name, n.cfg.Listen)
 	if err != nil {
 		if !errors.Is(err, fs.ErrNotExist) {
 			n.log.Warn("nothing was handed over", "err", err)
 		}
-		kept, err := handover.Read(n.kin.path)
-		if err != nil {
-			n.log.Warn("what stood on disk is passed over", "err", err)
-		}
-		n.engine.Balancer.Remember(kept.Out)
-		if kept.Drained {
-			n.step(lifecycle.OutOfService)
-		}
+		n.recall()
 		return nil
 	}
 	n.inherit(estate)
@@ -88,6 +88,23 @@
 	return ln
 }
 
+// recall takes what operators said to the processes before from disk.
+func (n *Node) recall() {
+	kept, found := n.kin.kept.Read()
+	for _, err := range found.Bad {
+		n.log.Warn("what stood on disk is passed over", "err", err)
+	}
+	if found.Body == nil {
+		return
+	}
+	n.log.Info("what operators said is found on disk", "servers", len(kept.Out), "drained", kept.Drained,
+		"age", age(found.Age), "before", found.Before)
+	n.engine.Balancer.Remember(kept.Out)
+	if kept.Drained {
+		n.step(lifecycle.OutOfService)
+	}
+}
+
 // inherit makes an estate this node's, before it serves. What was learned under other settings is of no use: then
 // the servers and what operators said of them must do.
 func (n *Node) inherit(e handover.Estate) {
@@ -223,7 +240,7 @@
 
 // pass tells the other process what an operator said, if there is one, and keeps it on disk.
 func (n *Node) pass(ctx context.Context, w handover.Word) {
-	if n.kin.path == "" {
+	if n.kin.kept == nil {
 		return
 	}
 	n.kin.mu.Lock()
@@ -234,15 +251,23 @@
 			n.log.Warn("the other process was not told", "err", err)
 		}
 	}
-	_, _, out, err := n.engine.Estate(ctx, func() {})
-	if err == nil {
-		err = handover.Keep(n.kin.path, handover.Kept{Out: out, Drained: n.life.Load().Drained()})
-	}
+	err := n.kin.kept.Keep(ctx, func() (handover.Kept, error) {
+		_, _, out, err := n.engine.Estate(ctx, func() {})
+		return handover.Kept{Out: out, Drained: n.life.Load().Drained()}, err
+	})
 	if err != nil {
 		n.log.Warn("what operators said is not on disk", "err", err)
 	}
 }
 
+// age is that of something on disk, for the log.
+func age(d time.Duration) string {
+	if d == state.Unknown {
+		return "unknown"
+	}
+	return d.Round(time.Millisecond).String()
+}
+
 // followed says whether another process of the node takes the clients that come from now on.
 func (n *Node) followed() bool {
 	n.kin.mu.Lock()
--- /dev/null
+++ b/internal/state/state.go
@@ -0,0 +1,241 @@
+// Package state keeps on disk what a node must still know after it was ended at any moment: one file for each thing,
+// replaced whole, with a checksum, the one before beside it, and its age by a clock that neither a set clock nor a sleep
+// of the machine fools. It carries bytes and decides nothing; what they mean is its callers'.
+package state
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"hash/crc64"
+	"os"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"github.com/gofrs/flock"
+	"github.com/google/renameio/v2"
+	"golang.org/x/sys/unix"
+)
+
+// Version is that of the form of files. Those of version 1 had no owner, no age and no file before them.
+const Version = 2
+
+// Most is how long a file may be, in bytes.
+const Most = 8 << 20
+
+// Unknown is the age of a file that the machine's present run did not write: there is no telling how long it was off.
+const Unknown = time.Duration(-1)
+
+// Image is a file as it was found.
+type Image struct {
+	Body   json.RawMessage // nil: there is none that can be used
+	Age    time.Duration   // or Unknown
+	Before bool            // it is the one before the last
+	Bad    []error         // why files that are there were passed over
+}
+
+// file is what stands on disk.
+type file struct {
+	Version int
+	Owner   string        `json:",omitempty"` // whose it is: another's is no news of this one
+	Boot    string        `json:",omitempty"` // the machine's run
+	At      time.Duration `json:",omitempty"` // since that began, time asleep included
+	Sum     uint64
+	Kept    json.RawMessage
+}
+
+var table = crc64.MakeTable(crc64.ECMA)
+
+// sum covers all that a file says, so that no part of one can stand beside a part of another.
+func (f file) sum() uint64 {
+	return crc64.Checksum(fmt.Appendf(nil, "%d\n%q\n%q\n%d\n%s", f.Version, f.Owner, f.Boot, f.At, f.Kept), table)
+}
+
+// Clock is the machine's run and how long it is under way.
+func Clock() (boot string, at time.Duration) {
+	id, err := os.ReadFile("/proc/sys/kernel/random/boot_id")
+	var ts unix.Timespec
+	if err != nil || unix.ClockGettime(unix.CLOCK_BOOTTIME, &ts) != nil {
+		return "", 0 // then no file has an age
+	}
+	return strings.TrimSpace(string(id)), time.Duration(ts.Nano())
+}
+
+func before(path string) string { return path + ".before" }
+
+// Write replaces the file at path. Killed at any moment, it leaves the old one or the new one; the one before stays
+// beside it. When it returns nil, the new one is on disk. It must not run beside another Write of the same path: see
+// Lock.
+func Write(path, owner string, body json.RawMessage) error {
+	f := file{Version: Version, Owner: owner, Kept: body}
+	f.Boot, f.At = Clock()
+	f.Sum = f.sum()
+	text, err := json.Marshal(f)
+	if err != nil {
+		return fmt.Errorf("state: %w", err)
+	}
+	if len(text) > Most {
+		return fmt.Errorf("state: %d bytes for %s, at most %d", len(text), path, Most)
+	}
+	dir := filepath.Dir(path)
+	sweep(path)
+	fresh, err := renameio.NewPendingFile(path, renameio.WithTempDir(dir), renameio.WithStaticPermissions(0o600))
+	if err != nil {
+		return fmt.Errorf("state: %w", err)
+	}
+	defer fresh.Cleanup()
+	if _, err := fresh.Write(text); err != nil {
+		return fmt.Errorf("state: %w", err)
+	}
+	if err := keepBefore(path); err != nil {
+		return fmt.Errorf("state: %w", err)
+	}
+	if err := fresh.CloseAtomicallyReplace(); err != nil {
+		return fmt.Errorf("state: %w", err)
+	}
+	return syncFolder(dir)
+}
+
+// keepBefore gives the present file its second name. It never takes the last good one away: a file that can't be used
+// does not take the place of one that can.
+func keepBefore(path string) error {
+	text, err := os.ReadFile(path)
+	if errors.Is(err, os.ErrNotExist) {
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	if _, err := parse(text); err != nil {
+		return nil
+	}
+	link := before(path) + ".new"
+	os.Remove(link)
+	if err := os.Link(path, link); err != nil {
+		return err
+	}
+	return os.Rename(link, before(path))
+}
+
+// syncFolder has the file's name on disk, too.
+func syncFolder(dir string) error {
+	d, err := os.Open(dir)
+	if err != nil {
+		return fmt.Errorf("state: %w", err)
+	}
+	defer d.Close()
+	if err := d.Sync(); err != nil {
+		return fmt.Errorf("state: %w", err)
+	}
+	return nil
+}
+
+// sweep removes what processes that were killed as they wrote have left.
+func sweep(path string) {
+	left, err := filepath.Glob(filepath.Join(filepath.Dir(path), "."+filepath.Base(path)+"*"))
+	if err != nil { // the pattern is of our own making
+		return
+	}
+	for _, name := range left {
+		os.Remove(name) // what can't be removed costs a little room
+	}
+}
+
+// Read gives the newest file that can be used: the one at path, or else the one before it.
+func Read(path, owner string) (found Image) {
+	boot, now := Clock()
+	for _, name := range []string{path, before(path)} {
+		text, err := os.ReadFile(name)
+		if errors.Is(err, os.ErrNotExist) {
+			continue
+		}
+		var f file
+		if err == nil {
+			f, err = parse(text)
+		}
+		if err == nil && f.Version > 1 && f.Owner != owner {
+			err = fmt.Errorf("it is of %q", f.Owner)
+		}
+		if err != nil {
+			found.Bad = append(found.Bad, fmt.Errorf("%s: %w", name, err))
+			continue
+		}
+		found.Body, found.Age, found.Before = f.Kept, f.age(boot, now), name != path
+		return found
+	}
+	return found
+}
+
+// parse reads a file of this version or of version 1.
+func parse(text []byte) (f file, err error) {
+	if len(text) > Most {
+		return f, fmt.Errorf("over %d bytes", Most)
+	}
+	if err := json.Unmarshal(text, &f); err != nil {
+		return f, fmt.Errorf("torn: %w", err)
+	}
+	sum := f.sum()
+	switch f.Version {
+	case Version:
+	case 1:
+		sum = sum1(f.Kept)
+	default:
+		return f, fmt.Errorf("of version %d", f.Version)
+	}
+	if f.Sum != sum || f.Kept == nil {
+		return f, errors.New("torn: its checksum is another")
+	}
+	return f, nil
+}
+
+// Patience is how long Lock waits: a process that hangs with the lock must not hold up the one that replaces it.
+const Patience = 300 * time.Millisecond
+
+// Lock keeps other processes and goroutines from what is at path until release. ErrBusy: whoever has it hangs.
+func Lock(ctx context.Context, path string) (release func(), err error) {
+	ctx, stop := context.WithTimeout(ctx, Patience)
+	defer stop()
+	l := flock.New(path+".lock", flock.SetPermissions(0o600))
+	ok, err := l.TryLockContext(ctx, 2*time.Millisecond)
+	switch {
+	case ok:
+		return func() { l.Close() }, nil
+	case errors.Is(err, context.DeadlineExceeded):
+		return func() {}, ErrBusy
+	}
+	return func() {}, fmt.Errorf("state: %w", err)
+}
+
+// ErrBusy says that the lock was not to be had in time.
+var ErrBusy = errors.New("state: another process has the lock and hangs")
+
+// Info is what a file says of itself.
+type Info struct {
+	Version int
+	Owner   string
+	Age     time.Duration // or Unknown
+	Body    json.RawMessage
+}
+
+// Inspect reads one file by itself, whoever's it is.
+func Inspect(path string) (Info, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return Info{}, fmt.Errorf("state: %w", err)
+	}
+	f, err := parse(text)
+	if err != nil {
+		return Info{}, fmt.Errorf("state: %s: %w", path, err)
+	}
+	return Info{Version: f.Version, Owner: f.Owner, Age: f.age(Clock()), Body: f.Kept}, nil
+}
+
+// age is how old a file is, by a clock of now.
+func (f file) age(boot string, now time.Duration) time.Duration {
+	if f.Boot == "" || f.Boot != boot || f.At > now {
+		return Unknown
+	}
+	return now - f.At
+}
