Test: waiting for a block of ports, in ports of the test's own

Cause: the test held all blocks of the machine; beside rigs that run it waited as long as they did, over a minute. Change: claim takes the blocks it may have; the test gives it two.

--- a/internal/lab/link/link.go
+++ b/internal/lab/link/link.go
@@ -110,11 +110,19 @@
 // Claim takes a block of ports for a rig, until release, and gives its first. Where all are taken it waits for one: two
 // rigs in one block would take each other's addresses while these are given up for a fault.
 func Claim(ctx context.Context) (ports int, release func(), err error) {
+	var firsts []int
+	for n := range blocks {
+		firsts = append(firsts, firstPort+n*block)
+	}
+	return claim(ctx, firsts)
+}
+
+func claim(ctx context.Context, firsts []int) (ports int, release func(), err error) {
 	look := time.NewTicker(50 * time.Millisecond)
 	defer look.Stop()
 	for {
-		for _, n := range rand.Perm(blocks) {
-			first := firstPort + n*block
+		for _, n := range rand.Perm(len(firsts)) {
+			first := firsts[n]
 			if ln, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", first)); err == nil { // held: others see that it is taken
 				return first, func() { ln.Close() }, nil
 			}
--- a/internal/lab/link/link_test.go
+++ b/internal/lab/link/link_test.go
@@ -268,42 +268,33 @@
 	}
 }
 
-// A rig that finds all blocks taken waits until one is free, or its time is over.
+// Each rig has a block of its own; one that finds all of them taken waits until one is free, or its time is over.
 func TestClaimWaitsForABlock(t *testing.T) {
-	var held []func()
-	taken := map[int]bool{}
-	for range blocks {
-		ctx, stop := context.WithTimeout(t.Context(), time.Minute)
-		first, release, err := Claim(ctx)
-		stop()
+	var firsts []int
+	for range 2 { // of this test alone: rigs may run meanwhile
+		ln, err := Listen(0, ForNode)
 		if err != nil {
-			t.Skipf("other rigs run: %v", err)
-		}
-		if taken[first] {
-			t.Errorf("block %d is given twice", first)
+			t.Fatal(err)
 		}
-		taken[first] = true
-		held = append(held, release)
+		firsts = append(firsts, ln.Addr().(*net.TCPAddr).Port)
+		ln.Close()
+	}
+	one, release, err := claim(t.Context(), firsts)
+	two, keep, err2 := claim(t.Context(), firsts)
+	if err != nil || err2 != nil || one == two {
+		t.Fatalf("two rigs have %d and %d, %v, %v", one, two, err, err2)
 	}
+	defer keep()
 	over, end := context.WithCancel(t.Context())
 	end()
-	if _, _, err := Claim(over); err == nil {
+	if _, _, err := claim(over, firsts); err == nil {
 		t.Error("a block that is taken is given away")
 	}
-	got := make(chan error)
-	go func() {
-		_, release, err := Claim(t.Context())
-		if err == nil {
-			release()
-		}
-		got <- err
-	}()
-	held[0]()
-	if err := <-got; err != nil {
-		t.Error(err)
-	}
-	for _, release := range held[1:] {
-		release()
+	release()
+	if again, free, err := claim(t.Context(), firsts); err != nil || again != one {
+		t.Errorf("%d, %v, want %d, which has come free", again, err, one)
+	} else {
+		free()
 	}
 }
 
