--- a/internal/lab/scenario/scenario_test.go
+++ b/internal/lab/scenario/scenario_test.go
@@ -52,6 +52,8 @@
 	"class twice":     {least + `class "c" {}`, "f:4: ", "there already"},
 	"late aim":        {least + `class "d" { aim_ms = 5000 }`, "f:4: ", "deadline_ms is under aim_ms"},
 	"trouble":         {least + `trouble "fire" {}`, "f:4: ", "unknown trouble"},
+	"no operators":    {least + `trouble "upgrade" {}`, "f:4: ", "needs fleet"},
+	"no folder":       {least + `trouble "kill" { folder = "cut" }`, "f:4: ", "needs fleet"},
 	"trouble's tier":  {least + "trouble \"crash\" {\n tier = \"u\" }", "f:5: ", `tier "u" is not one`},
 	"trouble's class": {least + "trouble \"heavy_tail\" {\n class = \"u\" }", "f:5: ", `class "u" is not one`},
 	"part":            {least + "trouble \"crash\" {\n part = 2 }", "f:5: ", "part must be from 0 to 1"},
