--- a/internal/lab/sockets/operated.go
+++ b/internal/lab/sockets/operated.go
@@ -42,11 +42,13 @@
 // says yes. It returns when the older has ended. A node that does not run, or is being replaced, is left alone.
 func (p *process) replace(ctx context.Context) error {
 	p.mu.Lock()
-	before, ended, name, busy := p.cmd, p.exited, p.name, p.before != nil
+	before, ended, name, busy := p.cmd, p.exited, p.name, p.replacing
+	p.replacing = busy || before != nil
 	p.mu.Unlock()
 	if before == nil || busy {
 		return nil
 	}
+	defer p.replaced()
 	if err := p.operated(); err != nil {
 		return err
 	}
@@ -55,7 +57,7 @@
 		return err
 	}
 	p.mu.Lock()
-	alive := p.cmd == before
+	alive, control := p.cmd == before, p.control
 	if alive {
 		p.cmd, p.exited, p.before, p.ended = cmd, exited, before, ended
 	}
@@ -65,10 +67,9 @@
 		<-exited
 		return nil
 	}
-	defer p.replaced(before)
 	late := time.NewTimer(readyWithin)
 	defer late.Stop()
-	if err := p.ready(ctx, "http://"+p.control+"/control/ready", exited, late.C); err != nil {
+	if err := p.ready(ctx, "http://"+control+"/control/ready", exited, late.C); err != nil {
 		return err
 	}
 	p.w.facts.seen(outside.Event{At: p.w.now(), What: outside.Heir, Node: name})
@@ -88,13 +89,11 @@
 	return nil
 }
 
-// replaced forgets an older process.
-func (p *process) replaced(before *exec.Cmd) {
+// replaced forgets the older process.
+func (p *process) replaced() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.before == before {
-		p.before, p.ended = nil, nil
-	}
+	p.before, p.ended, p.replacing = nil, nil, false
 }
 
 // Replace has a node's process replaced, beside it, by one of the program that all but old builds have.
--- a/internal/lab/sockets/process.go
+++ b/internal/lab/sockets/process.go
@@ -45,7 +45,9 @@
 	exited chan struct{}
 	before *exec.Cmd     // in an upgrade: the older process
 	ended  chan struct{} // and its end
-	client *http.Client
+
+	replacing bool
+	client    *http.Client
 
 	control string // of the newest process, where nodes take operators' calls
 	tmp     string // its $TMPDIR; "": that of all
