--- a/internal/lab/fleet/hunt_test.go
+++ b/internal/lab/fleet/hunt_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"os"
 	"path/filepath"
 	"reflect"
@@ -96,6 +97,9 @@
 			defer mu.Unlock()
 			plays++
 			p := &Played{}
+			if s.Seed == 5 || plays%31 == 0 { // a port is taken: the hunt goes on
+				return nil, &StageError{errors.New("address already in use"), dir}
+			}
 			if plays%7 == 0 {
 				p.Late = time.Second // the machine was slow: nothing is told
 			} else if has(s, "kill") && has(s, "cut") {
@@ -107,6 +111,9 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	if h.Played != h.Seeds-1 {
+		t.Errorf("%d of %d seeds were played, and one can't be", h.Played, h.Seeds)
+	}
 	if len(found) < 3 {
 		t.Fatalf("%d found", len(found))
 	}
--- a/internal/lab/link/link.go
+++ b/internal/lab/link/link.go
@@ -14,6 +14,7 @@
 	"net"
 	"os"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -60,7 +61,10 @@
 }
 
 // pair is one connection and its continuation.
-type pair struct{ near, far net.Conn }
+type pair struct {
+	near, far net.Conn
+	left      atomic.Bool // the caller has ended it
+}
 
 // Open listens for callers, in a rig's block of ports; to says where a new connection leads, "": nowhere.
 func Open(ports int, to func() string) (*Link, error) {
@@ -211,6 +215,18 @@
 	return l.fault
 }
 
+// Held says that the caller still has a connection, whatever has become of the link meanwhile.
+func (l *Link) Held() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for p := range l.pairs {
+		if !p.left.Load() {
+			return true
+		}
+	}
+	return false
+}
+
 // Reset resets every connection that is up.
 func (l *Link) Reset() {
 	l.mu.Lock()
@@ -282,7 +298,7 @@
 		reset(near)
 		return
 	}
-	p := &pair{near, far}
+	p := &pair{near: near, far: far}
 	l.mu.Lock()
 	if l.closed {
 		l.mu.Unlock()
@@ -356,6 +372,9 @@
 			}
 			if err != nil {
 				end = err
+				if way == Out {
+					p.left.Store(true)
+				}
 				return
 			}
 		}
--- a/internal/lab/sockets/process.go
+++ b/internal/lab/sockets/process.go
@@ -137,7 +137,7 @@
 	p.mu.Unlock()
 	late := time.NewTimer(readyWithin)
 	defer late.Stop()
-	log := p.place + ".log"
+	log := filepath.Join(p.w.dir, p.place+".log")
 	select {
 	case at := <-addr:
 		p.mu.Lock()
@@ -214,7 +214,7 @@
 
 // ready waits until a node says yes at an address.
 func (p *process) ready(ctx context.Context, url string, exited <-chan struct{}, late <-chan time.Time) error {
-	log := p.place + ".log"
+	log := filepath.Join(p.w.dir, p.place+".log")
 	p.mu.Lock()
 	client := p.client
 	p.mu.Unlock()
--- a/internal/lab/sockets/world.go
+++ b/internal/lab/sockets/world.go
@@ -46,6 +46,7 @@
 
 // World is a scenario being played, or just held up.
 type World struct {
+	given given
 	s     *scenario.Scenario
 	opt   Options
 	dir   string
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -12,6 +12,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -23,6 +24,7 @@
 	"hookwalk.example/hookwalk/internal/engine"
 	"hookwalk.example/hookwalk/internal/figures"
 	"hookwalk.example/hookwalk/internal/lifecycle"
+	"hookwalk.example/hookwalk/internal/roster"
 	"hookwalk.example/hookwalk/internal/spool"
 )
 
@@ -47,6 +49,7 @@
 	stderr  io.Writer            // of figures and capture
 	inbound int                  // connections from callers at once
 	heard   atomic.Bool          // discovery has spoken, or had its time
+	first   first                // the list that the node begins with
 	life    atomic.Pointer[lifecycle.Machine]
 	rules   atomic.Pointer[rules] // what the front knows of the classes
 	in      *inbound
@@ -86,13 +89,7 @@
 	n.engine = engine.New(engine.Options{Clock: n.clock, Log: logger, Balancer: bal})
 	n.inbound = (cfg.Sockets - spare) * 5 / 8
 	n.pool = newPool(n.clock, cfg, cfg.Sockets-spare-n.inbound, n.engine.Ended, n.engine.Answers)
-	n.disc = newDiscovery(cfg, logger, func(ctx context.Context, w engine.News) error {
-		if err := n.engine.Tell(ctx, w); err != nil {
-			return err
-		}
-		n.heard.Store(true)
-		return nil
-	})
+	n.disc = newDiscovery(cfg, logger, n.hear)
 	n.engine.Sender, n.engine.Subscribe = n.pool, n.disc.subscribe
 	return n, nil
 }
@@ -127,9 +124,14 @@
 	n.switchOn()
 	own(n.engine.Run)
 	watching, stopWatching := context.WithCancel(context.Background())
-	n.engine.Tell(watching, n.known()) // neither has ended
+	if n.cfg.Settings.AskDiscovery || n.inherited != nil {
+		n.first.tell(watching, n, nil) // neither has ended
+	}
 	own(func() { n.disc.run(watching) })
-	grace := time.AfterFunc(firstList, func() { n.heard.Store(true) })
+	grace := time.AfterFunc(firstList, func() {
+		n.first.tell(watching, n, nil)
+		n.heard.Store(true)
+	})
 	defer grace.Stop()
 
 	in := newInbound(ln, n.inbound, n.engine.Figures)
@@ -225,6 +227,58 @@
 	}
 }
 
+// first is the first list that the module is told. Where lists are asked for, that is the one which the node was given.
+// Where they are pushed, what the agent has counts as told from the first moment on, and the given list may have servers
+// that drain or were replaced: what comes waits for the agent's word, which then changes the given list in one step, or
+// until discovery has had its time.
+type first struct {
+	mu   sync.Mutex
+	told bool
+}
+
+// tell tells the module the list that the node begins with, unless it was told, and what has come from discovery.
+func (f *first) tell(ctx context.Context, n *Node, more *engine.News) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.told {
+		begin := n.known()
+		if more != nil {
+			begin, more = merged(begin, *more), nil
+		}
+		if err := n.engine.Tell(ctx, begin); err != nil {
+			return err
+		}
+		f.told = true
+	}
+	if more == nil {
+		return nil
+	}
+	return n.engine.Tell(ctx, *more)
+}
+
+// merged is a list with changes made to it.
+func merged(list, changes engine.News) engine.News {
+	if changes.Whole || changes.Failed {
+		return changes
+	}
+	changes.Whole = true
+	for _, b := range list.Boxes {
+		if !slices.ContainsFunc(changes.Boxes, func(c engine.Box) bool { return c.ID == b.ID }) {
+			changes.Boxes = append(changes.Boxes, b)
+		}
+	}
+	return changes
+}
+
+// hear takes what discovery writes.
+func (n *Node) hear(ctx context.Context, w engine.News) error {
+	if err := n.first.tell(ctx, n, &w); err != nil {
+		return err
+	}
+	n.heard.Store(true)
+	return nil
+}
+
 // ready says that the node can serve: it knows a server in service, from discovery itself if that answers.
 func (n *Node) ready() bool {
 	return n.heard.Load() && n.engine.Usable() && n.life.Load().Ready()
@@ -274,7 +328,7 @@
 }
 
 // whole marks the list that a node starts with as complete.
-func (l roster) whole() roster {
+func whole(l roster.Roster) roster.Roster {
 	l.Whole = true
 	return l
 }
--- a/internal/node/takeover.go
+++ b/internal/node/takeover.go
@@ -277,7 +277,7 @@
 
 // known is the list that a node starts with.
 func (n *Node) known() engine.News {
-	news := n.cfg.Known.whole().news()
+	news := news(whole(n.cfg.Known))
 	if n.inherited != nil {
 		news = engine.News{Boxes: n.inherited, Whole: true, Version: n.disc.seq}
 	}
