--- a/internal/lab/fleet/play.go
+++ b/internal/lab/fleet/play.go
@@ -290,6 +290,13 @@
 	case "hand":
 		begin, over = r.hand(u)
 		return begin, over, nil
+	case "hush":
+		place := r.infos[u.Who[0]].Place
+		return func() error { r.discovery.tell(sockets.Message{Do: sockets.DoHush, Place: place}); return nil },
+			func() error {
+				r.discovery.tell(sockets.Message{Do: sockets.DoHush, Place: place, Hears: true})
+				return nil
+			}, nil
 	case "upgrade":
 		return func() error { r.upgrade(u.Who[0]); return nil }, nil, nil
 	case "box_kill":
--- a/internal/lab/fleet/rogue_test.go
+++ b/internal/lab/fleet/rogue_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"os"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -71,8 +72,15 @@
 		`"upgrade" { at_s = 1 part = 1 }`:                                    {rogue.Hasty, audit.Lost},
 		`"hand" { at_s = 0.5 length_s = 1 part = 1 }`:                        {rogue.Hasty, audit.ByHand},
 		`"release" { at_s = 0.5 length_s = 1 part = 1 }`:                     {rogue.DeafToNews, audit.Drain},
+		// what a silent watch missed counts as told 6 s later to a node that keeps it
+		`"hush" { at_s = 0.2 length_s = 7.5 part = 1 }
+trouble "release" { at_s = 0.5 length_s = 30 part = 1 }`: {rogue.DeafToNews, audit.Drain},
 	} {
-		s := load(t, "rogues.hcl", `scenario "rogues" { length_s = 2 }
+		length := "2"
+		if strings.Contains(trouble, "hush") {
+			length = "8"
+		}
+		s := load(t, "rogues.hcl", `scenario "rogues" { length_s = `+length+` }
 tier "t" { kind "k" { count = 2 cold_s = 5 conns = 200 slots = 200 } }
 class "bin-weighin" { work_ms = 80 cv = 0 aim_ms = 500 deadline_ms = 1000 }
 clients { rate = 25 retries = 0 }
--- a/internal/lab/model/upsets.go
+++ b/internal/lab/model/upsets.go
@@ -31,7 +31,7 @@
 		switch {
 		case t.Kind == "hand":
 			who, count = "boxes", s.Tiers[tier].Boxes()
-		case t.Kind == "upgrade": // those beside boxes too
+		case t.Kind == "upgrade", t.Kind == "hush": // those beside boxes too
 			who, count = "nodes", s.Front.Nodes
 			for _, tier := range s.Tiers[:len(s.Tiers)-1] {
 				count += tier.Boxes()
@@ -41,7 +41,7 @@
 		case who == "boxes":
 			count = (s.Tiers[tier].Boxes() + s.Fleet.BoxesPer - 1) / s.Fleet.BoxesPer
 		}
-		if t.Whom == who && !slices.Contains([]string{"stall", "box_kill", "upgrade", "hand"}, t.Kind) {
+		if t.Whom == who && !slices.Contains([]string{"stall", "box_kill", "upgrade", "hand", "hush"}, t.Kind) {
 			return nil, fmt.Errorf("%s: %s and %s have no link", t.Pos, t.Who, t.Whom)
 		}
 		t.Who = who
--- a/internal/lab/scenario/scenario.go
+++ b/internal/lab/scenario/scenario.go
@@ -117,6 +117,7 @@
 	Capacity float64       // calls a second
 	Timeout  time.Duration // of a call that waits
 	Within   time.Duration // a node without a watch must ask so often
+	Indented bool          // lists span lines
 }
 
 // Net is the network.
@@ -173,7 +174,7 @@
 }
 
 // FleetKinds are the troubles that need processes with links between them. A kill is also played in virtual time.
-var FleetKinds = []string{"stall", "cut", "slow_link", "reset_link", "refuse_link", "half_open", "break_link", "box_kill", "upgrade", "hand"}
+var FleetKinds = []string{"stall", "cut", "slow_link", "reset_link", "refuse_link", "half_open", "break_link", "box_kill", "upgrade", "hand", "hush"}
 
 // Folders are what can have become of a node's folder ($TMPDIR) between two of its lives.
 var Folders = []string{"kept", "emptied", "cut", "old", "other", "unwritable", "full"}
@@ -432,7 +433,8 @@
 		Drain: r.Millis("drain_ms", 50*ms, 0, minute), Add: r.Millis("add_ms", time.Second, 0, minute),
 		Notice: r.Millis("notice_ms", 2500*ms, 0, minute), Silent: r.Millis("silent_ms", 9*time.Second, 0, time.Hour),
 		Spread: r.Millis("spread_ms", 200*ms, 0, minute), Capacity: r.Number("calls_per_s", 40, 0.01, 1e6),
-		Timeout: r.Millis("timeout_ms", 2*time.Second, ms, minute), Within: r.Seconds("ask_within_s", 10*time.Second, 100*ms, time.Hour)}
+		Timeout: r.Millis("timeout_ms", 2*time.Second, ms, minute), Within: r.Seconds("ask_within_s", 10*time.Second, 100*ms, time.Hour),
+		Indented: r.OneOf("form", "lines", "indented") == "indented"}
 }
 
 func (s *Scenario) takeNet(r *settings.Reader, again bool) {
--- a/internal/lab/sockets/discovery.go
+++ b/internal/lab/sockets/discovery.go
@@ -7,10 +7,12 @@
 	"slices"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"hookwalk.example/hookwalk/internal/lab/link"
 	"hookwalk.example/hookwalk/internal/lab/model"
+	"hookwalk.example/hookwalk/internal/lab/outside"
 )
 
 // roster is a list, or its changes, in discovery's published form.
@@ -36,17 +38,32 @@
 type discovery struct {
 	w *World
 
-	mu    sync.Mutex
-	tiers []*tierList
-	doors map[*process]*door
-	down  bool
-	free  time.Time // when the calls so far are worked off
+	mu      sync.Mutex
+	tiers   []*tierList
+	doors   map[*process]*door
+	down    bool
+	watches atomic.Int64 // so far
+	free    time.Time    // when the calls so far are worked off
 }
 
 // door is the address of one node.
 type door struct {
 	addr   string
 	server *http.Server
+	quiet  chan struct{} // closed: what is open there brings nothing any more
+	mute   bool          // a call is taken, and never answered
+}
+
+// hush has nothing more come on the watches that a node has open. While it is on, the node's calls are taken and not
+// answered either.
+func (d *discovery) hush(p *process, on bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	door := d.doors[p]
+	if door.mute = on; on {
+		close(door.quiet)
+		door.quiet = make(chan struct{})
+	}
 }
 
 type tierList struct {
@@ -86,7 +103,7 @@
 	server := &http.Server{Handler: http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) { d.serve(rw, r, p) }),
 		ReadHeaderTimeout: 5 * time.Second}
 	d.mu.Lock()
-	*d.doors[p] = door{ln.Addr().String(), server}
+	*d.doors[p] = door{addr: ln.Addr().String(), server: server, quiet: make(chan struct{}), mute: d.doors[p].mute}
 	d.mu.Unlock()
 	d.w.own(func() { server.Serve(ln) })
 	return nil
@@ -175,12 +192,22 @@
 	}
 	life := p.lifeName() // a call is of one life, whatever becomes of the node while it waits or watches
 	d.w.facts.called(d.w.now(), life)
-	if !d.turn(r) {
+	d.mu.Lock()
+	quiet, mute := d.doors[p].quiet, d.doors[p].mute
+	d.mu.Unlock()
+	if !mute && !d.turn(r) {
 		http.Error(rw, "too busy", http.StatusServiceUnavailable)
 		return
 	}
 	enc := json.NewEncoder(rw)
+	if d.w.s.Discovery.Indented {
+		enc.SetIndent("", "  ")
+	}
 	if r.URL.Query().Get("watch") == "" {
+		if mute {
+			<-r.Context().Done()
+			return
+		}
 		enc.Encode(d.known(p)) // one that has gone away reads nothing
 		return
 	}
@@ -189,11 +216,35 @@
 		http.Error(rw, "from is no number", http.StatusBadRequest)
 		return
 	}
-	d.watch(rw, r, enc, p, life, from)
+	w := &watch{rw: rw, r: r, enc: enc, p: p, life: life, id: strconv.FormatInt(d.watches.Add(1), 10), quiet: quiet}
+	if mute {
+		w.hushed(d)
+	}
+	d.follow(w, from)
+	if w.silent {
+		d.w.facts.seen(outside.Event{At: d.w.now(), What: outside.Hears, Node: life, ID: w.id}) // the node has given it up
+	}
+}
+
+// watch is one that is open.
+type watch struct {
+	rw       http.ResponseWriter
+	r        *http.Request
+	enc      *json.Encoder
+	p        *process
+	life, id string
+	quiet    <-chan struct{}
+	silent   bool // nothing is written; what would have been is noted all the same
 }
 
-// watch writes the changes since a version, and then every change, until the connection ends.
-func (d *discovery) watch(rw http.ResponseWriter, r *http.Request, enc *json.Encoder, p *process, life string, from int64) {
+func (w *watch) hushed(d *discovery) {
+	w.silent, w.quiet = true, nil
+	d.w.facts.seen(outside.Event{At: d.w.now(), What: outside.Deaf, Node: w.life, ID: w.id, Ready: true})
+}
+
+// follow writes the changes since a version, and then every change, until the connection ends.
+func (d *discovery) follow(w *watch, from int64) {
+	rw, r, p := w.rw, w.r, w.p
 	beat := time.NewTicker(2 * time.Second)
 	defer beat.Stop()
 	for first := true; ; first = false {
@@ -221,17 +272,29 @@
 					return
 				}
 			}
+			select {
+			case <-w.quiet:
+				w.hushed(d)
+			default:
+			}
 			before := d.w.now()
-			if enc.Encode(n) != nil {
-				return
+			if !w.silent {
+				if w.enc.Encode(n) != nil {
+					return
+				}
+				rw.(http.Flusher).Flush()
 			}
-			rw.(http.Flusher).Flush()
-			d.w.facts.told(before, d.w.now(), life, n)
+			d.w.facts.told(before, d.w.now(), w.life, w.id, n)
 			from = n.Seq
 		}
 		select {
 		case <-news:
+		case <-w.quiet:
+			w.hushed(d)
 		case <-beat.C:
+			if w.silent {
+				continue
+			}
 			if _, err := rw.Write([]byte("\n")); err != nil {
 				return
 			}
--- a/internal/lab/sockets/facts.go
+++ b/internal/lab/sockets/facts.go
@@ -87,14 +87,15 @@
 
 // told is a list, or changes, that discovery has written. A node may use what it is told before the writer knows that
 // it is written, so a server in service counts as told from before; that one is not counts from after.
-func (f *facts) told(before, now time.Duration, name string, n roster) {
+// told notes what discovery has written to a life of a node, on one of its watches.
+func (f *facts) told(before, now time.Duration, name, watch string, n roster) {
 	f.do(func() {
 		for _, h := range n.Hosts {
 			at := now
 			if h.Health == "in_service" {
 				at = before
 			}
-			f.rec.Note(outside.Event{At: at, What: outside.Told, Node: name, Server: h.Host, Ready: h.Health == "in_service"})
+			f.rec.Note(outside.Event{At: at, What: outside.Told, Node: name, ID: watch, Server: h.Host, Ready: h.Health == "in_service"})
 			f.audit.Told(now, name, h.Host, h.Health == "in_service")
 		}
 	})
--- a/internal/lab/sockets/part.go
+++ b/internal/lab/sockets/part.go
@@ -62,6 +62,7 @@
 	DoInit   = "init"
 	DoLife   = "life" // a node has begun a life
 	DoHear   = "hear"
+	DoHush   = "hush" // discovery says nothing more on a node's watches, or answers it again
 	DoChange = "change"
 	DoPlay   = "play"
 
@@ -222,6 +223,12 @@
 			return errors.New("there is no such node")
 		}
 		w.front.hear(m.Index, m.Hears)
+	case DoHush:
+		for _, n := range w.processes {
+			if n.place == m.Place {
+				w.disc.hush(n, !m.Hears)
+			}
+		}
 	case DoLearn:
 		b, err := w.box(m.Tier, m.Index)
 		if err != nil {
--- a/lab/fleets/small.hcl
+++ b/lab/fleets/small.hcl
@@ -16,10 +16,11 @@
 
 clients   { rate = 90 retries = 2 backoff_ms = 100 }
 front     { nodes = 6 notice_s = 0.5 }
-discovery { notice_ms = 500 silent_ms = 2000 add_ms = 200 calls_per_s = 100 }
+discovery { notice_ms = 500 silent_ms = 2000 add_ms = 200 calls_per_s = 100 form = "indented" }
 rules     { slack_ms = 600 drain_grace_ms = 600 }
 fleet     { boxes_per_process = 3 control = "on" }
 
+trouble "hush"        { at_s = 1    length_s = 0.5 part = 0.5 }
 trouble "hand"        { at_s = 2    length_s = 9   tier = "log-front" part = 0.3 }
 trouble "kill"        { at_s = 3    length_s = 1   part = 0.7 spread_s = 0.1 folder = "kept" }
 trouble "stall"       { at_s = 5.5  length_s = 0.8 who = "nodes" part = 0.3 }
