members: who is there and what a node may conclude, with one message changed at a time

Change: members, pure as raft's Step: lives with a number and a nonce, so that neither an old message nor a disk that went back is taken for news; what a node is (joining, agreed, disputed, cut off, alone) by the digests of a majority of its own site's and its parent's known members, and what it may do as that; words of its own for digests and claims. Ways weighed: agreement by the detector's own state alone can't tell a node that everybody else has given up.

--- a/internal/lab/link/link.go
+++ b/internal/lab/link/link.go
@@ -64,6 +64,7 @@
 type pair struct {
 	near, far net.Conn
 	left      atomic.Bool // the caller has ended it
+	answered  atomic.Bool // something has come back to it
 }
 
 // Open listens for callers, in a rig's block of ports; to says where a new connection leads, "": nowhere.
@@ -215,12 +216,13 @@
 	return l.fault
 }
 
-// Held says that the caller still has a connection, whatever has become of the link meanwhile.
+// Held says that the caller still has a connection on which something has come back, whatever has become of the link
+// meanwhile. One that waits in the listener's queue, or that keeps this queue full, is none.
 func (l *Link) Held() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for p := range l.pairs {
-		if !p.left.Load() {
+		if p.answered.Load() && !p.left.Load() {
 			return true
 		}
 	}
@@ -395,6 +397,9 @@
 			p.reset()
 			return
 		}
+		if way == Back {
+			p.answered.Store(true)
+		}
 		if _, err := to.Write(c.b); err != nil {
 			p.reset()
 			return
--- a/internal/lab/link/link_test.go
+++ b/internal/lab/link/link_test.go
@@ -322,3 +322,28 @@
 		runtime.Gosched()
 	}
 }
+
+// Whether the caller still has its connection is seen in silence too.
+func TestHeldInSilence(t *testing.T) {
+	l, far := opened(t)
+	near := dial(t, l)
+	other := next(t, far)
+	if _, err := other.Write([]byte("x")); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := near.Read(make([]byte, 1)); err != nil || !l.Held() {
+		t.Fatalf("%v, held %v", err, l.Held())
+	}
+	if err := l.Set(Fault{Silent: [2]bool{Back: true}}); err != nil {
+		t.Fatal(err)
+	}
+	if !l.Held() {
+		t.Error("not held though nobody has ended it")
+	}
+	near.Close()
+	for end := time.Now().Add(5 * time.Second); l.Held(); runtime.Gosched() {
+		if time.Now().After(end) {
+			t.Fatal("held though its caller has ended it")
+		}
+	}
+}
--- /dev/null
+++ b/members/mutate_test.go
@@ -0,0 +1,460 @@
+package members
+
+import (
+	"fmt"
+	"os"
+	"runtime"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+)
+
+// world plays several nodes' views in virtual time: words go over a network of links that can be cut, and what the
+// detector says comes from who runs and who reaches whom. Every message has a number; one of them may be changed.
+type world struct {
+	t       time.Duration
+	nodes   map[string]*node
+	names   []string
+	queue   []delivery
+	sent    int // messages so far
+	early   int // and so many by changedBy
+	change  mutation
+	cut     map[string]bool
+	broken  []string
+	off     guard
+	reports int
+	excused Life                     // the one whose end, as it was, is the message that is changed: it may be believed until the detector speaks again
+	apart   map[string]time.Duration // when one was last out of another's reach
+}
+
+type node struct {
+	*Members
+	name, site string
+	life       int // of the process
+	disk       uint64
+	up         bool
+	asleep     time.Duration // until then
+	woke       time.Duration // the last time; no word has come since while >0
+	raises     int
+	seen, lost map[string]Life // what it has been told by the detector of each other node
+	starts     map[string]uint64
+}
+
+type delivery struct {
+	at   time.Duration
+	to   string
+	life int
+	e    Event
+	n    int
+}
+
+// mutation is what becomes of one message.
+type mutation struct {
+	n   int
+	how string
+}
+
+var ways = []string{"dropped", "doubled", "doubled late", "held past the next", "held past a restart", "to another", "of the life before",
+	"of a life to come", "of another site", "of no site", "number at its end", "other views", "no views", "claims the receiver", "claims another", "cut short"}
+
+var tree = Tree{"dc": "", "okanagan": "dc"}
+
+func newWorld(change mutation, off guard) *world {
+	w := &world{nodes: map[string]*node{}, change: change, cut: map[string]bool{}, apart: map[string]time.Duration{}, off: off}
+	for name, site := range map[string]string{"r1": "dc", "r2": "dc", "r3": "dc", "a1": "okanagan", "a2": "okanagan", "a3": "okanagan"} {
+		w.nodes[name] = &node{name: name, site: site, disk: 0}
+		w.names = append(w.names, name)
+	}
+	slices.Sort(w.names)
+	return w
+}
+
+func (w *world) start(name string, disk uint64) {
+	n := w.nodes[name]
+	n.life++
+	n.disk = disk + 1
+	me := Life{name, n.disk, uint64(n.life)*1000 + uint64(slices.Index(w.names, name))}
+	m, err := New(me, n.site, tree, Usual(), uint64(n.life))
+	if err != nil {
+		panic(err)
+	}
+	m.off = w.off
+	n.Members, n.up, n.raises, n.starts, n.woke = m, true, 0, map[string]uint64{}, 0
+	n.seen, n.lost = map[string]Life{}, map[string]Life{}
+	w.step(n, Tick{})
+}
+
+// step gives an event to a node and carries out what it answers.
+func (w *world) step(n *node, e Event) {
+	if h, ok := e.(Heard); ok && n.woke > 0 && h.From.Name != n.name {
+		n.woke = -n.woke
+	}
+	for _, a := range n.Step(w.t, e) {
+		switch a := a.(type) {
+		case Say:
+			for _, to := range w.names {
+				if to != n.name && w.reach(n.name, to) {
+					w.send(delivery{w.t + time.Duration(20+7*len(to)+3*slices.Index(w.names, to))*time.Millisecond, to, w.nodes[to].life, Heard{a.Word}, 0})
+				}
+			}
+		case Raise:
+			n.disk = a.Start
+			n.raises++
+			if n.raises > 3 {
+				w.fault("%s has raised its number %d times", n.name, n.raises)
+			}
+		}
+	}
+	for name, h := range n.words {
+		if k := n.members[name]; k == nil || k.Life != h.From {
+			w.fault("%s goes by a word of %s, start %d, which is not there", n.name, name, h.From.Start)
+		}
+	}
+	if n.Self() == Agreed && n.woke > 0 {
+		w.fault("%s agrees though it has heard nobody since it woke", n.name)
+		n.woke = 0
+	}
+	for _, k := range n.members {
+		if k.Start < n.starts[k.Name] && n.starts[k.Name] <= w.nodes[k.Name].Me().Start { // one that never was is no start
+			w.fault("%s takes %s back from start %d to %d", n.name, k.Name, n.starts[k.Name], k.Start)
+		}
+		n.starts[k.Name] = k.Start
+		if o := w.nodes[k.Name]; k.State == Failed && k.Life == o.Me() && k.Life != w.excused && o.up && w.t >= o.asleep && w.t-w.apart[n.name+k.Name] > 3*time.Second {
+			w.fault("%s calls %s failed, which it reaches", n.name, k.Name)
+		}
+	}
+}
+
+func (w *world) fault(format string, args ...any) {
+	w.broken = append(w.broken, fmt.Sprintf("%v: ", w.t)+fmt.Sprintf(format, args...))
+}
+
+func (w *world) reach(a, b string) bool {
+	return w.nodes[a].up && w.nodes[b].up && !w.cut[a+b]
+}
+
+// send puts a message under way, changed if it is the one.
+func (w *world) send(d delivery) {
+	w.sent++
+	d.n = w.sent
+	if d.n != w.change.n {
+		w.queue = append(w.queue, d)
+		return
+	}
+	later := func(d delivery, by time.Duration) {
+		d.at += by
+		w.queue = append(w.queue, d)
+	}
+	if lost, ok := d.e.(Lost); ok {
+		w.excused = lost.Life
+	}
+	word, isWord := d.e.(Heard)
+	life := func(f func(*Life)) {
+		switch e := d.e.(type) {
+		case Heard:
+			f(&e.From)
+			d.e = e
+		case Found:
+			f(&e.Life)
+			d.e = e
+		case Lost:
+			f(&e.Life)
+			d.e = e
+		}
+	}
+	switch w.change.how {
+	case "dropped":
+		return
+	case "doubled":
+		later(d, 0)
+	case "doubled late":
+		later(d, 4*time.Second)
+	case "held past the next":
+		later(d, 1500*time.Millisecond)
+		return
+	case "held past a restart":
+		d.life = 0 // whichever life is there then
+		later(d, 4*time.Second)
+		return
+	case "to another":
+		d.to = w.names[(slices.Index(w.names, d.to)+1)%len(w.names)]
+		d.life = 0
+	case "of the life before":
+		life(func(l *Life) { l.Start, l.Nonce = l.Start-1, l.Nonce-1000 })
+	case "of a life to come":
+		life(func(l *Life) { l.Start, l.Nonce = l.Start+1, l.Nonce+1000 })
+	case "number at its end":
+		life(func(l *Life) { l.Start = 1<<64 - 1 })
+	case "of another site", "of no site":
+		site := map[string]string{"of another site": "okanagan", "of no site": "nowhere"}[w.change.how]
+		switch e := d.e.(type) {
+		case Heard:
+			e.Site = site
+			d.e = e
+		case Found:
+			e.Site = site
+			d.e = e
+		}
+	case "other views", "no views", "claims the receiver", "claims another", "cut short":
+		if !isWord {
+			break
+		}
+		switch w.change.how {
+		case "other views":
+			word.Views = map[string]uint64{"dc": 1, "okanagan": 2}
+		case "no views":
+			word.Views = nil
+		case "claims the receiver":
+			word.Claims = []Life{{d.to, 1<<64 - 1, 7}}
+		case "claims another":
+			word.Claims = []Life{{"a2", 1<<64 - 1, 7}, {"r1", 1 << 40, 7}}
+		default:
+			word.Word = Word{From: word.From}
+		}
+		d.e = word
+	}
+	w.queue = append(w.queue, d)
+}
+
+// detect has each node told by its detector of whom it reaches, and, after a while, whom it does not.
+func (w *world) detect() {
+	w.reports++
+	for _, a := range w.names {
+		n := w.nodes[a]
+		if !n.up || w.t < n.asleep {
+			continue
+		}
+		for _, b := range w.names {
+			o := w.nodes[b]
+			if a == b || o.Members == nil {
+				continue
+			}
+			known, met := n.seen[b]
+			reached := w.reach(a, b) && w.reach(b, a) && w.t >= o.asleep
+			if !reached {
+				w.apart[a+b] = w.t
+			}
+			switch {
+			case reached && (!met || known != o.Me() || w.reports%4 == 0): // and again, as it stands
+				n.seen[b] = o.Me()
+				w.send(delivery{w.t + 30*time.Millisecond, a, n.life, Found{o.Me(), o.site, b}, 0})
+			case !reached && met:
+				delete(n.seen, b)
+				n.lost[b] = known
+				w.send(delivery{w.t + 1500*time.Millisecond, a, n.life, Lost{known, a, false}, 0})
+			case !reached && n.lost[b].Name != "" && w.reports%4 == 0:
+				w.send(delivery{w.t + 30*time.Millisecond, a, n.life, Lost{n.lost[b], a, false}, 0})
+			}
+		}
+	}
+}
+
+// course is what happens to the world, by half seconds: a death, a return with a number that has gone back, a node that is
+// cut off, a stall.
+func (w *world) course(half int) {
+	switch half {
+	case 0, 1, 2, 3, 4, 5:
+		w.start(w.names[half], 5)
+	case 8:
+		w.nodes["a2"].up = false
+	case 14:
+		w.start("a2", 3) // the disk went back by two
+	case 20, 28:
+		for _, o := range w.names {
+			w.cut["a1"+o], w.cut[o+"a1"] = half == 20, half == 20
+		}
+	case 32:
+		n := w.nodes["r1"]
+		n.asleep = w.t + 3*time.Second
+	case 38:
+		n := w.nodes["r1"]
+		n.asleep, n.woke = 0, w.t
+		w.step(n, Slept{3 * time.Second})
+	}
+}
+
+const (
+	courseLen = 65 // half seconds
+	changedBy = 42 // messages until then are changed, one in each course,
+	agreesBy  = 64 // and all is well again by then
+)
+
+// run plays the course and says what was broken.
+func (w *world) run() []string {
+	for half := range courseLen {
+		until := time.Duration(half+1) * 500 * time.Millisecond
+		w.t = time.Duration(half) * 500 * time.Millisecond
+		w.course(half)
+		w.detect()
+		for _, name := range w.names {
+			if n := w.nodes[name]; n.up && w.t >= n.asleep {
+				w.step(n, Tick{})
+			}
+		}
+		for {
+			next := -1
+			for i, d := range w.queue {
+				if d.at < until && (next < 0 || d.at < w.queue[next].at) {
+					next = i
+				}
+			}
+			if next < 0 {
+				break
+			}
+			d := w.queue[next]
+			w.queue = slices.Delete(w.queue, next, next+1)
+			w.t = max(w.t, d.at)
+			n := w.nodes[d.to]
+			if n.Members == nil || !n.up || d.life != 0 && d.life != n.life {
+				continue
+			}
+			if w.t < n.asleep { // it is read when it wakes
+				d.at = n.asleep
+				w.queue = append(w.queue, d)
+				continue
+			}
+			w.step(n, d.e)
+		}
+		if half >= 27 && half < 28 && w.nodes["a1"].Self() == Agreed {
+			w.fault("a1 agrees while it is cut off")
+		}
+		switch half {
+		case changedBy:
+			w.early = w.sent
+		case agreesBy:
+			w.judge()
+		}
+	}
+	return w.broken
+}
+
+// judge wants all of one mind, and nobody called what it is not.
+func (w *world) judge() {
+	for _, a := range w.names {
+		n := w.nodes[a]
+		if n.Self() != Agreed {
+			w.fault("%s is %v at the end", a, n.Self())
+		}
+		list := n.List()
+		if len(list) != len(w.names)-1 {
+			w.fault("%s knows %d others", a, len(list))
+		}
+		for _, k := range list {
+			if o := w.nodes[k.Name]; o == nil || k.State != Here || k.Life != o.Me() {
+				w.fault("%s has %s as %v, start %d", a, k.Name, k.State, k.Start)
+			}
+		}
+	}
+}
+
+// The course as it is keeps all that is promised.
+func TestCourse(t *testing.T) {
+	w := newWorld(mutation{}, 0)
+	for _, b := range w.run() {
+		t.Error(b)
+	}
+	if w.sent < 200 {
+		t.Errorf("%d messages", w.sent)
+	}
+	if n := w.nodes["a2"]; n.raises != 1 || n.Me().Start != 7 {
+		t.Errorf("a2 came back with an old number and is start %d after %d raises", n.Me().Start, n.raises)
+	}
+}
+
+// mutants plays the course once for each message and each way to change it, and gives those that broke something.
+func mutants(off guard, stop bool) (played int, broken []string) {
+	base := newWorld(mutation{}, off)
+	if b := base.run(); len(b) > 0 {
+		return 1, []string{"unchanged: " + b[0]}
+	}
+	type job struct{ mutation }
+	jobs, found := make(chan job), make(chan string, 1<<16)
+	var over atomic.Bool
+	var all sync.WaitGroup
+	for range runtime.GOMAXPROCS(0) {
+		all.Go(func() {
+			for j := range jobs {
+				w := newWorld(j.mutation, off)
+				if b := w.run(); len(b) > 0 {
+					found <- fmt.Sprintf("message %d %s: %s", j.n, j.how, b[0])
+					over.Store(stop)
+				}
+			}
+		})
+	}
+	stride := 5 // what CI plays, with the race detector
+	if os.Getenv("HOOKWALK_MUTANTS") == "all" {
+		stride = 1
+	}
+	for n := 1; n <= base.early && !over.Load(); n += stride {
+		for _, how := range ways {
+			jobs <- job{mutation{n, how}}
+			played++
+		}
+	}
+	close(jobs)
+	all.Wait()
+	close(found)
+	for f := range found {
+		broken = append(broken, f)
+	}
+	slices.Sort(broken)
+	return played, broken
+}
+
+// No single message, whatever becomes of it, makes a view go back, keeps nodes from agreeing, or has one agree too early.
+func TestOneMessageChanged(t *testing.T) {
+	played, broken := mutants(0, false)
+	t.Logf("%d courses, each with one message changed", played)
+	if played < 1000 {
+		t.Errorf("%d courses", played)
+	}
+	for _, b := range broken[:min(len(broken), 12)] {
+		t.Error(b)
+	}
+	if len(broken) > 12 {
+		t.Errorf("and %d more", len(broken)-12)
+	}
+}
+
+// Each guard is there for something: without it some message, changed, does harm; or the course of its own below.
+func TestEachGuardIsNeeded(t *testing.T) {
+	own := map[guard]func(guard) bool{guardStale: falls}
+	for n := range guards {
+		g := guard(1) << n
+		if course := own[g]; course != nil {
+			if course(0) || !course(g) {
+				t.Errorf("guard %d: its course shows nothing", n)
+			}
+		} else if _, broken := mutants(g, true); len(broken) == 0 {
+			t.Errorf("guard %d: no course shows what it is for", n)
+		} else {
+			t.Logf("guard %d: %s", n, broken[0])
+		}
+	}
+}
+
+// falls says that a node goes on to agree by the words of others that the detector still has, but that have long said
+// nothing: what they hold now, nobody knows.
+func falls(off guard) bool {
+	m, err := New(Life{"r1", 1, 1}, "dc", tree, Usual(), 1)
+	if err != nil {
+		panic(err)
+	}
+	m.off = off
+	for n, name := range []string{"r2", "r3"} {
+		l := Life{name, 1, uint64(n + 2)}
+		m.Step(0, Found{l, "dc", name})
+	}
+	for n, name := range []string{"r2", "r3"} {
+		m.Step(time.Second, Heard{Word{From: Life{name, 1, uint64(n + 2)}, Site: "dc", Views: m.digests()}})
+	}
+	if m.Self() != Agreed {
+		panic(m.Self())
+	}
+	m.Step(20*time.Second, Tick{})
+	m.Step(25*time.Second, Tick{})
+	return m.Self() == Agreed
+}
