--- a/members/members.go
+++ b/members/members.go
@@ -400,7 +400,7 @@
 		m.twin = Life{}
 	}
 	k := m.members[e.Name]
-	if k == nil || k.Life != e.Life && m.holds(guardLost) || k.State >= Failed {
+	if k == nil || k.Life != e.Life && m.holds(guardLost) || k.State == Left || k.State == Failed && !e.Left {
 		return
 	}
 	delete(m.words, e.Name)
