--- a/cmd/hookwalk/main.go
+++ b/cmd/hookwalk/main.go
@@ -38,6 +38,7 @@
 	Replay  replayCommand  `cmd:"" help:"Play a capture (a .hwc file or a log with capture lines) into this build's decisions and print what is decided otherwise; status 0: nothing, 1: something, 2: it can't be played."`
 	Check   checkCommand   `cmd:"" help:"Read a settings file strictly: ok, or what is wrong and where, and status 1."`
 	State   stateCommands  `cmd:"" help:"What a node keeps on disk."`
+	Sites   sitesCommands  `cmd:"" help:"What a running node knows of its peers and their sites."`
 	Lab     labCommands    `cmd:"" help:"An emulator of the chain: scenarios in virtual time and on sockets, experiments, the paper."`
 	Version versionCommand `cmd:"" help:"Print what build this is."`
 }
@@ -179,6 +180,11 @@
 	if err != nil {
 		return err
 	}
+	leave, err := joinPeers(cfg, log, n)
+	if err != nil {
+		return err
+	}
+	defer leave()
 	var dumps chan os.Signal // without a capture the signal does what it does to any program
 	if cfg.Features.Capture != nil {
 		dumps = make(chan os.Signal, 1)
@@ -213,6 +219,9 @@
 		if err == nil {
 			err = n.Reload(cfg)
 		}
+		if err == nil && n.Reread != nil {
+			err = n.Reread()
+		}
 		if err != nil {
 			log.Error("configuration not read again", "err", err)
 		}
--- /dev/null
+++ b/cmd/hookwalk/sites.go
@@ -0,0 +1,91 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"text/tabwriter"
+	"time"
+)
+
+// sitesCommands read what a node knows of its peers.
+type sitesCommands struct {
+	Show sitesShow `cmd:"" help:"Print a running node's view of its peers: what it is itself, each site, each member."`
+}
+
+type sitesShow struct {
+	Addr string `required:"" placeholder:"HOST:PORT" help:"Where the node takes operators' calls (control, or $ROUTER_CONTROL)."`
+	JSON bool   `help:"As the node answers it."`
+}
+
+// shown is what of a view is printed; the node's answer may have more.
+type shown struct {
+	Self, Site, Digest string
+	Me                 struct {
+		Name  string
+		Start uint64
+	}
+	Sites   map[string]struct{ There, Known int }
+	Members []struct {
+		Name, Site, State string
+		Start             uint64
+		ForMS             int64
+	}
+	Sent, Bad int64
+}
+
+const (
+	showTime = 3 * time.Second
+	showMost = 4 << 20
+)
+
+// ShowError says that a node's view could not be read.
+type ShowError struct {
+	Addr string
+	Err  error
+}
+
+func (e *ShowError) Error() string {
+	return fmt.Sprintf("sites: %s: %v: name the address at which the node takes operators' calls, and look whether it runs with a block peers", e.Addr, e.Err)
+}
+func (e *ShowError) Unwrap() error { return e.Err }
+
+// Run asks the node and prints its answer.
+func (c sitesShow) Run(s streams) error {
+	ctx, cancel := context.WithTimeout(context.Background(), showTime)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+c.Addr+"/control/sites", nil)
+	if err != nil {
+		return &ShowError{c.Addr, err}
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return &ShowError{c.Addr, err}
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(io.LimitReader(resp.Body, showMost))
+	if err == nil && resp.StatusCode != http.StatusOK {
+		err = fmt.Errorf("answered %s: %.200s", resp.Status, text)
+	}
+	var v shown
+	if err == nil {
+		err = json.Unmarshal(text, &v)
+	}
+	if err != nil {
+		return &ShowError{c.Addr, err}
+	}
+	if c.JSON {
+		_, err = s.stdout.Write(text)
+		return err
+	}
+	fmt.Fprintf(s.stdout, "%s of %s, start %d: %s; view %s; %d bytes sent in packets, %d messages not read\n\n",
+		v.Me.Name, v.Site, v.Me.Start, v.Self, v.Digest, v.Sent, v.Bad)
+	w := tabwriter.NewWriter(s.stdout, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "MEMBER\tSITE\tSTATE\tSTART\tFOR")
+	for _, m := range v.Members {
+		fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%s\n", m.Name, m.Site, m.State, m.Start, (time.Duration(m.ForMS) * time.Millisecond).Round(100*time.Millisecond))
+	}
+	return w.Flush()
+}
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"log/slog"
@@ -33,6 +34,7 @@
 	TakesClients() error // why it does not
 	Hand(ctx context.Context, server string, out bool) error
 	Serve(ctx context.Context, in bool) error // in service or out of it
+	Sites() any                               // what it knows of its peers; nil: it has none
 }
 
 // Server answers calls on one listener.
@@ -77,6 +79,10 @@
 	if c, ok := r.Context().Value(connKey{}).(*conn); ok {
 		c.in.whole(c)
 	}
+	if r.URL.EscapedPath() == "/control/sites" && r.Method == http.MethodGet {
+		s.sites(w)
+		return
+	}
 	method, act := s.route(r.URL.EscapedPath())
 	switch {
 	case act == nil:
@@ -103,6 +109,17 @@
 	}
 }
 
+// sites answers what the node knows of its peers. It changes nothing.
+func (s *Server) sites(w http.ResponseWriter) {
+	v := s.node.Sites()
+	if v == nil {
+		http.Error(w, "no: this node has no peers: its settings have no block peers", http.StatusNotFound)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	json.NewEncoder(w).Encode(v) // a caller that has left reads nothing
+}
+
 // route finds the call of a path. act is nil if there is none.
 func (s *Server) route(path string) (method string, act func(context.Context) error) {
 	switch path {
--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -21,11 +21,14 @@
 
 // fake is a node that notes what is asked of it.
 type fake struct {
+	sites any
 	mu    sync.Mutex
 	asked []string
 	err   error
 }
 
+func (f *fake) Sites() any { return f.sites }
+
 func (f *fake) note(format string, args ...any) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -60,6 +60,11 @@
 	kin       kin
 	inherited []engine.Box // the servers, where another process handed them over
 
+	// Sites, if it is there, is asked by operators for what this node knows of its peers, and Reread at SIGHUP; both are
+	// set before Run.
+	Sites  func() any
+	Reread func() error
+
 	reloads sync.Mutex         // over what follows
 	now     Config             // as it was read last; cfg is that of the start
 	set     deckrelay.Settings // the module's
--- a/internal/node/operated.go
+++ b/internal/node/operated.go
@@ -33,6 +33,14 @@
 	return nil
 }
 
+// Sites is what the node knows of its peers, to be read as JSON; nil: it has none.
+func (o operated) Sites() any {
+	if o.n.Sites == nil {
+		return nil
+	}
+	return o.n.Sites()
+}
+
 // Hand takes a server out of use, or puts it back.
 func (o operated) Hand(ctx context.Context, id string, out bool) error {
 	if err := o.n.engine.Hand(ctx, id, out); err != nil {
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -41,7 +41,7 @@
 
 // Starts keeps the number of a node's start.
 type Starts interface {
-	Next() (uint64, error)    // one more than the last that was kept; without one, 1
+	Next() (uint64, error)    // one more than the last that was kept; without one, 1. It waits for no force to disk
 	Raise(start uint64) error // keeps one; nobody waits for it
 }
 
@@ -112,9 +112,14 @@
 	if err != nil {
 		return nil, err
 	}
+	ln, err := net.Listen("tcp", cfg.Listen) // the library's error does not say that an address is taken
+	if err != nil {
+		return nil, &JoinError{cfg.Listen, err}
+	}
+	ln.Close()
 	start, err := cfg.Starts.Next()
-	if err != nil { // a disk that can't be read or written: the peers know the number, if there was one
-		logger.Warn("peers: the number of this start is not on disk", "err", err)
+	if err != nil { // a disk that can't be read: the peers know the number, if there was one
+		logger.Warn("peers: the number of this start is not known", "err", err)
 	}
 	var nonce [8]byte
 	rand.Read(nonce[:])
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -21,8 +21,25 @@
 	Figures   *Figures   // nil: off
 	Addresses *Addresses // nil: off
 	Capture   *Capture   // nil: off
+	Peers     *Peers     // nil: off
+	Sites     []Site
 }
 
+// Peers say how a node meets others.
+type Peers struct {
+	Pos     string // file:line of its block
+	Site    string
+	Listen  string
+	Seeds   []string
+	KeyFile string
+	Label   string
+	Folder  string // for the number of its start; "": $TMPDIR
+	Via     map[string]string
+}
+
+// Site is one of the installation's, below its parent; "": it is the root.
+type Site struct{ Pos, Name, Parent string }
+
 // Drill is a rehearsal that can be started.
 type Drill struct {
 	Pos         string // file:line of its block
@@ -95,6 +112,10 @@
 			f.takeAddresses(r)
 		case "capture":
 			f.takeCapture(r)
+		case "peers":
+			f.takePeers(r)
+		case "site":
+			f.takeSite(r)
 		default:
 			return File{}, Fault(name, b.Line, "unknown block %s", b.Kind)
 		}
@@ -102,7 +123,82 @@
 			return File{}, err
 		}
 	}
-	return f, nil
+	return f, f.checkSites()
+}
+
+func (f *File) takePeers(r *Reader) {
+	r.Once(f.Peers != nil)
+	p := &Peers{Pos: fmt.Sprintf("%s:%d", r.File, r.Block.Line), Site: r.Text("site", ""), Listen: r.Text("listen", ""),
+		Seeds: r.Texts("seeds"), KeyFile: r.Text("key_file", ""), Label: r.Text("label", ""), Folder: r.Text("folder", ""), Via: map[string]string{}}
+	for name, text := range map[string]string{"site": p.Site, "listen": p.Listen, "key_file": p.KeyFile} {
+		if text == "" {
+			r.Fail(r.Block.Line, "block peers needs %s", name)
+		}
+	}
+	address := func(name, text string) {
+		if host, port, err := net.SplitHostPort(text); err != nil || host == "" || port == "" {
+			line, _ := r.Has(name)
+			r.Fail(line, "%s must be HOST:PORT", name)
+		}
+	}
+	address("listen", p.Listen)
+	for _, s := range p.Seeds {
+		address("seeds", s)
+	}
+	for _, v := range r.Texts("via") { // "10.0.0.4:7946=192.0.2.1:7946": a peer that is reached elsewhere than where it listens
+		at, to, ok := strings.Cut(v, "=")
+		if line, _ := r.Has("via"); !ok {
+			r.Fail(line, "via must be a list of HOST:PORT=HOST:PORT")
+		}
+		address("via", at)
+		address("via", to)
+		p.Via[at] = to
+	}
+	f.Peers = p
+}
+
+func (f *File) takeSite(r *Reader) {
+	s := Site{fmt.Sprintf("%s:%d", r.File, r.Block.Line), r.Label(), r.Text("parent", "")}
+	if !printable(s.Name) {
+		r.Fail(r.Block.Line, "a site's label is its name: 1 to %d visible characters", maxText)
+	}
+	for _, o := range f.Sites {
+		if o.Name == s.Name {
+			r.Fail(r.Block.Line, "site %s is there already (%s)", s.Name, o.Pos)
+		}
+	}
+	f.Sites = append(f.Sites, s)
+}
+
+// checkSites says what is wrong with the sites together: they are one tree, and a node is of one of them.
+func (f *File) checkSites() error {
+	parents, roots := map[string]string{}, 0
+	for _, s := range f.Sites {
+		parents[s.Name] = s.Parent
+	}
+	for _, s := range f.Sites {
+		if s.Parent == "" {
+			if roots++; roots > 1 {
+				return fmt.Errorf("%s: site %s has no parent, and another has none either: one is the root", s.Pos, s.Name)
+			}
+			continue
+		}
+		if _, ok := parents[s.Parent]; !ok {
+			return fmt.Errorf("%s: site %s has the parent %s, which is no site", s.Pos, s.Name, s.Parent)
+		}
+		for at, steps := s.Name, 0; at != ""; at, steps = parents[at], steps+1 {
+			if steps > len(f.Sites) {
+				return fmt.Errorf("%s: site %s is above itself", s.Pos, s.Name)
+			}
+		}
+	}
+	if f.Peers == nil {
+		return nil
+	}
+	if _, ok := parents[f.Peers.Site]; !ok {
+		return fmt.Errorf("%s: site %q is not one of the blocks site", f.Peers.Pos, f.Peers.Site)
+	}
+	return nil
 }
 
 func (f *File) takeDrill(r *Reader) {
@@ -283,6 +379,12 @@
 	return byDefault
 }
 
+// Texts takes a list of strings.
+func (r *Reader) Texts(name string) []string {
+	list, _, _ := get[[]string](r, name, "a list of strings")
+	return list
+}
+
 // OneOf takes one of some words, the first by default.
 func (r *Reader) OneOf(name string, words ...string) string {
 	v := r.Text(name, words[0])
