--- a/internal/lab/model/box.go
+++ b/internal/lab/model/box.go
@@ -58,7 +58,8 @@
 	Epoch int           // starts so far
 	Conns int           // open connections
 
-	Slow float64 // factor on its speed, of troubles
+	Slow float64       // factor on its speed, of troubles
+	Mean time.Duration // work of a request of its tier
 	guard
 
 	running jobHeap
@@ -278,8 +279,9 @@
 	work float64
 }
 
-// Sent notes work sent to a box and says whether that pushes it over. One largest request is granted for
-// chance: an idle box that gets a single long one has not been overrun.
+// Sent notes work sent to a box and says whether that pushes it over: with N requests of mean work allowed in the time
+// that the rules name, more than N + 3 x root of N + 3 of them, as the operators count. Where the mean is not known one
+// largest request is granted for chance: an idle box that gets a single long one has not been overrun.
 func (b *Box) Sent(now, work time.Duration) (fell bool) {
 	if b.multiple <= 0 || b.Cold(now) >= 1 {
 		b.sent = nil
@@ -296,5 +298,23 @@
 		}
 	}
 	b.sent = keep
-	return sum > b.multiple*b.Capacity(now)*b.window.Seconds()+b.largest
+	may := b.multiple * b.Capacity(now) * b.window.Seconds()
+	if mean := b.Mean.Seconds(); mean > 0 {
+		n := may / mean
+		return sum/mean > n+3*math.Sqrt(n)+3
+	}
+	return sum > may+b.largest
+}
+
+// MeanWork is that of a request at a tier's boxes.
+func MeanWork(s *scenario.Scenario, tier int) time.Duration {
+	work, shares := 0.0, 0.0
+	for _, c := range s.Classes {
+		work += c.Share * float64(c.Work)
+		shares += c.Share
+	}
+	if shares == 0 {
+		return 0
+	}
+	return time.Duration(work / shares * s.Tiers[tier].Work)
 }
--- a/internal/lab/virtual/world.go
+++ b/internal/lab/virtual/world.go
@@ -77,6 +77,7 @@
 					id = fmt.Sprintf("s-%08x", names.Uint32())
 				}
 				b := &server{Box: model.NewBox(id, i, len(row), &t.Kinds[k], s.Rules), spec: t}
+				b.Mean = model.MeanWork(s, i)
 				w.byID[id] = b
 				row = append(row, b)
 			}
--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -12,6 +12,7 @@
 	"strconv"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"hookwalk.example/hookwalk/deckrelay"
@@ -155,7 +156,11 @@
 			}
 			d.garbled++
 		}
-		d.clocked(func(c *listclock.Clock) { c.Ended(d.now()) })
+		d.clocked(func(c *listclock.Clock) {
+			if c.Ended(d.now()); errors.Is(err, syscall.ECONNREFUSED) {
+				c.Down()
+			}
+		})
 		d.log.Warn("watch of discovery ended", "addr", addr, "lists", lists, "list", d.State(), "err", err)
 		if here.Err() != nil {
 			continue
