--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -226,9 +226,9 @@
 // step gives an event to the module and carries out what it answers.
 func (r *Room) step(e members.Event) {
 	r.mu.Lock()
-	before := r.module.Digest()
+	before := r.module.Revision()
 	actions := r.module.Step(r.now(), e)
-	turned := r.module.Digest() != before
+	turned := r.module.Revision() != before
 	var raised *members.Life
 	for _, a := range actions {
 		switch a := a.(type) {
--- a/members/members.go
+++ b/members/members.go
@@ -251,7 +251,8 @@
 	twinned time.Duration
 	wants   bool // this node has nothing to go by
 	cached  map[string]uint64
-	same    bool // as long as no member has changed
+	same    bool   // as long as no member has changed
+	rev     uint64 // rises with each change of a member
 	off     guard
 	claimed map[string]time.Duration
 }
@@ -298,12 +299,12 @@
 // Step takes one event and returns what to do, in order.
 func (m *Members) Step(now time.Duration, e Event) []Action {
 	m.now, m.out = max(m.now, now), nil
-	if _, tick := e.(Tick); !tick {
-		m.same = false
-	}
 	switch e := e.(type) {
 	case Found:
-		m.found(e)
+		rev := m.rev
+		if m.found(e); m.rev == rev { // as it was: with many members that is what most reports say
+			return m.out
+		}
 	case Doubted:
 		if k := m.members[e.Name]; k != nil && k.Life == e.Life && k.State == Here {
 			m.turn(k, Suspect, "")
@@ -327,7 +328,14 @@
 
 func (m *Members) do(a Action) { m.out = append(m.out, a) }
 
+// touch notes that a member has changed.
+func (m *Members) touch() {
+	m.same = false
+	m.rev++
+}
+
 func (m *Members) turn(k *Member, s State, by string) {
+	m.touch()
 	k.State, k.Since, k.By = s, m.now, by
 	if s == Failed {
 		k.asked, k.wait = m.now, m.Ask
@@ -349,15 +357,20 @@
 	case k == nil && e.Start < m.floor[e.Name]:
 		m.claim(Life{e.Name, m.floor[e.Name], 0})
 	case k == nil:
+		m.touch()
 		m.members[e.Name] = &Member{Life: e.Life, Site: e.Site, State: Here, Since: m.now, By: e.By}
 		m.bound()
 	case k.Life == e.Life:
-		k.Site = e.Site
+		if k.Site != e.Site {
+			m.touch()
+			k.Site = e.Site
+		}
 		if k.State != Here && k.State != Left { // who has left is another life when it comes back
 			m.turn(k, Here, e.By)
 		}
 	case m.holds(guardFar) && e.Start > k.Start && e.Start-k.Start > farthest:
 	case e.Life.After(k.Life) && e.Start >= m.floor[e.Name] || !m.holds(guardOlder):
+		m.touch()
 		*k = Member{Life: e.Life, Site: e.Site, State: Here, Since: m.now, By: e.By}
 		delete(m.words, e.Name)
 	default: // it claims a number that was another life's, or an older one: the one who claims it must take a higher
@@ -383,6 +396,7 @@
 	case !m.holds(guardRaise):
 	case !m.settled || !m.holds(guardTwin): // nobody has agreed with this one yet: it is the one that gives way, by going above
 		had := m.me.Start
+		m.touch()
 		m.me.Start = l.Start + 1
 		m.do(Raise{m.me})
 		m.do(Warn{&OlderError{had, m.me.Start}})
@@ -413,7 +427,6 @@
 
 // heard takes a word, if it is of a life that is there.
 func (m *Members) heard(w Word) {
-	m.same = len(w.Claims) == 0 && m.cached != nil // a word changes no member, but for one that comes into its own
 	for _, l := range w.Claims[:min(len(w.Claims), MostClaims)] {
 		if l.Name == m.me.Name {
 			m.namesake(l)
@@ -426,7 +439,7 @@
 	k := m.members[w.From.Name]
 	if k != nil && k.offered == w.From && !k.spoke && m.now-k.Since >= m.Dispute {
 		// The younger life never said a word, and the one that the detector has does: there was no younger one.
-		m.same = false
+		m.touch()
 		*k = Member{Life: w.From, Site: k.Site, State: Here, Since: m.now, By: w.From.Name}
 		delete(m.floor, w.From.Name)
 	}
@@ -460,7 +473,7 @@
 }
 
 func (m *Members) forget(name string) {
-	m.same = false
+	m.touch()
 	delete(m.members, name)
 	delete(m.floor, name)
 	delete(m.words, name)
@@ -618,4 +631,7 @@
 }
 
 // Digest is of what this node takes for the members of its own site and its parent's.
-func (m *Members) Digest() uint64 { return m.digest(m.site) }
+func (m *Members) Digest() uint64 { return m.digests()[m.site] }
+
+// Revision is another whenever a member has changed.
+func (m *Members) Revision() uint64 { return m.rev }
