--- a/cmd/hookwalk/peers.go
+++ b/cmd/hookwalk/peers.go
@@ -122,19 +122,21 @@
 // Next is one more than the last.
 func (s *starts) Next() (uint64, error) {
 	var last uint64
+	var wrong error
 	found := state.Read(s.path, s.owner)
-	if found.Body != nil {
-		if err := json.Unmarshal(found.Body, &last); err != nil {
-			return 1, &StartError{s.path, err}
-		}
+	switch {
+	case found.Body != nil:
+		wrong = json.Unmarshal(found.Body, &last)
+	case len(found.Bad) > 0:
+		wrong = found.Bad[0]
 	}
 	go func() { // a node that is killed before it is on disk claims the number again, and its peers settle it
 		if err := s.write(last + 1); err != nil {
 			s.log.Warn("peers", "err", err)
 		}
 	}()
-	if found.Body == nil && len(found.Bad) > 0 {
-		return last + 1, &StartError{s.path, found.Bad[0]}
+	if wrong != nil {
+		return last + 1, &StartError{s.path, wrong}
 	}
 	return last + 1, nil
 }
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -539,7 +539,7 @@
 // conflict is another node that uses a name.
 type conflict struct{ r *Room }
 
-// NotifyConflict tells the module of a life of this node's name that is not its own.
+// NotifyConflict tells the module of another life of a name that is there.
 func (c conflict) NotifyConflict(_, other *memberlist.Node) {
 	m, err := parseMeta(other.Meta)
 	if err != nil {
@@ -548,7 +548,7 @@
 		c.r.malformed(err)
 		return
 	}
-	if other.Name == c.r.cfg.Name {
+	if sane(other.Name) { // the library goes on with the one that it has: the module hears of both
 		go c.r.step(members.Found{Life: m.life(other.Name), Site: m.Site, By: "the detector"})
 	}
 }
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -324,3 +324,22 @@
 		}
 	})
 }
+
+// A name that two machines use: the others go on with the younger life, as with a node that moved; the one before grants
+// nothing while that lasts, and is itself again when the other is gone.
+func TestNameOfTwo(t *testing.T) {
+	all := gather(t, keyFile(t, key))
+	first := all[3]
+	second := &place{cfg: first.cfg, tap: &cut{to: map[string]bool{}}, kept: &kept{last: 5}}
+	second.cfg.Listen, second.cfg.Starts, second.cfg.Tap = port(t), second.kept, second.tap
+	second.begin(t)
+	until(t, first.Room, "in doubt", func(v View) bool { return v.Self == "disputed" })
+	if first.May(members.Grant) {
+		t.Error("the older of two nodes of a name may grant")
+	}
+	for _, p := range all[:3] {
+		until(t, p.Room, "agreed", func(v View) bool { return v.Self == "agreed" })
+	}
+	second.Close()
+	until(t, first.Room, "agreed", agreed(len(all)))
+}
--- a/members/members.go
+++ b/members/members.go
@@ -437,8 +437,8 @@
 		}
 	}
 	k := m.members[w.From.Name]
-	if k != nil && k.offered == w.From && !k.spoke && m.now-k.Since >= m.Dispute {
-		// The younger life never said a word, and the one that the detector has does: there was no younger one.
+	if k != nil && k.offered == w.From && m.now-k.Since >= m.Dispute && (!k.spoke || m.silent(k)) {
+		// The younger life never said a word, or says none any more, and the one that the detector has does.
 		m.touch()
 		*k = Member{Life: w.From, Site: k.Site, State: Here, Since: m.now, By: w.From.Name}
 		delete(m.floor, w.From.Name)
@@ -453,6 +453,12 @@
 	m.words[w.From.Name] = &word{w, m.now}
 }
 
+// silent says that a member has said nothing for so long that its last word is of no weight.
+func (m *Members) silent(k *Member) bool {
+	w := m.words[k.Name]
+	return w == nil || m.now-w.at >= m.Stale
+}
+
 // farthest is how far above a known number a claim is believed: a liar must not use up the numbers, nor keep a node out.
 const farthest = 1 << 20
 
--- a/members/mutate_test.go
+++ b/members/mutate_test.go
@@ -20,6 +20,7 @@
 	queue   []delivery
 	sent    int // messages so far
 	early   int // and so many by changedBy
+	settled bool
 	change  mutation
 	cut     map[string]bool
 	broken  []string
@@ -277,6 +278,7 @@
 
 const (
 	courseLen = 65 // half seconds
+	settledBy = 19 // who came back at 14 with an old number agrees, if no message is changed
 	changedBy = 42 // messages until then are changed, one in each course,
 	agreesBy  = 64 // and all is well again by then
 )
@@ -321,6 +323,8 @@
 			w.fault("a1 agrees while it is cut off")
 		}
 		switch half {
+		case settledBy:
+			w.settled = w.nodes["a2"].Self() == Agreed
 		case changedBy:
 			w.early = w.sent
 		case agreesBy:
@@ -355,6 +359,9 @@
 	for _, b := range w.run() {
 		t.Error(b)
 	}
+	if !w.settled {
+		t.Error("who came back with an old number does not agree 2.5 s later")
+	}
 	if w.sent < 200 {
 		t.Errorf("%d messages", w.sent)
 	}
@@ -421,7 +428,11 @@
 
 // Each guard is there for something: without it some message, changed, does harm; or the course of its own below.
 func TestEachGuardIsNeeded(t *testing.T) {
-	own := map[guard]func(guard) bool{guardStale: falls}
+	own := map[guard]func(guard) bool{guardStale: falls, guardRaise: func(off guard) bool {
+		w := newWorld(mutation{}, off)
+		w.run()
+		return !w.settled // its peers wait until they take the life before for gone
+	}}
 	for n := range guards {
 		g := guard(1) << n
 		if course := own[g]; course != nil {
