--- a/internal/listclock/listclock.go
+++ b/internal/listclock/listclock.go
@@ -9,16 +9,16 @@
 
 // The operators' figures, and what a node allows itself within them.
 const (
-	Beat       = 2 * time.Second         // a sound watch brings a line so often at least
-	Told       = 6 * time.Second         // what a silent watch missed counts as told so long after it fell silent
-	ToldHold   = 2 * time.Second         // of a call that discovery may hold: so long after that, if it is later
-	ToldMoved  = 4 * time.Second         // what a new discovery has, after SIGHUP names it
-	FailedMore = 4                       // a list held without a watch binds so many times later after a failed call
-	quiet      = 3 * time.Second         // a watch without a line: one beat missed, and half of the next
-	spread     = time.Second             // by which nodes whose watches fall silent at once give up apart
-	patience   = 3 * time.Second         // a call without an answer; a discovery that answers 300 in turn took 1.9 s
-	mostPatien = 10 * time.Second        // one that is slow by nature must be met some time
-	Object     = 4500 * time.Millisecond // from the first byte of a list till its last
+	Beat         = 2 * time.Second         // a sound watch brings a line so often at least
+	Told         = 6 * time.Second         // what a silent watch missed counts as told so long after it fell silent
+	ToldHold     = 2 * time.Second         // of a call that discovery may hold: so long after that, if it is later
+	ToldMoved    = 4 * time.Second         // what a new discovery has, after SIGHUP names it
+	FailedMore   = 4                       // a list held without a watch binds so many times later after a failed call
+	quiet        = 3 * time.Second         // a watch without a line: one beat missed, and half of the next
+	spread       = time.Second             // by which nodes whose watches fall silent at once give up apart
+	patience     = 3 * time.Second         // a call without an answer; a discovery that answers 300 in turn took 1.9 s
+	mostPatience = 10 * time.Second        // one that is slow by nature must be met some time
+	Object       = 4500 * time.Millisecond // from the first byte of a list till its last
 )
 
 // Rules are what the settings say of the list.
@@ -119,7 +119,7 @@
 	case calling:
 		wait := patience
 		for range min(c.unsaid, 4) { // nobody says how long a call may wait in turn: who is never answered waits longer
-			wait = min(wait+wait/2, mostPatien)
+			wait = min(wait+wait/2, mostPatience)
 		}
 		return c.since + max(wait+apart, c.Hold+ToldHold/2)
 	}
--- a/internal/listclock/listclock_test.go
+++ b/internal/listclock/listclock_test.go
@@ -76,13 +76,13 @@
 	for n := range 6 {
 		c.Call(now, 0)
 		wait := c.GiveUp() - now
-		if wait < last || wait > mostPatien || n > 0 && wait == patience {
+		if wait < last || wait > mostPatience || n > 0 && wait == patience {
 			t.Fatalf("call %d waits %v after %v", n, wait, last)
 		}
 		now, last = c.GiveUp(), wait
 		c.Ended(now)
 	}
-	if last != mostPatien {
+	if last != mostPatience {
 		t.Errorf("the sixth waits %v", last)
 	}
 	c.Call(now, 0)
