lab fleet: a process that was told to end is not replaced

Wrong: rig.upgrade began beside a process that had got SIGTERM, and its end was noted twice. Change: such an upgrade is left alone.

--- a/internal/lab/fleet/play.go
+++ b/internal/lab/fleet/play.go
@@ -507,6 +507,9 @@
 
 // upgrade has a node's process replaced, both side by side for a while.
 func (r *rig) upgrade(i int) {
+	if r.leaves[i].Load() { // nobody replaces a process that was told to end: it would end twice
+		return
+	}
 	kills := r.kills[i].Load()
 	if r.folders.apart(i) { // then a successor can't know what operators said
 		ids, _ := r.nodes.BoxNames(r.infos[i].Tier)
