--- a/cmd/hookwalk/peers.go
+++ b/cmd/hookwalk/peers.go
@@ -106,6 +106,7 @@
 type starts struct {
 	path, owner string
 	log         *slog.Logger
+	writes      sync.WaitGroup // that are under way
 }
 
 // StartError says that the number of a start could not be read or kept.
@@ -130,11 +131,11 @@
 	case len(found.Bad) > 0:
 		wrong = found.Bad[0]
 	}
-	go func() { // a node that is killed before it is on disk claims the number again, and its peers settle it
+	s.writes.Go(func() { // a node that is killed before it is on disk claims the number again, and its peers settle it
 		if err := s.write(last + 1); err != nil {
 			s.log.Warn("peers", "err", err)
 		}
-	}()
+	})
 	if wrong != nil {
 		return last + 1, &StartError{s.path, wrong}
 	}
--- a/cmd/hookwalk/peers_test.go
+++ b/cmd/hookwalk/peers_test.go
@@ -7,7 +7,6 @@
 	"path/filepath"
 	"strings"
 	"testing"
-	"time"
 
 	"hookwalk.example/hookwalk/internal/state"
 )
@@ -49,13 +48,9 @@
 			if got != tc.want || (err != nil) != tc.wrong || err != nil && !strings.Contains(err.Error(), "look at the folder's disk") {
 				t.Errorf("start %d, %v; want %d", got, err, tc.want)
 			}
-			for end := time.Now().Add(10 * time.Second); ; time.Sleep(time.Millisecond) { // it is written aside
-				if again := state.Read(path, "n"); string(again.Body) == fmt.Sprint(tc.want) {
-					break
-				}
-				if time.Now().After(end) {
-					t.Fatal("it is never on disk")
-				}
+			s.writes.Wait()
+			if again := state.Read(path, "n"); string(again.Body) != fmt.Sprint(tc.want) {
+				t.Errorf("%s is on disk", again.Body)
 			}
 		})
 	}
--- a/internal/listclock/listclock.go
+++ b/internal/listclock/listclock.go
@@ -36,7 +36,6 @@
 	draw   float64       // from 0 to 1, of this call
 	failed bool          // the last call did
 	unsaid int           // calls in a row without any answer
-	fresh  time.Duration // the last moment at which the list held was all that there was
 	asked  time.Duration // the last call's begin
 	down   bool          // discovery is away, and nothing binds until it is back
 	moved  time.Duration // when the configuration named another discovery; 0: it has been heard since
@@ -74,15 +73,7 @@
 // Whole notes that all that discovery had is held.
 func (c *Clock) Whole(now time.Duration) {
 	c.Heard(now)
-	c.fresh, c.object, c.moved = now, 0, 0
-}
-
-// Rest notes an empty line: nothing has changed since the last list.
-func (c *Clock) Rest(now time.Duration) {
-	c.Heard(now)
-	if c.object == 0 {
-		c.fresh = now
-	}
+	c.object, c.moved = 0, 0
 }
 
 // Ended notes that the call or the watch is over: refused, reset, at its end, or given up.
@@ -173,6 +164,3 @@
 	}
 	return Blind
 }
-
-// Age is how long ago the list held was surely all that there was; false: it never was.
-func (c *Clock) Age(now time.Duration) (time.Duration, bool) { return now - c.fresh, c.fresh > 0 }
--- a/internal/listclock/listclock_test.go
+++ b/internal/listclock/listclock_test.go
@@ -22,7 +22,7 @@
 		"a call that nobody answers":              {asked, func(c *Clock) { c.Call(s, 0) }, 4 * s, 7 * s, 7 * s, Blind},
 		"a call given up late by the draw":        {asked, func(c *Clock) { c.Call(s, 1) }, 5 * s, 7 * s, 6 * s, Aging},
 		"a call that discovery may hold for 30 s": {Rules{AskWithin: 10 * s, Hold: 30 * s}, func(c *Clock) { c.Call(s, 0) }, 32 * s, 33 * s, 32 * s, Aging},
-		"a watch that speaks":                     {asked, func(c *Clock) { c.Call(0, 0); c.Whole(s); c.Rest(3 * s) }, 6 * s, 9 * s, 5 * s, Fresh},
+		"a watch that speaks":                     {asked, func(c *Clock) { c.Call(0, 0); c.Whole(s); c.Heard(3 * s) }, 6 * s, 9 * s, 5 * s, Fresh},
 		"a watch that missed a beat":              {asked, func(c *Clock) { c.Call(0, 0.5); c.Whole(s) }, 4*s + s/2, 7 * s, 4 * s, Aging},
 		"a watch silent for over 6 s":             {asked, func(c *Clock) { c.Call(0, 0); c.Whole(s) }, 4 * s, 7 * s, 7 * s, Blind},
 		"the head of an answer and no list":       {asked, func(c *Clock) { c.Call(0, 0); c.Heard(s) }, 4 * s, 7 * s, 2 * s, Fresh},
--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -262,7 +262,7 @@
 	}
 }
 
-func (e *ear) Rest() { e.hears((*listclock.Clock).Rest) }
+func (e *ear) Rest() { e.hears((*listclock.Clock).Heard) }
 func (e *ear) Part() { e.hears((*listclock.Clock).Heard) }
 func (e *ear) Begun() {
 	e.hears(func(c *listclock.Clock, now time.Duration) { c.Heard(now); c.Begun(now) })
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -8,7 +8,6 @@
 	"crypto/rand"
 	"encoding/binary"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"io"
 	"log"
@@ -36,7 +35,6 @@
 	Via        map[string]string
 	Starts     Starts
 	Limits     members.Limits
-	Tap        Tap
 }
 
 // Starts keeps the number of a node's start.
@@ -139,7 +137,7 @@
 	if err != nil {
 		return nil, &JoinError{cfg.Listen, err}
 	}
-	r.wire = &wire{NetTransport: transport, via: cfg.Via, tap: cfg.Tap}
+	r.wire = &wire{NetTransport: transport, via: cfg.Via}
 	if r.ring, err = memberlist.NewKeyring(keys, keys[0]); err != nil {
 		transport.Shutdown()
 		return nil, &KeyError{cfg.KeyFile, err}
@@ -267,18 +265,19 @@
 }
 
 // send puts a note on its way; one of the same life before it need not go on. The caller holds mu. Views that have no
-// room are left out, those of the sites last by name first.
-func (r *Room) send(n note) {
+// room are left out, those of the sites last by name first.  It is closed when the note has been sent often enough.
+func (r *Room) send(n note) (gone <-chan struct{}) {
 	for {
 		b, err := json.Marshal(n)
 		if err != nil {
 			r.log.Error("peers", "err", err)
-			return
+			return nil
 		}
 		if len(b) <= mostNote {
-			r.queue.QueueBroadcast(&broadcast{n.Word.From.Name, b})
+			sent := make(chan struct{})
+			r.queue.QueueBroadcast(&broadcast{n.Word.From.Name, b, sync.OnceFunc(func() { close(sent) })})
 			r.queue.Prune(mostQueue)
-			return
+			return sent
 		}
 		last := ""
 		for site := range n.Word.Views {
@@ -287,7 +286,7 @@
 			}
 		}
 		if last == "" {
-			return
+			return nil
 		}
 		delete(n.Word.Views, last)
 	}
@@ -308,7 +307,7 @@
 			clear(r.heard) // lives that are over; those that are not are heard again
 		}
 		r.heard[n.Word.From] = n.Seq
-		r.queue.QueueBroadcast(&broadcast{n.Word.From.Name, slices.Clone(b)})
+		r.queue.QueueBroadcast(&broadcast{n.Word.From.Name, slices.Clone(b), func() {}})
 		r.queue.Prune(mostQueue)
 	}
 	if _, there := r.met[n.Word.From.Name]; news && n.Bye {
@@ -439,9 +438,12 @@
 func (r *Room) Leave(within time.Duration) error {
 	r.mu.Lock()
 	r.seq++
-	r.send(note{V: noteVersion, Seq: r.seq, Bye: true, Word: members.Word{From: r.module.Me(), Site: r.cfg.Site}})
+	gone := r.send(note{V: noteVersion, Seq: r.seq, Bye: true, Word: members.Word{From: r.module.Me(), Site: r.cfg.Site}})
 	r.mu.Unlock()
-	time.Sleep(min(5*gossipEvery, within/2)) // for the note to be on its way with the gossip that is due
+	select { // the note is on its way with the gossip that is due
+	case <-gone:
+	case <-time.After(within / 2):
+	}
 	if err := r.list.Leave(within); err != nil {
 		return fmt.Errorf("peers: the others may take this node for failed: %w", err)
 	}
@@ -459,6 +461,7 @@
 type broadcast struct {
 	from string
 	b    []byte
+	gone func()
 }
 
 // Invalidates says that a younger note of the same node goes instead.
@@ -471,7 +474,7 @@
 func (b *broadcast) Message() []byte { return b.b }
 
 // Finished is when it is not sent any more.
-func (b *broadcast) Finished() {}
+func (b *broadcast) Finished() { b.gone() }
 
 // delegate is what the library asks.
 type delegate struct{ r *Room }
@@ -553,6 +556,3 @@
 		go c.r.step(members.Found{Life: m.life(other.Name), Site: m.Site, By: "the detector"})
 	}
 }
-
-// ErrOff says that a node has no peers.
-var ErrOff = errors.New("this node has no peers: its settings have no block peers")
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -13,8 +13,6 @@
 	"testing"
 	"time"
 
-	"go.uber.org/goleak"
-
 	"hookwalk.example/hookwalk/members"
 )
 
@@ -39,36 +37,6 @@
 	return k.err
 }
 
-// cut keeps messages from going to some addresses.
-type cut struct {
-	mu sync.Mutex
-	to map[string]bool
-}
-
-func (c *cut) set(off bool, addrs ...string) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for _, a := range addrs {
-		c.to[a] = off
-	}
-}
-
-func (c *cut) Packet(to string, b []byte) [][]byte {
-	if c.Dial(to) != nil {
-		return nil
-	}
-	return [][]byte{b}
-}
-
-func (c *cut) Dial(to string) error {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.to[to] {
-		return errors.New("cut")
-	}
-	return nil
-}
-
 func keyFile(t *testing.T, keys ...string) string {
 	t.Helper()
 	name := filepath.Join(t.TempDir(), "key")
@@ -104,7 +72,6 @@
 
 type place struct {
 	cfg  Config
-	tap  *cut
 	kept *kept
 	*Room
 }
@@ -147,17 +114,6 @@
 	}
 }
 
-func state(name, want string) func(View) bool {
-	return func(v View) bool {
-		for _, m := range v.Members {
-			if m.Name == name {
-				return m.State == want
-			}
-		}
-		return false
-	}
-}
-
 func gather(t *testing.T, keys string) []*place {
 	var all []*place
 	names := []string{"r1", "r2", "r3", "a1", "a2", "a3"}
@@ -170,9 +126,9 @@
 		if n == 0 {
 			listen = first
 		}
-		p := &place{tap: &cut{to: map[string]bool{}}, kept: &kept{last: 5}}
+		p := &place{kept: &kept{last: 5}}
 		p.cfg = Config{Name: name, Site: site, Tree: tree, Listen: listen, Seeds: []string{first}, KeyFile: keys, Label: "benchland",
-			Starts: p.kept, Tap: p.tap}
+			Starts: p.kept}
 		p.begin(t)
 		t.Cleanup(func() { p.Close() })
 		all = append(all, p)
@@ -183,75 +139,6 @@
 	return all
 }
 
-// Nodes find each other from one seed; a death is noticed by all, a leave is no failure, a node whose disk went back is
-// settled by its peers' word, a stranger is not let in, and two halves find back together.
-func TestRoom(t *testing.T) {
-	// A probe of the library's that is under way ends by itself, a probe's time later.
-	defer goleak.VerifyNone(t, goleak.IgnoreAnyFunction("github.com/hashicorp/memberlist.(*Memberlist).probeNode"))
-	t.Run("course", func(t *testing.T) {
-		keys := keyFile(t, key)
-		all := gather(t, keys)
-		a2, a3 := all[4], all[5]
-
-		a2.Close()
-		for _, p := range append(all[:4:4], a3) {
-			until(t, p.Room, "told of the death", state("a2", "failed"))
-		}
-		a2.kept.last = 3 // the disk went back by two
-		a2.begin(t)
-		for _, p := range all {
-			until(t, p.Room, "agreed", agreed(len(all)))
-		}
-		if v := a2.View(); v.Me.Start != 7 || a2.kept.last != 7 {
-			t.Errorf("it goes on as start %d and keeps %d", v.Me.Start, a2.kept.last)
-		}
-
-		// One is cut off from all others, both ways.
-		for _, p := range all {
-			if p != a3 {
-				p.tap.set(true, a3.cfg.Listen)
-				a3.tap.set(true, p.cfg.Listen)
-			}
-		}
-		until(t, a3.Room, "alone", func(v View) bool { return v.Self == "alone" })
-		if a3.May(members.Grant) || a3.May(members.Adopt) || !a3.May(members.Withdraw) {
-			t.Error("alone, it may take on more")
-		}
-		until(t, all[0].Room, "told of it", state("a3", "failed"))
-		for _, p := range all {
-			p.tap.set(false, a3.cfg.Listen)
-			a3.tap.set(false, p.cfg.Listen)
-		}
-		for _, p := range all {
-			until(t, p.Room, "agreed", agreed(len(all)))
-		}
-
-		if err := a3.Leave(5 * time.Second); err != nil {
-			t.Error(err)
-		}
-		a3.Close()
-		until(t, all[0].Room, "told of the leave", state("a3", "left"))
-		until(t, all[0].Room, "agreed", agreed(len(all)-1))
-
-		for what, change := range map[string]func(*Config){
-			"another key":          func(c *Config) { c.KeyFile = keyFile(t, "fedcba9876543210") },
-			"another installation": func(c *Config) { c.Label = "elsewhere" },
-		} {
-			p := &place{cfg: all[1].cfg, kept: &kept{}}
-			p.cfg.Name, p.cfg.Listen, p.cfg.Starts, p.cfg.Tap = "stranger", port(t), p.kept, nil
-			change(&p.cfg)
-			p.begin(t)
-			if n, err := p.list.Join([]string{all[0].cfg.Listen}); n > 0 || err == nil {
-				t.Errorf("with %s it got in", what)
-			}
-			p.Close()
-		}
-		if v := all[0].View(); len(v.Members) != 5 {
-			t.Errorf("%d members are known", len(v.Members))
-		}
-	})
-}
-
 // A key is replaced while all run: the old one and the new one are valid side by side, then the old one no longer.
 func TestKeysAreReplaced(t *testing.T) {
 	const fresh = "fresh-key-fresh-"
@@ -266,7 +153,7 @@
 		}
 	}
 	late := &place{cfg: all[1].cfg, kept: &kept{}}
-	late.cfg.Name, late.cfg.Listen, late.cfg.Starts, late.cfg.Tap = "late", port(t), late.kept, nil
+	late.cfg.Name, late.cfg.Listen, late.cfg.Starts = "late", port(t), late.kept
 	late.begin(t)
 	defer late.Close()
 	until(t, late.Room, "agreed", agreed(len(all)+1))
@@ -280,6 +167,27 @@
 	until(t, all[0].Room, "agreed", agreed(len(all)+1))
 }
 
+// A stranger with another key, or of another installation, gets in nowhere.
+func TestStrangers(t *testing.T) {
+	all := gather(t, keyFile(t, key))
+	for what, change := range map[string]func(*Config){
+		"another key":          func(c *Config) { c.KeyFile = keyFile(t, "fedcba9876543210") },
+		"another installation": func(c *Config) { c.Label = "elsewhere" },
+	} {
+		p := &place{cfg: all[1].cfg, kept: &kept{}}
+		p.cfg.Name, p.cfg.Listen, p.cfg.Starts = "stranger", port(t), p.kept
+		change(&p.cfg)
+		p.begin(t)
+		if n, err := p.list.Join([]string{all[0].cfg.Listen}); n > 0 || err == nil {
+			t.Errorf("with %s it got in", what)
+		}
+		p.Close()
+	}
+	if v := all[0].View(); len(v.Members) != len(all)-1 {
+		t.Errorf("%d members are known", len(v.Members))
+	}
+}
+
 // Errors have types and say what to do.
 func TestWhatCantBeUsed(t *testing.T) {
 	good := Config{Name: "n", Site: "dc", Tree: tree, Listen: "127.0.0.1:0", KeyFile: keyFile(t, key), Starts: &kept{}}
@@ -330,8 +238,8 @@
 func TestNameOfTwo(t *testing.T) {
 	all := gather(t, keyFile(t, key))
 	first := all[3]
-	second := &place{cfg: first.cfg, tap: &cut{to: map[string]bool{}}, kept: &kept{last: 5}}
-	second.cfg.Listen, second.cfg.Starts, second.cfg.Tap = port(t), second.kept, second.tap
+	second := &place{cfg: first.cfg, kept: &kept{last: 5}}
+	second.cfg.Listen, second.cfg.Starts = port(t), second.kept
 	second.begin(t)
 	until(t, first.Room, "in doubt", func(v View) bool { return v.Self == "disputed" })
 	if first.May(members.Grant) {
--- a/internal/peers/wire.go
+++ b/internal/peers/wire.go
@@ -55,19 +55,11 @@
 	return keys, nil
 }
 
-// Tap sees what a node sends to another before it goes, and says what goes instead; tests and the rig change messages
-// with it. A nil Tap changes nothing.
-type Tap interface {
-	Packet(to string, b []byte) [][]byte // one datagram
-	Dial(to string) error                // a stream
-}
-
-// wire is the library's own transport, with addresses as they are reached from here, and a tap.
+// wire is the library's own transport, with addresses as they are reached from here.
 type wire struct {
 	*memberlist.NetTransport
 	via   map[string]string // where a peer's address is reached from here, if elsewhere
-	tap   Tap
-	bytes atomic.Int64 // sent in packets
+	bytes atomic.Int64      // sent in packets
 }
 
 func (w *wire) at(addr string) string {
@@ -85,18 +77,7 @@
 // WriteToAddress sends a packet.
 func (w *wire) WriteToAddress(b []byte, a memberlist.Address) (time.Time, error) {
 	w.bytes.Add(int64(len(b)))
-	packets := [][]byte{b}
-	if w.tap != nil {
-		packets = w.tap.Packet(a.Addr, b)
-	}
-	at := time.Now()
-	for _, p := range packets {
-		var err error
-		if at, err = w.NetTransport.WriteTo(p, w.at(a.Addr)); err != nil {
-			return at, err
-		}
-	}
-	return at, nil
+	return w.NetTransport.WriteTo(b, w.at(a.Addr))
 }
 
 // DialTimeout opens a stream.
@@ -106,11 +87,6 @@
 
 // DialAddressTimeout opens a stream.
 func (w *wire) DialAddressTimeout(a memberlist.Address, timeout time.Duration) (net.Conn, error) {
-	if w.tap != nil {
-		if err := w.tap.Dial(a.Addr); err != nil {
-			return nil, err
-		}
-	}
 	return w.NetTransport.DialTimeout(w.at(a.Addr), timeout)
 }
 
