A client that has gone is seen behind unread bytes, and nothing is sent on for it

Seen: net/http reads one byte ahead while a request is open; a client that had sent a further request or stray bytes and then left was not noticed before its deadline, and one that left before its connection was accepted, or while the loop was busy, still had its request sent on.

Discovery: calls beside others only where a watch fell silent, after 2.5 s elsewhere, and longer waits after a no. The clock alone says when to call again, in both modes.

--- a/internal/engine/call.go
+++ b/internal/engine/call.go
@@ -18,8 +18,11 @@
 	Tags     figures.Tags
 	Stranger bool // the lists keep its client out; of its request there is only the id
 	Payload  any  // what the sender needs of it; the engine does not look at it
+	// Gone, if it is there, says that the client of a bulk call has left before that can be read off its body.
+	Gone func() bool
 
 	closed atomic.Bool // answered or given up by the client: nothing more may be sent for it
+	left   atomic.Bool // its client has gone; the loop may not know yet
 	reply  chan Answer // takes the one final answer without blocking
 
 	attempts int // the loop's own, as is out
@@ -90,7 +93,11 @@
 
 // MaySend says whether the attempt may still leave at a time. A sender asks right before it writes.
 func (a *Attempt) MaySend(now time.Duration) bool {
-	return !a.Call.Closed() && !a.Target.Stopped() && now < a.Deadline
+	c := a.Call
+	if c.Closed() || c.left.Load() || a.Target.Stopped() || now >= a.Deadline {
+		return false
+	}
+	return !c.Request.Bulk || c.Gone == nil || !c.Gone()
 }
 
 // Result is how an attempt ended.
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -73,8 +73,13 @@
 // nothing more is sent for it.
 func (e *Engine) Do(ctx context.Context, c *Call) (Answer, error) {
 	c.reply = make(chan Answer, 1)
+	if ctx.Err() != nil {
+		return Answer{}, ErrLeft
+	}
 	select {
 	case e.arrivals <- c:
+	case <-ctx.Done():
+		return Answer{}, ErrLeft
 	case <-e.stop:
 		return Answer{}, ErrStopped
 	}
@@ -83,6 +88,7 @@
 		return a, nil
 	case <-ctx.Done():
 	}
+	c.left.Store(true) // a busy loop must not let an attempt go meanwhile
 	select {
 	case e.gone <- c:
 	case <-e.stop:
@@ -358,6 +364,9 @@
 
 func (e *Engine) takeResult(r Result) {
 	c := r.Attempt.Call
+	if c.left.Load() {
+		e.takeGone(c) // ahead of what would follow the attempt
+	}
 	c.out--
 	e.tally.note(e.Log, e.Clock.Now(), r)
 	if r.Ending == deckrelay.Success && c.Close() {
--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -395,3 +395,56 @@
 		})
 	}
 }
+
+// A hundred clients leave while the loop has no time: what waits at the sender must not go before the loop hears of it,
+// and once it does nothing follows.
+func TestWhoHasGoneWhileTheLoopIsBusy(t *testing.T) {
+	inBubble(t, 10, func(t *testing.T, e *Engine, s *scripted) {
+		ctx, leave := context.WithCancel(t.Context())
+		var ended []<-chan Answer
+		var out []*Attempt
+		for i := range 100 {
+			ended = append(ended, asked(ctx, e, newCall(e, strconv.Itoa(i), "safe")))
+		}
+		synctest.Wait()
+		for len(s.started) > 0 {
+			out = append(out, <-s.started)
+		}
+		if len(out) < 10 {
+			t.Fatalf("only %d attempts are out", len(out))
+		}
+		free := make(chan struct{})
+		go e.order(t.Context(), func() error {
+			<-free
+			return nil
+		})
+		synctest.Wait()
+		leave()
+		synctest.Wait()
+		for _, a := range out {
+			if a.MaySend(e.Clock.Now()) {
+				t.Errorf("attempt of %s may be sent", a.Call.Request.ID)
+			}
+		}
+		late := newCall(e, "late", "safe")
+		if _, err := e.Do(ctx, late); err != ErrLeft {
+			t.Errorf("one that left before it came: %v", err)
+		}
+		close(free)
+		for _, a := range out {
+			go e.Ended(Result{Attempt: a, Ending: deckrelay.Void})
+		}
+		for _, got := range ended {
+			if a, answered := <-got; answered {
+				t.Errorf("answered %v", a)
+			}
+		}
+		synctest.Wait()
+		if len(s.started) > 0 {
+			t.Errorf("%d attempts followed", len(s.started))
+		}
+		if len(e.calls) > 0 {
+			t.Errorf("%d calls are kept", len(e.calls))
+		}
+	})
+}
--- a/internal/listclock/listclock.go
+++ b/internal/listclock/listclock.go
@@ -23,16 +23,18 @@
 
 	quiet      = 2300 * time.Millisecond // a watch without a line so long has missed a beat
 	quietApart = 500 * time.Millisecond  // by which nodes whose watches fall silent at once call apart
-	beside     = 800 * time.Millisecond  // a call without an answer so long has another beside it
+	beside     = 800 * time.Millisecond  // a call without an answer so long has another beside it, where a watch fell silent.
+	patient    = 2500 * time.Millisecond // Where one ended or a call was answered with a no, all nodes call at once: more
+	besideNext = 500 * time.Millisecond  // calls would lengthen the queue, and what is not answered by then is lost
 	quickly    = 3                       // times in a row; who is not answered then calls ever more slowly,
 	mostBeside = 3200 * time.Millisecond // but goes on, for it may be heard again
 	apart      = 0.125                   // part of that wait by which nodes differ
 	mostCalls  = 4                       // calls without an answer at once; the oldest gives way
 
-	// After a call that failed or a watch that ended. Where lists are pushed what the agent has counts at once, and
-	// where they are asked for the module may wish for an earlier call.
-	againFirst  = 100 * time.Millisecond
-	againMost   = 800 * time.Millisecond
+	// After a call that failed or a watch that ended. A discovery that says no has more callers than it can serve, and each call that it turns down costs it some of what it can: 300 nodes that
+	// called again within 0.8 s kept it from serving them for 15 s. Of an agent that is away what it has counts at once.
+	againFirst  = 150 * time.Millisecond
+	againMost   = 2500 * time.Millisecond
 	againPushed = 200 * time.Millisecond
 	garbledMost = 2 * time.Second // a service that writes what can't be read is not to be swamped by whole lists
 	soundFor    = 2 * garbledMost // a watch that could be read for so long: what was unreadable before is over
@@ -50,9 +52,9 @@
 	streams []stream
 	names   int
 	next    time.Duration // no call before, where none is out
-	wished  bool          // the module wants one
-	begun   bool          // the first call was made: the next ones are made unasked
+	begun   bool          // the first call was wanted or made: the next ones are made unasked
 	mute    int           // calls in a row that had to get another beside them
+	hurried bool          // the first of them was made because a watch fell silent
 	fails   int           // calls in a row that failed
 	garbled int           // answers that could not be read, in a row
 	current time.Duration // the list held was all that discovery had
@@ -86,12 +88,12 @@
 func (c *Clock) Call(now time.Duration, draw float64) (name int) {
 	c.names++
 	c.streams = append(c.streams, stream{name: c.names, begin: now, heard: now, draw: draw})
-	c.asked, c.begun, c.wished = now, true, false
+	c.asked, c.begun = now, true
 	return c.names
 }
 
-// Wish notes that the module wants the list to be asked for. While a stream is open, it is.
-func (c *Clock) Wish() { c.wished = len(c.streams) == 0 }
+// Wish notes that the module wants the list to be asked for. Where it is asked for, the first call waits for that.
+func (c *Clock) Wish() { c.begun = true }
 
 func (c *Clock) stream(name int) *stream {
 	for i := range c.streams {
@@ -156,13 +158,13 @@
 // again is the wait after a failure.
 func (c *Clock) again(draw float64) time.Duration {
 	wait := min(againFirst<<min(c.fails, 8), againMost)
-	if c.Pushed {
-		wait = min(wait, againPushed)
+	if c.Pushed && c.down {
+		return time.Duration((1 + draw) / 2 * float64(min(wait, againPushed)))
 	}
 	if c.garbled > 1 { // one whole list at once
 		wait = max(wait, min(againFirst<<min(c.garbled, 8), garbledMost))
 	}
-	return time.Duration((1 + draw) / 2 * float64(wait))
+	return time.Duration((0.1 + 0.9*draw) * float64(wait))
 }
 
 // Garbled notes, before its end, that what a stream brought can't be read or is no list to build on.
@@ -178,7 +180,7 @@
 
 // Moved notes that the configuration names another discovery: what is open is of the old one.
 func (c *Clock) Moved(now time.Duration) {
-	c.streams, c.next, c.begun, c.wished = nil, now, true, false
+	c.streams, c.next, c.begun = nil, now, true
 	c.moved, c.mute, c.fails, c.garbled = max(now, 1), 0, 0, 0
 }
 
@@ -202,7 +204,15 @@
 	if s.object > 0 {
 		return s.object + Object
 	}
-	wait := min(beside<<min(max(c.mute+1-quickly, 0), 4), mostBeside)
+	wait := besideNext
+	switch {
+	case c.mute >= quickly:
+		wait = min(beside<<min(c.mute+1-quickly, 4), mostBeside)
+	case c.hurried:
+		wait = beside
+	case c.mute == 0:
+		wait = patient
+	}
 	return s.begin + time.Duration((1+apart*s.draw)*float64(wait))
 }
 
@@ -245,13 +255,11 @@
 		return Call, 0, 0
 	}
 	at := c.next
-	switch {
-	case c.wished:
-		at = c.garbledUntil()
-	case !c.Pushed && !c.begun:
+	if !c.Pushed && !c.begun {
 		at = forEver // the module says when
 	}
 	if now >= at {
+		c.hurried = len(c.streams) > 0 && c.fails == 0
 		return Call, 0, 0
 	}
 	return Nothing, 0, min(look, at)
@@ -262,14 +270,6 @@
 	return Drop, name, 0
 }
 
-// garbledUntil is until when no wish of the module's counts.
-func (c *Clock) garbledUntil() time.Duration {
-	if c.garbled > 1 {
-		return c.next
-	}
-	return 0
-}
-
 // Away says that the last call was refused: discovery is not there.
 func (c *Clock) Away() bool { return c.down }
 
--- a/internal/node/callers.go
+++ b/internal/node/callers.go
@@ -89,7 +89,17 @@
 		c.Request.Client = client
 	}
 	c.Tags, c.Payload = tags, c
+	conn := connOf(r)
+	if conn != nil {
+		if c.rest == nil && conn.ahead.begin() {
+			return gaveUp
+		}
+		c.Gone = conn.ahead.closed
+	}
 	a, err := h.engine.Do(r.Context(), &c.Call)
+	if conn != nil && conn.ahead.end() {
+		w.Header().Set("Connection", "close") // more came behind the request than is kept
+	}
 	whole, lost := true, false
 	if c.rest != nil {
 		whole, lost = c.rest.close()
--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -142,7 +142,7 @@
 		look.Reset(d.steps(ctx, &reading))
 		select {
 		case <-look.C:
-		case <-d.asks:
+		case <-d.asks: // counts the first time
 			d.clocked((*listclock.Clock).Wish)
 		case <-d.moves:
 			d.moved()
--- a/internal/node/inbound.go
+++ b/internal/node/inbound.go
@@ -47,6 +47,7 @@
 	// The reader's own.
 	accepted time.Time
 	heads    heads
+	ahead    *lookahead
 }
 
 func newInbound(ln net.Listener, most int, reporter *figures.Reporter) *inbound {
@@ -87,7 +88,7 @@
 	if in.doors != nil {
 		nc = in.doors.open(nc)
 	}
-	c := &inConn{Conn: nc, in: in, accepted: time.Now()}
+	c := &inConn{Conn: nc, in: in, accepted: time.Now(), ahead: newLookahead(nc)}
 	in.figures.Add(c.tags, figures.OpenConnections, 1)
 	in.rest(c)
 	return c, nil
@@ -234,13 +235,20 @@
 
 // Read sees the first byte of a request: the server's state changes only after its whole head.
 func (c *inConn) Read(b []byte) (int, error) {
-	n, err := c.heads.read(c.Conn.Read, b)
+	c.ahead.stop()
+	n, err := c.heads.read(c.ahead.Read, b)
 	if n > 0 && !c.in.ask(c) {
 		return 0, io.EOF
 	}
+	if n == 1 && len(b) == 1 { // the HTTP server's look ahead while a request is open
+		c.ahead.holds()
+	}
 	return n, err
 }
 
+// SetReadDeadline is the HTTP server's.
+func (c *inConn) SetReadDeadline(t time.Time) error { return c.ahead.setReadDeadline(t) }
+
 // Close gives the place back.
 func (c *inConn) Close() error {
 	err := c.Conn.Close()
