--- a/internal/listclock/listclock.go
+++ b/internal/listclock/listclock.go
@@ -163,6 +163,7 @@
 	}
 	if c.garbled > 1 { // one whole list at once
 		wait = max(wait, min(againFirst<<min(c.garbled, 8), garbledMost))
+		return time.Duration((1 + draw) / 2 * float64(wait))
 	}
 	return time.Duration((0.1 + 0.9*draw) * float64(wait))
 }
