--- a/internal/node/lookahead.go
+++ b/internal/node/lookahead.go
@@ -29,6 +29,7 @@
 	mu       sync.Mutex
 	buf      []byte // read and not taken yet
 	err      error  // how the connection ended, behind buf
+	dry      bool   // nothing more had come when it was looked at last
 	open     bool   // a request is open, and its body is read
 	byteHeld bool   // the server has a byte that came after that request, and reads no more
 	dropped  int    // bytes that were not kept: the connection ends with its answer
@@ -56,7 +57,9 @@
 			l.buf = append(l.buf, l.scratch[:n]...)
 		case err == nil:
 			l.err = io.EOF
-		case err != syscall.EAGAIN && err != syscall.EINTR:
+		case err == syscall.EAGAIN:
+			l.dry = true
+		case err != syscall.EINTR:
 			l.err = err
 		}
 		return true
@@ -73,6 +76,7 @@
 		err = l.err
 	}
 	more := len(l.buf) == 0 && l.err == nil
+	l.dry = false
 	l.mu.Unlock()
 	if n == 0 && err == nil {
 		n, err = l.conn.Read(b)
@@ -109,7 +113,7 @@
 	defer l.mu.Unlock()
 	l.open = true
 	l.start()
-	return l.err != nil
+	return l.err != nil || !l.dry && l.closed() // the end may lie behind more than was looked at
 }
 
 // end notes that the request is answered, and says whether the connection has to end with it.
