A call turned down beside one that hangs waits before the next

The log's count of ended calls showed 640 a second at one node. At fault: listclock.Step honoured next only where no call was out; with one that hung, each that was answered 503 was followed at once. TestTurnedDownBesideAHungCall fails without the line.

--- a/internal/listclock/listclock.go
+++ b/internal/listclock/listclock.go
@@ -246,7 +246,8 @@
 		return Nothing, 0, min(look, s.silent())
 	}
 	if calls > 0 {
-		if at := c.beside(youngest); now < at {
+		// One that was turned down beside a call that nobody answers waits too.
+		if at := max(c.beside(youngest), c.next); now < at {
 			return Nothing, 0, min(look, at)
 		}
 		if calls == mostCalls {
--- a/internal/listclock/listclock_test.go
+++ b/internal/listclock/listclock_test.go
@@ -149,3 +149,21 @@
 		t.Errorf("after an answer a call has another beside it at %v", c.beside(&c.streams[0]))
 	}
 }
+
+// A call that hangs beside others that are turned down at once: these wait as they would alone. Without that a node made
+// 640 calls a second.
+func TestTurnedDownBesideAHungCall(t *testing.T) {
+	for _, rules := range []Rules{{AskWithin: 60 * s}, {Pushed: true}} {
+		c, calls := &Clock{Rules: rules}, 0
+		c.Call(0, 0.5)
+		run(c, 0, 30*s, 0.5, func(name int, at time.Duration) {
+			if calls++; calls > 100 {
+				t.Fatalf("%d calls by %v", calls, at)
+			}
+			c.Ended(name, at)
+		})
+		if calls > 40 {
+			t.Errorf("%+v: %d calls in 30 s", rules, calls)
+		}
+	}
+}
