A held client's end is seen at once, not with its answer: the test holds the node to that

TestNothingIsSentForWhoHasGone passed without the goroutine that reads on, since a count of connections was met by others and, after that was mended, since the held request is refused after 10 s. It watches the connection itself now, for 3 s; without start it fails.

--- a/internal/node/gone_test.go
+++ b/internal/node/gone_test.go
@@ -167,13 +167,19 @@
 		for how, l := range leavers {
 			t.Run(moment+"/"+how, func(t *testing.T) {
 				b := newBackend(t, ok)
-				n := startWith(t, b)
-				idle := n.in.count()
+				ln := newShown(t)
+				close(ln.goOn)
+				n := serveOn(t, configWith(t, b), ln)
 				arrive, goOn := bring(t, n, b, 1)
-				c := l.connect(t, strings.TrimPrefix(n.url, "http://"), "1")
+				c := l.connect(t, ln.Addr().String(), "1")
+				there := <-ln.accepted
 				arrive()
+				begin := time.Now()
 				l.leave(c)
-				eventually(t, "the client's end seen", func() bool { return n.in.count() <= idle })
+				eventually(t, "the client's end seen", func() bool { return there.SetDeadline(time.Time{}) != nil })
+				if after := time.Since(begin); after > 3*time.Second { // a held request is answered after 5 s and more
+					t.Errorf("seen %v later, with the answer", after)
+				}
 				goOn()
 				quietAfter(t, n)
 				if got := b.requests(); got != 0 {
