One way to start a node in tests; a comment that spoke of the module's wish

Read again: serveOn in gone_test.go wrote out what start in fakes_test.go had; start uses it now. withConn had two ways out for one.

--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -44,7 +44,7 @@
 }
 
 // discovery keeps a watch on the list. The clock says when to call, and when a call or a watch that says nothing has
-// another beside it; where lists are asked for the module may want a call earlier. All streams are read by goroutines
+// another beside it; where lists are asked for the module says when the first goes out. All streams are read by goroutines
 // of their own and end in the one that runs run.
 type discovery struct {
 	asked      bool
--- a/internal/node/fakes_test.go
+++ b/internal/node/fakes_test.go
@@ -168,6 +168,25 @@
 }
 
 func start(t *testing.T, cfg Config, adjust ...func(*Node)) *running {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := serveOn(t, cfg, ln, adjust...)
+	eventually(t, "ready", func() bool {
+		resp, err := http.Get(r.url + "/ready")
+		if err != nil {
+			return false
+		}
+		resp.Body.Close()
+		return resp.StatusCode == http.StatusOK
+	})
+	return r
+}
+
+// serveOn runs a node on a listener of the test's.
+func serveOn(t *testing.T, cfg Config, ln net.Listener, adjust ...func(*Node)) *running {
 	t.Helper()
 	n, err := New(cfg, quiet())
 	if err != nil {
@@ -177,10 +196,6 @@
 	for _, f := range adjust {
 		f(n)
 	}
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
 	ctx, cancel := context.WithCancel(context.Background())
 	r := &running{Node: n, url: "http://" + ln.Addr().String(), stop: cancel, done: make(chan error, 1)}
 	ended := make(chan struct{})
@@ -192,14 +207,7 @@
 		cancel()
 		<-ended
 	})
-	eventually(t, "ready", func() bool {
-		resp, err := http.Get(r.url + "/ready")
-		if err != nil {
-			return false
-		}
-		resp.Body.Close()
-		return resp.StatusCode == http.StatusOK
-	})
+	eventually(t, "a list", n.ready)
 	return r
 }
 
--- a/internal/node/figures.go
+++ b/internal/node/figures.go
@@ -59,11 +59,9 @@
 
 // withConn lets requests find the connection that they came on.
 func withConn(ctx context.Context, c net.Conn) context.Context {
-	in, ok := c.(*inConn)
-	if !ok {
-		return context.WithValue(ctx, connKey{}, c)
+	if in, ok := c.(*inConn); ok {
+		ctx, in.ahead.left = context.WithCancel(ctx) // of every request on it
 	}
-	ctx, in.ahead.left = context.WithCancel(ctx) // of every request on it
 	return context.WithValue(ctx, connKey{}, c)
 }
 
--- a/internal/node/gone_test.go
+++ b/internal/node/gone_test.go
@@ -112,29 +112,6 @@
 	return len(saved.Requests)
 }
 
-// serveOn runs a node on a listener of the test's.
-func serveOn(t *testing.T, cfg Config, ln net.Listener) *running {
-	t.Helper()
-	n, err := New(cfg, quiet())
-	if err != nil {
-		t.Fatal(err)
-	}
-	n.most = 0
-	ctx, end := context.WithCancel(context.Background())
-	r := &running{Node: n, url: "http://" + ln.Addr().String(), stop: end, done: make(chan error, 1)}
-	ended := make(chan struct{})
-	go func() {
-		defer close(ended)
-		r.done <- n.serve(ctx, ln, nil)
-	}()
-	t.Cleanup(func() {
-		end()
-		<-ended
-	})
-	eventually(t, "ready", n.ready)
-	return r
-}
-
 // shown is a listener that shows each connection to the test, and gives it to the node when it may go on.
 type shown struct {
 	net.Listener
