Reader of watches for any type of object, in internal/jsonwatch

The reader of discovery's lists is the one that a watch of configuration versions needs too. It is generic now and knows no list: internal/endpoints keeps its type, its checks and its errors on top of it.

--- a/internal/endpoints/endpoints.go
+++ b/internal/endpoints/endpoints.go
@@ -1,14 +1,14 @@
-// Package endpoints reads lists of servers as discovery writes them: one JSON object after another, on one line or many,
-// with empty lines between as signs of life. It decides nothing: what it returns is whole or an error that says whether
-// the list was cut off, too large or not to be read. Internal/node calls it from the goroutine of its watch.
+// Package endpoints reads lists of servers as discovery writes them: one JSON object after another, with empty lines
+// between as heartbeats (see internal/jsonwatch). It decides nothing: what it returns is whole or an error that says
+// whether the list was cut off, too large or not to be read. Internal/node calls it from the goroutine of its watch.
 package endpoints
 
 import (
-	"bytes"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
+
+	"hookwalk.example/hookwalk/internal/jsonwatch"
 )
 
 // Most is how many bytes one list may have.
@@ -50,7 +50,7 @@
 
 // What makes a list unreadable, beside its JSON.
 var (
-	ErrTooLarge = fmt.Errorf("over %d bytes", Most)
+	ErrTooLarge = jsonwatch.TooLargeError{Limit: Most}
 	ErrNoHosts  = errors.New("a whole list without hosts") // it can't be told from an empty one
 	ErrGap      = errors.New("a gap in the versions")
 	ErrOlder    = errors.New("a whole list older than the one held")
@@ -59,96 +59,28 @@
 )
 
 // Watchdog is told what is heard while a list is read. Its calls come from the goroutine that reads.
-type Watchdog interface {
-	Blank() // nothing but space, between two lists
-	Begun() // of a list, the first bytes
-	Part()  // more of it
-}
+type Watchdog = jsonwatch.Watchdog
 
 // Reader reads one list after another from an answer.
-type Reader struct {
-	in  *alive
-	dec *json.Decoder
-}
+type Reader struct{ objects *jsonwatch.Reader[List] }
 
 // NewReader reads from r. The Watchdog hears of all that comes.
-func NewReader(r io.Reader, dog Watchdog) *Reader {
-	in := &alive{in: r, dog: dog}
-	return &Reader{in, json.NewDecoder(in)}
+func NewReader(r io.Reader, watchdog Watchdog) *Reader {
+	return &Reader{jsonwatch.NewReader[List](r, Most, watchdog)}
 }
 
 // Next is the next list, whole. io.EOF: the answer has ended between two.
 func (r *Reader) Next() (List, error) {
-	var n List
-	r.in.between, r.in.left = true, Most
-	if r.dec.More() { // of it, something may be here already
-		r.in.enter()
-	}
-	err := r.dec.Decode(&n)
-	var failed *readError
+	list, err := r.objects.Next()
+	var cut *jsonwatch.CutError
+	var unreadable *jsonwatch.UnreadableError
 	switch {
-	case err == nil && n.Whole && n.Hosts == nil:
+	case err == nil && list.Whole && list.Hosts == nil:
 		err = &UnreadableError{ErrNoHosts}
-	case err == nil:
-	case errors.As(err, &failed): // the connection's own end, in the middle or not
-		if !r.in.between {
-			return n, &CutError{failed.Err}
-		}
-		return n, failed.Err
-	case errors.Is(err, io.EOF):
-		return n, io.EOF
-	case errors.Is(err, io.ErrUnexpectedEOF):
-		err = &CutError{err}
-	default:
-		err = &UnreadableError{err}
-	}
-	return n, err
-}
-
-// readError keeps an error of the answer's apart from one of the text's.
-type readError struct{ Err error }
-
-func (e *readError) Error() string { return e.Err.Error() }
-
-// alive passes on what is read, but for space between two lists: that would pile up in the decoder while nothing
-// changes for days. Each list has so many bytes left.
-type alive struct {
-	in      io.Reader
-	dog     Watchdog
-	between bool
-	left    int
-}
-
-func (a *alive) enter() {
-	if a.between {
-		a.between = false
-		a.dog.Begun()
-	}
-}
-
-func (a *alive) Read(buf []byte) (int, error) {
-	for {
-		n, err := a.in.Read(buf)
-		got := buf[:n]
-		if a.between {
-			got = bytes.TrimLeft(got, " \t\r\n")
-		}
-		switch {
-		case len(got) > 0 && a.between:
-			a.enter()
-		case len(got) > 0:
-			a.dog.Part()
-		case n > 0:
-			a.dog.Blank()
-		}
-		if a.left -= len(got); a.left < 0 {
-			return 0, ErrTooLarge
-		}
-		if err != nil && !errors.Is(err, io.EOF) {
-			err = &readError{err}
-		}
-		if len(got) > 0 || err != nil {
-			return copy(buf, got), err
-		}
+	case errors.As(err, &cut):
+		err = &CutError{cut.Err}
+	case errors.As(err, &unreadable):
+		err = &UnreadableError{unreadable.Err}
 	}
+	return list, err
 }
