Settings block config_watch: where a node hears of configuration versions

A node that follows configuration versions is told where controllers are, whose configuration it takes, and where it stands. The block is strict as the others: controllers and service are required, region, zone and folder are not.

--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -23,6 +23,8 @@
 	Capture   *Capture   // nil: off
 	Peers     *Peers     // nil: off
 	Sites     []Site
+
+	ConfigWatch *ConfigWatch // nil: off
 }
 
 // Peers say how a node meets others.
@@ -37,6 +39,16 @@
 	Via     map[string]string
 }
 
+// ConfigWatch says where a node hears of configuration versions, and as whom.
+type ConfigWatch struct {
+	Pos         string   // file:line of its block
+	Controllers []string // HOST:PORT, one at least; the first ones to try, later ones come from the controllers
+	Service     string   // whose configuration the node takes
+	Region      string   // "": unknown, then no controller is nearer than another
+	Zone        string   // the same
+	Folder      string   // where the version in force is kept; "": nowhere, it ends with the process
+}
+
 // Site is one of the installation's, below its parent; "": it is the root.
 type Site struct{ Pos, Name, Parent string }
 
@@ -116,6 +128,8 @@
 			f.takePeers(r)
 		case "site":
 			f.takeSite(r)
+		case "config_watch":
+			f.takeConfigWatch(r)
 		default:
 			return File{}, Fault(name, b.Line, "unknown block %s", b.Kind)
 		}
@@ -157,6 +171,36 @@
 	f.Peers = p
 }
 
+func (f *File) takeConfigWatch(r *Reader) {
+	r.Once(f.ConfigWatch != nil)
+	w := &ConfigWatch{Pos: fmt.Sprintf("%s:%d", r.File, r.Block.Line), Controllers: r.Texts("controllers"),
+		Service: r.Text("service", ""), Region: r.Text("region", ""), Zone: r.Text("zone", ""), Folder: r.Text("folder", "")}
+	if len(w.Controllers) == 0 {
+		r.Fail(r.Block.Line, "block config_watch needs controllers")
+	}
+	for i, address := range w.Controllers {
+		line, _ := r.Has("controllers")
+		if host, port, err := net.SplitHostPort(address); err != nil || host == "" || port == "" {
+			r.Fail(line, "controllers must be a list of HOST:PORT")
+		}
+		if slices.Contains(w.Controllers[:i], address) {
+			r.Fail(line, "controllers names %s twice", address)
+		}
+	}
+	if !printable(w.Service) {
+		r.Fail(r.Block.Line, "block config_watch needs service: 1 to %d visible characters", maxText)
+	}
+	for name, text := range map[string]string{"region": w.Region, "zone": w.Zone} {
+		if line, set := r.Has(name); set && !printable(text) {
+			r.Fail(line, "%s must be 1 to %d visible characters", name, maxText)
+		}
+	}
+	if line, set := r.Has("folder"); set && w.Folder == "" {
+		r.Fail(line, "folder must name a folder")
+	}
+	f.ConfigWatch = w
+}
+
 func (f *File) takeSite(r *Reader) {
 	s := Site{fmt.Sprintf("%s:%d", r.File, r.Block.Line), r.Label(), r.Text("parent", "")}
 	if !printable(s.Name) {
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -76,6 +76,20 @@
 	}
 }
 
+func TestConfigWatch(t *testing.T) {
+	for text, want := range map[string]ConfigWatch{
+		`config_watch { controllers = ["127.0.0.1:7400"] service = "log-logic" }`: {Pos: "f:1",
+			Controllers: []string{"127.0.0.1:7400"}, Service: "log-logic"},
+		`config_watch { controllers = ["127.0.0.1:7400", "[::1]:7400"] service = "log-logic" region = "east" zone = "a"
+			folder = "/var/lib/hookwalk" }`: {Pos: "f:1", Controllers: []string{"127.0.0.1:7400", "[::1]:7400"},
+			Service: "log-logic", Region: "east", Zone: "a", Folder: "/var/lib/hookwalk"},
+	} {
+		if f, err := Parse("f", []byte(text)); err != nil || f.ConfigWatch == nil || !reflect.DeepEqual(*f.ConfigWatch, want) {
+			t.Errorf("%s: %+v, %v", text, f.ConfigWatch, err)
+		}
+	}
+}
+
 func TestNothingNamedIsAllOff(t *testing.T) {
 	for _, text := range []string{"", "\n\t # nothing", "/**/", "//"} {
 		if f, err := Parse("f", []byte(text)); err != nil || !reflect.DeepEqual(f, File{}) {
@@ -122,6 +136,15 @@
 	"capture twice":     {"capture {}\ncapture {}", "f:2: ", "block capture is there already"},
 	"folder":            {`capture { folder = "" }`, "f:1: ", "folder must name a folder"},
 	"file_kb":           {`capture { file_kb = 63 }`, "f:1: ", "file_kb must be from 64"},
+	"watch twice":       {"config_watch {controllers=[\"a:1\"] service=\"s\"}\nconfig_watch {}", "f:2: ", "block config_watch is there already"},
+	"watch, label":      {`config_watch "a" {}`, "f:1: ", "has no label"},
+	"no controllers":    {`config_watch { service = "s" }`, "f:1: ", "needs controllers"},
+	"controllers empty": {`config_watch { controllers = [] service = "s" }`, "f:1: ", "needs controllers"},
+	"controller":        {"config_watch {\n controllers = [\"7400\"] service = \"s\" }", "f:2: ", "controllers must be a list of HOST:PORT"},
+	"controller twice":  {`config_watch { controllers = ["a:1", "a:1"] service = "s" }`, "f:1: ", "controllers names a:1 twice"},
+	"no service":        {`config_watch { controllers = ["a:1"] }`, "f:1: ", "needs service"},
+	"zone":              {"config_watch { controllers = [\"a:1\"] service = \"s\"\n zone = \"\" }", "f:2: ", "zone must be"},
+	"watch, folder":     {`config_watch { controllers = ["a:1"] service = "s" folder = "" }`, "f:1: ", "folder must name a folder"},
 	"not a number":      {`drill "a" { share = 1e2 }`, "f:1: ", "want a string, a number or a list"},
 	"word":              {`drill "a" { share = ten }`, "f:1: ", `found "ten"`},
 	"no value":          {`drill "a" { share = }`, "f:1: ", "want a string, a number or a list"},
