A node can have its settings overridden while it runs, whole or not at all

Configuration versions need the path that SIGHUP has, with the settings of another source than the file. Node.Override composes the file as it was read last with the override's settings and, where there is one, its discovery; what is refused at SIGHUP is refused here, and a check sees classes and servers before anything changes. SIGHUP under an override reads the file again and keeps the override over it. The settings me and zone stay the node's own. Config.With does the same for a node that starts.

--- a/cmd/hookwalk/main.go
+++ b/cmd/hookwalk/main.go
@@ -176,6 +176,10 @@
 	signal.Ignore(syscall.SIGXFSZ) // a disk without room fails a write, not the node
 	defer spool.Stderr.Flush(lastWords)
 	log := slog.New(slog.NewTextHandler(spool.Stderr, nil))
+	cfg, versions, err := prepareConfigWatch(cfg, log)
+	if err != nil {
+		return err
+	}
 	n, err := node.New(cfg, log)
 	if err != nil {
 		return err
@@ -200,6 +204,7 @@
 	}()
 	defer reloader.Wait()
 	defer close(ended)
+	defer versions.start(n)()
 	return n.Run(ctx)
 }
 
--- a/internal/engine/orders.go
+++ b/internal/engine/orders.go
@@ -58,6 +58,17 @@
 	})
 }
 
+// Servers are the servers that are listed as in service, those out by hand among them, in the order of their names.
+func (e *Engine) Servers(ctx context.Context) (servers []deckrelay.Server, err error) {
+	err = e.order(ctx, func() error {
+		for _, id := range slices.Sorted(maps.Keys(e.boxes)) {
+			servers = append(servers, e.boxes[id].Server)
+		}
+		return nil
+	})
+	return servers, err
+}
+
 // Estate is what another process of the node has to know: the module's heir, the servers in service with their
 // addresses, and those out by hand. commit is called in the loop with nothing happening between; it must not wait.
 func (e *Engine) Estate(ctx context.Context, commit func()) (heir []byte, boxes []Box, out []string, err error) {
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -33,7 +33,9 @@
 	Settings  deckrelay.Settings
 	Features  settings.File // what the project's own settings file switches on
 
-	keys           any           // the file as it was read, for what it has
+	text           []byte        // the file as it was read, without an override
+	override       *Override     // what stands over the file; nil: nothing
+	keys           any           // the file as it was read, the override in it, for what it has
 	tenants        []string      // by name
 	connectTimeout time.Duration // a connection not up by then is given up
 	connIdle       time.Duration // a server closes a connection idle for this long
@@ -76,7 +78,7 @@
 	if err := json.Unmarshal(text, &raw); err != nil {
 		return Config{}, err
 	}
-	c := Config{Name: raw.Name, Listen: raw.Listen, Discovery: raw.Discovery, Control: raw.Control, Known: raw.Known,
+	c := Config{Name: raw.Name, Listen: raw.Listen, Discovery: raw.Discovery, Control: raw.Control, Known: raw.Known, text: text,
 		Cores: raw.Limits.Cores, MemoryMB: raw.Limits.MemoryMB, Sockets: raw.Limits.Sockets}
 	for _, a := range []struct{ name, addr string }{{"listen", c.Listen}, {"discovery", c.Discovery}} {
 		if _, _, err := net.SplitHostPort(a.addr); err != nil {
@@ -101,10 +103,32 @@
 	if len(raw.Settings) == 0 {
 		return Config{}, errors.New("settings are missing")
 	}
-	if c.Settings, err = wire.ParseSettings(raw.Settings); err != nil {
+	settings, err := parseSettings(raw.Settings)
+	if err != nil {
 		return Config{}, err
 	}
-	// The module has no use for the settings of connections and tenants; they are the node's.
+	c.Settings, c.tenants = settings.module, settings.tenants
+	c.connectTimeout, c.connIdle = settings.connectTimeout, settings.connIdle
+	if c.connectTimeout <= 0 || c.connIdle <= 0 {
+		return Config{}, errors.New("settings: limits.connect-timeout-ms and limits.conn-idle-ms must be above 0")
+	}
+	return c, nil
+}
+
+// parsedSettings are the module's settings, and those that the module has no use for: they are the node's.
+type parsedSettings struct {
+	module         deckrelay.Settings
+	tenants        []string
+	connectTimeout time.Duration
+	connIdle       time.Duration
+}
+
+// parseSettings reads settings and says whether they are of the form of settings, not whether they are sound.
+func parseSettings(text []byte) (parsedSettings, error) {
+	module, err := wire.ParseSettings(text)
+	if err != nil {
+		return parsedSettings{}, err
+	}
 	var own struct {
 		Tenants []struct {
 			Name string `json:"name"`
@@ -114,18 +138,14 @@
 			ConnIdle       float64 `json:"conn-idle-ms"`
 		} `json:"limits"`
 	}
-	if err := json.Unmarshal(raw.Settings, &own); err != nil {
-		return Config{}, fmt.Errorf("settings: %w", err)
+	if err := json.Unmarshal(text, &own); err != nil {
+		return parsedSettings{}, fmt.Errorf("settings: %w", err)
 	}
+	parsed := parsedSettings{module: module, connectTimeout: millis(own.Limits.ConnectTimeout), connIdle: millis(own.Limits.ConnIdle)}
 	for _, t := range own.Tenants {
-		c.tenants = append(c.tenants, t.Name)
+		parsed.tenants = append(parsed.tenants, t.Name)
 	}
-	c.connectTimeout = millis(own.Limits.ConnectTimeout)
-	c.connIdle = millis(own.Limits.ConnIdle)
-	if c.connectTimeout <= 0 || c.connIdle <= 0 {
-		return Config{}, errors.New("settings: limits.connect-timeout-ms and limits.conn-idle-ms must be above 0")
-	}
-	return c, nil
+	return parsed, nil
 }
 
 func (c Config) classNames() (names []string) {
--- /dev/null
+++ b/internal/node/override_test.go
@@ -0,0 +1,188 @@
+package node
+
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+
+	"hookwalk.example/hookwalk/deckrelay"
+	"hookwalk.example/hookwalk/internal/engine"
+)
+
+// settingsOf are the settings of a configuration's file, with some of them replaced.
+func settingsOf(t *testing.T, c Config, change ...string) json.RawMessage {
+	t.Helper()
+	var file struct{ Settings json.RawMessage }
+	if err := json.Unmarshal([]byte(textOf(t, c, change...)), &file); err != nil {
+		t.Fatal(err)
+	}
+	return file.Settings
+}
+
+// watched is a configuration whose file names a discovery that answers.
+func watched(t *testing.T, backends ...*backend) Config {
+	t.Helper()
+	return fileOf(t, configWith(t, backends...), `127.0.0.1:1"`, silentDiscovery(t)+`"`)
+}
+
+func answered(t *testing.T, n *running, class, id string) int {
+	t.Helper()
+	s, _, _ := do(t, newRequest(t, n.url, class, id, "x"))
+	return s
+}
+
+// An override holds for the requests that come after it, a later one replaces it, and the node's own settings stay.
+func TestOverride(t *testing.T) {
+	cfg := watched(t, newBackend(t, ok))
+	n := start(t, cfg)
+	first := Override{Settings: settingsOf(t, cfg, `"name":"unsafe"`, `"name":"fresh"`, `"zone":"z"`, `"zone":"elsewhere"`, `"me":0`, `"me":7`)}
+	if err := n.Override(t.Context(), first, nil); err != nil {
+		t.Fatal(err)
+	}
+	if got := answered(t, n, "fresh", "1"); got != http.StatusOK {
+		t.Errorf("a new class is answered %d", got)
+	}
+	if set := n.settings(); set.Zone != "z" || set.Self != 0 {
+		t.Errorf("it is number %d of zone %q now", set.Self, set.Zone)
+	}
+	moved := silentDiscovery(t)
+	second := Override{Settings: settingsOf(t, cfg, `"name":"unsafe"`, `"name":"later"`), Discovery: moved}
+	if err := n.Override(t.Context(), second, nil); err != nil {
+		t.Fatal(err)
+	}
+	if got := answered(t, n, "later", "2"); got != http.StatusOK || n.disc.addr != moved {
+		t.Errorf("the next one: answered %d, discovery %s", got, n.disc.addr)
+	}
+	if err := n.Override(t.Context(), first, nil); err != nil {
+		t.Fatal(err)
+	}
+	if n.disc.addr != cfg.Discovery {
+		t.Errorf("without an address discovery is %s, want the file's %s", n.disc.addr, cfg.Discovery)
+	}
+}
+
+// An override that is refused changes nothing, and the error says of what kind it is.
+func TestOverrideRefused(t *testing.T) {
+	cfg := watched(t, newBackend(t, ok))
+	n := start(t, cfg)
+	stays := errors.New("not this one")
+	for name, c := range map[string]struct {
+		override   Override
+		check      OverrideCheck
+		unreadable bool
+		says       string
+	}{
+		"no JSON":         {override: Override{Settings: []byte(`{"lanes":`)}, unreadable: true},
+		"nothing":         {override: Override{}, unreadable: true},
+		"null":            {override: Override{Settings: []byte(`null`)}, unreadable: true},
+		"a list":          {override: Override{Settings: []byte(`[]`)}, unreadable: true},
+		"another form":    {override: Override{Settings: []byte(`{"lanes":{}}`)}, unreadable: true},
+		"no classes":      {override: Override{Settings: settingsOf(t, cfg, `"lanes":`, `"lines":`)}, says: "Classes is empty"},
+		"a key out":       {override: Override{Settings: settingsOf(t, cfg, `"blend":`, `"bland":`)}, says: "settings.blend"},
+		"no deadline":     {override: Override{Settings: settingsOf(t, cfg, `"deadline-ms":60000`, `"deadline-ms":0`)}, says: "Deadline"},
+		"no address":      {override: Override{Settings: settingsOf(t, cfg), Discovery: "nowhere"}, says: "discovery"},
+		"the check's own": {override: Override{Settings: settingsOf(t, cfg)}, check: func(_, _ []deckrelay.Class, _ []deckrelay.Server) error { return stays }, says: stays.Error()},
+	} {
+		c.override.Discovery = cmp.Or(c.override.Discovery, "127.0.0.1:9")
+		err := n.Override(t.Context(), c.override, c.check)
+		if err == nil || errors.As(err, new(*UnreadableOverrideError)) != c.unreadable || !strings.Contains(err.Error(), c.says) {
+			t.Errorf("%s: said %v", name, err)
+		}
+		if n.disc.addr != cfg.Discovery || n.rules.Load().generation != 0 || n.now.override != nil {
+			t.Fatalf("%s: something of it was taken over", name)
+		}
+	}
+}
+
+// The check sees the classes before and after, and the servers in service.
+func TestOverrideCheckSeesClassesAndServers(t *testing.T) {
+	cfg := watched(t, newBackend(t, ok), newBackend(t, ok))
+	n := start(t, cfg)
+	override := Override{Settings: settingsOf(t, cfg, `"name":"unsafe"`, `"name":"fresh","bound-to":["k"]`)}
+	seen := ""
+	err := n.Override(t.Context(), override, func(now, next []deckrelay.Class, servers []deckrelay.Server) error {
+		seen = fmt.Sprintf("%s, %s of %v, %d servers, the first in %s", now[1].Name, next[1].Name, next[1].OnlyKinds, len(servers), servers[0].Zone)
+		return nil
+	})
+	if err != nil || seen != "unsafe, fresh of [k], 2 servers, the first in z" {
+		t.Errorf("it saw %q, %v", seen, err)
+	}
+}
+
+// SIGHUP reads the file again under an override: what the override says stays, the rest is the file's, and a file that
+// is not whole changes nothing.
+func TestReloadUnderAnOverride(t *testing.T) {
+	cfg := watched(t, newBackend(t, ok))
+	n := start(t, cfg)
+	override := Override{Settings: settingsOf(t, cfg, `"name":"unsafe"`, `"name":"fresh"`)}
+	if err := n.Override(t.Context(), override, nil); err != nil {
+		t.Fatal(err)
+	}
+	if err := n.Reload(fileOf(t, cfg, `"blend":`, `"bland":`)); err == nil {
+		t.Error("a file that lacks a key was taken, under the override's settings")
+	}
+	moved := silentDiscovery(t)
+	file := fileOf(t, cfg, `"name":"unsafe"`, `"name":"filed"`, `"lanes":`, `"added":1,"lanes":`, cfg.Discovery, moved)
+	if err := n.Reload(file); err != nil {
+		t.Fatal(err)
+	}
+	if got := answered(t, n, "fresh", "1"); got != http.StatusOK || n.disc.addr != moved {
+		t.Errorf("the override's class is answered %d, discovery is %s", got, n.disc.addr)
+	}
+	if got := answered(t, n, "filed", "2"); got != http.StatusBadRequest {
+		t.Errorf("the file's class is answered %d", got)
+	}
+}
+
+// A node can start with an override, whatever the file has come to have since, and keeps it at SIGHUP.
+func TestStartWithAnOverride(t *testing.T) {
+	cfg := watched(t, newBackend(t, ok))
+	override := Override{Settings: settingsOf(t, cfg, `"name":"unsafe"`, `"name":"fresh"`)}
+	with, err := fileOf(t, cfg, `"lanes":`, `"added":1,"lanes":`).With(override)
+	if err != nil {
+		t.Fatal(err)
+	}
+	n := start(t, with)
+	if got := answered(t, n, "fresh", "1"); got != http.StatusOK {
+		t.Errorf("its class is answered %d", got)
+	}
+	if err := n.Reload(cfg); err == nil {
+		t.Error("a file that lacks what the one before had was taken")
+	}
+	if err := n.Reload(fileOf(t, cfg, `"lanes":`, `"added":2,"lanes":`)); err != nil {
+		t.Error(err)
+	}
+	if got := answered(t, n, "fresh", "2"); got != http.StatusOK {
+		t.Errorf("after SIGHUP its class is answered %d", got)
+	}
+	if _, err := cfg.With(Override{Settings: []byte(`{}`)}); err == nil {
+		t.Error("settings that no node can have were taken")
+	}
+	if got := len(cfg.KnownServers()); got != 1 {
+		t.Errorf("%d known servers", got)
+	}
+}
+
+// Before the node runs an override waits, as long as its caller does; after its end it is refused.
+func TestOverrideOfANodeThatDoesNotRun(t *testing.T) {
+	cfg := testConfig(t, "pushed")
+	n, err := New(cfg, quiet())
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	override := Override{Settings: settingsOf(t, cfg)}
+	if err := n.Override(ctx, override, nil); !errors.Is(err, context.Canceled) {
+		t.Errorf("not yet: %v", err)
+	}
+	n.engine.Stop()
+	if err := n.Override(t.Context(), override, nil); !errors.Is(err, engine.ErrStopped) {
+		t.Errorf("not any more: %v", err)
+	}
+}
--- a/internal/node/rules.go
+++ b/internal/node/rules.go
@@ -46,21 +46,36 @@
 	return e, r.before.generation, known
 }
 
-// Reload takes over what of a changed configuration can change while the node runs, settings and the address of
-// discovery, or nothing of it, and says why. Connections, open requests and the servers held stay as they are.
+// Reload takes over what of a changed configuration file can change while the node runs, settings and the address of
+// discovery, or nothing of it, and says why. Connections, open requests and the servers held stay as they are. An
+// override that is in force stays over the file.
 func (n *Node) Reload(cfg Config) error {
 	n.reloads.Lock()
 	defer n.reloads.Unlock()
+	cfg.Features = n.cfg.Features
+	if override := n.now.override; override != nil {
+		file, err := parseConfig(n.now.text)
+		if err != nil {
+			return err
+		}
+		if err := cfg.follows(file); err != nil {
+			return err
+		}
+		if cfg, err = cfg.With(*override); err != nil {
+			return err
+		}
+	}
+	return n.reload(cfg)
+}
+
+// reload takes over a configuration; the caller holds the lock.
+func (n *Node) reload(cfg Config) error {
 	if err := cfg.follows(n.now); err != nil {
 		return err
 	}
-	cfg.Features = n.cfg.Features
-	set, err := cfg.moduleSettings()
+	set, err := cfg.checkedSettings()
 	if err != nil {
-		return fmt.Errorf("settings: %w", err)
-	}
-	if err := set.Check(); err != nil {
-		return fmt.Errorf("settings: %w", err)
+		return err
 	}
 	if set.Addresses = n.lists; !reflect.DeepEqual(set, n.set) {
 		if err := n.engine.Retune(context.Background(), set); err != nil {
@@ -77,6 +92,18 @@
 	return nil
 }
 
+// checkedSettings are the module's settings, where it takes them.
+func (c Config) checkedSettings() (deckrelay.Settings, error) {
+	set, err := c.moduleSettings()
+	if err == nil {
+		err = set.Check()
+	}
+	if err != nil {
+		return set, fmt.Errorf("settings: %w", err)
+	}
+	return set, nil
+}
+
 // settings are the module's, as they are now.
 func (n *Node) settings() deckrelay.Settings {
 	n.reloads.Lock()
