Control service: replicated configuration versions, publish, status, watches for nodes

Nothing brought a configuration to more than one process. Controllers keep a replicated log of versions (hashicorp/raft, raft-boltdb), answer a publish once a quorum has it on disk, and serve nodes' watches from their own copy of the state. hookwalk controller run, config publish and config status; the build for service has none of it. raft-boltdb 2.3.0, because 2.3.1 imports go-metrics/compat, which go-metrics 0.7.0 (memberlist's) no longer has. First form, with no tests of its own yet: tried by hand with three controllers on one machine.

--- /dev/null
+++ b/cmd/hookwalk/controller.go
@@ -0,0 +1,39 @@
+//go:build !nolab
+
+package main
+
+import (
+	"context"
+	"log/slog"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"hookwalk.example/hookwalk/internal/controller"
+)
+
+// controllerCommands are those of the control service.
+type controllerCommands struct {
+	Run controllerRun `cmd:"" help:"Run one controller of the control service."`
+}
+
+type controllerRun struct {
+	File string `arg:"" help:"The settings file of the cluster, the same for all its controllers."`
+	Name string `placeholder:"NAME" help:"Which of the file's controllers this process is; not needed where there is one."`
+}
+
+// Run serves until SIGTERM.
+func (c controllerRun) Run(s streams) error {
+	config, err := controller.LoadConfig(c.File, c.Name)
+	if err != nil {
+		return err
+	}
+	log := slog.New(slog.NewTextHandler(s.stderr, nil))
+	service, err := controller.New(config, log)
+	if err != nil {
+		return err
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	return service.Run(ctx)
+}
--- a/cmd/hookwalk/main.go
+++ b/cmd/hookwalk/main.go
@@ -33,14 +33,16 @@
 
 // commandLine is all that the program can be told; kong reads it.
 type commandLine struct {
-	Run     runCommand     `cmd:"" default:"withargs" help:"Run a node (the default). ROUTER_CONFIG names its configuration."`
-	Drill   drillCommands  `cmd:"" help:"Rehearsals of trouble."`
-	Replay  replayCommand  `cmd:"" help:"Play a capture (a .hwc file or a log with capture lines) into this build's decisions and print what is decided otherwise; status 0: nothing, 1: something, 2: it can't be played."`
-	Check   checkCommand   `cmd:"" help:"Read a settings file strictly: ok, or what is wrong and where, and status 1."`
-	State   stateCommands  `cmd:"" help:"What a node keeps on disk."`
-	Sites   sitesCommands  `cmd:"" help:"What a running node knows of its peers and their sites."`
-	Lab     labCommands    `cmd:"" help:"An emulator of the chain: scenarios in virtual time and on sockets, experiments, the paper."`
-	Version versionCommand `cmd:"" help:"Print what build this is."`
+	Run        runCommand         `cmd:"" default:"withargs" help:"Run a node (the default). ROUTER_CONFIG names its configuration."`
+	Drill      drillCommands      `cmd:"" help:"Rehearsals of trouble."`
+	Replay     replayCommand      `cmd:"" help:"Play a capture (a .hwc file or a log with capture lines) into this build's decisions and print what is decided otherwise; status 0: nothing, 1: something, 2: it can't be played."`
+	Check      checkCommand       `cmd:"" help:"Read a settings file strictly: ok, or what is wrong and where, and status 1."`
+	State      stateCommands      `cmd:"" help:"What a node keeps on disk."`
+	Sites      sitesCommands      `cmd:"" help:"What a running node knows of its peers and their sites."`
+	Controller controllerCommands `cmd:"" help:"The control service: controllers that keep configuration versions and bring them to nodes."`
+	Config     configCommands     `cmd:"" help:"Publish configuration versions, and see where they are in force."`
+	Lab        labCommands        `cmd:"" help:"An emulator of the chain: scenarios in virtual time and on sockets, experiments, the paper."`
+	Version    versionCommand     `cmd:"" help:"Print what build this is."`
 }
 
 type runCommand struct {
--- /dev/null
+++ b/configversion/rollout.go
@@ -0,0 +1,129 @@
+package configversion
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+
+	"hookwalk.example/hookwalk/internal/configapi"
+)
+
+// RolloutState says where a node stands with respect to the newest version.
+type RolloutState string
+
+// Node states.
+const (
+	RolloutCurrent  RolloutState = "current"  // connected, and the newest version is in force
+	RolloutLagging  RolloutState = "lagging"  // connected, and has not answered for the newest version yet
+	RolloutRejected RolloutState = "rejected" // connected, and rejected the newest version, or all of another cluster
+	RolloutAway     RolloutState = "away"     // has no session
+)
+
+// NodeRollout is one node in a Rollout.
+type NodeRollout struct {
+	configapi.NodeStatus
+	State      RolloutState `json:"state"`
+	Controller string       `json:"controller"` // the one that heard the node last
+}
+
+// Rollout is where the newest version is in force.
+type Rollout struct {
+	Cluster  configapi.Cluster `json:"cluster"`
+	Version  configapi.Version `json:"version"` // the newest that any controller has
+	Nodes    []NodeRollout     `json:"nodes"`   // by name
+	Current  int               `json:"current"`
+	Lagging  int               `json:"lagging"`
+	Rejected int               `json:"rejected"`
+	Away     int               `json:"away"`
+	// Behind are the controllers that have an older version, or are not in touch with the leader.
+	Behind []string `json:"behind,omitempty"`
+	// Foreign are the controllers that are of another cluster than the rest.
+	Foreign []string `json:"foreign,omitempty"`
+}
+
+// Complete says whether the newest version is in force at all connected nodes, and all controllers have it.
+func (r Rollout) Complete() bool {
+	return r.Lagging == 0 && r.Rejected == 0 && len(r.Behind) == 0 && len(r.Foreign) == 0
+}
+
+// MergeStatuses joins what several controllers know. Of a node that more than one of them knows, the word of its newest session
+// counts.
+func MergeStatuses(statuses []configapi.ControllerStatus) Rollout {
+	var r Rollout
+	r.Cluster, r.Version = newestVersion(statuses)
+	nodes := map[string]NodeRollout{}
+	for _, status := range statuses {
+		switch {
+		case status.Cluster != r.Cluster:
+			r.Foreign = append(r.Foreign, status.Name)
+		case status.Version < r.Version || !status.Current:
+			r.Behind = append(r.Behind, status.Name)
+		}
+		for _, node := range status.Nodes {
+			known, ok := nodes[node.Node]
+			if !ok || laterReport(node, known.NodeStatus) {
+				nodes[node.Node] = NodeRollout{NodeStatus: node, Controller: status.Name}
+			}
+		}
+	}
+	for _, name := range slices.Sorted(maps.Keys(nodes)) {
+		node := nodes[name]
+		node.State = r.stateOf(node.NodeStatus)
+		r.count(node.State)
+		r.Nodes = append(r.Nodes, node)
+	}
+	return r
+}
+
+// newestVersion finds the cluster that most controllers are of, and its newest version.
+func newestVersion(statuses []configapi.ControllerStatus) (configapi.Cluster, configapi.Version) {
+	members := map[configapi.Cluster]int{}
+	versions := map[configapi.Cluster]configapi.Version{}
+	for _, status := range statuses {
+		if status.Cluster != "" {
+			members[status.Cluster]++
+			versions[status.Cluster] = max(versions[status.Cluster], status.Version)
+		}
+	}
+	var best configapi.Cluster
+	for cluster := range members {
+		if order := cmp.Or(cmp.Compare(members[cluster], members[best]), cmp.Compare(best, cluster)); order > 0 {
+			best = cluster
+		}
+	}
+	return best, versions[best]
+}
+
+// laterReport says whether one word about a node is newer than another one: by the node's process, its session, the time.
+func laterReport(x, y configapi.NodeStatus) bool {
+	return cmp.Or(
+		cmp.Compare(x.Started, y.Started),
+		cmp.Compare(x.Session, y.Session),
+		cmp.Compare(x.SeenMS, y.SeenMS)) > 0
+}
+
+// stateOf judges a node by what it last said.
+func (r *Rollout) stateOf(node configapi.NodeStatus) RolloutState {
+	switch {
+	case !node.Connected:
+		return RolloutAway
+	case node.Outcome == configapi.Rejected && (node.Cluster != r.Cluster || node.Held >= r.Version):
+		return RolloutRejected
+	case r.Version == 0, node.Cluster == r.Cluster && node.Held >= r.Version:
+		return RolloutCurrent
+	}
+	return RolloutLagging
+}
+
+func (r *Rollout) count(state RolloutState) {
+	switch state {
+	case RolloutCurrent:
+		r.Current++
+	case RolloutLagging:
+		r.Lagging++
+	case RolloutRejected:
+		r.Rejected++
+	case RolloutAway:
+		r.Away++
+	}
+}
--- a/internal/configapi/configapi.go
+++ b/internal/configapi/configapi.go
@@ -74,6 +74,9 @@
 	Applied  Version // the version in force; 0: the configuration that the process was started with
 	Rejected bool    // Held was rejected
 	Reason   string  // why, where it was
+	// Refused is how many controllers have refused a watch since the node last had one. A controller lets a node in
+	// more readily that was refused before, so that it is not sent round.
+	Refused uint64
 }
 
 // Query writes the request as a URL query.
@@ -88,6 +91,9 @@
 	q.Set("cluster", string(r.Cluster))
 	q.Set("held", strconv.FormatUint(uint64(r.Held), 10))
 	q.Set("applied", strconv.FormatUint(uint64(r.Applied), 10))
+	if r.Refused > 0 {
+		q.Set("refused", strconv.FormatUint(r.Refused, 10))
+	}
 	if r.Rejected {
 		q.Set("rejected", "1")
 		q.Set("reason", r.Reason)
@@ -109,6 +115,13 @@
 		}
 		*into = n
 	}
+	if text := q.Get("refused"); text != "" {
+		n, err := strconv.ParseUint(text, 10, 64)
+		if err != nil {
+			return r, &Error{Kind: ErrorInvalid, Message: "refused is not a number"}
+		}
+		r.Refused = n
+	}
 	started, err := strconv.ParseInt(q.Get("started"), 10, 64)
 	if err != nil {
 		return r, &Error{Kind: ErrorInvalid, Message: "started is not a number"}
@@ -132,7 +145,7 @@
 	Current bool `json:"current"`
 	// MoveTo asks the node to open a watch at another controller and then to end this one.
 	MoveTo string `json:"move_to,omitempty"`
-	// Controllers are the addresses of all controllers of the cluster.
+	// Controllers are the addresses of all controllers of the cluster; only the first Update of a watch has them.
 	Controllers []Endpoint `json:"controllers,omitempty"`
 }
 
@@ -242,6 +255,8 @@
 	Current  bool         `json:"current"`
 	Sessions int          `json:"sessions"`
 	Nodes    []NodeStatus `json:"nodes"`
+	// Controllers are the addresses of all controllers of the cluster, this one's among them.
+	Controllers []Endpoint `json:"controllers,omitempty"`
 }
 
 // NodeStatus is what a controller last heard of a node.
--- /dev/null
+++ b/internal/controller/disk.go
@@ -0,0 +1,177 @@
+package controller
+
+import (
+	"bytes"
+	"crypto/rand"
+	"encoding/json"
+	"errors"
+	"io/fs"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/google/renameio/v2"
+	"github.com/hashicorp/raft"
+	raftboltdb "github.com/hashicorp/raft-boltdb/v2"
+	"go.etcd.io/bbolt"
+)
+
+const (
+	identityFile = "identity.json"
+	logFile      = "raft.db"
+
+	keptSnapshots   = 2
+	logCacheEntries = 16
+	// lockTimeout is how long a start waits for another process that has the folder.
+	lockTimeout = 2 * time.Second
+)
+
+// identity says whose disk a folder is. It is written before anything of raft.
+type identity struct {
+	Name string `json:"name"` // the controller's
+	// Server is the raft server ID. A disk of a new cluster has the controller's name; one that replaces a lost or an
+	// old disk has another, so that it is not taken for the server that voted before. Empty: not decided yet.
+	Server string `json:"server"`
+	// Start rises by 1 with each start on the disk.
+	Start uint64 `json:"start"`
+}
+
+// disk is an open folder.
+type disk struct {
+	folder    string
+	identity  identity
+	bolt      *raftboltdb.BoltStore
+	logs      raft.LogStore
+	snapshots raft.SnapshotStore
+}
+
+// openDisk opens a controller's folder, makes it where there is none, and counts the start.
+func openDisk(folder, name string) (*disk, error) {
+	if err := os.MkdirAll(folder, 0o700); err != nil {
+		return nil, &FolderError{folder, "name a folder that this process may write", err}
+	}
+	d := &disk{folder: folder}
+	if err := d.openLog(); err != nil {
+		return nil, err
+	}
+	if err := d.readIdentity(name); err != nil {
+		_ = d.bolt.Close()
+		return nil, err
+	}
+	d.identity.Start++
+	if err := d.writeIdentity(); err != nil {
+		_ = d.bolt.Close()
+		return nil, err
+	}
+	return d, nil
+}
+
+// openLog opens the log and takes the folder's lock with it.
+func (d *disk) openLog() error {
+	bolt, err := raftboltdb.New(raftboltdb.Options{Path: filepath.Join(d.folder, logFile),
+		BoltOptions: &bbolt.Options{Timeout: lockTimeout, NoFreelistSync: true, FreelistType: bbolt.FreelistMapType}})
+	if err != nil {
+		return &FolderError{d.folder, "is another controller running on it, or is the file " + logFile + " damaged?", err}
+	}
+	cached, err := raft.NewLogCache(logCacheEntries, bolt)
+	if err != nil {
+		_ = bolt.Close()
+		return &FolderError{d.folder, "", err}
+	}
+	snapshots, err := raft.NewFileSnapshotStoreWithLogger(d.folder, keptSnapshots, quietLogger())
+	if err != nil {
+		_ = bolt.Close()
+		return &FolderError{d.folder, "name a folder that this process may write", err}
+	}
+	d.bolt, d.logs, d.snapshots = bolt, cached, snapshots
+	return nil
+}
+
+func (d *disk) readIdentity(name string) error {
+	text, err := os.ReadFile(filepath.Join(d.folder, identityFile))
+	switch {
+	case errors.Is(err, fs.ErrNotExist):
+		return d.newIdentity(name)
+	case err != nil:
+		return &FolderError{d.folder, "the controller must be able to read " + identityFile, err}
+	}
+	decoder := json.NewDecoder(bytes.NewReader(text))
+	if err := decoder.Decode(&d.identity); err != nil {
+		return &FolderError{d.folder, "empty the folder, and the controller copies the state from the others", err}
+	}
+	if d.identity.Name != name {
+		return &FolderError{d.folder, "it is a copy of the disk of controller " + d.identity.Name + ", and this is " + name +
+			": empty the folder, and the controller copies the state from the others", nil}
+	}
+	return nil
+}
+
+// newIdentity is for an empty folder.
+func (d *disk) newIdentity(name string) error {
+	used, err := d.hasState()
+	if err != nil {
+		return &FolderError{d.folder, "empty the folder, and the controller copies the state from the others", err}
+	}
+	if used {
+		return &FolderError{d.folder, "it has a log but no " + identityFile + ": empty the folder, and the controller copies the state from the others", nil}
+	}
+	d.identity = identity{Name: name}
+	return nil
+}
+
+// writeIdentity returns once the identity is on disk.
+func (d *disk) writeIdentity() error {
+	text, err := json.Marshal(d.identity)
+	if err == nil {
+		err = renameio.WriteFile(filepath.Join(d.folder, identityFile), text, 0o600)
+	}
+	if err == nil {
+		err = syncFolder(d.folder)
+	}
+	if err != nil {
+		return &FolderError{d.folder, "look at the disk", err}
+	}
+	return nil
+}
+
+// chooseServer decides under which ID the disk takes part, for its whole life.
+func (d *disk) chooseServer(server string) error {
+	d.identity.Server = server
+	return d.writeIdentity()
+}
+
+// hasState says whether raft has written anything.
+func (d *disk) hasState() (bool, error) { return raft.HasExistingState(d.logs, d.bolt, d.snapshots) }
+
+func (d *disk) close() error { return d.bolt.Close() }
+
+// wipe empties the folder and opens it again, for a disk whose content must not be used. The next start is counted from
+// 1, under another server ID.
+func (d *disk) wipe() error {
+	if err := d.bolt.Close(); err != nil {
+		return &FolderError{d.folder, "look at the disk", err}
+	}
+	for _, entry := range []string{identityFile, logFile, "snapshots"} {
+		if err := os.RemoveAll(filepath.Join(d.folder, entry)); err != nil {
+			return &FolderError{d.folder, "look at the disk", err}
+		}
+	}
+	name := d.identity.Name
+	if err := d.openLog(); err != nil {
+		return err
+	}
+	d.identity = identity{Name: name, Start: 1}
+	return d.writeIdentity()
+}
+
+func syncFolder(folder string) error {
+	f, err := os.Open(folder)
+	if err != nil {
+		return err
+	}
+	defer f.Close()
+	return f.Sync()
+}
+
+// randomText draws a text that is not drawn twice.
+func randomText() string { return rand.Text() }
--- /dev/null
+++ b/internal/controller/handlers.go
@@ -0,0 +1,147 @@
+package controller
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"hookwalk.example/hookwalk/internal/configapi"
+)
+
+const (
+	maxAck = 16 << 10 // bytes of an acknowledgement
+	// maxPublish is the size of a publish request in bytes: the document, and room for the rest.
+	maxPublish = configapi.MaxDocument + 64<<10
+)
+
+// statusCodes are the HTTP status codes of refusals.
+var statusCodes = map[configapi.ErrorKind]int{
+	configapi.ErrorInvalid:   http.StatusBadRequest,
+	configapi.ErrorTooLarge:  http.StatusRequestEntityTooLarge,
+	configapi.ErrorTooMany:   http.StatusTooManyRequests,
+	configapi.ErrorNotLeader: http.StatusMisdirectedRequest,
+	configapi.ErrorNoQuorum:  http.StatusServiceUnavailable,
+	configapi.ErrorUnknown:   http.StatusGatewayTimeout,
+	configapi.ErrorFull:      http.StatusServiceUnavailable,
+}
+
+// routes are the controller's calls.
+func (c *Controller) routes() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+configapi.PathWatch, c.serveWatch)
+	mux.HandleFunc("POST "+configapi.PathAck, c.serveAck)
+	mux.HandleFunc("POST "+configapi.PathPublish, c.servePublish)
+	mux.HandleFunc("GET "+configapi.PathStatus, c.serveStatus)
+	mux.HandleFunc("GET "+configapi.PathLoad, c.serveLoad)
+	return mux
+}
+
+func (c *Controller) serveStatus(w http.ResponseWriter, _ *http.Request) { writeReply(w, c.status()) }
+
+func (c *Controller) serveLoad(w http.ResponseWriter, r *http.Request) {
+	writeReply(w, c.report(r.URL.Query().Get("server")))
+}
+
+func (c *Controller) serveAck(w http.ResponseWriter, r *http.Request) {
+	var ack configapi.Acknowledgement
+	if err := readBody(w, r, maxAck, &ack); err != nil {
+		writeError(w, err)
+		return
+	}
+	if err := checkAck(&ack); err != nil {
+		writeError(w, err)
+		return
+	}
+	if err := c.nodes.acknowledge(ack, time.Now()); err != nil {
+		writeError(w, err)
+		return
+	}
+	writeReply(w, struct{}{})
+}
+
+// checkAck checks the form of an acknowledgement, and cuts its reason to the length that is kept.
+func checkAck(ack *configapi.Acknowledgement) *configapi.Error {
+	if ack.Outcome != configapi.Applied && ack.Outcome != configapi.Rejected {
+		return invalid("outcome must be %s or %s", configapi.Applied, configapi.Rejected)
+	}
+	if ack.Cluster != "" && !validName(string(ack.Cluster)) {
+		return invalid("%q is not a cluster's identity", clip(string(ack.Cluster)))
+	}
+	if ack.Rejection != nil {
+		ack.Rejection.Kind = configapi.RejectionKind(clip(string(ack.Rejection.Kind)))
+		ack.Rejection.Message = clipReason(ack.Rejection.Message)
+	}
+	return nil
+}
+
+func (c *Controller) servePublish(w http.ResponseWriter, r *http.Request) {
+	var request configapi.PublishRequest
+	if err := readBody(w, r, maxPublish, &request); err != nil {
+		writeError(w, err)
+		return
+	}
+	reply, err := c.publish(r, request)
+	if err != nil {
+		c.log.Info("publish refused", "id", clip(request.ID), "kind", err.Kind, "err", err.Message)
+		writeError(w, err)
+		return
+	}
+	c.log.Info("published", "id", request.ID, "version", reply.Version)
+	writeReply(w, reply)
+}
+
+func (c *Controller) publish(r *http.Request, request configapi.PublishRequest) (configapi.PublishReply, *configapi.Error) {
+	if err := checkPublish(request); err != nil {
+		return configapi.PublishReply{}, err
+	}
+	document, err := readDocument(request.Document)
+	if err != nil {
+		return configapi.PublishReply{}, err
+	}
+	if len(document.Services) == 0 && len(request.Replaces) == 0 {
+		return configapi.PublishReply{}, invalid("the document names no service")
+	}
+	running := c.consensus.Load()
+	if running == nil {
+		return configapi.PublishReply{}, &configapi.Error{Kind: configapi.ErrorNoQuorum,
+			Message: "this controller waits for a majority of the others; nothing was taken"}
+	}
+	return running.publish(publishCommand{ID: request.ID, Document: document, Replaces: request.Replaces}, r.Context().Done())
+}
+
+// readBody reads a request's JSON body of a bounded size within a bounded time.
+func readBody(w http.ResponseWriter, r *http.Request, most int64, into any) *configapi.Error {
+	control := http.NewResponseController(w)
+	_ = control.SetReadDeadline(time.Now().Add(bodyTimeout))
+	text, err := io.ReadAll(http.MaxBytesReader(w, r.Body, most))
+	_ = control.SetReadDeadline(time.Time{})
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return &configapi.Error{Kind: configapi.ErrorTooLarge, Message: fmt.Sprintf("the request is over %d bytes; a document has %d at most", most, configapi.MaxDocument)}
+	case err != nil:
+		return invalid("the request can't be read: %v", err)
+	}
+	if err := json.Unmarshal(text, into); err != nil {
+		return invalid("the request is not of the form expected: %v", err)
+	}
+	return nil
+}
+
+func writeReply(w http.ResponseWriter, reply any) { writeJSON(w, http.StatusOK, reply) }
+
+// writeError writes a refusal. The connection closes behind it, so that refused nodes leave none.
+func writeError(w http.ResponseWriter, err *configapi.Error) {
+	w.Header().Set("Connection", "close")
+	writeJSON(w, statusCodes[err.Kind], err)
+}
+
+func writeJSON(w http.ResponseWriter, code int, body any) {
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(replyTimeout))
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(code)
+	_ = json.NewEncoder(w).Encode(body) // whoever asked has gone
+}
--- /dev/null
+++ b/internal/controller/hub.go
@@ -0,0 +1,111 @@
+package controller
+
+import (
+	"encoding/json"
+	"sync"
+
+	"hookwalk.example/hookwalk/internal/configapi"
+)
+
+// view is what a controller serves at one moment. It is immutable but for its cache of encoded updates.
+type view struct {
+	state      *state
+	current    bool          // in touch with the leader of a quorum
+	superseded chan struct{} // closed when there is a newer view
+
+	lock    sync.Mutex
+	encoded map[updateKey][]byte
+}
+
+// updateKey names an update that many sessions share.
+type updateKey struct {
+	service    string
+	withConfig bool
+	first      bool
+}
+
+// changed is the newest version that names a service.
+func (v *view) changed(service string) configapi.Version { return v.state.Services[service].Changed }
+
+// update builds the update of a service.
+func (v *view) update(key updateKey, controllers []configapi.Endpoint) configapi.Update {
+	u := configapi.Update{Cluster: v.state.Cluster, Replaces: v.state.Replaces, Version: v.state.Version,
+		Changed: v.changed(key.service), Current: v.current}
+	if service, ok := v.state.Services[key.service]; ok && key.withConfig {
+		u.Config = &service.Config
+	}
+	if key.first {
+		u.Controllers = controllers
+	}
+	return u
+}
+
+// encodedUpdate is the update of a service as one line of JSON, encoded once for all sessions.
+func (v *view) encodedUpdate(key updateKey, controllers []configapi.Endpoint) []byte {
+	if _, ok := v.state.Services[key.service]; !ok {
+		key.service = "" // services without a configuration share theirs
+	}
+	v.lock.Lock()
+	defer v.lock.Unlock()
+	if line, ok := v.encoded[key]; ok {
+		return line
+	}
+	line := encodeLine(v.update(key, controllers))
+	v.encoded[key] = line
+	return line
+}
+
+// encodeLine encodes an update with the line's end behind it.
+func encodeLine(u configapi.Update) []byte {
+	text, err := json.Marshal(u)
+	if err != nil { // settings are JSON that was decoded before
+		panic(err)
+	}
+	return append(text, '\n')
+}
+
+// hub hands the newest view to the sessions. A session that is slow misses the views in between.
+type hub struct {
+	lock sync.Mutex
+	now  *view
+}
+
+func newHub() *hub { return &hub{now: newView(&state{}, false)} }
+
+func newView(s *state, current bool) *view {
+	return &view{state: s, current: current, superseded: make(chan struct{}), encoded: map[updateKey][]byte{}}
+}
+
+// view returns the newest view.
+func (h *hub) view() *view {
+	h.lock.Lock()
+	defer h.lock.Unlock()
+	return h.now
+}
+
+// setState puts a newer state in force.
+func (h *hub) setState(s *state) {
+	h.lock.Lock()
+	defer h.lock.Unlock()
+	if s == h.now.state {
+		return
+	}
+	h.replace(newView(s, h.now.current))
+}
+
+// setCurrent notes whether the controller is in touch with the leader of a quorum.
+func (h *hub) setCurrent(current bool) (changed bool) {
+	h.lock.Lock()
+	defer h.lock.Unlock()
+	if current == h.now.current {
+		return false
+	}
+	h.replace(newView(h.now.state, current))
+	return true
+}
+
+func (h *hub) replace(next *view) {
+	before := h.now
+	h.now = next
+	close(before.superseded)
+}
--- /dev/null
+++ b/internal/controller/membership.go
@@ -0,0 +1,215 @@
+package controller
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"sync"
+	"time"
+
+	"hookwalk.example/hookwalk/configversion"
+	"hookwalk.example/hookwalk/internal/configapi"
+)
+
+const (
+	// pollInterval is how often controllers read each other's load.
+	pollInterval = 500 * time.Millisecond
+	// pollTimeout is how long a reading may take; a controller that is stalled holds nobody up.
+	pollTimeout = 400 * time.Millisecond
+	// reportValid is how long a reading counts.
+	reportValid = 2 * time.Second
+	maxLoad     = 64 << 10 // bytes of one answer
+)
+
+// phase says what a controller's disk has.
+type phase string
+
+const (
+	phaseEmpty   phase = "empty"   // nothing, and it is not decided yet how the controller takes part
+	phaseJoining phase = "joining" // it waits for the leader to add it
+	phaseMember  phase = "member"  // a log
+)
+
+// memberReport is one controller's answer to GET /v1/load: what nodes need to know, and what the other controllers need.
+type memberReport struct {
+	configapi.Load
+	Phase   phase  `json:"phase"`
+	Server  string `json:"server,omitempty"` // its raft server ID
+	Start   uint64 `json:"start"`
+	Process string `json:"process"` // drawn at random by each process
+	Applied uint64 `json:"applied"` // index of the newest log entry in its state
+	// Founders are the processes that this one found empty before it began a new cluster. One of those has never voted
+	// in it, and may begin it, too.
+	Founders map[string]string `json:"founders,omitempty"`
+	// Known is the last recorded start of the server that the request names.
+	Known *memberStart `json:"known,omitempty"`
+}
+
+// peers reads the other controllers' reports.
+type peers struct {
+	config Config
+	client *http.Client
+
+	lock    sync.Mutex
+	reports map[string]timedReport // by the controller's name
+}
+
+type timedReport struct {
+	memberReport
+	at time.Time
+}
+
+func newPeers(config Config) *peers {
+	transport := &http.Transport{MaxIdleConnsPerHost: 2, MaxConnsPerHost: 4, IdleConnTimeout: 30 * time.Second, DisableCompression: true}
+	return &peers{config: config, client: &http.Client{Transport: transport}, reports: map[string]timedReport{}}
+}
+
+// poll reads all others' reports, side by side.
+func (p *peers) poll(ctx context.Context, server string) {
+	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
+	defer cancel()
+	var readings sync.WaitGroup
+	for _, member := range p.config.Members {
+		if member.Name == p.config.Self.Name {
+			continue
+		}
+		readings.Go(func() {
+			report, err := p.read(ctx, member, server)
+			if err != nil {
+				return // what it said last counts until it is too old
+			}
+			p.lock.Lock()
+			defer p.lock.Unlock()
+			p.reports[member.Name] = timedReport{report, time.Now()}
+		})
+	}
+	readings.Wait()
+}
+
+func (p *peers) read(ctx context.Context, member Member, server string) (memberReport, error) {
+	address := "http://" + member.Listen + configapi.PathLoad + "?server=" + url.QueryEscape(server)
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, address, nil)
+	if err != nil {
+		return memberReport{}, err
+	}
+	response, err := p.client.Do(request)
+	if err != nil {
+		return memberReport{}, err
+	}
+	defer response.Body.Close()
+	var report memberReport
+	if response.StatusCode != http.StatusOK {
+		return memberReport{}, fmt.Errorf("answered %s", response.Status)
+	}
+	if err := json.NewDecoder(io.LimitReader(response.Body, maxLoad)).Decode(&report); err != nil {
+		return memberReport{}, err
+	}
+	if report.Name != member.Name {
+		return memberReport{}, fmt.Errorf("%s is controller %q", member.Listen, report.Name)
+	}
+	return report, nil
+}
+
+// fresh returns the reports that are not too old.
+func (p *peers) fresh(now time.Time) map[string]memberReport {
+	p.lock.Lock()
+	defer p.lock.Unlock()
+	fresh := map[string]memberReport{}
+	for name, report := range p.reports {
+		if now.Sub(report.at) < reportValid {
+			fresh[name] = report.memberReport
+		}
+	}
+	return fresh
+}
+
+// loads is what the rules of placement need to know of the others.
+func (p *peers) loads(now time.Time, current bool) []configversion.PeerLoad {
+	reports := p.fresh(now)
+	var loads []configversion.PeerLoad
+	for _, member := range p.config.Members {
+		if member.Name == p.config.Self.Name {
+			continue
+		}
+		report, ok := reports[member.Name]
+		available := ok && report.Cluster != "" && (report.Current || !current)
+		loads = append(loads, configversion.PeerLoad{Endpoint: member.Endpoint(), Sessions: report.Sessions, Available: available})
+	}
+	return loads
+}
+
+// startDecision is how an empty disk takes part.
+type startDecision int
+
+const (
+	decideWait      startDecision = iota // it can't be told yet
+	decideBootstrap                      // begin a new cluster, with the others that are empty
+	decideJoin                           // as a new server of the cluster that there is
+)
+
+// decideStart decides how a controller with an empty disk takes part. It must not begin a cluster, nor vote under its
+// old server ID, where another controller has a log: the disk may have been emptied after it voted. It begins one where
+// a majority is empty; patient: it waits for all to answer first.
+func decideStart(config Config, process string, reports map[string]memberReport, patient bool) startDecision {
+	empty := 1
+	for _, report := range reports {
+		if report.Phase == phaseMember && report.Founders[config.Self.Name] == process {
+			return decideBootstrap
+		}
+	}
+	for _, report := range reports {
+		switch report.Phase {
+		case phaseMember:
+			return decideJoin
+		case phaseEmpty:
+			empty++
+		}
+	}
+	switch {
+	case empty == len(config.Members):
+		return decideBootstrap
+	case patient || empty <= len(config.Members)/2:
+		return decideWait
+	}
+	return decideBootstrap
+}
+
+// founders are the processes that are empty.
+func founders(config Config, process string, reports map[string]memberReport) map[string]string {
+	found := map[string]string{config.Self.Name: process}
+	for name, report := range reports {
+		if report.Phase == phaseEmpty {
+			found[name] = report.Process
+		}
+	}
+	return found
+}
+
+// diskJudgement says whether a disk with a log may take part.
+type diskJudgement int
+
+const (
+	judgeWait diskJudgement = iota // fewer than a majority have answered
+	judgeGood
+	judgeOld // the others know of a later start on it: it is an old copy
+)
+
+// judgeDisk compares a disk's start with what the others have recorded.
+func judgeDisk(config Config, self identity, process string, reports map[string]memberReport) diskJudgement {
+	answers := 1
+	for _, report := range reports {
+		if known := report.Known; known != nil {
+			if known.Start > self.Start || known.Start == self.Start && known.Process != process {
+				return judgeOld
+			}
+		}
+		answers++
+	}
+	if answers <= len(config.Members)/2 {
+		return judgeWait
+	}
+	return judgeGood
+}
--- /dev/null
+++ b/internal/controller/settings.go
@@ -0,0 +1,199 @@
+package controller
+
+import (
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"hookwalk.example/hookwalk/internal/configapi"
+	"hookwalk.example/hookwalk/internal/settings"
+)
+
+// Defaults of the settings, and the bounds of what a file may say.
+const (
+	defaultMaxSessions = 600 // a node's share is 271 of 1,900 at seven controllers, and 475 with three of them gone
+	defaultElection    = 400 * time.Millisecond
+	defaultLease       = 300 * time.Millisecond
+	defaultFolderName  = "hookwalk-controllers"
+
+	maxSettingsFile = 1 << 20 // bytes
+	maxMembers      = 15
+)
+
+// Config is what one controller is started with.
+type Config struct {
+	Self        Member
+	Members     []Member // all controllers of the cluster, Self among them, in the file's order
+	Folder      string   // of this controller alone
+	MaxSessions int
+	Heartbeat   time.Duration // the longest silence on a watch
+	Election    time.Duration // without a word of the leader for so long, a follower asks for an election
+	Lease       time.Duration // without a word of a quorum for so long, a leader steps down
+}
+
+// Member is one controller of the cluster.
+type Member struct {
+	Name   string
+	Listen string // HOST:PORT of the calls of nodes, operators and other controllers
+	Raft   string // HOST:PORT of the replicated log
+	Region string
+	Zone   string
+}
+
+// Endpoint is where nodes reach the controller.
+func (m Member) Endpoint() configapi.Endpoint {
+	return configapi.Endpoint{Address: m.Listen, Region: m.Region, Zone: m.Zone}
+}
+
+// LoadConfig reads the settings file of a cluster for the controller of a name. All controllers may share one file; the
+// name may be left out where the file has one controller only.
+func LoadConfig(path, name string) (Config, error) {
+	info, err := os.Stat(path)
+	if err != nil {
+		return Config{}, fmt.Errorf("controller: %w", err)
+	}
+	if info.Size() > maxSettingsFile {
+		return Config{}, fmt.Errorf("controller: %s is over %d bytes", path, maxSettingsFile)
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return Config{}, fmt.Errorf("controller: %w", err)
+	}
+	config, err := ParseConfig(path, text, name)
+	if err != nil {
+		return Config{}, fmt.Errorf("controller: %w", err)
+	}
+	return config, nil
+}
+
+// ParseConfig reads the text of a settings file; errors begin with its name and the line.
+func ParseConfig(file string, text []byte, name string) (Config, error) {
+	blocks, err := settings.ParseBlocks(file, text)
+	if err != nil {
+		return Config{}, err
+	}
+	config := Config{MaxSessions: defaultMaxSessions, Heartbeat: configapi.Heartbeat, Election: defaultElection, Lease: defaultLease,
+		Folder: filepath.Join(os.TempDir(), defaultFolderName)}
+	clusterSeen := false
+	for _, block := range blocks {
+		reader := settings.NewReader(file, block)
+		switch block.Kind {
+		case "controllers":
+			reader.Once(clusterSeen)
+			clusterSeen = true
+			config.readCommon(reader)
+		case "controller":
+			config.readMember(reader)
+		default:
+			return Config{}, settings.Fault(file, block.Line, "unknown block %s", block.Kind)
+		}
+		if err := reader.End(); err != nil {
+			return Config{}, err
+		}
+	}
+	return config.chooseSelf(file, name)
+}
+
+// readCommon reads the settings that all controllers have in common.
+func (c *Config) readCommon(r *settings.Reader) {
+	c.Folder = r.Text("folder", c.Folder)
+	c.MaxSessions = r.Whole("max_sessions", defaultMaxSessions, 1, 20000)
+	c.Heartbeat = r.Millis("heartbeat_ms", configapi.Heartbeat, 50*time.Millisecond, time.Second)
+	c.Election = r.Millis("election_ms", defaultElection, 100*time.Millisecond, 10*time.Second)
+	c.Lease = r.Millis("lease_ms", min(defaultLease, c.Election), 50*time.Millisecond, 10*time.Second)
+	if line, ok := r.Has("lease_ms"); c.Lease > c.Election {
+		if !ok {
+			line = r.Block.Line
+		}
+		r.Fail(line, "lease_ms must not be above election_ms")
+	}
+	if line, ok := r.Has("folder"); ok && c.Folder == "" {
+		r.Fail(line, "folder must name a folder")
+	}
+}
+
+// readMember reads one controller's block.
+func (c *Config) readMember(r *settings.Reader) {
+	member := Member{Name: r.Label(), Listen: r.Text("listen", ""), Raft: r.Text("raft", ""), Region: r.Text("region", ""), Zone: r.Text("zone", "")}
+	if !validMemberName(member.Name) {
+		r.Fail(r.Block.Line, "a controller's label is its name: 1 to 64 letters, digits, '-', '_' or '.'")
+	}
+	checkAddress(r, "listen", member.Listen)
+	checkAddress(r, "raft", member.Raft)
+	for _, other := range c.Members {
+		if other.Name == member.Name {
+			r.Fail(r.Block.Line, "controller %s is there already", member.Name)
+		}
+		for _, taken := range []string{other.Listen, other.Raft} {
+			if taken == member.Listen || taken == member.Raft {
+				r.Fail(r.Block.Line, "controller %s has the address %s of controller %s", member.Name, taken, other.Name)
+			}
+		}
+	}
+	if member.Listen == member.Raft {
+		r.Fail(r.Block.Line, "listen and raft of controller %s must differ", member.Name)
+	}
+	c.Members = append(c.Members, member)
+	if len(c.Members) > maxMembers {
+		r.Fail(r.Block.Line, "more than %d controllers", maxMembers)
+	}
+}
+
+func checkAddress(r *settings.Reader, name, address string) {
+	line, ok := r.Has(name)
+	if !ok {
+		r.Fail(r.Block.Line, "controller %s needs %s", r.Block.Label, name)
+		return
+	}
+	if host, port, err := net.SplitHostPort(address); err != nil || host == "" || port == "" {
+		r.Fail(line, "%s must be HOST:PORT", name)
+	}
+}
+
+// chooseSelf finds the controller that this process is.
+func (c Config) chooseSelf(file, name string) (Config, error) {
+	switch {
+	case len(c.Members) == 0:
+		return Config{}, fmt.Errorf("%s: no block controller", file)
+	case name == "" && len(c.Members) > 1:
+		return Config{}, fmt.Errorf("%s: it has %d controllers: say with --name which one this is (%s)", file, len(c.Members), c.names())
+	case name == "":
+		name = c.Members[0].Name
+	}
+	for _, member := range c.Members {
+		if member.Name == name {
+			c.Self = member
+		}
+	}
+	if c.Self.Name == "" {
+		return Config{}, fmt.Errorf("%s: no controller %q: there are %s", file, name, c.names())
+	}
+	c.Folder = filepath.Join(c.Folder, c.Self.Name)
+	return c, nil
+}
+
+func (c Config) names() string {
+	var names []string
+	for _, member := range c.Members {
+		names = append(names, member.Name)
+	}
+	return strings.Join(names, ", ")
+}
+
+// member finds a controller by name.
+func (c Config) member(name string) (Member, bool) {
+	for _, member := range c.Members {
+		if member.Name == name {
+			return member, true
+		}
+	}
+	return Member{}, false
+}
+
+func validMemberName(name string) bool {
+	const allowed = "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789-_."
+	return name != "" && len(name) <= 64 && strings.Trim(name, allowed) == "" && name != "." && name != ".."
+}
--- /dev/null
+++ b/internal/controller/state.go
@@ -0,0 +1,207 @@
+package controller
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"maps"
+	"slices"
+
+	"hookwalk.example/hookwalk/internal/configapi"
+)
+
+// historyLength is how many versions the state remembers. A publish request that is repeated within as many versions is
+// recognised by its ID. 1,000 versions are 31 hours at 760 a day, and about 200 KB.
+const historyLength = 1000
+
+// rateWindowMS is the time within which configapi.MaxPublishRate versions are accepted, in milliseconds.
+const rateWindowMS = 1000
+
+// commandKind says what an entry of the replicated log does.
+type commandKind string
+
+const (
+	commandCreateCluster commandKind = "create_cluster"
+	commandPublish       commandKind = "publish"
+	commandMemberStarted commandKind = "member_started"
+)
+
+// command is one entry of the replicated log; the field of its kind is set.
+type command struct {
+	Kind          commandKind           `json:"kind"`
+	CreateCluster *createClusterCommand `json:"create_cluster,omitempty"`
+	Publish       *publishCommand       `json:"publish,omitempty"`
+	MemberStarted *memberStartedCommand `json:"member_started,omitempty"`
+}
+
+// createClusterCommand gives the cluster its identity. All but the first one change nothing.
+type createClusterCommand struct {
+	Cluster configapi.Cluster `json:"cluster"`
+}
+
+// publishCommand adds a version.
+type publishCommand struct {
+	ID       string              `json:"id"`
+	Document configapi.Document  `json:"document"`
+	Replaces []configapi.Cluster `json:"replaces,omitempty"`
+	TimeMS   int64               `json:"time_ms"` // by the leader's clock, Unix milliseconds
+}
+
+// memberStartedCommand records that a controller's process has started on its disk. A disk that names a lower start, or
+// the same one by another process, is an old copy.
+type memberStartedCommand struct {
+	Server  string `json:"server"`  // the raft server ID
+	Start   uint64 `json:"start"`   // rises by 1 with each start on the disk
+	Process string `json:"process"` // drawn at random by each process
+}
+
+// commandResult is what the state machine answers to a command.
+type commandResult struct {
+	Reply configapi.PublishReply
+	Err   *configapi.Error
+}
+
+// serviceState is the newest configuration of one service.
+type serviceState struct {
+	Config  configapi.ServiceConfig `json:"config"`
+	Changed configapi.Version       `json:"changed"` // the version that set Config
+}
+
+// historyEntry describes one version.
+type historyEntry struct {
+	Version  configapi.Version `json:"version"`
+	ID       string            `json:"id"`     // of the publish request
+	Digest   string            `json:"digest"` // of what was published, to tell a repeated request from another one
+	Services []string          `json:"services"`
+	TimeMS   int64             `json:"time_ms"`
+}
+
+// memberStart is the last recorded start of a raft server.
+type memberStart struct {
+	Start   uint64 `json:"start"`
+	Process string `json:"process"`
+}
+
+// state is the replicated state. It is immutable: apply returns another one, which may share parts with the one before.
+// It depends on the log alone, so all controllers that have applied the same entries have equal states.
+type state struct {
+	Cluster  configapi.Cluster       `json:"cluster"`
+	Replaces []configapi.Cluster     `json:"replaces,omitempty"`
+	Version  configapi.Version       `json:"version"`
+	Services map[string]serviceState `json:"services"`
+	History  []historyEntry          `json:"history"` // the last historyLength versions, in order
+	Starts   map[string]memberStart  `json:"starts"`  // by raft server ID
+}
+
+// apply carries out one command.
+func (s *state) apply(c command) (*state, commandResult) {
+	switch {
+	case c.Kind == commandCreateCluster && c.CreateCluster != nil:
+		return s.createCluster(*c.CreateCluster), commandResult{}
+	case c.Kind == commandPublish && c.Publish != nil:
+		return s.publish(*c.Publish)
+	case c.Kind == commandMemberStarted && c.MemberStarted != nil:
+		return s.memberStarted(*c.MemberStarted), commandResult{}
+	}
+	err := &configapi.Error{Kind: configapi.ErrorInvalid,
+		Message: fmt.Sprintf("this controller does not know the log's command %q: all controllers need the same build", c.Kind)}
+	return s, commandResult{Err: err}
+}
+
+func (s *state) createCluster(c createClusterCommand) *state {
+	if s.Cluster != "" {
+		return s
+	}
+	next := *s
+	next.Cluster = c.Cluster
+	return &next
+}
+
+func (s *state) publish(c publishCommand) (*state, commandResult) {
+	if reply, err := s.earlierReply(c); reply.Version != 0 || err != nil {
+		return s, commandResult{Reply: reply, Err: err}
+	}
+	if err := s.checkRate(c.TimeMS); err != nil {
+		return s, commandResult{Err: err}
+	}
+	next := *s
+	next.Version++
+	next.Services = maps.Clone(s.Services)
+	if next.Services == nil {
+		next.Services = map[string]serviceState{}
+	}
+	for name, config := range c.Document.Services {
+		next.Services[name] = serviceState{Config: config, Changed: next.Version}
+	}
+	next.Replaces = addClusters(s.Replaces, c.Replaces)
+	entry := historyEntry{Version: next.Version, ID: c.ID, Digest: c.digest(), TimeMS: c.TimeMS,
+		Services: slices.Sorted(maps.Keys(c.Document.Services))}
+	kept := s.History[max(0, len(s.History)+1-historyLength):]
+	next.History = append(slices.Clone(kept), entry)
+	return &next, commandResult{Reply: configapi.PublishReply{Cluster: next.Cluster, Version: next.Version}}
+}
+
+// earlierReply finds the reply to a request that has been carried out before.
+func (s *state) earlierReply(c publishCommand) (configapi.PublishReply, *configapi.Error) {
+	at := slices.IndexFunc(s.History, func(e historyEntry) bool { return e.ID == c.ID })
+	switch {
+	case at < 0:
+		return configapi.PublishReply{}, nil
+	case s.History[at].Digest != c.digest():
+		return configapi.PublishReply{}, &configapi.Error{Kind: configapi.ErrorInvalid,
+			Message: fmt.Sprintf("the ID %s was used for version %d, which has another content: publish with a new ID", c.ID, s.History[at].Version)}
+	}
+	return configapi.PublishReply{Cluster: s.Cluster, Version: s.History[at].Version}, nil
+}
+
+// checkRate refuses a version that would be one too many within a second. A time before that of an earlier version, as
+// after a change to a leader whose clock is behind, does not count against it.
+func (s *state) checkRate(timeMS int64) *configapi.Error {
+	if len(s.History) < configapi.MaxPublishRate {
+		return nil
+	}
+	earlier := s.History[len(s.History)-configapi.MaxPublishRate].TimeMS
+	if age := timeMS - earlier; age < 0 || age >= rateWindowMS {
+		return nil
+	}
+	return &configapi.Error{Kind: configapi.ErrorTooMany,
+		Message: fmt.Sprintf("%d versions within the last second, which is the most: publish again in a second", configapi.MaxPublishRate)}
+}
+
+func (s *state) memberStarted(c memberStartedCommand) *state {
+	if known, ok := s.Starts[c.Server]; ok && known.Start >= c.Start {
+		return s
+	}
+	next := *s
+	next.Starts = maps.Clone(s.Starts)
+	if next.Starts == nil {
+		next.Starts = map[string]memberStart{}
+	}
+	next.Starts[c.Server] = memberStart{Start: c.Start, Process: c.Process}
+	return &next
+}
+
+// digest is that of what the command publishes, whoever sends it and when.
+func (c publishCommand) digest() string {
+	text, err := json.Marshal(struct {
+		Document configapi.Document
+		Replaces []configapi.Cluster
+	}{c.Document, c.Replaces})
+	if err != nil {
+		return ""
+	}
+	sum := sha256.Sum256(text)
+	return hex.EncodeToString(sum[:16])
+}
+
+// addClusters returns the union of two lists, in the order in which clusters were added.
+func addClusters(have, more []configapi.Cluster) []configapi.Cluster {
+	all := slices.Clone(have)
+	for _, c := range more {
+		if !slices.Contains(all, c) {
+			all = append(all, c)
+		}
+	}
+	return all
+}
--- /dev/null
+++ b/internal/controller/watch.go
@@ -0,0 +1,108 @@
+package controller
+
+import (
+	"net/http"
+	"time"
+
+	"hookwalk.example/hookwalk/internal/configapi"
+)
+
+// heartbeatLine is what a watch says when there is no update: an empty line.
+var heartbeatLine = []byte("\n")
+
+// serveWatch is a node's session: the first update at once, then one with each change, heartbeats in between.
+func (c *Controller) serveWatch(w http.ResponseWriter, r *http.Request) {
+	request, refusal := c.readWatch(r)
+	if refusal != nil {
+		writeError(w, refusal)
+		return
+	}
+	if c.hub.view().state.Cluster == "" {
+		writeError(w, &configapi.Error{Kind: configapi.ErrorFull, Message: "this controller has no state yet", Elsewhere: c.nodes.elsewhere(request)})
+		return
+	}
+	s, refusal := c.nodes.openSession(request, time.Now())
+	if refusal != nil {
+		writeError(w, refusal)
+		return
+	}
+	defer func() { c.nodes.closeSession(s, time.Now()) }()
+	w.Header().Set("Content-Type", "application/json")
+	writer := &watchWriter{response: w, control: http.NewResponseController(w)}
+	if err := c.watch(r, s, writer); err != nil {
+		c.log.Debug("watch ended", "node", request.Node, "err", err)
+	}
+}
+
+// readWatch reads and checks a watch's request.
+func (c *Controller) readWatch(r *http.Request) (configapi.WatchRequest, *configapi.Error) {
+	request, err := configapi.ParseWatchRequest(r.URL.Query())
+	if err != nil {
+		return request, invalid("%v", err)
+	}
+	for name, value := range map[string]string{"node": request.Node, "service": request.Service} {
+		if !validName(value) {
+			return request, invalid("%s: %q is no name: 1 to %d visible ASCII characters", name, clip(value), maxName)
+		}
+	}
+	for name, value := range map[string]string{"region": request.Region, "zone": request.Zone, "cluster": string(request.Cluster)} {
+		if value != "" && !validName(value) {
+			return request, invalid("%s: %q is no name: at most %d visible ASCII characters", name, clip(value), maxName)
+		}
+	}
+	return request, nil
+}
+
+// watch writes updates until the node goes, the session ends, or a write fails. A slow node misses the versions between
+// the one it was written and the newest.
+func (c *Controller) watch(r *http.Request, s *session, writer *watchWriter) error {
+	heartbeat := time.NewTicker(c.config.Heartbeat)
+	defer heartbeat.Stop()
+	now := c.hub.view()
+	if err := writer.write(c.line(now, s, true)); err != nil {
+		return err
+	}
+	for {
+		line := heartbeatLine
+		select {
+		case <-now.superseded:
+			now = c.hub.view()
+			line = c.line(now, s, false)
+			heartbeat.Reset(c.config.Heartbeat)
+		case to := <-s.move:
+			u := now.update(updateKey{service: s.request.Service}, nil)
+			u.MoveTo = to.Address
+			line = encodeLine(u)
+		case <-heartbeat.C:
+		case <-s.end:
+			return nil
+		case <-r.Context().Done():
+			return r.Context().Err()
+		}
+		if err := writer.write(line); err != nil {
+			return err
+		}
+	}
+}
+
+// line is a session's update.
+func (c *Controller) line(v *view, s *session, first bool) []byte {
+	key := updateKey{service: s.request.Service, withConfig: s.needsConfig(v.state.Cluster, v.changed(s.request.Service)), first: first}
+	return v.encodedUpdate(key, c.endpoints())
+}
+
+// watchWriter writes the lines of a watch, each within a bounded time.
+type watchWriter struct {
+	response http.ResponseWriter
+	control  *http.ResponseController
+}
+
+func (w *watchWriter) write(line []byte) error {
+	if err := w.control.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+		return err
+	}
+	if _, err := w.response.Write(line); err != nil {
+		return err
+	}
+	return w.control.Flush()
+}
