Node's session for configuration versions: its rules, and the host that carries them out

A node has to hear of each version within 3 s also where its controller stalls or dies, must never go back, and answers for what it does. configversion.Session decides, without I/O: which controller is watched (the nearest first, another one beside it after 1.0 to 1.2 s of silence, where a refusal or MoveTo says, another one that is current), which version is taken, what is acknowledged. A version of another cluster is rejected until an operator has handed the node's own to it. CheckClasses rejects a configuration that would leave a class without a server, or on one where it has several. internal/configwatch carries it out: watches by internal/jsonwatch, acknowledgements over a connection that is kept, the last known good version by internal/state, written beside everything else.

A property test with two clusters, updates late, doubled and in any order, found that a version from before an operator's confirmation could be taken after it; there is a floor now.

--- /dev/null
+++ b/configversion/checks.go
@@ -0,0 +1,71 @@
+package configversion
+
+import (
+	"fmt"
+	"slices"
+
+	"hookwalk.example/hookwalk/internal/configapi"
+)
+
+// Class is a class of requests, with the servers that are open to it.
+type Class struct {
+	Name  string
+	Zones []string // nil: all
+	Kinds []string // nil: all
+}
+
+// Server is a server in service.
+type Server struct {
+	Zone string
+	Kind string
+}
+
+// CheckClasses says why a configuration with these classes is not to come into force at a node that knows these servers:
+// a class would have none of them, or a single one where it has several now. A class that stays as it was is no reason,
+// and neither is any while the node knows no server: then the list is at fault, not the configuration.
+func CheckClasses(now, next []Class, servers []Server) *configapi.Rejection {
+	if len(servers) == 0 {
+		return nil
+	}
+	for _, class := range next {
+		old := slices.IndexFunc(now, func(other Class) bool { return other.Name == class.Name })
+		has := class.count(servers)
+		had := 0
+		if old >= 0 {
+			had = now[old].count(servers)
+			if class.sameServers(now[old]) {
+				continue
+			}
+		}
+		switch {
+		case has == 0:
+			return &configapi.Rejection{Kind: configapi.RejectNoServer, Message: fmt.Sprintf(
+				"class %s would have none of the %d servers in service (confined-to %v, bound-to %v): name zones and kinds that are there",
+				class.Name, len(servers), class.Zones, class.Kinds)}
+		case has == 1 && had > 1:
+			return &configapi.Rejection{Kind: configapi.RejectOneServer, Message: fmt.Sprintf(
+				"class %s would have one server, where it has %d now (confined-to %v, bound-to %v): name more zones or kinds",
+				class.Name, had, class.Zones, class.Kinds)}
+		}
+	}
+	return nil
+}
+
+// count is how many servers are open to a class.
+func (c Class) count(servers []Server) (n int) {
+	for _, s := range servers {
+		if c.Zones != nil && !slices.Contains(c.Zones, s.Zone) {
+			continue
+		}
+		if c.Kinds != nil && !slices.Contains(c.Kinds, s.Kind) {
+			continue
+		}
+		n++
+	}
+	return n
+}
+
+func (c Class) sameServers(other Class) bool {
+	return (c.Zones == nil) == (other.Zones == nil) && (c.Kinds == nil) == (other.Kinds == nil) &&
+		slices.Equal(c.Zones, other.Zones) && slices.Equal(c.Kinds, other.Kinds)
+}
--- /dev/null
+++ b/configversion/checks_test.go
@@ -0,0 +1,47 @@
+package configversion
+
+import (
+	"testing"
+
+	"hookwalk.example/hookwalk/internal/configapi"
+)
+
+func TestCheckClasses(t *testing.T) {
+	servers := []Server{{"a", "big"}, {"a", "big"}, {"a", "small"}, {"b", "big"}}
+	class := func(zones, kinds []string) []Class { return []Class{{Name: "c", Zones: zones, Kinds: kinds}} }
+	all := class(nil, nil)
+	big := []string{"big"}
+	none := []string{"huge"}
+	for name, c := range map[string]struct {
+		now, next []Class
+		servers   []Server
+		want      configapi.RejectionKind
+	}{
+		"all":                                  {all, all, servers, ""},
+		"fewer, and several":                   {all, class(nil, big), servers, ""},
+		"a kind that is not there":             {all, class(nil, none), servers, configapi.RejectNoServer},
+		"a zone that is not there":             {all, class([]string{"c"}, nil), servers, configapi.RejectNoServer},
+		"a list without entries":               {all, class([]string{}, nil), servers, configapi.RejectNoServer},
+		"one by zone":                          {all, class([]string{"b"}, nil), servers, configapi.RejectOneServer},
+		"one by kind":                          {all, class(nil, []string{"small"}), servers, configapi.RejectOneServer},
+		"one by both":                          {class(nil, big), class([]string{"b"}, big), servers, configapi.RejectOneServer},
+		"one, as before":                       {class([]string{"b"}, nil), class(nil, []string{"small"}), servers, ""},
+		"one, and there is one":                {all, class(nil, big), servers[:1], ""},
+		"a new class of one":                   {nil, class([]string{"b"}, nil), servers, ""},
+		"a new class of none":                  {nil, class(nil, none), servers, configapi.RejectNoServer},
+		"none, as before":                      {class(nil, none), class(nil, none), servers, ""},
+		"none, by other words than before":     {class(nil, none), class(nil, []string{"tall"}), servers, configapi.RejectNoServer},
+		"a class that is dropped":              {all, nil, servers, ""},
+		"no server is known":                   {all, class(nil, none), nil, ""},
+		"the second of two classes is at none": {all, append(class(nil, big), Class{Name: "d", Kinds: none}), servers, configapi.RejectNoServer},
+	} {
+		got := CheckClasses(c.now, c.next, c.servers)
+		kind := configapi.RejectionKind("")
+		if got != nil {
+			kind = got.Kind
+		}
+		if kind != c.want {
+			t.Errorf("%s: %v, want %q", name, got, c.want)
+		}
+	}
+}
--- /dev/null
+++ b/configversion/session_property_test.go
@@ -0,0 +1,254 @@
+package configversion
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"hookwalk.example/hookwalk/internal/configapi"
+)
+
+// published is a cluster's history: what each of its versions has set for the service, and which clusters it replaces
+// from which version on.
+type published struct {
+	cluster  configapi.Cluster
+	changed  []int // by version, from 1: the version that set the service's configuration; 0: none
+	bad      map[int]bool
+	replaces map[configapi.Cluster]int // from which version on
+}
+
+func (p *published) newest() int { return len(p.changed) }
+
+// publish adds a version.
+func (p *published) publish(names, bad bool) {
+	changed := 0
+	if n := p.newest(); n > 0 {
+		changed = p.changed[n-1]
+	}
+	if names {
+		changed = p.newest() + 1
+		p.bad[changed] = bad
+	}
+	p.changed = append(p.changed, changed)
+}
+
+// update is what a controller with the first n versions writes.
+func (p *published) update(n int, withConfig bool) configapi.Update {
+	u := configapi.Update{Cluster: p.cluster, Version: configapi.Version(n), Current: true}
+	for cluster, from := range p.replaces {
+		if n >= from {
+			u.Replaces = append(u.Replaces, cluster)
+		}
+	}
+	if n == 0 {
+		return u
+	}
+	u.Changed = configapi.Version(p.changed[n-1])
+	if withConfig && u.Changed > 0 {
+		u.Config = clusterConfig(p.cluster, u.Changed)
+	}
+	return u
+}
+
+func clusterConfig(cluster configapi.Cluster, changed configapi.Version) *configapi.ServiceConfig {
+	return &configapi.ServiceConfig{Settings: fmt.Appendf(nil, `"%s%d"`, cluster, changed)}
+}
+
+// sessionModel is a session between two clusters whose updates come late, doubled and in any order.
+type sessionModel struct {
+	*driver
+	clusters []*published
+	inForce  string                                  // the settings that the node has
+	most     map[configapi.Cluster]configapi.Version // the newest version tried or answered
+	order    []configapi.Cluster                     // those that were followed
+	answers  int                                     // that were checked
+}
+
+func newSessionModel(t *rapid.T) *sessionModel {
+	m := &sessionModel{inForce: "file", most: map[configapi.Cluster]configapi.Version{}}
+	for _, name := range []configapi.Cluster{"x", "y"} {
+		m.clusters = append(m.clusters, &published{cluster: name, bad: map[int]bool{}, replaces: map[configapi.Cluster]int{}})
+	}
+	m.driver = newDriver(t, SessionOptions{Controllers: addressesOf(three), Seed: rapid.Uint64().Draw(t, "seed")})
+	return m
+}
+
+func (m *sessionModel) cluster(name configapi.Cluster) *published {
+	return m.clusters[slices.IndexFunc(m.clusters, func(p *published) bool { return p.cluster == name })]
+}
+
+// finish answers the apply that is under way, as a node would.
+func (m *sessionModel) finish() {
+	a := *m.applying
+	p := m.cluster(a.Cluster)
+	changed := p.changed[a.Version-1]
+	if want := clusterConfig(a.Cluster, configapi.Version(changed)); string(a.Config.Settings) != string(want.Settings) {
+		m.t.Fatalf("version %d of %s is tried with %s, want %s", a.Version, a.Cluster, a.Config.Settings, want.Settings)
+	}
+	if p.bad[changed] {
+		m.tried(bad)
+		return
+	}
+	m.inForce = string(a.Config.Settings)
+	m.tried(nil)
+}
+
+// check is what holds after each event.
+func (m *sessionModel) check() {
+	for _, a := range m.driver.answers[m.answers:] {
+		if a.Rejection != nil && a.Rejection.Kind == configapi.RejectForeign {
+			if a.Cluster == m.session.Cluster() && m.session.Held() >= a.Version {
+				m.t.Fatalf("it calls its own cluster %s foreign", a.Cluster)
+			}
+			continue
+		}
+		if a.Version <= m.most[a.Cluster] {
+			m.t.Fatalf("it goes back from version %d of %s to %d", m.most[a.Cluster], a.Cluster, a.Version)
+		}
+		m.most[a.Cluster] = a.Version
+		m.joined(a)
+		if a.Outcome == configapi.Applied && a.Applied != a.Version || a.Outcome == configapi.Rejected && a.Applied >= a.Version {
+			m.t.Fatalf("it answers %+v", a)
+		}
+	}
+	m.answers = len(m.driver.answers)
+	if len(m.open) > maxOpening+1 {
+		m.t.Fatalf("%d watches are open", len(m.open))
+	}
+}
+
+// joined checks that a cluster is followed only if it is the first, or an operator has handed the one before to it.
+func (m *sessionModel) joined(a VersionAnswered) {
+	if n := len(m.order); n > 0 && m.order[n-1] != a.Cluster {
+		from, confirmed := m.cluster(a.Cluster).replaces[m.order[n-1]]
+		if !confirmed || int(a.Version) < from {
+			m.t.Fatalf("it leaves %s for %s, which nobody has confirmed", m.order[n-1], a.Cluster)
+		}
+	}
+	if n := len(m.order); n == 0 || m.order[n-1] != a.Cluster {
+		m.order = append(m.order, a.Cluster)
+	}
+}
+
+// settle has one cluster's controller speak to the node until there is nothing left to do.
+func (m *sessionModel) settle(p *published) {
+	for range 200 {
+		switch {
+		case m.applying != nil:
+			m.finish()
+		case m.ack != nil:
+			m.acked(true)
+		case len(m.open) == 0:
+			m.nextWatch(time.Minute)
+		default:
+			for id := range m.open {
+				m.update(id, p.update(p.newest(), true))
+			}
+			m.pass(100 * ms)
+		}
+		m.check()
+	}
+}
+
+// Whatever comes doubled, late or in any order, from two clusters: the node never goes back, follows another cluster only
+// on an operator's word, tries what a version says, and in the end has and has acknowledged the newest version.
+func TestSessionNeverGoesBack(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := newSessionModel(t)
+		anyWatch := func() uint64 {
+			ids := []uint64{0} // a watch that is not there
+			for id := range m.open {
+				ids = append(ids, id)
+			}
+			slices.Sort(ids)
+			return rapid.SampledFrom(ids).Draw(t, "watch")
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"publish": func(t *rapid.T) {
+				rapid.SampledFrom(m.clusters).Draw(t, "cluster").publish(rapid.Bool().Draw(t, "names"), rapid.IntRange(0, 4).Draw(t, "bad") == 0)
+			},
+			"hand over": func(t *rapid.T) {
+				i := rapid.IntRange(0, 1).Draw(t, "to")
+				to, from := m.clusters[i], m.clusters[1-i]
+				if _, is := to.replaces[from.cluster]; !is {
+					to.publish(false, false)
+					to.replaces[from.cluster] = to.newest()
+				}
+			},
+			"update": func(t *rapid.T) {
+				p := rapid.SampledFrom(m.clusters).Draw(t, "cluster")
+				n := p.newest()
+				if rapid.Bool().Draw(t, "late") {
+					n = rapid.IntRange(0, n).Draw(t, "version")
+				}
+				m.update(anyWatch(), p.update(n, rapid.IntRange(0, 9).Draw(t, "config") > 0))
+			},
+			"end": func(*rapid.T) { m.step(WatchEnded{anyWatch()}) },
+			"refuse": func(*rapid.T) {
+				m.step(WatchRefused{anyWatch(), configapi.Error{Kind: configapi.ErrorFull, Elsewhere: three}})
+			},
+			"beat":    func(t *rapid.T) { m.step(WatchHeard{anyWatch(), rapid.Bool().Draw(t, "part")}) },
+			"time":    func(t *rapid.T) { m.pass(time.Duration(rapid.IntRange(1, 2000).Draw(t, "ms")) * ms) },
+			"applied": func(*rapid.T) { m.finishIfAny() },
+			"acked": func(t *rapid.T) {
+				if m.ack != nil {
+					m.acked(rapid.Bool().Draw(t, "taken"))
+				}
+			},
+			"": func(*rapid.T) { m.check() },
+		})
+		m.checkEnd()
+	})
+}
+
+func (m *sessionModel) finishIfAny() {
+	if m.applying != nil {
+		m.finish()
+	}
+}
+
+// checkEnd has the cluster that the node follows speak to it alone, and checks that all of it has arrived.
+func (m *sessionModel) checkEnd() {
+	m.finishIfAny()
+	p := m.clusters[0]
+	if name := m.session.Cluster(); name != "" {
+		p = m.cluster(name)
+	}
+	m.settle(p)
+	if p.newest() == 0 {
+		return
+	}
+	if int(m.session.Held()) != p.newest() {
+		m.t.Fatalf("it has answered %d of %s, the newest is %d", m.session.Held(), p.cluster, p.newest())
+	}
+	if m.ack != nil || len(m.session.acks.waiting) > 0 {
+		m.t.Fatalf("%d acknowledgements wait", len(m.session.acks.waiting))
+	}
+	applied := m.session.Applied()
+	if applied == 0 || p.changed[applied-1] == 0 {
+		return
+	}
+	if want := string(clusterConfig(p.cluster, configapi.Version(p.changed[applied-1])).Settings); m.inForce != want {
+		m.t.Fatalf("version %d of %s is said to be in force, which has %s; the node has %s", applied, p.cluster, want, m.inForce)
+	}
+	if string(m.kept.Config.Settings) != m.inForce || m.kept.Version != applied {
+		m.t.Fatalf("kept %+v, in force is %d with %s", m.kept, applied, m.inForce)
+	}
+	newest := slices.MaxFunc(m.acks, func(x, y configapi.Acknowledgement) int {
+		return int(x.Version) - int(y.Version) + 1000*(boolInt(x.Cluster == p.cluster)-boolInt(y.Cluster == p.cluster))
+	})
+	if int(newest.Version) != p.newest() || newest.Applied != applied {
+		t := m.t
+		t.Fatalf("the newest acknowledgement is %+v", newest)
+	}
+}
+
+func boolInt(yes bool) int {
+	if yes {
+		return 1
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/configwatch/store_test.go
@@ -0,0 +1,123 @@
+package configwatch
+
+import (
+	"encoding/json"
+	"errors"
+	"log/slog"
+	"os"
+	"path/filepath"
+	"reflect"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"hookwalk.example/hookwalk/configversion"
+	"hookwalk.example/hookwalk/internal/configapi"
+)
+
+func keptVersion(n int) configversion.Kept {
+	return configversion.Kept{Cluster: "x", Version: configapi.Version(n), Config: &configapi.ServiceConfig{Settings: json.RawMessage(`{"a":1}`)},
+		Controllers: []configapi.Endpoint{{Address: "a:1", Region: "r", Zone: "z"}}}
+}
+
+func newTestStore(folder string) *Store {
+	return NewStore(folder, "n/0", slog.New(slog.DiscardHandler))
+}
+
+// keep writes a version and waits until it is on disk.
+func keep(s *Store, k configversion.Kept) {
+	s.Keep(k)
+	s.wait(time.Minute)
+}
+
+func TestStoreKeeps(t *testing.T) {
+	folder := t.TempDir()
+	s := newTestStore(folder)
+	if kept, err := s.Read(); err != nil || kept.Version != 0 {
+		t.Errorf("of nothing: %+v, %v", kept, err)
+	}
+	keep(s, keptVersion(3))
+	kept, err := newTestStore(folder).Read()
+	if err != nil || !reflect.DeepEqual(kept, keptVersion(3)) {
+		t.Errorf("kept %+v, %v", kept, err)
+	}
+	keep(newTestStore(folder), keptVersion(2)) // of the process before
+	if kept, _ := s.Read(); kept.Version != 3 {
+		t.Errorf("an older version took the place of a newer: %d", kept.Version)
+	}
+	if _, err := NewStore(folder, "n/1", slog.New(slog.DiscardHandler)).Read(); err != nil {
+		t.Errorf("another node's: %v", err)
+	}
+}
+
+// Many versions at once are written one at a time, and the newest is there in the end.
+func TestStoreKeepsTheNewest(t *testing.T) {
+	s := newTestStore(t.TempDir())
+	for n := range 200 {
+		s.Keep(keptVersion(n + 1))
+	}
+	s.wait(time.Minute)
+	if kept, err := s.Read(); err != nil || kept.Version != 200 {
+		t.Errorf("kept %d, %v", kept.Version, err)
+	}
+}
+
+// What a disk that lies makes of what was kept: the one before, or nothing, and the error says where to look.
+func TestStoreOnDisksThatLie(t *testing.T) {
+	for name, c := range map[string]struct {
+		befall func(path string)
+		want   configapi.Version
+		wrong  bool
+	}{
+		"torn":  {func(path string) { os.Truncate(path, 10) }, 1, false},
+		"empty": {func(path string) { os.Truncate(path, 0) }, 1, false},
+		"gone":  {func(path string) { os.Remove(path) }, 1, false},
+		"both torn": {func(path string) {
+			os.Truncate(path, 10)
+			os.Truncate(path+".before", 10)
+		}, 0, true},
+	} {
+		folder := t.TempDir()
+		s := newTestStore(folder)
+		keep(s, keptVersion(1))
+		keep(s, keptVersion(2))
+		c.befall(s.path)
+		kept, err := newTestStore(folder).Read()
+		if kept.Version != c.want || (err != nil) != c.wrong {
+			t.Errorf("%s: kept %d, %v", name, kept.Version, err)
+		}
+		var wrong *StoreError
+		if c.wrong && (!errors.As(err, &wrong) || !strings.Contains(err.Error(), "look at the folder's disk")) {
+			t.Errorf("%s: said %v", name, err)
+		}
+	}
+}
+
+// A folder that can't be written is said so, and holds up nobody.
+func TestStoreWithoutAFolder(t *testing.T) {
+	var said safeBuilder
+	s := NewStore(filepath.Join(t.TempDir(), "not", "there"), "n", slog.New(slog.NewTextHandler(&said, nil)))
+	keep(s, keptVersion(1))
+	if !strings.Contains(said.String(), "configuration version not kept") {
+		t.Errorf("said %q", said.String())
+	}
+}
+
+// safeBuilder is a strings.Builder for writers and readers side by side.
+type safeBuilder struct {
+	lock sync.Mutex
+	text strings.Builder
+}
+
+func (b *safeBuilder) Write(p []byte) (int, error) {
+	b.lock.Lock()
+	defer b.lock.Unlock()
+	return b.text.Write(p)
+}
+
+func (b *safeBuilder) String() string {
+	b.lock.Lock()
+	defer b.lock.Unlock()
+	return b.text.String()
+}
