A node follows configuration versions, where its settings have the block config_watch

The block starts the node's session. A version goes the way of SIGHUP, after a check of its classes against the servers in service; the node starts with its last known good version, if its own file goes with it, and waits for no controller.

Tests on real processes: a node applies what is sound, and with each kind of bad version requests show that it keeps what it has; SIGHUP keeps the version in force; killed and started without a controller it has its last version; without the block no goroutine of the session runs. Connections of a session are opened by a function that rigs may replace.

--- /dev/null
+++ b/cmd/hookwalk/configwatch_test.go
@@ -0,0 +1,386 @@
+//go:build !nolab
+
+package main
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"runtime"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"hookwalk.example/hookwalk/internal/configapi"
+	"hookwalk.example/hookwalk/internal/configwatch"
+	"hookwalk.example/hookwalk/internal/node"
+)
+
+// stubController is a stand-in of a controller on a socket: it writes what a test hands it, and notes what nodes say.
+type stubController struct {
+	*httptest.Server
+	updates chan configapi.Update
+	watches chan configapi.WatchRequest
+	acks    chan configapi.Acknowledgement
+}
+
+func newStubController(t *testing.T) *stubController {
+	t.Helper()
+	c := &stubController{updates: make(chan configapi.Update, 100), watches: make(chan configapi.WatchRequest, 100),
+		acks: make(chan configapi.Acknowledgement, 100)}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+configapi.PathWatch, c.watch)
+	mux.HandleFunc("POST "+configapi.PathAck, c.ack)
+	c.Server = httptest.NewServer(mux)
+	t.Cleanup(c.shut)
+	return c
+}
+
+func (c *stubController) shut() {
+	c.CloseClientConnections()
+	c.Close()
+}
+
+func (c *stubController) watch(w http.ResponseWriter, r *http.Request) {
+	request, err := configapi.ParseWatchRequest(r.URL.Query())
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	c.watches <- request
+	heartbeat := time.NewTicker(configapi.Heartbeat)
+	defer heartbeat.Stop()
+	for {
+		w.(http.Flusher).Flush()
+		select {
+		case u := <-c.updates:
+			json.NewEncoder(w).Encode(u)
+		case <-heartbeat.C:
+			io.WriteString(w, "\n")
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+func (c *stubController) ack(w http.ResponseWriter, r *http.Request) {
+	var ack configapi.Acknowledgement
+	if err := json.NewDecoder(r.Body).Decode(&ack); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	c.acks <- ack
+}
+
+// versionedSite is a node that follows configuration versions, with its servers, two of kind big and one of kind small.
+type versionedSite struct {
+	listen, config, settings, folder string
+}
+
+// classes are settings with classes; each is a lane's JSON without its braces, but for target and deadline.
+func classSettings(lanes ...string) string {
+	text := `{"limits":{"conn-idle-ms":30000,"connect-timeout-ms":1000,"max-attempts":3},"lanes":[`
+	for i, lane := range lanes {
+		if i > 0 {
+			text += ","
+		}
+		text += `{"target-ms":4000,"deadline-ms":8000,"worth":1,` + lane + `}`
+	}
+	return text + `]}`
+}
+
+func newVersionedSite(t *testing.T, controllers ...string) *versionedSite {
+	t.Helper()
+	s := &versionedSite{listen: free(t), folder: t.TempDir()}
+	var hosts []string
+	for i, kind := range []string{"big", "big", "small"} {
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { io.WriteString(w, kind) }))
+		t.Cleanup(server.Close)
+		hosts = append(hosts, fmt.Sprintf(`{"host":"s-%d","dial":%q,"class":%q,"health":"in_service"}`, i, server.Listener.Addr(), kind))
+	}
+	list := fmt.Sprintf(`{"seq":2,"whole":true,"hosts":[%s]}`, strings.Join(hosts, ","))
+	discovery := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		fmt.Fprintln(w, list)
+		w.(http.Flusher).Flush()
+		<-r.Context().Done()
+	}))
+	t.Cleanup(func() {
+		discovery.CloseClientConnections()
+		discovery.Close()
+	})
+	s.config = written(t, "config.json", s.file(discovery.Listener.Addr().String(), list, classSettings(`"name":"file"`)))
+	s.settings = written(t, "hookwalk.hcl", fmt.Sprintf(`config_watch { controllers = ["%s"] service = "log-logic" region = "east" zone = "a" folder = %q }`,
+		strings.Join(controllers, `", "`), s.folder))
+	return s
+}
+
+func (s *versionedSite) file(discovery, list, settings string) string {
+	return fmt.Sprintf(`{"name":"n0","listen":%q,"discovery":%q,"seed":"8c1f30d27a5be964",
+	 "limits":{"cores":1,"memory_mb":192,"sockets":1024},"known":%s,"settings":%s}`, s.listen, discovery, list, settings)
+}
+
+// start starts the node's process, with what it says to standard error.
+func (s *versionedSite) start(t *testing.T, args ...string) (c *exec.Cmd, said *lockedBuffer) {
+	t.Helper()
+	c = exec.Command(os.Args[0], args...)
+	c.Env = append(os.Environ(), "HOOKWALK_AS_PROGRAM=1", "ROUTER_CONFIG="+s.config, "TMPDIR="+t.TempDir())
+	said = &lockedBuffer{}
+	c.Stderr = said
+	if err := c.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		c.Process.Kill()
+		c.Wait()
+	})
+	poll(t, "ready", func() bool {
+		resp, err := http.Get("http://" + s.listen + "/ready")
+		if err != nil {
+			return false
+		}
+		resp.Body.Close()
+		return resp.StatusCode == http.StatusOK
+	})
+	return c, said
+}
+
+// poll waits for what a process does by itself.
+func poll(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	tick := time.NewTicker(5 * time.Millisecond)
+	defer tick.Stop()
+	for end := time.Now().Add(30 * time.Second); !holds(); <-tick.C {
+		if time.Now().After(end) {
+			t.Fatalf("never: %s", what)
+		}
+	}
+}
+
+type lockedBuffer struct {
+	lock sync.Mutex
+	text bytes.Buffer
+}
+
+func (b *lockedBuffer) Write(p []byte) (int, error) {
+	b.lock.Lock()
+	defer b.lock.Unlock()
+	return b.text.Write(p)
+}
+
+func (b *lockedBuffer) String() string {
+	b.lock.Lock()
+	defer b.lock.Unlock()
+	return b.text.String()
+}
+
+// ask makes a request of a class, and returns its status and the kind of the server that answered.
+func (s *versionedSite) ask(t *testing.T, class string) (status int, kind string) {
+	t.Helper()
+	r, err := http.NewRequest(http.MethodPost, "http://"+s.listen+"/api", strings.NewReader("x"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.Header.Set("X-Call-Id", class+time.Now().String())
+	r.Header.Set("X-Call-Class", class)
+	r.Header.Set("X-Budget", "8000m")
+	resp, err := http.DefaultClient.Do(r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return resp.StatusCode, string(body)
+}
+
+// serves wants requests of a class to be served, or to be unknown.
+func (s *versionedSite) serves(t *testing.T, class string, yes bool) {
+	t.Helper()
+	want := http.StatusBadRequest
+	if yes {
+		want = http.StatusOK
+	}
+	if got, _ := s.ask(t, class); got != want {
+		t.Errorf("class %s is answered %d, want %d", class, got, want)
+	}
+}
+
+func receive[T any](t *testing.T, from <-chan T, what string) T {
+	t.Helper()
+	select {
+	case v := <-from:
+		return v
+	case <-time.After(30 * time.Second):
+		t.Fatalf("never: %s", what)
+		panic("unreachable")
+	}
+}
+
+func setsConfig(cluster configapi.Cluster, n configapi.Version, settings string) configapi.Update {
+	return configapi.Update{Cluster: cluster, Version: n, Changed: n, Current: true, Config: &configapi.ServiceConfig{Settings: json.RawMessage(settings)}}
+}
+
+// A real node does what it acknowledges, as requests show: it applies what is sound, keeps what it has where a version is
+// bad in any way, and starts with its last known good version after it was killed, with no controller there.
+func TestNodeFollowsConfigurationVersions(t *testing.T) {
+	controller := newStubController(t)
+	s := newVersionedSite(t, controller.Listener.Addr().String())
+	c, said := s.start(t, "--settings", s.settings)
+	first := receive(t, controller.watches, "watch")
+	if first.Node != "n0" || first.Service != "log-logic" || first.Region != "east" || first.Zone != "a" || first.Applied != 0 {
+		t.Errorf("it asks with %+v", first)
+	}
+	s.serves(t, "file", true)
+	controller.updates <- setsConfig("x", 1, classSettings(`"name":"v1"`))
+	if ack := receive(t, controller.acks, "acknowledgement"); ack.Outcome != configapi.Applied || ack.Version != 1 || ack.Applied != 1 {
+		t.Errorf("it acknowledges %+v", ack)
+	}
+	s.serves(t, "v1", true)
+
+	number := configapi.Version(1)
+	for name, bad := range map[string]struct {
+		settings string
+		kind     configapi.RejectionKind
+	}{
+		"no object":             {`7`, configapi.RejectUnreadable},
+		"of another form":       {`{"limits":{"conn-idle-ms":30000,"connect-timeout-ms":1000,"max-attempts":3},"lanes":{}}`, configapi.RejectUnreadable},
+		"no classes":            {classSettings(), configapi.RejectInvalid},
+		"no attempts":           {strings.Replace(classSettings(`"name":"bad"`), `"max-attempts":3`, `"max-attempts":0`, 1), configapi.RejectInvalid},
+		"no deadline":           {strings.Replace(classSettings(`"name":"bad"`), `"deadline-ms":8000`, `"deadline-ms":0`, 1), configapi.RejectInvalid},
+		"a key out":             {strings.Replace(classSettings(`"name":"bad"`), `"conn-idle-ms":30000,`, ``, 1), configapi.RejectInvalid},
+		"a class without":       {classSettings(`"name":"v1"`, `"name":"bad","bound-to":["huge"]`), configapi.RejectNoServer},
+		"all of it on one":      {classSettings(`"name":"v1","bound-to":["small"]`, `"name":"bad"`), configapi.RejectOneServer},
+		"of a zone not present": {classSettings(`"name":"v1","confined-to":["z"]`, `"name":"bad"`), configapi.RejectNoServer},
+	} {
+		number++
+		controller.updates <- setsConfig("x", number, bad.settings)
+		ack := receive(t, controller.acks, name)
+		if ack.Outcome != configapi.Rejected || ack.Version != number || ack.Applied != 1 || ack.Rejection == nil || ack.Rejection.Kind != bad.kind {
+			t.Errorf("%s: it acknowledges %+v, %v", name, ack, ack.Rejection)
+		}
+		s.serves(t, "bad", false)
+		s.serves(t, "v1", true)
+	}
+	controller.updates <- setsConfig("y", 99, classSettings(`"name":"foreign"`))
+	if ack := receive(t, controller.acks, "another cluster's"); ack.Cluster != "y" || ack.Rejection == nil || ack.Rejection.Kind != configapi.RejectForeign {
+		t.Errorf("another cluster's: %+v", ack)
+	}
+	s.serves(t, "foreign", false)
+
+	number++
+	controller.updates <- setsConfig("x", number, classSettings(`"name":"last","bound-to":["big"]`))
+	if ack := receive(t, controller.acks, "acknowledgement"); ack.Outcome != configapi.Applied || ack.Version != number {
+		t.Errorf("it acknowledges %+v, %v", ack, ack.Rejection)
+	}
+	controller.updates <- setsConfig("x", 1, classSettings(`"name":"late"`))
+	for range 20 {
+		if status, kind := s.ask(t, "last"); status != http.StatusOK || kind != "big" {
+			t.Fatalf("answered %d by %s", status, kind)
+		}
+	}
+	s.serves(t, "late", false)
+
+	if err := c.Process.Signal(syscall.SIGHUP); err != nil {
+		t.Fatal(err)
+	}
+	poll(t, "the file read again", func() bool { return strings.Count(said.String(), `msg="configuration read again"`) == 3 })
+	s.serves(t, "last", true)
+	for _, want := range []string{`msg="configuration version" version=1 outcome=applied cluster=x`, "outcome=rejected kind=no_server", "kind=foreign"} {
+		if !strings.Contains(said.String(), want) {
+			t.Errorf("it never says %s", want)
+		}
+	}
+
+	store := configwatch.NewStore(s.folder, "n0", slog.New(slog.DiscardHandler))
+	poll(t, "the version on disk", func() bool {
+		kept, err := store.Read()
+		return err == nil && kept.Version == number
+	})
+	c.Process.Kill()
+	c.Wait()
+	controller.shut()
+	s.start(t, "--settings", s.settings)
+	if status, kind := s.ask(t, "last"); status != http.StatusOK || kind != "big" {
+		t.Errorf("after its death, without a controller: answered %d by %s", status, kind)
+	}
+	s.serves(t, "file", false)
+}
+
+// A folder that can't be written, and one whose file can't be read, cost the node nothing but a line.
+func TestNodeFollowsVersionsWithoutADisk(t *testing.T) {
+	controller := newStubController(t)
+	s := newVersionedSite(t, controller.Listener.Addr().String())
+	if err := os.RemoveAll(s.folder); err != nil {
+		t.Fatal(err)
+	}
+	_, said := s.start(t, "--settings", s.settings)
+	controller.updates <- setsConfig("x", 1, classSettings(`"name":"v1"`))
+	if ack := receive(t, controller.acks, "acknowledgement"); ack.Outcome != configapi.Applied {
+		t.Errorf("it acknowledges %+v, %v", ack, ack.Rejection)
+	}
+	s.serves(t, "v1", true)
+	poll(t, "a line about the disk", func() bool { return strings.Contains(said.String(), `msg="configuration version not kept"`) })
+}
+
+// A file that is torn, or of a version that the node's own file does not go with, leaves the node with its own file.
+func TestNodeStartsWithoutAGoodVersion(t *testing.T) {
+	for name, befall := range map[string]func(t *testing.T, path string){
+		"torn": func(t *testing.T, path string) {
+			if err := os.WriteFile(path, []byte("x"), 0o600); err != nil {
+				t.Fatal(err)
+			}
+		},
+		"a folder": func(t *testing.T, path string) {
+			if err := os.Mkdir(path, 0o700); err != nil {
+				t.Fatal(err)
+			}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newVersionedSite(t, "127.0.0.1:1")
+			befall(t, filepath.Join(s.folder, "hookwalk-config.n0"))
+			_, said := s.start(t, "--settings", s.settings)
+			s.serves(t, "file", true)
+			if !strings.Contains(said.String(), "starts with its own configuration file") {
+				t.Errorf("it says %s", said)
+			}
+		})
+	}
+}
+
+// Without the block nothing of the session runs.
+func TestConfigWatchIsOffByDefault(t *testing.T) {
+	cfg := node.Config{Name: "n0"}
+	before := runtime.NumGoroutine()
+	got, session, err := prepareConfigWatch(cfg, slog.New(slog.DiscardHandler))
+	session.start(nil)()
+	if err != nil || got.Name != cfg.Name || session.watch != nil || runtime.NumGoroutine() != before {
+		t.Errorf("%+v, %v, %d goroutines, %d before", session, err, runtime.NumGoroutine(), before)
+	}
+	for _, on := range []bool{false, true} {
+		s := newVersionedSite(t, "127.0.0.1:1")
+		args := []string{}
+		if on {
+			args = []string{"--settings", s.settings}
+		}
+		c, said := s.start(t, args...)
+		if err := c.Process.Signal(syscall.SIGQUIT); err != nil {
+			t.Fatal(err)
+		}
+		c.Wait()
+		if runs := strings.Contains(said.String(), "internal/configwatch."); runs != on {
+			t.Errorf("with the block %v: a session runs %v", on, runs)
+		}
+	}
+}
--- a/internal/configapi/configapi.go
+++ b/internal/configapi/configapi.go
@@ -58,7 +58,7 @@
 // ServiceConfig is the configuration of all nodes of one service, in the form of the node's configuration file.
 type ServiceConfig struct {
 	Settings  json.RawMessage `json:"settings"`            // as `settings` in the node's configuration file
-	Discovery string          `json:"discovery,omitempty"` // HOST:PORT; empty: each node keeps the address it has
+	Discovery string          `json:"discovery,omitempty"` // HOST:PORT; empty: that of each node's own file
 }
 
 // WatchRequest is what a node says when it opens a watch; it travels in the query.
--- a/internal/configwatch/client.go
+++ b/internal/configwatch/client.go
@@ -39,14 +39,9 @@
 
 var errHeadTooLarge = fmt.Errorf("the head of the answer is over %d bytes", maxHead)
 
-func dialTCP(ctx context.Context, address string) (net.Conn, error) {
-	dialer := net.Dialer{Timeout: dialTimeout}
-	return dialer.DialContext(ctx, "tcp", address)
-}
-
 // connect connects to a controller.
 func connect(ctx context.Context, address string, options *Options) (*connection, error) {
-	raw, err := options.Dial(ctx, address)
+	raw, err := options.Dial(ctx, "tcp", address)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/configwatch/configwatch.go
+++ b/internal/configwatch/configwatch.go
@@ -39,7 +39,7 @@
 	Store       *Store // nil: the version in force is not kept
 	Log         *slog.Logger
 	// Dial connects to a controller; nil: by TCP.
-	Dial func(ctx context.Context, address string) (net.Conn, error)
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 	// Counters, if there are any, count what the session sends and gets. Sessions may share them.
 	Counters *Counters
 	// Observe, if there is one, is told of each answer to a version, from the session's goroutine. It must not wait.
@@ -83,7 +83,7 @@
 		options.Counters = &Counters{}
 	}
 	if options.Dial == nil {
-		options.Dial = dialTCP
+		options.Dial = (&net.Dialer{Timeout: dialTimeout}).DialContext
 	}
 	ctx, stop := context.WithCancel(context.Background())
 	s := &Session{options: options, begin: time.Now(), events: make(chan configversion.SessionEvent), stop: stop,
--- a/internal/configwatch/configwatch_test.go
+++ b/internal/configwatch/configwatch_test.go
@@ -61,7 +61,7 @@
 	return l
 }
 
-func (n *network) dial(ctx context.Context, address string) (net.Conn, error) {
+func (n *network) dial(ctx context.Context, _, address string) (net.Conn, error) {
 	n.lock.Lock()
 	l := n.listeners[address]
 	n.dials++
