staticcheck as a tool of the module, run by check.sh for both builds

Six findings are mended: two unused fields, an unused slice in a test, an error text that ended in dots, a struct literal that is a conversion, and the tests of commands that the build for service has not, which did not compile there and now carry the same build tag as their commands. gRPC's NewSubConn is marked as deprecated only to warn of several addresses, and there is no other call: that one finding is ignored where it stands, with the reason.

--- a/check.sh
+++ b/check.sh
@@ -1,10 +1,14 @@
 #!/usr/bin/env bash
-# Everything that must hold before a change lands: format, vet, tests, the policy file's limits, the deploy build.
+# Everything that must hold before a change lands: format, vet, staticcheck (its checks: staticcheck.conf), the policy
+# files' limits, the deploy build, tests.
 set -eu
 cd "$(dirname "$0")"
 unformatted=$(gofmt -l .)
 [ -z "$unformatted" ] || { echo "gofmt: $unformatted" >&2; exit 1; }
 go vet ./...
+go vet -tags nolab ./...
+go tool staticcheck ./...
+go tool staticcheck -tags nolab ./...
 policy=$(sed -n 's/^policy = \[\(.*\)\]$/\1/p' deploy/balancer.toml | tr -d '",')
 [ -n "$policy" ] || { echo "deploy/balancer.toml: no policy files" >&2; exit 1; }
 lines=$(cat $policy | grep -cv '^[[:space:]]*$')
--- a/cmd/hookwalk/fleet_test.go
+++ b/cmd/hookwalk/fleet_test.go
@@ -1,3 +1,5 @@
+//go:build !nolab
+
 package main
 
 import (
--- a/grpcwalk/balancer.go
+++ b/grpcwalk/balancer.go
@@ -136,6 +136,7 @@
 		}
 		k := &boxConn{}
 		k.state.Store(int32(connectivity.Idle))
+		//lint:ignore SA1019 There is no other way to open one; the note only warns of several addresses.
 		sub, err := c.cc.NewSubConn([]resolver.Address{{Addr: b.Addr}}, balancer.NewSubConnOptions{
 			StateListener: func(s balancer.SubConnState) {
 				k.state.Store(int32(s.ConnectivityState))
--- a/internal/lab/link/packets.go
+++ b/internal/lab/link/packets.go
@@ -25,10 +25,9 @@
 	in  *net.UDPConn
 	out *net.UDPConn
 
-	mu     sync.Mutex
-	loss   Loss
-	closed bool
-	wg     sync.WaitGroup
+	mu   sync.Mutex
+	loss Loss
+	wg   sync.WaitGroup
 }
 
 // OpenPeers opens a way to an address, in a rig's block of ports.
--- a/internal/lab/sweep/sweep.go
+++ b/internal/lab/sweep/sweep.go
@@ -39,12 +39,12 @@
 	Values []string
 }
 
-// ParseSet reads PATH=VALUE,VALUE...
+// ParseSet reads PATH=VALUE[,VALUE], with as many values as are given.
 func ParseSet(text string) (Set, error) {
 	path, values, ok := strings.Cut(text, "=")
 	s := Set{Path: path, Values: strings.Split(values, ",")}
 	if !ok || path == "" || slices.Contains(s.Values, "") {
-		return s, fmt.Errorf("--set %s: want PATH=VALUE,VALUE...", text)
+		return s, fmt.Errorf("--set %s: want PATH=VALUE[,VALUE]", text)
 	}
 	return s, nil
 }
--- a/internal/lab/virtual/world.go
+++ b/internal/lab/virtual/world.go
@@ -38,7 +38,6 @@
 	front    *front
 	disc     *discovery
 	tails    []tail // heavy tails, by class
-	broken   float64
 	storm    float64
 	ids      uint64
 	events   uint64
--- a/internal/node/heads_test.go
+++ b/internal/node/heads_test.go
@@ -23,7 +23,6 @@
 	c := "POST /c HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n"
 	for n := 1; n < len(a)+len(b)+len(c); n++ {
 		h, from := &heads{}, pieces(a+"\r\n"+b+b+c, n)
-		var got []string
 		for _, want := range []string{a, b, b, c} {
 			var one []byte
 			for len(one) < len(want) {
@@ -34,7 +33,6 @@
 				}
 				one = append(one, buf[:k]...)
 			}
-			got = append(got, string(one))
 			if string(one) != want || h.seen.fault != "" {
 				t.Fatalf("pieces of %d: read %q, want %q; fault %q", n, one, want, h.seen.fault)
 			}
--- a/members/mutate_test.go
+++ b/members/mutate_test.go
@@ -97,7 +97,7 @@
 		case Say:
 			for _, to := range w.names {
 				if to != n.name && w.reach(n.name, to) {
-					w.send(delivery{w.t + time.Duration(20+7*len(to)+3*slices.Index(w.names, to))*time.Millisecond, to, w.nodes[to].life, Heard{a.Word}, 0})
+					w.send(delivery{w.t + time.Duration(20+7*len(to)+3*slices.Index(w.names, to))*time.Millisecond, to, w.nodes[to].life, Heard(a), 0})
 				}
 			}
 		case Raise:
