--- a/deckrelay/addresses.go
+++ b/deckrelay/addresses.go
@@ -2,7 +2,10 @@
 
 package deckrelay
 
-import "net/netip"
+import (
+	"net/netip"
+	"slices"
+)
 
 // Addresses are the lists by which clients are judged.
 type Addresses struct {
@@ -29,10 +32,5 @@
 
 func within(list []netip.Prefix, a netip.Addr) bool {
 	a = a.Unmap().WithZone("")
-	for _, p := range list {
-		if p.Contains(a) {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(list, func(p netip.Prefix) bool { return p.Contains(a) })
 }
--- a/deckrelay/drill.go
+++ b/deckrelay/drill.go
@@ -1,5 +1,4 @@
-// Drills: rehearsals that delay or abort a share of one class's requests while they run. Which requests, for
-// how long and with what is decided here; what starts a drill, and who may, is the host's.
+// Drills: rehearsals that delay or abort a share of one class's requests. Who may start one is the host's.
 
 package deckrelay
 
@@ -83,8 +82,7 @@
 	b.do(a)
 }
 
-// delay holds a request back for a drill, but leaves time for an answer within the client's budget. False:
-// there is no time for a delay.
+// delay holds a request back for a drill, but leaves time for an answer. False: there is none for a delay.
 func (b *Balancer) delay(r *request, d *Drill) bool {
 	last := r.deadline - max(r.class.longest(2), 2*b.set.Tick)
 	r.resume = min(b.now+d.Delay, last)
--- a/deckrelay/hand.go
+++ b/deckrelay/hand.go
@@ -4,6 +4,7 @@
 
 import (
 	"errors"
+	"maps"
 	"time"
 )
 
@@ -42,11 +43,7 @@
 
 // forgetHands drops what was put back so long ago that it is warm.
 func (b *Balancer) forgetHands() {
-	for id, h := range b.hands {
-		if !h.out && b.now >= h.back+b.set.WarmAfter {
-			delete(b.hands, id)
-		}
-	}
+	maps.DeleteFunc(b.hands, func(_ string, h hand) bool { return !h.out && b.now >= h.back+b.set.WarmAfter })
 }
 
 // takeHand takes a server out, or puts it back as one that has just started: its operators have restarted it,
--- /dev/null
+++ b/deckrelay/pick.go
@@ -0,0 +1,106 @@
+// The choice of a server: two groups of the shared order, one draw from each, the fewer own calls win.
+
+package deckrelay
+
+import (
+	"math"
+	"slices"
+)
+
+const (
+	alpha      = 0.5   // share of the list in the left group
+	leastReach = 4.0   // servers that a copy draws from at least
+	callReach  = 0.5   // more of them for each own call in flight
+	spillLeast = 0.03  // share that leaves the nearest anyway, so that the copy learns of the others
+	spillGain  = 0.25  // excess of log latency at the nearest that leaving them must win back
+	spread     = 0.618 // copies' stretches start at its multiples, which lie evenly in a ring
+)
+
+// choose cuts the shared order into the two groups and picks among the eligible servers of the copy's
+// stretch of each, or of the whole groups when its stretches leave none. Crossing zones costs time and has a
+// price, and narrower pools need their servers: the nearest alone are drawn from, but for what spills.
+func (b *Balancer) choose(r *request) *server {
+	p := r.class.pool
+	if s := b.starved(r); s != nil {
+		return s
+	}
+	lists := [][]*server{p.near, p.ready, p.ready}
+	if n := len(p.near); n == 0 || n == len(p.ready) || b.rng.Float64() < max(p.spill, spillLeast) {
+		lists = lists[1:]
+	}
+	for i, list := range lists {
+		last, part := i == len(lists)-1, p.reach(list)
+		if last {
+			part = 1
+		}
+		left, right := b.groups(list, part)
+		if left, right = b.eligible(r, left, right, last); len(left)+len(right) > 0 {
+			return b.pick(left, right)
+		}
+	}
+	return nil
+}
+
+// pick draws one server uniformly from each group: the fewer own calls win, equal counts above zero go left,
+// and at zero the side is drawn by the groups' shares. An empty group leaves the draw to the other.
+func (b *Balancer) pick(left, right []*server) *server {
+	if len(left) == 0 || len(right) == 0 {
+		return b.draw(append(left, right...))
+	}
+	l, r := b.draw(left), b.draw(right)
+	switch {
+	case r.calls() < l.calls():
+		return r
+	case r.calls() > 0:
+		return l
+	case b.rng.IntN(len(left)+len(right)) < len(left):
+		return l
+	}
+	return r
+}
+
+func (b *Balancer) draw(group []*server) *server {
+	if len(group) == 0 {
+		return nil
+	}
+	return group[b.rng.IntN(len(group))]
+}
+
+// compare learns from a latency whether requests should leave the nearest servers: while these are slower
+// than the others by more than spillGain, more do, whatever the reason; else fewer.
+func (p *pool) compare(home bool, ratio float64) {
+	side := &p.far
+	if home {
+		side = &p.nearby
+	}
+	*side += memory * (ratio - *side)
+	if p.nearby > p.far+spillGain {
+		p.spill += memory / 2 * (1 - p.spill)
+	} else {
+		p.spill -= memory / 2 * p.spill
+	}
+}
+
+// groups are the left and the right group of a list, or this copy's part of each.
+func (b *Balancer) groups(list []*server, part float64) (left, right []*server) {
+	cut := int(math.Ceil(alpha * float64(len(list))))
+	return b.stretch(list[:cut], part), b.stretch(list[cut:], part)
+}
+
+// reach is the part of each group that this copy draws from. Were it the whole, connection tables would fill
+// up, and own calls, spread thin, would tell nothing. It grows with the calls out in a hot copy.
+func (p *pool) reach(list []*server) float64 {
+	return min(1, (leastReach+callReach*p.peak)/float64(max(1, len(list))))
+}
+
+// stretch is a part of a group, taken as a ring. The copies' numbers say where it starts, so that the
+// stretches of all copies cover the servers evenly; a change of the list moves it by little.
+func (b *Balancer) stretch(group []*server, part float64) []*server {
+	_, at := math.Modf(spread * float64(b.set.Self))
+	start := int(at * float64(len(group)))
+	end := start + int(math.Ceil(part*float64(len(group))))
+	if over := end - len(group); over > 0 {
+		return slices.Concat(group[start:], group[:over])
+	}
+	return group[start:end]
+}
