--- /dev/null
+++ b/internal/lab/scale/fit.go
@@ -0,0 +1,85 @@
+package scale
+
+import (
+	"errors"
+	"fmt"
+	"math"
+
+	"gonum.org/v1/gonum/stat"
+)
+
+// minFitSizes is the number of distinct sizes below which a line is not worth a claim.
+const minFitSizes = 2
+
+// Point is one measurement: the size of the system, or a rate, and the value seen there.
+type Point struct {
+	Size  float64
+	Value float64
+}
+
+// Fit is a straight line through measured points, value = Slope x size + Constant, by least squares.
+type Fit struct {
+	Slope       float64
+	Constant    float64
+	RMSResidual float64 // root of the mean squared distance of the points from the line, in units of the value
+	MaxResidual float64 // largest distance of a point from the line, in units of the value
+}
+
+// ErrTooFewSizes is returned for points that do not determine a line.
+var ErrTooFewSizes = errors.New("scale: a line needs points at two different sizes at least; measure more sizes")
+
+// FitLine fits a line to points by least squares, each point with the same weight.
+func FitLine(points []Point) (Fit, error) {
+	sizes, values := split(points)
+	if distinct(sizes) < minFitSizes {
+		return Fit{}, ErrTooFewSizes
+	}
+	constant, slope := stat.LinearRegression(sizes, values, nil, false)
+	fit := Fit{Slope: slope, Constant: constant}
+	fit.RMSResidual, fit.MaxResidual = fit.residuals(points)
+	return fit, nil
+}
+
+// At is the line's value at a size.
+func (f Fit) At(size float64) float64 { return f.Slope*size + f.Constant }
+
+// String gives the line and its residuals on one line.
+func (f Fit) String() string {
+	return fmt.Sprintf("%s x size %s; residual RMS %s, max %s",
+		Figure(f.Slope), signed(f.Constant), Figure(f.RMSResidual), Figure(f.MaxResidual))
+}
+
+// residuals gives the RMS and the largest distance of the points from the line.
+func (f Fit) residuals(points []Point) (rms, largest float64) {
+	var squares float64
+	for _, p := range points {
+		distance := math.Abs(p.Value - f.At(p.Size))
+		squares += distance * distance
+		largest = max(largest, distance)
+	}
+	return math.Sqrt(squares / float64(len(points))), largest
+}
+
+func split(points []Point) (sizes, values []float64) {
+	for _, p := range points {
+		sizes = append(sizes, p.Size)
+		values = append(values, p.Value)
+	}
+	return sizes, values
+}
+
+func distinct(sizes []float64) int {
+	seen := map[float64]bool{}
+	for _, size := range sizes {
+		seen[size] = true
+	}
+	return len(seen)
+}
+
+// signed writes a summand with its sign.
+func signed(v float64) string {
+	if v < 0 {
+		return "- " + Figure(-v)
+	}
+	return "+ " + Figure(v)
+}
--- /dev/null
+++ b/internal/lab/scale/table.go
@@ -0,0 +1,105 @@
+package scale
+
+import (
+	"fmt"
+	"io"
+	"math"
+	"os/exec"
+	"runtime"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// significantDigits is how many digits of a measured figure are printed.
+const significantDigits = 4
+
+// Table is a table of measurements, printed as Markdown so that it can be copied into a page as it is.
+type Table struct {
+	Title  string
+	Header []string
+	rows   [][]string
+}
+
+// Add appends a row. Numbers are written by Figure, all else as fmt does.
+func (t *Table) Add(cells ...any) {
+	row := make([]string, len(cells))
+	for i, cell := range cells {
+		row[i] = text(cell)
+	}
+	t.rows = append(t.rows, row)
+}
+
+// Print writes the table.
+func (t *Table) Print(w io.Writer) {
+	fmt.Fprintf(w, "%s\n\n", t.Title)
+	printRow(w, t.Header)
+	rule := make([]string, len(t.Header))
+	for i := range rule {
+		rule[i] = "---"
+	}
+	printRow(w, rule)
+	for _, row := range t.rows {
+		printRow(w, row)
+	}
+	fmt.Fprintln(w)
+}
+
+func printRow(w io.Writer, cells []string) {
+	fmt.Fprintf(w, "| %s |\n", strings.Join(cells, " | "))
+}
+
+func text(cell any) string {
+	switch v := cell.(type) {
+	case float64:
+		return Figure(v)
+	case int:
+		return group(strconv.Itoa(v))
+	case int64:
+		return group(strconv.FormatInt(v, 10))
+	default:
+		return fmt.Sprint(v)
+	}
+}
+
+// Figure writes a number with four significant digits, thousands grouped by commas.
+func Figure(v float64) string {
+	if v == 0 || math.IsNaN(v) || math.IsInf(v, 0) {
+		return strconv.FormatFloat(v, 'g', -1, 64)
+	}
+	decimals := max(0, significantDigits-1-int(math.Floor(math.Log10(math.Abs(v)))))
+	s := strconv.FormatFloat(v, 'f', decimals, 64)
+	whole, fraction, _ := strings.Cut(s, ".")
+	fraction = strings.TrimRight(fraction, "0")
+	if fraction == "" {
+		return group(whole)
+	}
+	return group(whole) + "." + fraction
+}
+
+// group puts commas between the thousands of an integer in decimal.
+func group(digits string) string {
+	sign := ""
+	if strings.HasPrefix(digits, "-") {
+		sign, digits = "-", digits[1:]
+	}
+	for i := len(digits) - 3; i > 0; i -= 3 {
+		digits = digits[:i] + "," + digits[i:]
+	}
+	return sign + digits
+}
+
+// Origin says where figures come from: the commit, whether the working copy differs from it, the machine, the time.
+func Origin() string {
+	return fmt.Sprintf("commit %s, %d cores, %s, %s/%s, %s",
+		commit(), runtime.NumCPU(), runtime.Version(), runtime.GOOS, runtime.GOARCH, time.Now().UTC().Format(time.RFC3339))
+}
+
+// commit is the commit of the working copy, marked if files differ from it.
+func commit() string {
+	out, err := exec.Command("git", "describe", "--always", "--dirty", "--exclude=*").Output()
+	if err != nil {
+		return "unknown"
+	}
+	return strings.TrimSpace(string(out))
+}
