The node's source of lists is a package of its own: internal/discovery

Cause: what is to run the control part of a node without its data path, such as a measurement of many nodes at one discovery, could not reach the source of the list inside internal/node.

Change: a move. discovery.go becomes internal/discovery with Source (Subscribe, Move, Run, State, Away, Version, Resume), its Config in place of the whole node's, and the conversions Server and Update. Its tests move with it; the four that start a whole node stay in internal/node (list_test.go). The stand-ins that both use are in internal/discovery/discoverytest, in the manner of net/http/httptest, which only tests import. Nothing is decided otherwise; the version held can be read from the start on, and not only once Run has begun.

--- a/internal/node/discovery.go
+++ b/internal/discovery/discovery.go
@@ -1,4 +1,8 @@
-package node
+// Package discovery is the node's source of its list of servers: it keeps a watch on discovery, reads what that writes and
+// hands each list or change on, in order and whole. The rules of when to call are listclock's, the form of the lists is
+// endpoints'; this package owns the calls, their goroutines and their ends. The node gives it a Config, the function Tell
+// that takes each update, and a context that ends it.
+package discovery
 
 import (
 	"context"
@@ -21,8 +25,9 @@
 	"hookwalk.example/hookwalk/internal/listclock"
 )
 
-func server(h endpoints.Endpoint) deckrelay.Server {
-	s := deckrelay.Server{ID: h.Host, Zone: h.Site, Kind: h.Class, Cell: h.Block, Boot: millis(h.Born)}
+// Server is an endpoint as the decision module knows it.
+func Server(h endpoints.Endpoint) deckrelay.Server {
+	s := deckrelay.Server{ID: h.Host, Zone: h.Site, Kind: h.Class, Cell: h.Block, Boot: time.Duration(h.Born * float64(time.Millisecond))}
 	switch h.Health {
 	case "in_service":
 		s.State = deckrelay.Ready
@@ -34,29 +39,40 @@
 	return s
 }
 
-// update is what the engine is told of a list.
-func update(l endpoints.List) engine.Update {
+// Update is what the engine is told of a list.
+func Update(l endpoints.List) engine.Update {
 	u := engine.Update{Version: l.Seq, Whole: l.Whole, Boxes: make([]engine.Box, len(l.Hosts))}
 	for i, h := range l.Hosts {
-		u.Boxes[i] = engine.Box{Server: server(h), Addr: h.Dial}
+		u.Boxes[i] = engine.Box{Server: Server(h), Addr: h.Dial}
 	}
 	return u
 }
 
-// discovery keeps a watch on the list. The clock says when to call, and when a call or a watch that says nothing has
+// Config says which discovery is asked, how, and what is held from before.
+type Config struct {
+	Addr      string        // HOST:PORT
+	Asked     bool          // lists are asked for, and Subscribe says when the first is; else they are pushed
+	AskWithin time.Duration // where they are asked for: a list held without a watch binds so long after the last call
+	Version   int64         // of the list held
+}
+
+// Source keeps a watch on the list. The clock says when to call, and when a call or a watch that says nothing has
 // another beside it; where lists are asked for the module says when the first goes out. All streams are read by goroutines
-// of their own and end in the one that runs run.
-type discovery struct {
+// of their own and end in the one that runs Run.
+type Source struct {
+	// Client makes the calls, and Tell hands an update to the engine; it fails only as its context ends. Both may be replaced
+	// before Run.
+	Client *http.Client
+	Tell   func(context.Context, engine.Update) error
+
 	asked      bool
 	seq        int64
 	incomplete bool // what is held is nothing to build on: the whole list comes first
 	older      int  // whole lists in a row that were older than the one held
 	log        *slog.Logger
-	client     *http.Client
-	tell       func(context.Context, engine.Update) error // hands an update to the engine
-	asks       chan struct{}                              // the module's wish for a watch
-	moves      chan struct{}                              // addr has changed
-	version    atomic.Int64                               // seq, for others
+	asks       chan struct{} // the module's wish for a watch
+	moves      chan struct{} // addr has changed
+	version    atomic.Int64  // seq, for others
 	streams    map[int]*subscription
 	reads      chan reading
 	blind      bool      // the log has it
@@ -71,7 +87,7 @@
 
 // subscription is a call to discovery, and the watch that it becomes.
 type subscription struct {
-	d      *discovery
+	d      *Source
 	name   int
 	addr   string
 	whole  bool // it asks for the whole list, and no more
@@ -87,23 +103,26 @@
 	taken chan struct{}
 }
 
-func newDiscovery(cfg Config, log *slog.Logger, tell func(context.Context, engine.Update) error) *discovery {
-	return &discovery{addr: cfg.Discovery, asked: cfg.Settings.AskDiscovery,
-		seq: cfg.Known.Seq, log: log, tell: tell, asks: make(chan struct{}, 1), moves: make(chan struct{}, 1),
+// New makes a Source that makes no call yet. Run does.
+func New(cfg Config, log *slog.Logger, tell func(context.Context, engine.Update) error) *Source {
+	d := &Source{addr: cfg.Addr, asked: cfg.Asked,
+		log: log, Tell: tell, asks: make(chan struct{}, 1), moves: make(chan struct{}, 1),
 		streams: map[int]*subscription{}, reads: make(chan reading), epoch: time.Now(),
-		clock: listclock.Clock{Rules: listclock.Rules{Pushed: !cfg.Settings.AskDiscovery, AskWithin: cfg.Settings.AskWithin}},
-		client: &http.Client{Transport: &http.Transport{
+		clock: listclock.Clock{Rules: listclock.Rules{Pushed: !cfg.Asked, AskWithin: cfg.AskWithin}},
+		Client: &http.Client{Transport: &http.Transport{
 			DialContext:        (&net.Dialer{Timeout: time.Second}).DialContext,
 			DisableKeepAlives:  true,
 			DisableCompression: true,
 		}}}
+	d.Resume(cfg.Version)
+	return d
 }
 
 // now is the clock's time.
-func (d *discovery) now() time.Duration { return time.Since(d.epoch) }
+func (d *Source) now() time.Duration { return time.Since(d.epoch) }
 
-// subscribe asks for a watch; one that is asked for already is enough.
-func (d *discovery) subscribe() { signal(d.asks) }
+// Subscribe asks for a watch; one that is asked for already is enough.
+func (d *Source) Subscribe() { signal(d.asks) }
 
 func signal(c chan struct{}) {
 	select {
@@ -117,9 +136,25 @@
 	errDropped = errors.New("another stream serves")
 )
 
-// move takes the watch to another address, at once: the old one is about to close, and what the new one
+// Addr is the address that is called.
+func (d *Source) Addr() string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.addr
+}
+
+// Resume has Run begin from a version that another process of the node held. It is for the time before Run.
+func (d *Source) Resume(version int64) {
+	d.seq = version
+	d.version.Store(version)
+}
+
+// Version is that of the list held.
+func (d *Source) Version() int64 { return d.version.Load() }
+
+// Move takes the watch to another address, at once: the old one is about to close, and what the new one
 // has to tell counts as told soon. The servers held stay until its list is there.
-func (d *discovery) move(addr string) {
+func (d *Source) Move(addr string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if addr == d.addr {
@@ -129,9 +164,8 @@
 	signal(d.moves)
 }
 
-// run watches until ctx ends.
-func (d *discovery) run(ctx context.Context) {
-	d.version.Store(d.seq)
+// Run watches until ctx ends.
+func (d *Source) Run(ctx context.Context) {
 	var reading sync.WaitGroup
 	defer reading.Wait()
 	ctx, end := context.WithCancel(ctx)
@@ -154,7 +188,7 @@
 }
 
 // steps does what the clock wants done now, and says how long nothing more is.
-func (d *discovery) steps(ctx context.Context, reading *sync.WaitGroup) time.Duration {
+func (d *Source) steps(ctx context.Context, reading *sync.WaitGroup) time.Duration {
 	for {
 		d.mu.Lock()
 		now := d.now()
@@ -192,7 +226,7 @@
 }
 
 // noteBlind logs, once, that changes count as told which this node may not have.
-func (d *discovery) noteBlind(s listclock.State) {
+func (d *Source) noteBlind(s listclock.State) {
 	if blind := s == listclock.Blind; blind != d.blind {
 		if d.blind = blind; blind && d.seq > 0 {
 			d.log.Warn("the list may be old, and what discovery has counts as told", "version", d.seq)
@@ -201,35 +235,35 @@
 }
 
 // clocked changes the clock.
-func (d *discovery) clocked(f func(*listclock.Clock)) {
+func (d *Source) clocked(f func(*listclock.Clock)) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	f(&d.clock)
 }
 
 // State says what the list that the node holds is worth.
-func (d *discovery) State() listclock.State {
+func (d *Source) State() listclock.State {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	return d.clock.State(d.now())
 }
 
-// away says that discovery can't be reached at all.
-func (d *discovery) away() bool {
+// Away says that discovery can't be reached at all.
+func (d *Source) Away() bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	return d.clock.Away()
 }
 
 // end ends a stream's reading. What it still brings is nobody's.
-func (d *discovery) end(name int, why error) {
+func (d *Source) end(name int, why error) {
 	d.streams[name].cancel(why)
 	delete(d.streams, name)
 }
 
 // moved begins anew at another address. It may count its versions in its own way: all of its changes are asked for. The
 // whole list as a call of its own would double the queue at a service that all nodes move to at once.
-func (d *discovery) moved() {
+func (d *Source) moved() {
 	for name := range d.streams {
 		d.end(name, errMoved)
 	}
@@ -238,7 +272,7 @@
 }
 
 // take takes what a stream has read, if that one still counts.
-func (d *discovery) take(ctx context.Context, r reading) {
+func (d *Source) take(ctx context.Context, r reading) {
 	if r.taken != nil {
 		defer close(r.taken)
 	}
@@ -258,7 +292,7 @@
 		d.failed(ctx, s, err)
 		return
 	}
-	if d.tell(ctx, update(l)) != nil {
+	if d.Tell(ctx, Update(l)) != nil {
 		return // only as ctx ends
 	}
 	s.lists++
@@ -282,7 +316,7 @@
 const mostOlder = 3
 
 // check says why a list is none to build on.
-func (d *discovery) check(l endpoints.List) error {
+func (d *Source) check(l endpoints.List) error {
 	switch {
 	case l.Whole && l.Hosts == nil:
 		return &endpoints.UnreadableError{Err: endpoints.ErrNoHosts}
@@ -296,7 +330,7 @@
 }
 
 // failed ends a stream that has failed. Where lists are asked for, the module is told when none is left.
-func (d *discovery) failed(ctx context.Context, s *subscription, err error) {
+func (d *Source) failed(ctx context.Context, s *subscription, err error) {
 	d.end(s.name, err)
 	unreadable := errors.As(err, new(*endpoints.UnreadableError))
 	d.incomplete = d.incomplete || unreadable
@@ -320,7 +354,7 @@
 		d.ends, d.logged = 0, time.Now()
 	}
 	if d.asked && len(d.streams) == 0 {
-		d.tell(ctx, engine.Update{Failed: true}) // fails only as ctx ends
+		d.Tell(ctx, engine.Update{Failed: true}) // fails only as ctx ends
 	}
 }
 
@@ -368,12 +402,12 @@
 func (s *subscription) Begun() { s.d.clocked(func(c *listclock.Clock) { c.Begun(s.name, s.d.now()) }) }
 func (s *subscription) Part()  { s.Blank() }
 
-func (d *discovery) get(ctx context.Context, addr, query string) (io.ReadCloser, error) {
+func (d *Source) get(ctx context.Context, addr, query string) (io.ReadCloser, error) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addr+"/v1/endpoints"+query, nil)
 	if err != nil {
 		return nil, err
 	}
-	resp, err := d.client.Do(req)
+	resp, err := d.Client.Do(req)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/node/told_test.go
+++ b/internal/discovery/told_test.go
@@ -1,8 +1,9 @@
-package node
+package discovery
 
 import (
 	"context"
 	"fmt"
+	"log/slog"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -14,6 +15,7 @@
 	"testing/synctest"
 	"time"
 
+	"hookwalk.example/hookwalk/internal/discovery/discoverytest"
 	"hookwalk.example/hookwalk/internal/engine"
 	"hookwalk.example/hookwalk/internal/listclock"
 )
@@ -128,14 +130,12 @@
 }
 
 // callAll runs nodes' sources at one discovery, in a bubble; each says when it was told of the change.
-func callAll(t *testing.T, n int, mode string, way func(*discovery), told func(caller int, version int64)) {
+func callAll(t *testing.T, n int, mode string, way func(*Source), told func(caller int, version int64)) {
 	for i := range n {
-		cfg := testConfig(t, mode)
-		cfg.Discovery = caller(i)
-		d := newDiscovery(cfg, quiet(), nil)
-		d.tell = func(ctx context.Context, u engine.Update) error {
+		d := New(testConfig(caller(i), mode), slog.New(slog.DiscardHandler), nil)
+		d.Tell = func(ctx context.Context, u engine.Update) error {
 			if u.Failed { // the module's wish, as it draws it
-				time.AfterFunc(rand.N(300*time.Millisecond), d.subscribe)
+				time.AfterFunc(rand.N(300*time.Millisecond), d.Subscribe)
 			} else {
 				told(i, u.Version)
 			}
@@ -144,11 +144,11 @@
 		way(d)
 		ctx, cancel := context.WithCancel(context.Background())
 		done := make(chan struct{})
-		d.subscribe()
+		d.Subscribe()
 		go func() {
 			defer close(done)
 			time.Sleep(rand.N(2 * time.Second)) // watches don't beat together
-			d.run(ctx)
+			d.Run(ctx)
 		}()
 		t.Cleanup(func() {
 			cancel()
@@ -227,10 +227,10 @@
 func TestPushedListAfterAnOutage(t *testing.T) {
 	for range 20 {
 		synctest.Test(t, func(t *testing.T) {
-			a := makeAgent(wholeList)
+			a := discoverytest.NewAgent(discoverytest.WholeList)
 			back := make(chan struct{})
-			_, heard := watchOn(t, "agent:1", "pushed", piped(t, a), func(d *discovery) {
-				way := d.client.Transport.(*http.Transport)
+			_, heard := watchOn(t, "agent:1", "pushed", piped(t, a), func(d *Source) {
+				way := d.Client.Transport.(*http.Transport)
 				dial := way.DialContext
 				way.DialContext = func(ctx context.Context, network, addr string) (net.Conn, error) {
 					select {
@@ -244,8 +244,8 @@
 			time.Sleep(12*time.Second + rand.N(time.Second))
 			begin := time.Now()
 			close(back)
-			wantCall(t, a, "watch 1")
-			a.lines <- `{"seq":43,"whole":false,"hosts":[]}`
+			a.WantCall(t, "watch 1")
+			a.Lines <- `{"seq":43,"whole":false,"hosts":[]}`
 			<-heard
 			if after := time.Since(begin); after > 200*time.Millisecond {
 				t.Errorf("told %v after the return", after)
@@ -305,7 +305,7 @@
 					if r.URL.Query().Get("watch") != "" {
 						<-r.Context().Done()
 					}
-				})), func(d *discovery) { d.seq = 50; d.subscribe() })
+				})), func(d *Source) { d.Resume(50); d.Subscribe() })
 				for u := range heard {
 					if u.Failed {
 						continue
@@ -319,56 +319,3 @@
 		})
 	}
 }
-
-// Where lists are pushed a new process does not begin on the list that it was given while its agent is slow: what the
-// agent has counts. One whose agent is away begins after a second, one whose agent never answers a little later.
-func TestNewProcessBeginsLate(t *testing.T) {
-	for name, c := range map[string]struct {
-		agent    func(w http.ResponseWriter, r *http.Request)
-		refused  bool
-		from, to time.Duration
-	}{
-		"slow": {func(w http.ResponseWriter, r *http.Request) {
-			select {
-			case <-time.After(1900 * time.Millisecond):
-			case <-r.Context().Done():
-				return
-			}
-			fmt.Fprintln(w, wholeList)
-			w.(http.Flusher).Flush()
-			<-r.Context().Done()
-		}, false, 1900 * time.Millisecond, 2 * time.Second},
-		"silent": {func(w http.ResponseWriter, r *http.Request) { <-r.Context().Done() }, false, firstMost, firstMost + 100*time.Millisecond},
-		"away":   {nil, true, firstList, firstList + 100*time.Millisecond},
-	} {
-		t.Run(name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				cfg := testConfig(t, "pushed", inService("s-1", "127.0.0.1:1"))
-				n, err := New(cfg, quiet())
-				if err != nil {
-					t.Fatal(err)
-				}
-				piped(t, http.HandlerFunc(c.agent))(n.disc)
-				if c.refused {
-					n.disc.client.Transport.(*http.Transport).DialContext = func(context.Context, string, string) (net.Conn, error) {
-						return nil, syscall.ECONNREFUSED
-					}
-				}
-				p := &pipes{make(chan net.Conn), make(chan struct{})}
-				ctx, end := context.WithCancel(t.Context())
-				done := make(chan error, 1)
-				go func() { done <- n.serve(ctx, p, nil) }()
-				begin := time.Now()
-				for !n.ready() {
-					time.Sleep(10 * time.Millisecond)
-				}
-				if at := time.Since(begin); at < c.from || at > c.to {
-					t.Errorf("ready after %v", at)
-				}
-				end()
-				close(p.done)
-				<-done
-			})
-		})
-	}
-}
--- a/internal/node/capture_test.go
+++ b/internal/node/capture_test.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"hookwalk.example/hookwalk/internal/capture"
+	"hookwalk.example/hookwalk/internal/discovery"
 	"hookwalk.example/hookwalk/internal/drills"
 	"hookwalk.example/hookwalk/internal/endpoints"
 	"hookwalk.example/hookwalk/internal/settings"
@@ -56,7 +57,7 @@
 				}
 				if caller == 0 && i%5 == 0 { // the list changes beside it
 					hosts[0].Born++
-					n.engine.Tell(t.Context(), update(endpoints.List{Hosts: hosts[:1]}))
+					n.engine.Tell(t.Context(), discovery.Update(endpoints.List{Hosts: hosts[:1]}))
 				}
 			}
 		}()
--- a/internal/node/connections_test.go
+++ b/internal/node/connections_test.go
@@ -11,10 +11,10 @@
 	"strings"
 	"testing"
 
+	"hookwalk.example/hookwalk/deckrelay"
+	"hookwalk.example/hookwalk/internal/discovery"
 	"hookwalk.example/hookwalk/internal/endpoints"
 	"time"
-
-	"hookwalk.example/hookwalk/deckrelay"
 )
 
 // quietAfter ends a node and wants every count of calls in flight to be zero then, by the module's own account.
@@ -167,7 +167,7 @@
 	moved := inService("s-0", other.addr())
 	moved.Born = 1000
 	for _, h := range []endpoints.Endpoint{{Host: "s-0", Health: "terminating"}, {Host: "s-0", Health: "terminated"}, inService("s-0", b.addr()), moved} {
-		if err := n.engine.Tell(t.Context(), update(endpoints.List{Hosts: []endpoints.Endpoint{h}})); err != nil {
+		if err := n.engine.Tell(t.Context(), discovery.Update(endpoints.List{Hosts: []endpoints.Endpoint{h}})); err != nil {
 			t.Fatal(err)
 		}
 	}
--- a/internal/node/fakes_test.go
+++ b/internal/node/fakes_test.go
@@ -9,12 +9,12 @@
 	"log/slog"
 	"net"
 	"net/http"
-	"net/http/httptest"
 	"strings"
 	"sync"
 	"testing"
 	"time"
 
+	"hookwalk.example/hookwalk/internal/discovery/discoverytest"
 	"hookwalk.example/hookwalk/internal/endpoints"
 )
 
@@ -149,15 +149,7 @@
 	})
 }
 
-func newDiscoveryServer(t *testing.T, f http.HandlerFunc) string {
-	t.Helper()
-	s := httptest.NewServer(f)
-	t.Cleanup(func() {
-		s.CloseClientConnections()
-		s.Close()
-	})
-	return s.Listener.Addr().String()
-}
+func newDiscoveryServer(t *testing.T, f http.HandlerFunc) string { return discoverytest.Serve(t, f) }
 
 // running is a node that serves on loopback.
 type running struct {
--- a/internal/node/gone_test.go
+++ b/internal/node/gone_test.go
@@ -12,6 +12,7 @@
 
 	"golang.org/x/sys/unix"
 
+	"hookwalk.example/hookwalk/internal/discovery"
 	"hookwalk.example/hookwalk/internal/endpoints"
 )
 
@@ -95,7 +96,7 @@
 // tell tells the node of a server, and returns when the engine has it.
 func (r *running) tell(t *testing.T, h endpoints.Endpoint) {
 	t.Helper()
-	if err := r.engine.Tell(t.Context(), update(endpoints.List{Hosts: []endpoints.Endpoint{h}})); err != nil {
+	if err := r.engine.Tell(t.Context(), discovery.Update(endpoints.List{Hosts: []endpoints.Endpoint{h}})); err != nil {
 		t.Fatal(err)
 	}
 	r.engine.Estate(t.Context(), func() {}) // is answered only when the update has been dealt with
--- /dev/null
+++ b/internal/node/list_test.go
@@ -0,0 +1,201 @@
+package node
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"syscall"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"hookwalk.example/hookwalk/internal/discovery/discoverytest"
+	"hookwalk.example/hookwalk/internal/engine"
+)
+
+// With an asked discovery that fails at first, the module asks again and the node gets its list.
+func TestModuleAsksAgain(t *testing.T) {
+	b := newBackend(t, ok)
+	calls := make(chan struct{}, 100)
+	addr := newDiscoveryServer(t, func(w http.ResponseWriter, r *http.Request) {
+		calls <- struct{}{}
+		if len(calls) < 3 {
+			http.Error(w, "busy", http.StatusServiceUnavailable)
+			return
+		}
+		fmt.Fprintf(w, `{"seq":2,"whole":true,"hosts":[{"host":"s-1","dial":%q,"site":"z","health":"in_service"}]}`+"\n", b.addr())
+		w.(http.Flusher).Flush()
+		<-r.Context().Done()
+	})
+	cfg := testConfig(t, "on_request")
+	cfg.Discovery = addr
+	n := start(t, cfg) // becomes ready only with the list
+	if status, _, _ := do(t, newRequest(t, n.url, "unsafe", "1", "x")); status != http.StatusOK {
+		t.Errorf("answered %d", status)
+	}
+}
+
+// A drained server gets nothing new, a moved one is found at its new address, and one that left a
+// whole list is gone.
+func TestListChangesAreKept(t *testing.T) {
+	a := discoverytest.NewAgent(discoverytest.WholeList)
+	addr := discoverytest.Serve(t, a)
+	first, second := newBackend(t, ok), newBackend(t, ok)
+	cfg := testConfig(t, "pushed", inService("s-1", first.addr()), inService("s-2", second.addr()))
+	cfg.Discovery = addr
+	heard := make(chan struct{}, 10)
+	n := start(t, cfg, func(n *Node) {
+		tell := n.disc.Tell
+		n.disc.Tell = func(ctx context.Context, w engine.Update) error {
+			err := tell(ctx, w)
+			heard <- struct{}{}
+			return err
+		}
+	})
+	id := 0
+	send := func() {
+		t.Helper()
+		for range 10 {
+			id++
+			if status, _, _ := do(t, newRequest(t, n.url, "keyed", fmt.Sprint(id), "x")); status != http.StatusOK {
+				t.Fatalf("request %d was answered %d", id, status)
+			}
+		}
+	}
+	// told writes a line and waits until the engine has taken it in.
+	told := func(line string) {
+		t.Helper()
+		a.Lines <- line
+		<-heard
+		n.engine.Tell(t.Context(), engine.Update{}) // is taken only when the one before has been dealt with
+	}
+	entry := func(host, dial, health string) string {
+		return fmt.Sprintf(`{"host":%q,"dial":%q,"site":"z","health":%q,"born_ms":0}`, host, dial, health)
+	}
+	send()
+	if first.requests() == 0 || second.requests() == 0 {
+		t.Fatalf("not both servers were used: %d and %d", first.requests(), second.requests())
+	}
+	told(`{"seq":2,"hosts":[` + entry("s-2", second.addr(), "terminating") + `]}`)
+	before := second.requests()
+	send()
+	if got := second.requests(); got != before {
+		t.Errorf("a draining server got %d new requests", got-before)
+	}
+	moved := newBackend(t, ok)
+	told(`{"seq":3,"hosts":[` + entry("s-1", moved.addr(), "in_service") + `]}`)
+	before = first.requests()
+	send()
+	if first.requests() != before || moved.requests() != 10 {
+		t.Errorf("after the move the old address got %d, the new one %d", first.requests()-before, moved.requests())
+	}
+	third := newBackend(t, ok)
+	told(`{"seq":4,"whole":true,"hosts":[` + entry("s-3", third.addr(), "in_service") + `]}`)
+	send()
+	if moved.requests() != 10 || third.requests() != 10 {
+		t.Errorf("after the whole list the absent server got %d, the listed one %d", moved.requests()-10, third.requests())
+	}
+}
+
+// Where lists are pushed, a new process is held to what its agent has from its first moment on: what comes before the
+// agent's word waits for it, and none goes to a server that the given list still has in service.
+func TestNewProcessWaitsForTheAgentsWord(t *testing.T) {
+	a := discoverytest.NewAgent(discoverytest.WholeList)
+	addr := discoverytest.Serve(t, a)
+	old, sound := newBackend(t, ok), newBackend(t, ok)
+	cfg := testConfig(t, "pushed", inService("s-1", old.addr()), inService("s-2", sound.addr()))
+	cfg.Discovery = addr
+	n, err := New(cfg, quiet())
+	if err != nil {
+		t.Fatal(err)
+	}
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, end := context.WithCancel(t.Context())
+	done := make(chan error, 1)
+	go func() { done <- n.serve(ctx, ln, nil) }()
+	a.WantCall(t, "watch 1")
+	statuses, read := make(chan int, 8), make(chan struct{}, 8)
+	for i := range cap(statuses) {
+		req := newRequest(t, "http://"+ln.Addr().String(), "unsafe", fmt.Sprint(i), "x")
+		req.Header.Set("Expect", "100-continue")
+		req = req.WithContext(httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{Got100Continue: func() { read <- struct{}{} }}))
+		go func() {
+			status, _, _ := do(t, req)
+			statuses <- status
+		}()
+	}
+	for range cap(read) { // they are at the node before the agent's word is
+		<-read
+	}
+	a.Lines <- `{"seq":2,"hosts":[{"host":"s-1","dial":"` + old.addr() + `","site":"z","health":"terminating"}]}`
+	for range cap(statuses) {
+		if status := <-statuses; status != http.StatusOK {
+			t.Errorf("answered %d", status)
+		}
+	}
+	if old.requests() != 0 || sound.requests() != cap(statuses) {
+		t.Errorf("the drained server got %d, the other one %d", old.requests(), sound.requests())
+	}
+	end()
+	if err := <-done; err != nil {
+		t.Error(err)
+	}
+}
+
+// Where lists are pushed a new process does not begin on the list that it was given while its agent is slow: what the
+// agent has counts. One whose agent is away begins after a second, one whose agent never answers a little later.
+func TestNewProcessBeginsLate(t *testing.T) {
+	for name, c := range map[string]struct {
+		agent    func(w http.ResponseWriter, r *http.Request)
+		refused  bool
+		from, to time.Duration
+	}{
+		"slow": {func(w http.ResponseWriter, r *http.Request) {
+			select {
+			case <-time.After(1900 * time.Millisecond):
+			case <-r.Context().Done():
+				return
+			}
+			fmt.Fprintln(w, discoverytest.WholeList)
+			w.(http.Flusher).Flush()
+			<-r.Context().Done()
+		}, false, 1900 * time.Millisecond, 2 * time.Second},
+		"silent": {func(w http.ResponseWriter, r *http.Request) { <-r.Context().Done() }, false, firstMost, firstMost + 100*time.Millisecond},
+		"away":   {nil, true, firstList, firstList + 100*time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				cfg := testConfig(t, "pushed", inService("s-1", "127.0.0.1:1"))
+				n, err := New(cfg, quiet())
+				if err != nil {
+					t.Fatal(err)
+				}
+				n.disc.Client.Transport.(*http.Transport).DialContext = discoverytest.Pipe(t, http.HandlerFunc(c.agent))
+				if c.refused {
+					n.disc.Client.Transport.(*http.Transport).DialContext = func(context.Context, string, string) (net.Conn, error) {
+						return nil, syscall.ECONNREFUSED
+					}
+				}
+				p := discoverytest.NewPipes()
+				ctx, end := context.WithCancel(t.Context())
+				done := make(chan error, 1)
+				go func() { done <- n.serve(ctx, p, nil) }()
+				begin := time.Now()
+				for !n.ready() {
+					time.Sleep(10 * time.Millisecond)
+				}
+				if at := time.Since(begin); at < c.from || at > c.to {
+					t.Errorf("ready after %v", at)
+				}
+				end()
+				p.End()
+				<-done
+			})
+		})
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -1,7 +1,7 @@
 // Package node is the real node round the decision module: it takes callers' requests over HTTP, hands them to the
 // engine, carries attempts on sockets and watches discovery.
 //
-// callers.go is the HTTP front, servers.go the sender with its connections, discovery.go the source of the list.
+// callers.go is the HTTP front, servers.go the sender with its connections; the list comes from internal/discovery.
 package node
 
 import (
@@ -20,6 +20,7 @@
 	"hookwalk.example/hookwalk/deckrelay"
 	"hookwalk.example/hookwalk/internal/capture"
 	"hookwalk.example/hookwalk/internal/control"
+	"hookwalk.example/hookwalk/internal/discovery"
 	"hookwalk.example/hookwalk/internal/drills"
 	"hookwalk.example/hookwalk/internal/endpoints"
 	"hookwalk.example/hookwalk/internal/engine"
@@ -45,7 +46,7 @@
 	clock   engine.Clock
 	engine  *engine.Engine
 	pool    *pool
-	disc    *discovery
+	disc    *discovery.Source
 	lists   *deckrelay.Addresses // nil: everybody is let in
 	stderr  io.Writer            // of figures and capture
 	inbound int                  // connections from callers at once
@@ -95,8 +96,9 @@
 	n.engine = engine.New(engine.Options{Clock: n.clock, Log: logger, Balancer: bal})
 	n.inbound = (cfg.Sockets - spare) * 5 / 8
 	n.pool = newPool(n.clock, cfg, cfg.Sockets-spare-n.inbound, n.engine.Ended, n.engine.Answers)
-	n.disc = newDiscovery(cfg, logger, n.hear)
-	n.engine.Sender, n.engine.Subscribe = n.pool, n.disc.subscribe
+	n.disc = discovery.New(discovery.Config{Addr: cfg.Discovery, Asked: cfg.Settings.AskDiscovery, AskWithin: cfg.Settings.AskWithin,
+		Version: cfg.Known.Seq}, logger, n.hear)
+	n.engine.Sender, n.engine.Subscribe = n.pool, n.disc.Subscribe
 	return n, nil
 }
 
@@ -133,13 +135,13 @@
 	if n.cfg.Settings.AskDiscovery || n.inherited != nil {
 		n.first.tell(watching, n, nil) // neither has ended
 	}
-	own(func() { n.disc.run(watching) })
+	own(func() { n.disc.Run(watching) })
 	begin := func() {
 		n.first.tell(watching, n, nil)
 		n.heard.Store(true)
 	}
 	defer time.AfterFunc(firstList, func() {
-		if n.cfg.Settings.AskDiscovery || n.disc.away() {
+		if n.cfg.Settings.AskDiscovery || n.disc.Away() {
 			begin()
 		}
 	}).Stop()
--- a/internal/node/operated_test.go
+++ b/internal/node/operated_test.go
@@ -209,7 +209,7 @@
 		if err == nil || strings.Contains(err.Error(), "\n") {
 			t.Errorf("%s: said %v", name, err)
 		}
-		if n.disc.addr != cfg.Discovery || n.rules.Load().generation != 0 {
+		if n.disc.Addr() != cfg.Discovery || n.rules.Load().generation != 0 {
 			t.Fatalf("%s: something of it was taken over", name)
 		}
 	}
@@ -220,7 +220,7 @@
 	if err := n.Reload(fileOf(t, cfg, `"name":"unsafe"`, `"name":"fresh"`, "127.0.0.1:1\"", moved+`"`)); err != nil {
 		t.Fatal(err)
 	}
-	if n.disc.addr != moved {
+	if n.disc.Addr() != moved {
 		t.Error("discovery's address was not taken over")
 	}
 	if a, b := ask("fresh", "1"), ask("unsafe", "2"); a != http.StatusOK || b != http.StatusOK {
--- a/internal/node/rules.go
+++ b/internal/node/rules.go
@@ -71,7 +71,7 @@
 		n.set = set
 	}
 	n.pool.retune(cfg)
-	n.disc.move(cfg.Discovery)
+	n.disc.Move(cfg.Discovery)
 	n.now = cfg
 	n.log.Info("configuration read again", "discovery", cfg.Discovery, "classes", cfg.classNames())
 	return nil
--- a/internal/node/rules_test.go
+++ b/internal/node/rules_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"hookwalk.example/hookwalk/deckrelay"
+	"hookwalk.example/hookwalk/internal/discovery"
 	"hookwalk.example/hookwalk/internal/endpoints"
 	"hookwalk.example/hookwalk/internal/engine"
 )
@@ -122,11 +123,11 @@
 func TestBootIsClockTime(t *testing.T) {
 	ck := engine.NewClock()
 	born := time.Now().Add(-5 * time.Second)
-	s := server(endpoints.Endpoint{Host: "s", Health: "in_service", Born: float64(born.UnixMicro()) / 1000})
+	s := discovery.Server(endpoints.Endpoint{Host: "s", Health: "in_service", Born: float64(born.UnixMicro()) / 1000})
 	if age := ck.Now() - s.Boot; age < 4999*time.Millisecond || age > time.Minute {
 		t.Errorf("a server born 5 s ago is %v old", age)
 	}
-	if s := server(endpoints.Endpoint{Health: "terminating"}); s.Boot != 0 || s.State != deckrelay.Draining {
+	if s := discovery.Server(endpoints.Endpoint{Health: "terminating"}); s.Boot != 0 || s.State != deckrelay.Draining {
 		t.Errorf("got %+v", s)
 	}
 }
--- a/internal/node/takeover.go
+++ b/internal/node/takeover.go
@@ -16,6 +16,7 @@
 	"golang.org/x/sys/unix"
 
 	"hookwalk.example/hookwalk/deckrelay"
+	"hookwalk.example/hookwalk/internal/discovery"
 	"hookwalk.example/hookwalk/internal/engine"
 	"hookwalk.example/hookwalk/internal/handover"
 	"hookwalk.example/hookwalk/internal/lifecycle"
@@ -121,7 +122,7 @@
 	}
 	n.engine.Balancer.Remember(e.Out)
 	n.inherited = e.Boxes
-	n.disc.seq = e.Seq
+	n.disc.Resume(e.Seq)
 	n.heard.Store(true)
 	if e.Drained {
 		n.step(lifecycle.OutOfService)
@@ -195,7 +196,7 @@
 	if n.kin.over {
 		return handover.ErrOver
 	}
-	e := handover.Estate{Node: n.cfg.Name, Listen: n.cfg.Listen, Settings: set, Seq: n.disc.version.Load()}
+	e := handover.Estate{Node: n.cfg.Name, Listen: n.cfg.Listen, Settings: set, Seq: n.disc.Version()}
 	e.Module, e.Boxes, e.Out, err = n.engine.Estate(context.Background(), func() {
 		e.Drained = n.life.Load().Drained()
 	})
@@ -277,9 +278,9 @@
 
 // known is the list that a node starts with.
 func (n *Node) known() engine.Update {
-	known := update(whole(n.cfg.Known))
+	known := discovery.Update(whole(n.cfg.Known))
 	if n.inherited != nil {
-		known = engine.Update{Boxes: n.inherited, Whole: true, Version: n.disc.seq}
+		known = engine.Update{Boxes: n.inherited, Whole: true, Version: n.disc.Version()}
 	}
 	known.Cached = true
 	return known
