discoverytest: closing the network of pipes ends Accept, as a listener's Close does

Cause: its Close did nothing and a second method ended Accept, so an http.Server on it never ended. go test -race -count=5 -run TestNewProcess ./internal/node: ok.

--- a/internal/discovery/discoverytest/discoverytest.go
+++ b/internal/discovery/discoverytest/discoverytest.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"sync"
 	"testing"
 )
 
@@ -75,12 +76,17 @@
 type Pipes struct {
 	conns chan net.Conn
 	done  chan struct{}
+	close func()
 }
 
 // NewPipes makes a network on which nobody calls yet.
-func NewPipes() *Pipes { return &Pipes{make(chan net.Conn), make(chan struct{})} }
+func NewPipes() *Pipes {
+	p := &Pipes{conns: make(chan net.Conn), done: make(chan struct{})}
+	p.close = sync.OnceFunc(func() { close(p.done) })
+	return p
+}
 
-// Accept waits for a call, until End.
+// Accept waits for a call, until Close.
 func (p *Pipes) Accept() (net.Conn, error) {
 	select {
 	case c := <-p.conns:
@@ -90,11 +96,11 @@
 	}
 }
 
-// Close does nothing: End ends Accept.
-func (p *Pipes) Close() error { return nil }
-
-// End ends Accept.
-func (p *Pipes) End() { close(p.done) }
+// Close ends Accept. Connections that are open stay so.
+func (p *Pipes) Close() error {
+	p.close()
+	return nil
+}
 
 // Addr is nobody's address.
 func (p *Pipes) Addr() net.Addr { return &net.TCPAddr{} }
@@ -123,7 +129,7 @@
 		server.Serve(p)
 	}()
 	t.Cleanup(func() {
-		p.End()
+		p.Close()
 		server.Close()
 		<-done
 	})
--- a/internal/node/list_test.go
+++ b/internal/node/list_test.go
@@ -193,7 +193,7 @@
 					t.Errorf("ready after %v", at)
 				}
 				end()
-				p.End()
+				p.Close()
 				<-done
 			})
 		})
