Control service: tests of the state, placement, rollout and clusters; old copies of a disk are replaced

Placement hands on sessions so that givers divide the room of those below the share; a property test found controllers far below the share that nobody filled, and an overshoot by one session a giver. A test found that an old copy of a disk was judged by answers that did not concern its server.

--- a/configversion/placement.go
+++ b/configversion/placement.go
@@ -144,48 +144,86 @@
 // It begins when the controller is over the even share by more than the tolerance, or another is under it by more; it
 // goes on until the controller is at its share.
 func (p *Placement) Moves(sessions []PlacedSession) []SessionMove {
-	share := p.share(0)
+	share := p.movingGoal()
 	excess := p.sessions - share
 	if !p.shedding {
-		p.shedding = excess > 0 && p.unbalanced(share)
+		p.shedding = excess > 0 && p.unbalanced()
 	}
-	targets, givers := p.receivers(share)
-	if excess <= 0 || len(targets) == 0 {
+	room := p.roomElsewhere(share)
+	if excess <= 0 || len(room) == 0 {
 		p.shedding = false
 	}
 	if !p.shedding {
 		return nil
 	}
-	budget := min(excess, p.MovesPerTick)
 	slices.SortStableFunc(sessions, func(x, y PlacedSession) int { return cmp.Compare(p.distance(y), p.distance(x)) })
-	room := map[string]int{}
-	for _, target := range targets { // the room is divided between all controllers that are over the share
-		room[target.Endpoint.Address] = (share - target.estimate() + givers - 1) / givers
-	}
 	var moves []SessionMove
-	for _, session := range sessions {
-		if len(moves) == budget {
-			break
-		}
-		to, ok := p.roomFor(session, targets, room)
+	for _, session := range sessions[:min(len(sessions), excess, p.MovesPerTick)] {
+		to, ok := p.roomFor(session, room)
 		if !ok {
 			break
 		}
 		room[to.Address]--
-		p.count(to.Address)
+		p.countSent(to.Address)
 		moves = append(moves, SessionMove{session.ID, to})
 	}
 	return moves
 }
 
+// movingGoal is the share down to which sessions are handed on. Where the sessions can't be divided evenly, it is the
+// lower share, so that a controller far below finds some above it; the upper one if this controller is far above.
+func (p *Placement) movingGoal() int {
+	upper := p.share(0)
+	if p.sessions > upper+shareSlack(upper) {
+		return upper
+	}
+	return p.total() / p.count()
+}
+
+// roomElsewhere is how many sessions this controller may hand on to each of those below the share. All controllers above
+// the share divide the room of each target; what is left over goes to the first of them.
+func (p *Placement) roomElsewhere(share int) map[string]int {
+	rank, givers := p.rankAbove(share)
+	rooms := map[string]int{}
+	for _, peer := range p.available() {
+		free := share - peer.estimate()
+		if free <= 0 {
+			continue
+		}
+		part := free / givers
+		if rank < free%givers {
+			part++
+		}
+		if part > 0 {
+			rooms[peer.Endpoint.Address] = part
+		}
+	}
+	return rooms
+}
+
+// rankAbove is this controller's place among those above the share, from 0, and the number of them.
+func (p *Placement) rankAbove(share int) (rank, givers int) {
+	givers = 1
+	for _, peer := range p.available() {
+		if peer.Sessions <= share {
+			continue
+		}
+		givers++
+		if cmp.Or(cmp.Compare(peer.Sessions, p.sessions), cmp.Compare(p.self.Address, peer.Endpoint.Address)) > 0 {
+			rank++
+		}
+	}
+	return rank, givers
+}
+
 // roomFor finds a controller with room for a session, in its own zone or region if it can.
-func (p *Placement) roomFor(s PlacedSession, targets []peerLoad, room map[string]int) (configapi.Endpoint, bool) {
+func (p *Placement) roomFor(s PlacedSession, rooms map[string]int) (configapi.Endpoint, bool) {
 	best, found := peerLoad{}, false
 	class := func(peer peerLoad) int {
 		return placementClass(peer, Arrival{Region: s.Region, Zone: s.Zone}, peer.estimate()+1)
 	}
-	for _, peer := range targets {
-		if room[peer.Endpoint.Address] <= 0 {
+	for _, peer := range p.available() {
+		if rooms[peer.Endpoint.Address] <= 0 {
 			continue
 		}
 		if !found || cmp.Or(cmp.Compare(class(peer), class(best)), cmp.Compare(peer.estimate(), best.estimate())) < 0 {
@@ -206,22 +244,9 @@
 	return 0
 }
 
-// receivers lists the controllers below the share, and counts those above it, this one included.
-func (p *Placement) receivers(share int) (targets []peerLoad, givers int) {
-	givers = 1
-	for _, peer := range p.available() {
-		switch {
-		case peer.estimate() < share:
-			targets = append(targets, peer)
-		case peer.Sessions > share:
-			givers++
-		}
-	}
-	return targets, givers
-}
-
 // unbalanced says whether a controller is outside of the tolerance.
-func (p *Placement) unbalanced(share int) bool {
+func (p *Placement) unbalanced() bool {
+	share := p.share(0)
 	if p.sessions > share+shareSlack(share) {
 		return true
 	}
@@ -235,14 +260,22 @@
 
 // share is the even share, rounded up, of all known sessions and some more.
 func (p *Placement) share(more int) int {
-	total, count := p.sessions+more, 1
+	count := p.count()
+	return (p.total() + more + count - 1) / count
+}
+
+// total is the number of all known sessions.
+func (p *Placement) total() int {
+	total := p.sessions
 	for _, peer := range p.available() {
 		total += peer.estimate()
-		count++
 	}
-	return (total + count - 1) / count
+	return total
 }
 
+// count is the number of controllers that can be used, this one included.
+func (p *Placement) count() int { return 1 + len(p.available()) }
+
 // shareSlack is the tolerance of a share.
 func shareSlack(share int) int { return max(share/shareTolerance, minTolerance) }
 
@@ -254,8 +287,8 @@
 	return slices.IndexFunc(p.others, func(peer peerLoad) bool { return peer.Endpoint.Address == address })
 }
 
-// count notes that a node was sent to a controller.
-func (p *Placement) count(address string) {
+// countSent notes that a node was sent to a controller.
+func (p *Placement) countSent(address string) {
 	if at := p.find(address); at >= 0 {
 		p.others[at].sentNow++
 	}
@@ -265,7 +298,7 @@
 func (p *Placement) Refuse(a Arrival) (elsewhere []configapi.Endpoint) {
 	elsewhere = p.Elsewhere(a)
 	if len(elsewhere) > 0 {
-		p.count(elsewhere[0].Address)
+		p.countSent(elsewhere[0].Address)
 	}
 	return elsewhere
 }
--- /dev/null
+++ b/configversion/rollout_test.go
@@ -0,0 +1,112 @@
+package configversion
+
+import (
+	"reflect"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"hookwalk.example/hookwalk/internal/configapi"
+)
+
+func appliedNode(name string, session uint64, held configapi.Version) configapi.NodeStatus {
+	return configapi.NodeStatus{Node: name, Started: 1, Session: session, Connected: true, Cluster: "c", Held: held, Applied: held, Outcome: configapi.Applied}
+}
+
+func TestRolloutStates(t *testing.T) {
+	rejected := appliedNode("n", 1, 7)
+	rejected.Outcome, rejected.Applied = configapi.Rejected, 6
+	rejectedBefore := rejected
+	rejectedBefore.Held = 6
+	foreign := appliedNode("n", 1, 9)
+	foreign.Cluster, foreign.Outcome = "other", configapi.Rejected
+	otherCluster := appliedNode("n", 1, 9)
+	otherCluster.Cluster = "other"
+	away := appliedNode("n", 1, 7)
+	away.Connected = false
+	for name, c := range map[string]struct {
+		node configapi.NodeStatus
+		want RolloutState
+	}{
+		"the newest version in force":         {appliedNode("n", 1, 7), RolloutCurrent},
+		"one version behind":                  {appliedNode("n", 1, 6), RolloutLagging},
+		"nothing said yet":                    {configapi.NodeStatus{Node: "n", Connected: true}, RolloutLagging},
+		"rejected the newest":                 {rejected, RolloutRejected},
+		"rejected an older one, lags now":     {rejectedBefore, RolloutLagging},
+		"rejects another cluster":             {foreign, RolloutRejected},
+		"has another cluster, says nothing":   {otherCluster, RolloutLagging},
+		"without a session, whatever it held": {away, RolloutAway},
+	} {
+		r := MergeStatuses([]configapi.ControllerStatus{{Name: "c1", Cluster: "c", Version: 7, Current: true, Nodes: []configapi.NodeStatus{c.node}}})
+		if got := r.Nodes[0].State; got != c.want {
+			t.Errorf("%s: %s, want %s", name, got, c.want)
+		}
+		if want := c.want == RolloutCurrent || c.want == RolloutAway; r.Complete() != want {
+			t.Errorf("%s: complete %v, want %v", name, r.Complete(), want)
+		}
+	}
+}
+
+func TestRolloutTakesTheNewestSession(t *testing.T) {
+	atFirst, atSecond := appliedNode("n", 3, 5), appliedNode("n", 4, 7)
+	atFirst.SeenMS, atFirst.Connected = 9000, false // the older session's end was seen later
+	atSecond.SeenMS = 8000
+	r := MergeStatuses([]configapi.ControllerStatus{
+		{Name: "c1", Cluster: "c", Version: 7, Current: true, Nodes: []configapi.NodeStatus{atFirst}},
+		{Name: "c2", Cluster: "c", Version: 7, Current: true, Nodes: []configapi.NodeStatus{atSecond}}})
+	if len(r.Nodes) != 1 || r.Nodes[0].Controller != "c2" || r.Nodes[0].State != RolloutCurrent {
+		t.Errorf("merged into %+v", r.Nodes)
+	}
+}
+
+func TestRolloutNamesControllersThatAreBehindOrForeign(t *testing.T) {
+	r := MergeStatuses([]configapi.ControllerStatus{
+		{Name: "c1", Cluster: "c", Version: 7, Current: true},
+		{Name: "c2", Cluster: "c", Version: 6, Current: true},
+		{Name: "c3", Cluster: "c", Version: 7, Current: false},
+		{Name: "c4", Cluster: "d", Version: 9, Current: true},
+		{Name: "c5"}})
+	if r.Cluster != "c" || r.Version != 7 {
+		t.Errorf("cluster %s, version %d", r.Cluster, r.Version)
+	}
+	if want := []string{"c2", "c3"}; !reflect.DeepEqual(r.Behind, want) {
+		t.Errorf("behind: %v, want %v", r.Behind, want)
+	}
+	if want := []string{"c4", "c5"}; !reflect.DeepEqual(r.Foreign, want) {
+		t.Errorf("foreign: %v, want %v", r.Foreign, want)
+	}
+	if r.Complete() {
+		t.Error("complete though controllers are behind")
+	}
+}
+
+// The order in which controllers answer changes nothing, and each node is counted once.
+func TestRolloutDoesNotDependOnTheOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var statuses []configapi.ControllerStatus
+		names := map[string]bool{}
+		for _, controller := range []string{"c1", "c2", "c3"} {
+			status := configapi.ControllerStatus{Name: controller, Cluster: "c", Version: configapi.Version(rapid.IntRange(0, 3).Draw(t, "version")), Current: true}
+			for _, name := range []string{"n1", "n2", "n3"} {
+				if !rapid.Bool().Draw(t, "known") {
+					continue
+				}
+				names[name] = true
+				node := appliedNode(name, uint64(rapid.IntRange(1, 4).Draw(t, "session")), configapi.Version(rapid.IntRange(0, 3).Draw(t, "held")))
+				node.Started = int64(rapid.IntRange(1, 2).Draw(t, "started"))
+				node.SeenMS = int64(len(statuses)*10 + len(status.Nodes)) // no two the same
+				node.Connected = rapid.Bool().Draw(t, "connected")
+				status.Nodes = append(status.Nodes, node)
+			}
+			statuses = append(statuses, status)
+		}
+		r := MergeStatuses(statuses)
+		if got := r.Current + r.Lagging + r.Rejected + r.Away; got != len(names) || len(r.Nodes) != len(names) {
+			t.Fatalf("%d nodes counted, %d listed, %d known", got, len(r.Nodes), len(names))
+		}
+		reordered := MergeStatuses([]configapi.ControllerStatus{statuses[2], statuses[0], statuses[1]})
+		if !reflect.DeepEqual(r.Nodes, reordered.Nodes) {
+			t.Fatalf("the order matters: %+v and %+v", r.Nodes, reordered.Nodes)
+		}
+	})
+}
--- /dev/null
+++ b/internal/controller/document_test.go
@@ -0,0 +1,54 @@
+package controller
+
+import (
+	"strings"
+	"testing"
+
+	"hookwalk.example/hookwalk/internal/configapi"
+)
+
+func TestReadDocument(t *testing.T) {
+	for name, c := range map[string]struct {
+		text string
+		kind configapi.ErrorKind // "": taken
+		says string
+	}{
+		"two services":                {`{"services":{"dry":{"settings":{"a":1}},"press":{"settings":{},"discovery":"10.0.0.1:80"}}}`, "", ""},
+		"settings for nodes to judge": {`{"services":{"dry":{"settings":5}}}`, "", ""},
+		"not JSON":                    {`{"services":`, configapi.ErrorInvalid, "can't be read"},
+		"an unknown key":              {`{"services":{},"sevices":{}}`, configapi.ErrorInvalid, "sevices"},
+		"an unknown inner key":        {`{"services":{"dry":{"settings":{},"disco":""}}}`, configapi.ErrorInvalid, "disco"},
+		"two documents":               {`{"services":{}} {}`, configapi.ErrorInvalid, "behind"},
+		"no settings":                 {`{"services":{"dry":{}}}`, configapi.ErrorInvalid, "dry has no settings"},
+		"a name with a space":         {`{"services":{"dry bay":{"settings":{}}}}`, configapi.ErrorInvalid, "dry bay"},
+		"an empty name":               {`{"services":{"":{"settings":{}}}}`, configapi.ErrorInvalid, "name"},
+		"a bad discovery":             {`{"services":{"dry":{"settings":{},"discovery":"there"}}}`, configapi.ErrorInvalid, "HOST:PORT"},
+		"too large":                   {`{"services":{"dry":{"settings":"` + strings.Repeat("x", configapi.MaxDocument) + `"}}}`, configapi.ErrorTooLarge, "several documents"},
+	} {
+		_, err := readDocument([]byte(c.text))
+		switch {
+		case err == nil && c.kind != "":
+			t.Errorf("%s: taken", name)
+		case err != nil && (err.Kind != c.kind || !strings.Contains(err.Message, c.says)):
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+}
+
+func TestCheckPublish(t *testing.T) {
+	for name, c := range map[string]struct {
+		request configapi.PublishRequest
+		refused bool
+	}{
+		"an ID":                   {configapi.PublishRequest{ID: "ABC"}, false},
+		"no ID":                   {configapi.PublishRequest{}, true},
+		"a long ID":               {configapi.PublishRequest{ID: strings.Repeat("x", maxID+1)}, true},
+		"an ID with a line break": {configapi.PublishRequest{ID: "a\nb"}, true},
+		"replaces a cluster":      {configapi.PublishRequest{ID: "ABC", Replaces: []configapi.Cluster{"XYZ"}}, false},
+		"replaces nothing":        {configapi.PublishRequest{ID: "ABC", Replaces: []configapi.Cluster{""}}, true},
+	} {
+		if err := checkPublish(c.request); (err != nil) != c.refused {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+}
--- /dev/null
+++ b/internal/controller/membership_test.go
@@ -0,0 +1,76 @@
+package controller
+
+import (
+	"testing"
+
+	"hookwalk.example/hookwalk/internal/configapi"
+)
+
+func configOf(names ...string) Config {
+	var config Config
+	for _, name := range names {
+		config.Members = append(config.Members, Member{Name: name})
+	}
+	config.Self = config.Members[0]
+	return config
+}
+
+func TestDecideStart(t *testing.T) {
+	empty, member, joining := memberReport{Phase: phaseEmpty}, memberReport{Phase: phaseMember}, memberReport{Phase: phaseJoining}
+	founder := memberReport{Phase: phaseMember, Founders: map[string]string{"c1": "me"}}
+	founderOfEarlier := memberReport{Phase: phaseMember, Founders: map[string]string{"c1": "an earlier process"}}
+	for name, c := range map[string]struct {
+		reports map[string]memberReport
+		patient bool
+		want    startDecision
+	}{
+		"nobody answers": {nil, false, decideWait},
+		"all are empty":  {map[string]memberReport{"c2": empty, "c3": empty}, true, decideBootstrap},
+		"a majority is empty, one may still come": {map[string]memberReport{"c2": empty}, true, decideWait},
+		"a majority is empty for long":            {map[string]memberReport{"c2": empty}, false, decideBootstrap},
+		"one has a log":                           {map[string]memberReport{"c2": empty, "c3": member}, false, decideJoin},
+		"all others have a log":                   {map[string]memberReport{"c2": member, "c3": member}, true, decideJoin},
+		"one has a log and saw this one empty":    {map[string]memberReport{"c2": empty, "c3": founder}, false, decideBootstrap},
+		"one saw an earlier process empty":        {map[string]memberReport{"c2": empty, "c3": founderOfEarlier}, false, decideJoin},
+		"another one waits to be added":           {map[string]memberReport{"c2": joining}, false, decideWait},
+	} {
+		if got := decideStart(configOf("c1", "c2", "c3"), "me", c.reports, c.patient); got != c.want {
+			t.Errorf("%s: %d, want %d", name, got, c.want)
+		}
+	}
+	if got := decideStart(configOf("c1"), "me", nil, true); got != decideBootstrap {
+		t.Errorf("a single controller: %d", got)
+	}
+}
+
+func TestJudgeDisk(t *testing.T) {
+	self := identity{Name: "c1", Server: "c1", Start: 5}
+	known := func(start uint64, process string) memberReport {
+		return memberReport{Phase: phaseMember, Known: &memberStart{start, process}}
+	}
+	unknown := memberReport{Phase: phaseMember}
+	for name, c := range map[string]struct {
+		reports map[string]memberReport
+		want    diskJudgement
+	}{
+		"nobody answers":                    {nil, judgeWait},
+		"the start before is known":         {map[string]memberReport{"c2": known(4, "before")}, judgeGood},
+		"a later start is known":            {map[string]memberReport{"c2": known(6, "other")}, judgeOld},
+		"the same start of another process": {map[string]memberReport{"c2": known(5, "other")}, judgeOld},
+		"the same start of this process":    {map[string]memberReport{"c2": known(5, "me")}, judgeGood},
+		"nothing is known":                  {map[string]memberReport{"c2": unknown}, judgeGood},
+		"one of two knows of a later start": {map[string]memberReport{"c2": unknown, "c3": known(6, "other")}, judgeOld},
+	} {
+		if got := judgeDisk(configOf("c1", "c2", "c3"), self, "me", c.reports); got != c.want {
+			t.Errorf("%s: %d, want %d", name, got, c.want)
+		}
+	}
+}
+
+func TestFounders(t *testing.T) {
+	got := founders(configOf("c1", "c2", "c3"), "me", map[string]memberReport{
+		"c2": {Phase: phaseEmpty, Process: "p2"}, "c3": {Phase: phaseJoining, Process: "p3", Load: configapi.Load{}}})
+	if len(got) != 2 || got["c1"] != "me" || got["c2"] != "p2" {
+		t.Errorf("founders %v", got)
+	}
+}
--- a/internal/controller/server.go
+++ b/internal/controller/server.go
@@ -81,7 +81,10 @@
 		_ = d.close()
 		return nil, err
 	}
-	c.joined.Store(&membership{phase: phaseEmpty, start: d.identity.Start})
+	if err := c.setFirstPhase(); err != nil {
+		c.closeAll()
+		return nil, err
+	}
 	c.server = &http.Server{Handler: c.routes(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader,
 		ErrorLog: slog.NewLogLogger(c.log.Handler(), slog.LevelDebug)}
 	return c, nil
@@ -103,6 +106,30 @@
 	return nil
 }
 
+// setFirstPhase says how the disk takes part, as far as the disk can tell.
+func (c *Controller) setFirstPhase() error {
+	used, err := c.disk.hasState()
+	if err != nil {
+		return &FolderError{c.config.Folder, "empty the folder, and the controller copies the state from the others", err}
+	}
+	switch server := c.disk.identity.Server; {
+	case used:
+		c.join(phaseMember, nil)
+	case server != "" && server != c.config.Self.Name:
+		c.join(phaseJoining, nil)
+	default:
+		c.join(phaseEmpty, nil)
+	}
+	return nil
+}
+
+// closeAll gives back what New has opened.
+func (c *Controller) closeAll() {
+	_ = c.listener.Close()
+	_ = c.raftPort.Close()
+	_ = c.disk.close()
+}
+
 // Run serves until ctx ends, and then ends in stages: the leadership goes to another controller, the nodes move, the log
 // is closed.
 func (c *Controller) Run(ctx context.Context) error {
@@ -199,14 +226,10 @@
 
 // startRaft starts raft in the way that the disk allows. It returns nil when the controller ends before.
 func (c *Controller) startRaft(ctx context.Context) (*consensus, error) {
-	used, err := c.disk.hasState()
-	if err != nil {
-		return nil, &FolderError{c.config.Folder, "empty the folder, and the controller copies the state from the others", err}
-	}
-	switch server := c.disk.identity.Server; {
-	case used:
+	switch c.joined.Load().phase {
+	case phaseMember:
 		return c.resume(ctx)
-	case server != "" && server != c.config.Self.Name:
+	case phaseJoining:
 		return c.begin(phaseJoining, false, nil)
 	}
 	return c.startEmpty(ctx)
@@ -263,7 +286,6 @@
 		return nil, err
 	}
 	c.consensus.Store(running)
-	c.join(phaseMember, nil)
 	judgement := judgeWait
 	err = c.await(ctx, "a majority of the controllers must answer before this one takes part; it serves what it has", func() bool {
 		judgement = judgeDisk(c.config, c.disk.identity, c.process, c.peers.fresh(time.Now()))
--- /dev/null
+++ b/internal/controller/settings_test.go
@@ -0,0 +1,75 @@
+package controller
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+)
+
+const threeControllers = `controller "c1" { listen = "127.0.0.1:1" raft = "127.0.0.1:2" region = "west" zone = "w1" }
+controller "c2" { listen = "127.0.0.1:3" raft = "127.0.0.1:4" }
+controller "c3" { listen = "127.0.0.1:5" raft = "127.0.0.1:6" }
+`
+
+func TestParseConfig(t *testing.T) {
+	config, err := ParseConfig("x.hcl", []byte(threeControllers+`controllers { folder = "/var/lib/hw" max_sessions = 7 heartbeat_ms = 200 election_ms = 900 }`), "c2")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if config.Self.Name != "c2" || len(config.Members) != 3 || config.Folder != filepath.Join("/var/lib/hw", "c2") {
+		t.Errorf("%+v", config)
+	}
+	if config.MaxSessions != 7 || config.Heartbeat != 200*time.Millisecond || config.Election != 900*time.Millisecond || config.Lease != defaultLease {
+		t.Errorf("%+v", config)
+	}
+	if config.Members[0].Region != "west" || config.Members[0].Zone != "w1" {
+		t.Errorf("%+v", config.Members[0])
+	}
+}
+
+func TestParseConfigNeedsNoNameForOneController(t *testing.T) {
+	config, err := ParseConfig("x.hcl", []byte(`controller "only" { listen = "127.0.0.1:1" raft = "127.0.0.1:2" }`), "")
+	if err != nil || config.Self.Name != "only" {
+		t.Errorf("%+v, %v", config.Self, err)
+	}
+}
+
+func TestParseConfigFaults(t *testing.T) {
+	for name, c := range map[string]struct{ text, name, says string }{
+		"no controller":     {``, "", "x.hcl: no block controller"},
+		"no name":           {threeControllers, "", "say with --name which one this is (c1, c2, c3)"},
+		"an unknown name":   {threeControllers, "c9", `no controller "c9": there are c1, c2, c3`},
+		"an unknown block":  {`controler "c1" {}`, "", "x.hcl:1: unknown block controler"},
+		"an unknown key":    {"controller \"c1\" { listen = \"a:1\" raft = \"a:2\"\n sone = \"\" }", "", "x.hcl:2: unknown setting sone"},
+		"no listen":         {`controller "c1" { raft = "a:2" }`, "", "x.hcl:1: controller c1 needs listen"},
+		"no raft":           {`controller "c1" { listen = "a:2" }`, "", "x.hcl:1: controller c1 needs raft"},
+		"not an address":    {"controller \"c1\" {\n listen = \"a\" raft = \"a:2\" }", "", "x.hcl:2: listen must be HOST:PORT"},
+		"one address twice": {`controller "c1" { listen = "a:1" raft = "a:1" }`, "", "x.hcl:1: listen and raft of controller c1 must differ"},
+		"a shared address":  {"controller \"c1\" { listen = \"a:1\" raft = \"a:2\" }\ncontroller \"c2\" { listen = \"a:3\" raft = \"a:1\" }", "c1", "x.hcl:2: controller c2 has the address a:1 of controller c1"},
+		"a name twice":      {"controller \"c1\" { listen = \"a:1\" raft = \"a:2\" }\ncontroller \"c1\" { listen = \"a:3\" raft = \"a:4\" }", "c1", "x.hcl:2: controller c1 is there already"},
+		"a name with /":     {`controller "a/b" { listen = "a:1" raft = "a:2" }`, "", "label is its name"},
+		"no label":          {`controller { listen = "a:1" raft = "a:2" }`, "", "x.hcl:1: block controller needs a label"},
+		"a slow lease":      {threeControllers + `controllers { election_ms = 200 lease_ms = 300 }`, "c1", "x.hcl:4: lease_ms must not be above election_ms"},
+		"two common blocks": {threeControllers + "controllers {}\ncontrollers {}", "c1", "x.hcl:5: block controllers is there already"},
+		"no sessions":       {threeControllers + `controllers { max_sessions = 0 }`, "c1", "x.hcl:4: max_sessions must be from 1"},
+	} {
+		_, err := ParseConfig("x.hcl", []byte(c.text), c.name)
+		if err == nil || !strings.Contains(err.Error(), c.says) || strings.Contains(err.Error(), "\n") {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+}
+
+func TestExampleFile(t *testing.T) {
+	path := filepath.Join("..", "..", "deploy", "controllers.hcl")
+	if _, err := os.Stat(path); err != nil {
+		t.Fatal(err)
+	}
+	for _, name := range []string{"c1", "c2", "c3"} {
+		if _, err := LoadConfig(path, name); err != nil {
+			t.Error(err)
+		}
+	}
+}
--- /dev/null
+++ b/internal/controller/state_test.go
@@ -0,0 +1,222 @@
+package controller
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"reflect"
+	"testing"
+
+	"github.com/hashicorp/raft"
+	"pgregory.net/rapid"
+
+	"hookwalk.example/hookwalk/internal/configapi"
+)
+
+func documentOf(services ...string) configapi.Document {
+	d := configapi.Document{Services: map[string]configapi.ServiceConfig{}}
+	for _, name := range services {
+		d.Services[name] = configapi.ServiceConfig{Settings: json.RawMessage(fmt.Sprintf("{%q:1}", name))}
+	}
+	return d
+}
+
+func mustPublish(t *testing.T, s *state, c publishCommand) *state {
+	t.Helper()
+	next, result := s.apply(command{Kind: commandPublish, Publish: &c})
+	if result.Err != nil {
+		t.Fatalf("publish %s: %v", c.ID, result.Err)
+	}
+	return next
+}
+
+func TestStateKeepsWhatAVersionDoesNotName(t *testing.T) {
+	s := mustPublish(t, &state{Cluster: "c"}, publishCommand{ID: "1", Document: documentOf("dry", "press")})
+	s = mustPublish(t, s, publishCommand{ID: "2", Document: documentOf("press")})
+	if s.Version != 2 || s.Services["dry"].Changed != 1 || s.Services["press"].Changed != 2 {
+		t.Errorf("version %d, services %+v", s.Version, s.Services)
+	}
+}
+
+func TestStateIsImmutable(t *testing.T) {
+	first := mustPublish(t, &state{Cluster: "c"}, publishCommand{ID: "1", Document: documentOf("dry")})
+	before, err := json.Marshal(first)
+	if err != nil {
+		t.Fatal(err)
+	}
+	mustPublish(t, first, publishCommand{ID: "2", Document: documentOf("dry", "press"), Replaces: []configapi.Cluster{"old"}})
+	first.apply(command{Kind: commandMemberStarted, MemberStarted: &memberStartedCommand{"c1", 1, "p"}})
+	after, err := json.Marshal(first)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !bytes.Equal(before, after) {
+		t.Errorf("a state changed from %s to %s", before, after)
+	}
+}
+
+func TestStateRepeatedPublish(t *testing.T) {
+	s := mustPublish(t, &state{Cluster: "c"}, publishCommand{ID: "1", Document: documentOf("dry"), TimeMS: 10})
+	s = mustPublish(t, s, publishCommand{ID: "2", Document: documentOf("press"), TimeMS: 20})
+	next, result := s.apply(command{Kind: commandPublish, Publish: &publishCommand{ID: "1", Document: documentOf("dry"), TimeMS: 5000}})
+	if next != s || result.Err != nil || result.Reply.Version != 1 {
+		t.Errorf("the same request again: %+v, version %d", result, next.Version)
+	}
+	next, result = s.apply(command{Kind: commandPublish, Publish: &publishCommand{ID: "1", Document: documentOf("mill"), TimeMS: 5000}})
+	if next != s || result.Err == nil || result.Err.Kind != configapi.ErrorInvalid {
+		t.Errorf("another request with the same ID: %+v, version %d", result, next.Version)
+	}
+}
+
+func TestStatePublishRate(t *testing.T) {
+	for name, c := range map[string]struct {
+		at      int64 // of the publish behind MaxPublishRate ones at 1000, 1001, ...
+		refused bool
+	}{
+		"at once":                   {1010, true},
+		"just before a second":      {1999, true},
+		"a second behind the first": {2000, false},
+		"a clock that went back":    {900, false},
+	} {
+		s := &state{Cluster: "c"}
+		for i := range configapi.MaxPublishRate {
+			s = mustPublish(t, s, publishCommand{ID: fmt.Sprint(i), Document: documentOf("dry"), TimeMS: 1000 + int64(i)})
+		}
+		next, result := s.apply(command{Kind: commandPublish, Publish: &publishCommand{ID: "late", Document: documentOf("dry"), TimeMS: c.at}})
+		refused := result.Err != nil && result.Err.Kind == configapi.ErrorTooMany
+		if refused != c.refused || (next == s) != c.refused {
+			t.Errorf("%s: %+v, version %d", name, result, next.Version)
+		}
+	}
+}
+
+func TestStateHistoryIsBounded(t *testing.T) {
+	s := &state{Cluster: "c"}
+	for i := range historyLength + 5 {
+		s = mustPublish(t, s, publishCommand{ID: fmt.Sprint(i), Document: documentOf("dry"), TimeMS: int64(i) * rateWindowMS})
+	}
+	if len(s.History) != historyLength || s.History[0].Version != 6 || s.Version != historyLength+5 {
+		t.Errorf("%d entries from version %d at version %d", len(s.History), s.History[0].Version, s.Version)
+	}
+}
+
+func TestStateIdentityIsDrawnOnce(t *testing.T) {
+	s, _ := (&state{}).apply(command{Kind: commandCreateCluster, CreateCluster: &createClusterCommand{"first"}})
+	s, _ = s.apply(command{Kind: commandCreateCluster, CreateCluster: &createClusterCommand{"second"}})
+	if s.Cluster != "first" {
+		t.Errorf("cluster %s", s.Cluster)
+	}
+}
+
+func TestStateKeepsTheLastStart(t *testing.T) {
+	s := &state{}
+	for _, start := range []memberStartedCommand{{"c1", 2, "b"}, {"c1", 1, "a"}, {"c1", 2, "other"}, {"c2", 7, "x"}} {
+		s, _ = s.apply(command{Kind: commandMemberStarted, MemberStarted: &start})
+	}
+	want := map[string]memberStart{"c1": {2, "b"}, "c2": {7, "x"}}
+	if !reflect.DeepEqual(s.Starts, want) {
+		t.Errorf("starts %+v, want %+v", s.Starts, want)
+	}
+}
+
+func TestStateRefusesUnknownCommands(t *testing.T) {
+	s := &state{}
+	next, result := s.apply(command{Kind: "of a later build"})
+	if next != s || result.Err == nil {
+		t.Errorf("answered %+v", result)
+	}
+}
+
+// drawCommand draws any command, some of them twice.
+func drawCommand(t *rapid.T) command {
+	switch rapid.IntRange(0, 5).Draw(t, "kind") {
+	case 0:
+		cluster := configapi.Cluster(rapid.SampledFrom([]string{"x", "y"}).Draw(t, "cluster"))
+		return command{Kind: commandCreateCluster, CreateCluster: &createClusterCommand{cluster}}
+	case 1:
+		start := memberStartedCommand{Server: rapid.SampledFrom([]string{"c1", "c2"}).Draw(t, "server"),
+			Start: uint64(rapid.IntRange(1, 5).Draw(t, "start")), Process: rapid.SampledFrom([]string{"p", "q"}).Draw(t, "process")}
+		return command{Kind: commandMemberStarted, MemberStarted: &start}
+	}
+	services := rapid.SliceOfNDistinct(rapid.SampledFrom([]string{"dry", "press", "mill"}), 1, 3, rapid.ID).Draw(t, "services")
+	publish := publishCommand{ID: fmt.Sprint(rapid.IntRange(0, 20).Draw(t, "id")), Document: documentOf(services...),
+		TimeMS: int64(rapid.IntRange(0, 3000).Draw(t, "time"))}
+	return command{Kind: commandPublish, Publish: &publish}
+}
+
+// memorySink keeps a snapshot in memory.
+type memorySink struct{ bytes.Buffer }
+
+func (*memorySink) ID() string    { return "memory" }
+func (*memorySink) Cancel() error { return nil }
+func (*memorySink) Close() error  { return nil }
+
+// A controller that replays the log, and one that gets a snapshot taken anywhere and the log behind it, have the same
+// state and give the same replies; versions only rise.
+func TestMachineIsDeterministic(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var log []*raft.Log
+		for i, c := range rapid.SliceOfN(rapid.Custom(drawCommand), 1, 40).Draw(t, "log") {
+			text, err := json.Marshal(c)
+			if err != nil {
+				t.Fatal(err)
+			}
+			log = append(log, &raft.Log{Index: uint64(i + 1), Data: text})
+		}
+		cut := rapid.IntRange(0, len(log)).Draw(t, "snapshot behind")
+		whole, restored := newMachine(newHub()), newMachine(newHub())
+		var sink memorySink
+		for i, entry := range log {
+			if i == cut {
+				takeSnapshot(t, whole, &sink)
+			}
+			before := whole.state.Version
+			whole.Apply(entry)
+			if whole.state.Version < before || whole.state.Version > before+1 {
+				t.Fatalf("version %d follows %d", whole.state.Version, before)
+			}
+		}
+		if cut == len(log) {
+			takeSnapshot(t, whole, &sink)
+		}
+		if err := restored.Restore(io.NopCloser(&sink.Buffer)); err != nil {
+			t.Fatal(err)
+		}
+		for _, entry := range log[cut:] {
+			restored.Apply(entry)
+		}
+		if got, want := encoded(t, restored.state), encoded(t, whole.state); got != want {
+			t.Fatalf("restored:\n%s\nreplayed:\n%s", got, want)
+		}
+		if restored.hub.view().state != restored.state {
+			t.Fatal("the hub has another state than the machine")
+		}
+	})
+}
+
+func takeSnapshot(t *rapid.T, m *machine, sink *memorySink) {
+	s, err := m.Snapshot()
+	if err == nil {
+		err = s.Persist(sink)
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+}
+
+func encoded(t *rapid.T, s *state) string {
+	text, err := json.Marshal(s)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return string(text)
+}
+
+func TestMachineAnswersUnreadableEntries(t *testing.T) {
+	m := newMachine(newHub())
+	result, ok := m.Apply(&raft.Log{Index: 3, Data: []byte("{")}).(commandResult)
+	if !ok || result.Err == nil {
+		t.Errorf("answered %+v", result)
+	}
+}
--- a/internal/controller/transport.go
+++ b/internal/controller/transport.go
@@ -46,7 +46,7 @@
 	slots     chan struct{}
 	closing   chan struct{}
 	once      sync.Once
-	open      atomic.Bool // closed, neither in nor out
+	open      atomic.Bool // false: nothing is sent or read, on connections that exist neither
 }
 
 // address is the text of an address as other controllers use it.
@@ -68,7 +68,7 @@
 // Dial connects to a server whose address serverAddress wrote.
 func (s *stream) Dial(target raft.ServerAddress, timeout time.Duration) (net.Conn, error) {
 	if !s.open.Load() {
-		return nil, errors.New("controller: raft is not open yet")
+		return nil, errClosedGate
 	}
 	address, id, _ := strings.Cut(string(target), "|")
 	conn, err := net.DialTimeout("tcp", address, timeout)
@@ -81,7 +81,7 @@
 		return nil, err
 	}
 	_ = conn.SetWriteDeadline(time.Time{})
-	return conn, nil
+	return &gated{conn, s}, nil
 }
 
 // Accept returns the next connection. Its first line is read, and checked, by the first Read.
@@ -96,7 +96,7 @@
 		<-s.slots
 		return nil, err
 	}
-	return &accepted{Conn: conn, stream: s}, nil
+	return &accepted{gated: gated{conn, s}}, nil
 }
 
 // Close closes the listener.
@@ -129,10 +129,33 @@
 	return string(c)
 }
 
+// errClosedGate says that this controller does not take part in the replicated log at the moment.
+var errClosedGate = errors.New("controller: raft is not open to the others")
+
+// gated is a connection that ends when its stream is not open.
+type gated struct {
+	net.Conn
+	stream *stream
+}
+
+func (g *gated) Read(into []byte) (int, error) {
+	n, err := g.Conn.Read(into)
+	if err == nil && !g.stream.open.Load() {
+		return 0, errClosedGate
+	}
+	return n, err
+}
+
+func (g *gated) Write(from []byte) (int, error) {
+	if !g.stream.open.Load() {
+		return 0, errClosedGate
+	}
+	return g.Conn.Write(from)
+}
+
 // accepted is a connection that another controller has opened.
 type accepted struct {
-	net.Conn
-	stream  *stream
+	gated
 	greeted bool
 	release sync.Once
 }
@@ -145,7 +168,7 @@
 		}
 		c.greeted = true
 	}
-	return c.Conn.Read(into)
+	return c.gated.Read(into)
 }
 
 // readGreeting reads byte by byte, once for each connection, because what follows is raft's.
