Control service: a member's name is its address in the log; where to dial it may differ; more tests

Controllers behind proxies have different addresses for one another, and wrote different first entries of the log. A test found that a node's reason for a rejection was kept with its kind twice.

--- a/internal/controller/cluster_test.go
+++ b/internal/controller/cluster_test.go
@@ -53,7 +53,7 @@
 	cluster := &testCluster{t: t, running: map[string]*testController{}}
 	cluster.config = Config{MaxSessions: 10, Heartbeat: configapi.Heartbeat, Election: time.Second, Lease: 800 * time.Millisecond, Folder: t.TempDir()}
 	for i, name := range names {
-		cluster.config.Members = append(cluster.config.Members, Member{Name: name, Listen: ports[2*i], Raft: ports[2*i+1], Region: "west"})
+		cluster.config.Members = append(cluster.config.Members, Member{Name: name, Listen: ports[2*i], Dial: ports[2*i], Raft: ports[2*i+1], Region: "west"})
 	}
 	t.Cleanup(func() {
 		for _, name := range names {
--- a/internal/controller/consensus.go
+++ b/internal/controller/consensus.go
@@ -54,11 +54,15 @@
 func bootstrapServers(config Config) raft.Configuration {
 	var servers []raft.Server
 	for _, member := range config.Members {
-		servers = append(servers, raft.Server{Suffrage: raft.Voter, ID: raft.ServerID(member.Name), Address: raft.ServerAddress(member.Raft)})
+		servers = append(servers, raft.Server{Suffrage: raft.Voter, ID: raft.ServerID(member.Name), Address: logAddress(member)})
 	}
 	return raft.Configuration{Servers: servers}
 }
 
+// logAddress is a controller's address in the log: its name. Where it is reached is in each controller's settings, which
+// may differ, as where a proxy stands between two of them; what is in the log must not.
+func logAddress(member Member) raft.ServerAddress { return raft.ServerAddress(member.Name) }
+
 // controllerOf is the name of the controller that has a raft server ID.
 func controllerOf(id raft.ServerID) string {
 	name, _, _ := strings.Cut(string(id), "/")
@@ -71,7 +75,7 @@
 // startConsensus starts raft on a disk whose server ID is chosen. bootstrap: the disk begins a new cluster.
 func startConsensus(config Config, d *disk, listener net.Listener, h *hub, log *slog.Logger, bootstrap bool) (*consensus, error) {
 	c := &consensus{config: config, log: log, hub: h, disk: d, publishes: make(chan struct{}, 1)}
-	c.stream = newStream(listener, config.Self.Raft, d.identity.Server, func() configapi.Cluster { return h.view().state.Cluster })
+	c.stream = newStream(listener, config.Self.Name, d.identity.Server, func() configapi.Cluster { return h.view().state.Cluster })
 	logger := raftLogger(log)
 	transport := raft.NewNetworkTransportWithConfig(&raft.NetworkTransportConfig{Stream: c.stream, MaxPool: raftPool, Timeout: raftTimeout,
 		Logger: logger, ServerAddressProvider: c})
@@ -111,7 +115,7 @@
 	return options
 }
 
-// ServerAddr finds the address of a raft server; the members' settings go before what the log says.
+// ServerAddr finds the address of a raft server in the settings.
 func (c *consensus) ServerAddr(id raft.ServerID) (raft.ServerAddress, error) {
 	member, ok := c.config.member(controllerOf(id))
 	if !ok {
--- a/internal/controller/membership.go
+++ b/internal/controller/membership.go
@@ -90,7 +90,7 @@
 }
 
 func (p *peers) read(ctx context.Context, member Member, server string) (memberReport, error) {
-	address := "http://" + member.Listen + configapi.PathLoad + "?server=" + url.QueryEscape(server)
+	address := "http://" + member.Dial + configapi.PathLoad + "?server=" + url.QueryEscape(server)
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, address, nil)
 	if err != nil {
 		return memberReport{}, err
@@ -108,7 +108,7 @@
 		return memberReport{}, err
 	}
 	if report.Name != member.Name {
-		return memberReport{}, fmt.Errorf("%s is controller %q", member.Listen, report.Name)
+		return memberReport{}, fmt.Errorf("%s is controller %q", member.Dial, report.Name)
 	}
 	return report, nil
 }
--- a/internal/controller/nodes.go
+++ b/internal/controller/nodes.go
@@ -271,20 +271,20 @@
 	switch {
 	case r.Rejected:
 		status.Outcome = configapi.Rejected
-		status.Rejection = &configapi.Rejection{Kind: rejectionKind(r.Reason), Message: clipReason(r.Reason)}
+		status.Rejection = rejectionOf(r.Reason)
 	case r.Held > 0:
 		status.Outcome = configapi.Applied
 	}
 	return status
 }
 
-// rejectionKind finds the kind in a reason that a Rejection wrote ("kind: message").
-func rejectionKind(reason string) configapi.RejectionKind {
-	kind, _, found := strings.Cut(reason, ": ")
+// rejectionOf reads a reason that Rejection.Error wrote ("kind: message").
+func rejectionOf(reason string) *configapi.Rejection {
+	kind, message, found := strings.Cut(reason, ": ")
 	if !found {
-		return ""
+		return &configapi.Rejection{Message: clipReason(reason)}
 	}
-	return configapi.RejectionKind(kind)
+	return &configapi.Rejection{Kind: configapi.RejectionKind(clip(kind)), Message: clipReason(message)}
 }
 
 // clipReason cuts a reason to the length that is kept.
--- /dev/null
+++ b/internal/controller/nodes_test.go
@@ -0,0 +1,151 @@
+package controller
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"hookwalk.example/hookwalk/configversion"
+	"hookwalk.example/hookwalk/internal/configapi"
+)
+
+var noon = time.Date(2026, 1, 1, 12, 0, 0, 0, time.UTC)
+
+func newTestTable(maxSessions int) *nodeTable {
+	return newNodeTable(configversion.NewPlacement(configapi.Endpoint{Address: "a:1"}, maxSessions, 10))
+}
+
+func mustOpen(t *testing.T, table *nodeTable, r configapi.WatchRequest) *session {
+	t.Helper()
+	s, err := table.openSession(r, noon)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
+func TestSessionsAreBounded(t *testing.T) {
+	table := newTestTable(2)
+	table.setPeers([]configversion.PeerLoad{{Endpoint: configapi.Endpoint{Address: "b:1"}, Sessions: 1, Available: true}}, noon)
+	first := mustOpen(t, table, configapi.WatchRequest{Node: "n1", Service: "dry"})
+	mustOpen(t, table, configapi.WatchRequest{Node: "n2", Service: "dry"})
+	_, err := table.openSession(configapi.WatchRequest{Node: "n3", Service: "dry"}, noon)
+	if err == nil || err.Kind != configapi.ErrorFull || len(err.Elsewhere) != 1 || err.Elsewhere[0].Address != "b:1" {
+		t.Errorf("the third of at most two: %+v", err)
+	}
+	mustOpen(t, table, configapi.WatchRequest{Node: "n1", Service: "dry", Session: 2}) // replaces its older session
+	select {
+	case <-first.end:
+	default:
+		t.Error("the older session of n1 goes on")
+	}
+	table.closeSession(first, noon)
+	if n := table.sessions(); n != 2 {
+		t.Errorf("%d sessions are open, want 2", n)
+	}
+}
+
+func TestOlderProcessOfANodeIsRefused(t *testing.T) {
+	table := newTestTable(5)
+	mustOpen(t, table, configapi.WatchRequest{Node: "n1", Service: "dry", Started: 2, Session: 1})
+	_, err := table.openSession(configapi.WatchRequest{Node: "n1", Service: "dry", Started: 1, Session: 9}, noon)
+	if err == nil || err.Kind != configapi.ErrorInvalid {
+		t.Errorf("an older process: %+v", err)
+	}
+}
+
+// Acknowledgements that are late, of an older session or for an older version, change nothing.
+func TestAcknowledgementsInAnyOrder(t *testing.T) {
+	table := newTestTable(5)
+	s := mustOpen(t, table, configapi.WatchRequest{Node: "n1", Service: "dry", Started: 5, Session: 2, Cluster: "c", Held: 3, Applied: 3})
+	ack := configapi.Acknowledgement{Node: "n1", Started: 5, Session: 2, Cluster: "c", Outcome: configapi.Applied}
+	for _, late := range []func(*configapi.Acknowledgement){
+		func(a *configapi.Acknowledgement) { a.Version, a.Applied = 7, 7 },
+		func(a *configapi.Acknowledgement) { a.Version, a.Applied = 6, 6 },
+		func(a *configapi.Acknowledgement) { a.Version, a.Applied, a.Session = 9, 9, 1 },
+		func(a *configapi.Acknowledgement) { a.Version, a.Applied, a.Started = 9, 9, 4 },
+	} {
+		a := ack
+		late(&a)
+		if err := table.acknowledge(a, noon); err != nil {
+			t.Error(err)
+		}
+	}
+	if got := table.list(noon)[0]; got.Held != 7 || got.Applied != 7 || got.Outcome != configapi.Applied {
+		t.Errorf("node is known as %+v", got)
+	}
+	if s.needsConfig("c", 7) || !s.needsConfig("c", 8) || !s.needsConfig("d", 1) {
+		t.Error("the session does not know what its node has in force")
+	}
+	ack.Node = "n9"
+	if err := table.acknowledge(ack, noon); err == nil || err.Kind != configapi.ErrorInvalid {
+		t.Errorf("an acknowledgement of a node without a session: %+v", err)
+	}
+}
+
+func TestRejectionIsKept(t *testing.T) {
+	table := newTestTable(5)
+	rejection := &configapi.Rejection{Kind: configapi.RejectInvalid, Message: "no such class"}
+	mustOpen(t, table, configapi.WatchRequest{Node: "n1", Service: "dry", Cluster: "c", Held: 4, Applied: 3, Rejected: true, Reason: rejection.Error()})
+	got := table.list(noon)[0]
+	if got.Outcome != configapi.Rejected || got.Rejection == nil || *got.Rejection != *rejection {
+		t.Errorf("node is known as %+v", got)
+	}
+	long := configapi.WatchRequest{Node: "n2", Service: "dry", Held: 4, Rejected: true, Reason: strings.Repeat("x", 2*configapi.MaxReason)}
+	mustOpen(t, table, long)
+	if got := table.list(noon)[1].Rejection.Message; len(got) != configapi.MaxReason {
+		t.Errorf("a reason of %d bytes is kept", len(got))
+	}
+}
+
+func TestNodesAreForgotten(t *testing.T) {
+	table := newTestTable(5)
+	s := mustOpen(t, table, configapi.WatchRequest{Node: "n1", Service: "dry"})
+	mustOpen(t, table, configapi.WatchRequest{Node: "n2", Service: "dry"})
+	table.closeSession(s, noon)
+	if list := table.list(noon.Add(forgetAfter)); len(list) != 2 || list[0].Connected || !list[1].Connected {
+		t.Errorf("after %v: %+v", forgetAfter, list)
+	}
+	if list := table.list(noon.Add(forgetAfter + time.Millisecond)); len(list) != 1 || list[0].Node != "n2" {
+		t.Errorf("a moment later: %+v", list)
+	}
+}
+
+func TestNodeTableIsBounded(t *testing.T) {
+	table := newTestTable(5)
+	table.most = 3
+	for i := range 5 {
+		s := mustOpen(t, table, configapi.WatchRequest{Node: fmt.Sprint("n", i), Service: "dry"})
+		table.closeSession(s, noon.Add(time.Duration(i)*time.Second))
+	}
+	list := table.list(noon)
+	if len(list) != 3 || list[0].Node != "n2" {
+		t.Errorf("known: %+v", list)
+	}
+}
+
+func TestDrainAsksAllToMove(t *testing.T) {
+	table := newTestTable(5)
+	table.setPeers([]configversion.PeerLoad{{Endpoint: configapi.Endpoint{Address: "b:1"}, Available: true}, {Endpoint: configapi.Endpoint{Address: "c:1"}, Available: true}}, noon)
+	var sessions []*session
+	for i := range 4 {
+		sessions = append(sessions, mustOpen(t, table, configapi.WatchRequest{Node: fmt.Sprint("n", i), Service: "dry"}))
+	}
+	table.drain(noon)
+	targets := map[string]int{}
+	for _, s := range sessions {
+		select {
+		case to := <-s.move:
+			targets[to.Address]++
+		default:
+			t.Error("a session was not asked to move")
+		}
+	}
+	if targets["b:1"] != 2 || targets["c:1"] != 2 {
+		t.Errorf("four sessions were sent to %v", targets)
+	}
+	if _, err := table.openSession(configapi.WatchRequest{Node: "n9", Service: "dry"}, noon); err == nil || err.Kind != configapi.ErrorFull {
+		t.Errorf("a node that comes meanwhile: %+v", err)
+	}
+}
--- a/internal/controller/reconcile.go
+++ b/internal/controller/reconcile.go
@@ -54,7 +54,7 @@
 		return nil
 	}
 	c.log.Info("a controller joins", "controller", member.Name, "server", server)
-	return c.raft.AddNonvoter(server, raft.ServerAddress(member.Raft), 0, changeTimeout).Error()
+	return c.raft.AddNonvoter(server, logAddress(member), 0, changeTimeout).Error()
 }
 
 // promote makes a nonvoter a voter once it has what was committed a moment ago.
@@ -63,7 +63,7 @@
 		return nil
 	}
 	c.log.Info("a controller that joined has the log and may vote", "controller", member.Name, "server", report.Server)
-	return c.raft.AddVoter(raft.ServerID(report.Server), raft.ServerAddress(member.Raft), 0, changeTimeout).Error()
+	return c.raft.AddVoter(raft.ServerID(report.Server), logAddress(member), 0, changeTimeout).Error()
 }
 
 // recordStart has a controller's start written to the log, once for each.
--- a/internal/controller/settings.go
+++ b/internal/controller/settings.go
@@ -39,6 +39,7 @@
 	Name   string
 	Listen string // HOST:PORT of the calls of nodes, operators and other controllers
 	Raft   string // HOST:PORT of the replicated log
+	Dial   string // HOST:PORT at which this process makes calls to it; Listen, if the file does not say otherwise
 	Region string
 	Zone   string
 }
@@ -117,12 +118,18 @@
 
 // readMember reads one controller's block.
 func (c *Config) readMember(r *settings.Reader) {
-	member := Member{Name: r.Label(), Listen: r.Text("listen", ""), Raft: r.Text("raft", ""), Region: r.Text("region", ""), Zone: r.Text("zone", "")}
+	member := Member{Name: r.Label(), Listen: r.Text("listen", ""), Raft: r.Text("raft", ""), Dial: r.Text("dial", ""),
+		Region: r.Text("region", ""), Zone: r.Text("zone", "")}
 	if !validMemberName(member.Name) {
 		r.Fail(r.Block.Line, "a controller's label is its name: 1 to 64 letters, digits, '-', '_' or '.'")
 	}
 	checkAddress(r, "listen", member.Listen)
 	checkAddress(r, "raft", member.Raft)
+	if _, ok := r.Has("dial"); ok {
+		checkAddress(r, "dial", member.Dial)
+	} else {
+		member.Dial = member.Listen
+	}
 	for _, other := range c.Members {
 		if other.Name == member.Name {
 			r.Fail(r.Block.Line, "controller %s is there already", member.Name)
--- a/internal/controller/transport.go
+++ b/internal/controller/transport.go
@@ -39,24 +39,25 @@
 
 // stream is the raft.StreamLayer of a controller.
 type stream struct {
-	listener  net.Listener
-	advertise address
-	server    string // the own raft server ID
-	cluster   func() configapi.Cluster
-	slots     chan struct{}
-	closing   chan struct{}
-	once      sync.Once
-	open      atomic.Bool // false: nothing is sent or read, on connections that exist neither
+	listener net.Listener
+	name     address
+	server   string // the own raft server ID
+	cluster  func() configapi.Cluster
+	slots    chan struct{}
+	closing  chan struct{}
+	once     sync.Once
+	open     atomic.Bool // false: nothing is sent or read, on connections that exist neither
 }
 
-// address is the text of an address as other controllers use it.
+// address is the text of an address.
 type address string
 
+// Network is that of net.Addr.
 func (a address) Network() string { return "tcp" }
 func (a address) String() string  { return string(a) }
 
-func newStream(listener net.Listener, advertise, server string, cluster func() configapi.Cluster) *stream {
-	return &stream{listener: listener, advertise: address(advertise), server: server, cluster: cluster,
+func newStream(listener net.Listener, name, server string, cluster func() configapi.Cluster) *stream {
+	return &stream{listener: listener, name: address(name), server: server, cluster: cluster,
 		slots: make(chan struct{}, raftConnections), closing: make(chan struct{})}
 }
 
@@ -105,8 +106,8 @@
 	return s.listener.Close()
 }
 
-// Addr is the address under which the others know this server.
-func (s *stream) Addr() net.Addr { return s.advertise }
+// Addr is the controller's address in the log.
+func (s *stream) Addr() net.Addr { return s.name }
 
 // check compares a connection's first line with what this server is.
 func (s *stream) check(line string) error {
