--- a/internal/controller/transport.go
+++ b/internal/controller/transport.go
@@ -39,24 +39,25 @@
 
 // stream is the raft.StreamLayer of a controller.
 type stream struct {
-	listener  net.Listener
-	advertise address
-	server    string // the own raft server ID
-	cluster   func() configapi.Cluster
-	slots     chan struct{}
-	closing   chan struct{}
-	once      sync.Once
-	open      atomic.Bool // closed, neither in nor out
+	listener net.Listener
+	name     address
+	server   string // the own raft server ID
+	cluster  func() configapi.Cluster
+	slots    chan struct{}
+	closing  chan struct{}
+	once     sync.Once
+	open     atomic.Bool // false: nothing is sent or read, on connections that exist neither
 }
 
-// address is the text of an address as other controllers use it.
+// address is the text of an address.
 type address string
 
+// Network is that of net.Addr.
 func (a address) Network() string { return "tcp" }
 func (a address) String() string  { return string(a) }
 
-func newStream(listener net.Listener, advertise, server string, cluster func() configapi.Cluster) *stream {
-	return &stream{listener: listener, advertise: address(advertise), server: server, cluster: cluster,
+func newStream(listener net.Listener, name, server string, cluster func() configapi.Cluster) *stream {
+	return &stream{listener: listener, name: address(name), server: server, cluster: cluster,
 		slots: make(chan struct{}, raftConnections), closing: make(chan struct{})}
 }
 
@@ -68,7 +69,7 @@
 // Dial connects to a server whose address serverAddress wrote.
 func (s *stream) Dial(target raft.ServerAddress, timeout time.Duration) (net.Conn, error) {
 	if !s.open.Load() {
-		return nil, errors.New("controller: raft is not open yet")
+		return nil, errClosedGate
 	}
 	address, id, _ := strings.Cut(string(target), "|")
 	conn, err := net.DialTimeout("tcp", address, timeout)
@@ -81,7 +82,7 @@
 		return nil, err
 	}
 	_ = conn.SetWriteDeadline(time.Time{})
-	return conn, nil
+	return &gated{conn, s}, nil
 }
 
 // Accept returns the next connection. Its first line is read, and checked, by the first Read.
@@ -96,7 +97,7 @@
 		<-s.slots
 		return nil, err
 	}
-	return &accepted{Conn: conn, stream: s}, nil
+	return &accepted{gated: gated{conn, s}}, nil
 }
 
 // Close closes the listener.
@@ -105,8 +106,8 @@
 	return s.listener.Close()
 }
 
-// Addr is the address under which the others know this server.
-func (s *stream) Addr() net.Addr { return s.advertise }
+// Addr is the controller's address in the log.
+func (s *stream) Addr() net.Addr { return s.name }
 
 // check compares a connection's first line with what this server is.
 func (s *stream) check(line string) error {
@@ -129,10 +130,33 @@
 	return string(c)
 }
 
+// errClosedGate says that this controller does not take part in the replicated log at the moment.
+var errClosedGate = errors.New("controller: raft is not open to the others")
+
+// gated is a connection that ends when its stream is not open.
+type gated struct {
+	net.Conn
+	stream *stream
+}
+
+func (g *gated) Read(into []byte) (int, error) {
+	n, err := g.Conn.Read(into)
+	if err == nil && !g.stream.open.Load() {
+		return 0, errClosedGate
+	}
+	return n, err
+}
+
+func (g *gated) Write(from []byte) (int, error) {
+	if !g.stream.open.Load() {
+		return 0, errClosedGate
+	}
+	return g.Conn.Write(from)
+}
+
 // accepted is a connection that another controller has opened.
 type accepted struct {
-	net.Conn
-	stream  *stream
+	gated
 	greeted bool
 	release sync.Once
 }
@@ -145,7 +169,7 @@
 		}
 		c.greeted = true
 	}
-	return c.Conn.Read(into)
+	return c.gated.Read(into)
 }
 
 // readGreeting reads byte by byte, once for each connection, because what follows is raft's.
