internal/lab/sockets: long lines of a node's standard error are read

A node's capture writes its list as one line. From about 350 servers on that line is over 64 kB, where the reader of its standard error stopped: nothing that the node wrote later was kept, and the pipe filled up. A line may have 16 MB now. TestReloadIsTaken of internal/lab/scale, with 1,000 servers, fails without this.

--- a/internal/lab/sockets/process.go
+++ b/internal/lab/sockets/process.go
@@ -59,6 +59,9 @@
 
 var serving = regexp.MustCompile(`msg=serving .*listen=(\S+)`)
 
+// longestLine is the longest line of a node's standard error in bytes: a captured list of some thousand servers is one.
+const longestLine = 16 << 20
+
 // config is the node's configuration file.
 func (p *process) config(known roster) ([]byte, error) {
 	set := model.Settings(p.w.s, p.tier, p.self, p.of)
@@ -195,6 +198,7 @@
 		defer log.Close()
 		defer done()
 		lines := bufio.NewScanner(stderr)
+		lines.Buffer(nil, longestLine)
 		for lines.Scan() {
 			fmt.Fprintln(log, lines.Text())
 			if m := serving.FindStringSubmatch(lines.Text()); m != nil {
