--- /dev/null
+++ b/internal/lab/scale/nodeload.go
@@ -0,0 +1,107 @@
+package scale
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"hookwalk.example/hookwalk/internal/lab/sockets"
+)
+
+// placeholderPort is the first port of servers that are listed and never called.
+const placeholderPort = 1
+
+// NodeLoadOptions say what is measured at one node that has no calls.
+type NodeLoadOptions struct {
+	Program      string // the node, from BuildForService
+	SettingsFile string
+	Folder       string
+	Servers      int     // in its list
+	ListChanges  float64 // a minute
+	Settle       time.Duration
+	Duration     time.Duration
+}
+
+// NodeLoadResult is what a node without calls has used.
+type NodeLoadResult struct {
+	Elapsed   time.Duration
+	CPU       time.Duration // meanwhile
+	Usage     Usage         // at the end
+	Traffic   Traffic       // of the list, meanwhile
+	Changes   int           // of the list, meanwhile
+	LogBytes  int64         // written to standard error meanwhile: figures, capture and log
+	WholeList int           // bytes of the list's whole form in JSON
+}
+
+// Core is the share of one core that the node has used.
+func (r NodeLoadResult) Core() float64 { return r.CPU.Seconds() / r.Elapsed.Seconds() }
+
+// PerSecond is a count of the measurement as a rate.
+func (r NodeLoadResult) PerSecond(count int64) float64 { return float64(count) / r.Elapsed.Seconds() }
+
+// ListedServers is a list of servers that exist in the list alone.
+func ListedServers(count int) []sockets.Entry {
+	hosts := make([]sockets.Entry, count)
+	for i := range hosts {
+		hosts[i] = sockets.NewEntry(fmt.Sprintf("server-%04d", i), "plain", fmt.Sprintf("127.0.0.1:%d", placeholderPort+i), i)
+	}
+	return hosts
+}
+
+// MeasureNodeLoad starts a node that is given no calls, changes its list as often as is asked for, and stops it.
+func MeasureNodeLoad(ctx context.Context, options NodeLoadOptions) (result NodeLoadResult, err error) {
+	node, err := StartNode(ctx, NodeOptions{Program: options.Program, SettingsFile: options.SettingsFile,
+		Folder: options.Folder, Servers: ListedServers(options.Servers)})
+	if err != nil {
+		return result, err
+	}
+	defer func() { err = errors.Join(err, node.Stop()) }()
+	if _, err := changeFor(ctx, node, options.ListChanges, options.Settle); err != nil {
+		return result, err
+	}
+	return node.measure(ctx, options)
+}
+
+// measure reads what a node uses for a while.
+func (n *NodeProcess) measure(ctx context.Context, options NodeLoadOptions) (result NodeLoadResult, err error) {
+	before, logBefore, err := n.usageAndLog()
+	if err != nil {
+		return result, err
+	}
+	trafficBefore, began := n.Discovery.Traffic(), time.Now()
+	if result.Changes, err = changeFor(ctx, n, options.ListChanges, options.Duration); err != nil {
+		return result, err
+	}
+	result.Elapsed = time.Since(began)
+	result.Traffic = n.Discovery.Traffic().Since(trafficBefore)
+	after, logAfter, err := n.usageAndLog()
+	if err != nil {
+		return result, err
+	}
+	result.CPU, result.Usage, result.LogBytes = after.CPU-before.CPU, after, logAfter-logBefore
+	result.WholeList, err = wholeListBytes(n.Discovery)
+	return result, err
+}
+
+// usageAndLog reads what a node has used and written so far.
+func (n *NodeProcess) usageAndLog() (Usage, int64, error) {
+	usage, err := n.Usage()
+	if err != nil {
+		return usage, 0, err
+	}
+	written, err := n.LogBytes()
+	return usage, written, err
+}
+
+// changeFor changes a node's list as often as is asked for, for a while, and says how many changes that were.
+func changeFor(ctx context.Context, node *NodeProcess, perMinute float64, length time.Duration) (changes int, err error) {
+	changing, end := context.WithTimeout(ctx, length)
+	defer end()
+	changes, err = periodically(changing, perMinute, func(number int) error {
+		node.Discovery.Change(number)
+		return nil
+	})
+	<-changing.Done()
+	return changes, errors.Join(err, ctx.Err())
+}
