--- a/internal/lab/scale/datapath.go
+++ b/internal/lab/scale/datapath.go
@@ -33,6 +33,7 @@
 	Direct, Node *Latencies    // without and through the nodes
 	NodeCPU      time.Duration // of all nodes, in the measurement
 	NodeCalls    int64         // calls times nodes
+	Attempts     int64         // that the nodes have sent: as many as NodeCalls if nothing was sent again
 	Elapsed      time.Duration
 	RigCPU       time.Duration // of the generator and the stand-ins
 	FirstNode    Usage         // at the end
@@ -124,7 +125,7 @@
 	if err != nil {
 		return result, err
 	}
-	began := time.Now()
+	attemptsBefore, began := c.attempts(), time.Now()
 	changes := c.beginChanges(ctx, options)
 	result.Direct, result.Node, err = c.load(ctx, options, "call")
 	result.Elapsed = time.Since(began)
@@ -138,6 +139,7 @@
 	}
 	result.NodeCPU, result.RigCPU = nodesAfter-nodesBefore, rigAfter-rigBefore
 	result.NodeCalls = result.Node.Calls * int64(len(c.nodes))
+	result.Attempts = c.attempts() - attemptsBefore
 	result.FirstNode, err = c.nodes[0].Usage()
 	return result, err
 }
@@ -155,6 +157,14 @@
 	return nodes, rig, err
 }
 
+// attempts counts what all nodes have sent so far.
+func (c *chain) attempts() (sum int64) {
+	for _, service := range c.services {
+		sum += service.Attempts()
+	}
+	return sum
+}
+
 // load makes calls both ways at once, each at the rate that is asked for.
 func (c *chain) load(ctx context.Context, options DataPathOptions, name string) (direct, node *Latencies, err error) {
 	first, entry := c.services[0], "http://"+c.nodes[0].Addr()+nodePath
--- a/internal/lab/scale/datapath_large_test.go
+++ b/internal/lab/scale/datapath_large_test.go
@@ -79,7 +79,7 @@
 
 // run measures all points, and prints them and the lines through them.
 func (s dataPathSeries) run(t *testing.T) {
-	points := Table{Title: s.title + "; times in µs; " + Origin(), Header: []string{s.size, "run", "calls", "failed", "direct p50", "p99", "p99.9",
+	points := Table{Title: s.title + "; times in µs; " + Origin(), Header: []string{s.size, "run", "calls", "failed", "attempts a call", "direct p50", "p99", "p99.9",
 		"by nodes p50", "p99", "p99.9", "added p50", "p99", "p99.9", "CPU a call and node", "node RSS kB", "descriptors", "list changes", "reloads",
 		"rig cores", "sent late p99"}}
 	results := map[float64][]DataPathResult{}
@@ -101,7 +101,7 @@
 }
 
 func (s dataPathSeries) add(table *Table, size float64, run int, r DataPathResult) {
-	cells := []any{size, run, r.Node.Calls, r.Node.Failures + r.Direct.Failures}
+	cells := []any{size, run, r.Node.Calls, r.Node.Failures + r.Direct.Failures, float64(r.Attempts) / float64(r.NodeCalls)}
 	percents := []float64{50, 99, 99.9}
 	for _, of := range []func(float64) time.Duration{r.Direct.Quantile, r.Node.Quantile, r.Added} {
 		for _, percent := range percents {
--- a/internal/lab/scale/datapath_servers.go
+++ b/internal/lab/scale/datapath_servers.go
@@ -33,6 +33,7 @@
 	nextNode func() string // address of the node in front of next
 	turn     atomic.Uint64
 	received []atomic.Int64 // calls, by server
+	attempts atomic.Int64   // calls that came from a node
 }
 
 // NewService begins to serve at so many addresses. Close must follow.
@@ -69,6 +70,9 @@
 // Received counts the calls that have reached one of the servers.
 func (s *Service) Received(server int) int64 { return s.received[server].Load() }
 
+// Attempts counts the calls that a node has sent.
+func (s *Service) Attempts() int64 { return s.attempts.Load() }
+
 // Before puts a service behind this one, with a node between for calls on nodePath.
 func (s *Service) Before(next *Service, node func() string) { s.next, s.nextNode = next, node }
 
@@ -80,6 +84,9 @@
 
 // serve answers a call, after the next service has if there is one.
 func (s *Service) serve(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == nodePath {
+		s.attempts.Add(1)
+	}
 	if s.next != nil {
 		if err := s.forward(r); err != nil {
 			http.Error(w, err.Error(), http.StatusBadGateway)
--- a/internal/lab/scale/datapath_test.go
+++ b/internal/lab/scale/datapath_test.go
@@ -79,6 +79,9 @@
 	if result.NodeCalls != 3*result.Node.Calls {
 		t.Errorf("%d calls at three nodes, want three times %d", result.NodeCalls, result.Node.Calls)
 	}
+	if result.Attempts != result.NodeCalls {
+		t.Errorf("%d attempts for %d calls at three nodes, want one each", result.Attempts, result.NodeCalls)
+	}
 	if result.ListChanges == 0 || result.Reloads == 0 {
 		t.Errorf("%d changes of lists and %d of configurations", result.ListChanges, result.Reloads)
 	}
