--- a/internal/lab/scale/table.go
+++ b/internal/lab/scale/table.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"math"
+	"os"
 	"os/exec"
 	"runtime"
 	"strconv"
@@ -89,10 +90,21 @@
 	return sign + digits
 }
 
-// Origin says where figures come from: the commit, whether the working copy differs from it, the machine, the time.
+// Origin says where figures come from: the commit, whether the working copy differs from it, the machine, the time, and
+// the machine's load average of the last minute, which tells whether others were at work.
 func Origin() string {
-	return fmt.Sprintf("commit %s, %d cores, %s, %s/%s, %s",
-		commit(), runtime.NumCPU(), runtime.Version(), runtime.GOOS, runtime.GOARCH, time.Now().UTC().Format(time.RFC3339))
+	return fmt.Sprintf("commit %s, %d cores, %s, %s/%s, %s, load average %s",
+		commit(), runtime.NumCPU(), runtime.Version(), runtime.GOOS, runtime.GOARCH, time.Now().UTC().Format(time.RFC3339), loadAverage())
+}
+
+// loadAverage is the kernel's of the last minute.
+func loadAverage() string {
+	text, err := os.ReadFile("/proc/loadavg")
+	if err != nil {
+		return "unknown"
+	}
+	minute, _, _ := strings.Cut(string(text), " ")
+	return minute
 }
 
 // commit is the commit of the working copy, marked if files differ from it.
