discoverytest: dialing ends when the network of pipes is closed

Cause: http.Transport goes on dialing in a goroutine of its own after its caller has left.

Change: Dial ends with net.ErrClosed once the network is closed, as dialing a closed port does. No check is changed.

go test -race -count=1000 -run TestOlderListIsPassedOver ./internal/discovery: ok.

--- a/internal/discovery/discoverytest/discoverytest.go
+++ b/internal/discovery/discoverytest/discoverytest.go
@@ -111,6 +111,8 @@
 	select {
 	case p.conns <- there:
 		return here, nil
+	case <-p.done: // http.Transport may go on dialing after its caller has left
+		return nil, net.ErrClosed
 	case <-ctx.Done():
 		return nil, ctx.Err()
 	}
