internal/lab/scale: hollow nodes at one discovery that all of them share

Cause: what discovery costs as the installation grows had not been measured, nor how long the last node waits for its list when many come back at once.

It measures a return of all nodes at once, a rest, a change, and the end of all watches: calls, calls turned down, payload both ways, times, processor time.

--- /dev/null
+++ b/internal/lab/scale/discovery_large_test.go
@@ -0,0 +1,163 @@
+package scale
+
+import (
+	"errors"
+	"net"
+	"os"
+	"testing"
+	"time"
+)
+
+// Sizes of the large form.
+var (
+	discoveryNodes        = []int{50, 100, 200, 400, 1900}
+	discoveryServiceTimes = []time.Duration{time.Millisecond, 2 * time.Millisecond, 5 * time.Millisecond}
+	discoveryServers      = []int{10, 28, 100, 300}
+)
+
+// Sizes of the target: one service in the mean, a zone, a region, everything.
+const (
+	serviceSize = 28
+	zoneSize    = 119
+	regionSize  = 475
+	targetSize  = 1900
+)
+
+// missedChanges is how many changes nodes have missed that were away for an hour, at 760 a day.
+const missedChanges = 32
+
+// measureOnLoopback runs the rig over TCP, and says so where not all nodes are served in time.
+func measureOnLoopback(t *testing.T, options DiscoveryOptions) DiscoveryResult {
+	t.Helper()
+	options.MostTime = 45 * time.Second
+	options.Queue.LongestWait = callTurnedDownAfter
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	result, err := MeasureDiscovery(t.Context(), ln, nil, options)
+	if err != nil && !errors.Is(err, ErrDiscoveryNotServed) {
+		t.Fatal(err)
+	}
+	return result
+}
+
+// discoverySeries collects the points of one line.
+type discoverySeries struct {
+	name   string
+	points []Point
+}
+
+func (s *discoverySeries) add(size int, value float64) {
+	s.points = append(s.points, Point{float64(size), value})
+}
+
+// printFits prints a line for each series, with its value at the sizes of the target.
+func printFits(t *testing.T, title string, series ...*discoverySeries) {
+	t.Helper()
+	table := Table{Title: title, Header: []string{"figure", "line", "at 28", "at 119", "at 475", "at 1,900"}}
+	for _, s := range series {
+		fit, err := FitLine(s.points)
+		if err != nil {
+			t.Fatalf("%s: %v", s.name, err)
+		}
+		table.Add(s.name, fit, fit.At(serviceSize), fit.At(zoneSize), fit.At(regionSize), fit.At(targetSize))
+	}
+	table.Print(os.Stdout)
+}
+
+// The tables of discovery in docs/CAPACITY.md: n nodes come back at once, by n and by the service time of a call, with
+// lists of 28 servers; pushed and asked for.
+func TestDiscoveryLargeReturn(t *testing.T) {
+	if !*large {
+		t.Skip("prints tables: run it with -scale.large -v")
+	}
+	for _, asked := range []bool{false, true} {
+		for _, serviceTime := range discoveryServiceTimes {
+			measureReturns(t, asked, serviceTime, discoveryNodes)
+		}
+	}
+}
+
+// discoveryMode names how lists come.
+func discoveryMode(asked bool) string {
+	if asked {
+		return "asked for"
+	}
+	return "pushed"
+}
+
+// measureReturns prints the table and the lines of one service time.
+func measureReturns(t *testing.T, asked bool, serviceTime time.Duration, sizes []int) {
+	t.Helper()
+	title := "n nodes come back at once, lists " + discoveryMode(asked) + ", " + serviceTime.String() + " a call, 28 servers"
+	table := Table{Title: title + "; " + Origin(), Header: []string{"nodes", "calls", "turned down", "payload B out", "payload B in",
+		"s until half", "s until 99%", "s until the last", "without", "processor ms", "change: s until the last", "change: B a node",
+		"watches end: calls", "s until the last"}}
+	calls, bytesOut, last := &discoverySeries{name: "calls"}, &discoverySeries{name: "payload B out"}, &discoverySeries{name: "s until the last"}
+	for _, nodes := range sizes {
+		r := measureOnLoopback(t, DiscoveryOptions{Nodes: nodes, Asked: asked,
+			Queue: DiscoveryQueueOptions{Servers: serviceSize, ServiceTime: serviceTime}})
+		table.Add(nodes, r.Return.Calls, r.Return.TurnedDown, r.Return.BytesOut, r.Return.BytesIn, r.Return.Quantile(0.5).Seconds(),
+			r.Return.Quantile(0.99).Seconds(), r.Return.Last().Seconds(), r.Return.Missing, r.Return.CPU.Seconds()*1000,
+			r.Change.Last().Seconds(), float64(r.Change.BytesOut)/float64(nodes), r.WatchesEnd.Calls, r.WatchesEnd.Last().Seconds())
+		calls.add(nodes, float64(r.Return.Calls))
+		bytesOut.add(nodes, float64(r.Return.BytesOut))
+		if r.Return.Missing == 0 {
+			last.add(nodes, r.Return.Last().Seconds())
+		}
+	}
+	table.Print(os.Stdout)
+	printFits(t, "Lines of: "+title, calls, bytesOut, last)
+}
+
+// By the size of the list, whole and with 32 changes missed: a region comes back at once.
+func TestDiscoveryLargeLists(t *testing.T) {
+	if !*large {
+		t.Skip("prints tables: run it with -scale.large -v")
+	}
+	for _, missed := range []int{0, missedChanges} {
+		title := "475 nodes come back at once, lists pushed, 1ms a call, 0 changes missed (a whole list)"
+		if missed > 0 {
+			title = "475 nodes come back at once, lists pushed, 1ms a call, 32 changes missed"
+		}
+		table := Table{Title: title + "; " + Origin(), Header: []string{"servers", "calls", "payload B out a node", "s until the last",
+			"processor µs a node"}}
+		bytesOut, cpu := &discoverySeries{name: "payload B out a node"}, &discoverySeries{name: "processor µs a node"}
+		for _, servers := range discoveryServers {
+			r := measureOnLoopback(t, DiscoveryOptions{Nodes: regionSize, Missed: missed,
+				Queue: DiscoveryQueueOptions{Servers: servers, ServiceTime: time.Millisecond}})
+			perNode := float64(r.Return.BytesOut) / regionSize
+			micros := float64(r.Return.CPU.Microseconds()) / regionSize
+			table.Add(servers, r.Return.Calls, perNode, r.Return.Last().Seconds(), micros)
+			bytesOut.add(servers, perNode)
+			cpu.add(servers, micros)
+		}
+		table.Print(os.Stdout)
+		printFits(t, "Lines by servers in the list of: "+title, bytesOut, cpu)
+	}
+}
+
+// A zone and a region at once, measured beside the lines; and watches at rest, with memory and descriptors.
+func TestDiscoveryLargeTarget(t *testing.T) {
+	if !*large {
+		t.Skip("prints tables: run it with -scale.large -v")
+	}
+	table := Table{Title: "A service, a zone, a region, everything at once, lists pushed, 28 servers; " + Origin(), Header: []string{"nodes", "ms a call",
+		"calls", "turned down", "s until the last", "at rest: B/s a node out", "calls", "processor, % of a core a node and its watch", "RSS kB a node and its watch",
+		"descriptors a node and its watch"}}
+	for _, serviceTime := range discoveryServiceTimes {
+		for _, nodes := range []int{serviceSize, zoneSize, regionSize, targetSize} {
+			options := DiscoveryOptions{Nodes: nodes, Queue: DiscoveryQueueOptions{Servers: serviceSize, ServiceTime: serviceTime}}
+			if serviceTime == time.Millisecond {
+				options.Rest, options.ReadMemory = 4*time.Second, true
+			}
+			r := measureOnLoopback(t, options)
+			each := func(v float64) float64 { return v / float64(nodes) }
+			rest := max(r.Rest.Elapsed.Seconds(), 1)
+			table.Add(nodes, float64(serviceTime.Milliseconds()), r.Return.Calls, r.Return.TurnedDown, r.Return.Last().Seconds(),
+				each(float64(r.Rest.BytesOut)/rest), r.Rest.Calls, 100*each(r.Rest.CPU.Seconds()/rest), each(float64(r.RSSBytes)/1024), each(float64(r.Descriptors)))
+		}
+	}
+	table.Print(os.Stdout)
+}
