peers: a view counts packets, and bytes on streams

Cause: a view had the bytes of packets alone. Headers of packets, and the whole lists that the library exchanges on streams, are a good part of what a member sends.

Change: View has Packets, and Streams: bytes both ways on the streams that this node opened. Both show in GET /control/sites.

--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -397,6 +397,8 @@
 	Sites   map[string]members.Count
 	Members []MemberView
 	Sent    int64  // bytes in packets since the start
+	Packets int64  // sent since the start
+	Streams int64  // bytes both ways since the start, on the streams that this node opened
 	Bad     int64  // messages that could not be read
 	Failed  uint64 // times that a member was taken for failed
 }
@@ -413,7 +415,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	v := View{Self: r.module.Self().String(), Me: r.module.Me(), Site: r.cfg.Site, Digest: fmt.Sprintf("%016x", r.module.Digest()),
-		Sites: r.module.Sites(), Sent: r.wire.bytes.Load(), Bad: r.bad, Failed: r.module.Failures()}
+		Sites: r.module.Sites(), Sent: r.wire.bytes.Load(), Packets: r.wire.packets.Load(), Streams: r.wire.streams.Load(), Bad: r.bad, Failed: r.module.Failures()}
 	for _, m := range r.module.List() {
 		v.Members = append(v.Members, MemberView{m.Name, m.Site, m.State.String(), m.Start, (r.now() - m.Since).Milliseconds()})
 	}
--- a/internal/peers/wire.go
+++ b/internal/peers/wire.go
@@ -58,8 +58,10 @@
 // wire is the library's own transport, with addresses as they are reached from here.
 type wire struct {
 	*memberlist.NetTransport
-	via   map[string]string // where a peer's address is reached from here, if elsewhere
-	bytes atomic.Int64      // sent in packets
+	via     map[string]string // where a peer's address is reached from here, if elsewhere
+	bytes   atomic.Int64      // sent in packets
+	packets atomic.Int64
+	streams atomic.Int64 // bytes both ways, on streams that this node opened
 }
 
 func (w *wire) at(addr string) string {
@@ -77,6 +79,7 @@
 // WriteToAddress sends a packet.
 func (w *wire) WriteToAddress(b []byte, a memberlist.Address) (time.Time, error) {
 	w.bytes.Add(int64(len(b)))
+	w.packets.Add(1)
 	return w.NetTransport.WriteTo(b, w.at(a.Addr))
 }
 
@@ -87,7 +90,29 @@
 
 // DialAddressTimeout opens a stream.
 func (w *wire) DialAddressTimeout(a memberlist.Address, timeout time.Duration) (net.Conn, error) {
-	return w.NetTransport.DialTimeout(w.at(a.Addr), timeout)
+	conn, err := w.NetTransport.DialTimeout(w.at(a.Addr), timeout)
+	if err != nil {
+		return nil, err
+	}
+	return &countedStream{conn, &w.streams}, nil
+}
+
+// countedStream counts the bytes of a stream, both ways.
+type countedStream struct {
+	net.Conn
+	bytes *atomic.Int64
+}
+
+func (c *countedStream) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+func (c *countedStream) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.bytes.Add(int64(n))
+	return n, err
 }
 
 // meta is what a node tells of itself beside its name and address.
