internal/lab/scale: members in one process, their bytes, processor time and agreement

Cause: bytes of membership were known for 24 and 99 processes, without streams and headers, and not by which line they grow.

Change: a rig that runs many members (package peers) in one process, each on an address of its own in 127.0.0.0/8: the time until all agree, at the start of all and after one joins, what is sent and used at rest, and the time until deaths of one member, a rack and a zone are known to all.

--- /dev/null
+++ b/internal/lab/scale/membership_rig.go
@@ -0,0 +1,369 @@
+package scale
+
+import (
+	"context"
+	"encoding/base64"
+	"errors"
+	"fmt"
+	"log/slog"
+	"os"
+	"slices"
+	"sync"
+	"time"
+
+	"hookwalk.example/hookwalk/internal/peers"
+	"hookwalk.example/hookwalk/members"
+)
+
+// What a member's view says of itself and of others, as operators see it.
+const (
+	viewAgreed   = "agreed"
+	memberFailed = "failed"
+	memberLeft   = "left"
+)
+
+// membershipLook is the time between two looks at a view that does not change.
+const membershipLook = 50 * time.Millisecond
+
+// membershipSites are a centre and two sites below it, as in docs/sites.md. Members are spread over them in turn.
+var (
+	membershipSites = []string{"dc", "okanagan", "similkameen"}
+	membershipTree  = members.Tree{"dc": "", "okanagan": "dc", "similkameen": "dc"}
+)
+
+// MembershipOptions say what is measured in one run.
+type MembershipOptions struct {
+	Members  int
+	Batch    int           // how many start at once; the next ones start when these have met. 0: all start at once
+	Settle   time.Duration // between the agreement of all and the measurement
+	Rest     time.Duration // the length of the measurement at rest
+	Deaths   []int         // how many members are closed at once, one group after another, without a word
+	MostTime time.Duration // for each part
+	Folder   string        // for the key
+}
+
+// MembershipTraffic is what all members have sent.
+type MembershipTraffic struct {
+	PacketBytes int64 // payload of UDP packets
+	Packets     int64
+	StreamBytes int64 // payload of TCP streams, both ways, each stream counted once
+}
+
+// Since is what was sent between an earlier moment and this one.
+func (t MembershipTraffic) Since(earlier MembershipTraffic) MembershipTraffic {
+	return MembershipTraffic{
+		PacketBytes: t.PacketBytes - earlier.PacketBytes,
+		Packets:     t.Packets - earlier.Packets,
+		StreamBytes: t.StreamBytes - earlier.StreamBytes,
+	}
+}
+
+// packetHeaderBytes is what IPv4 and UDP add to the payload of a packet.
+const packetHeaderBytes = 20 + 8
+
+// Wire is the bytes of packets with their headers, and of streams without: their segments are not counted.
+func (t MembershipTraffic) Wire() int64 {
+	return t.PacketBytes + t.Packets*packetHeaderBytes + t.StreamBytes
+}
+
+// MembershipPart is what one part of a run has cost.
+type MembershipPart struct {
+	MembershipTraffic
+	Running int           // members that ran
+	Elapsed time.Duration // until what was waited for held at all of them, or the length of the measurement
+	CPU     time.Duration // of this process: all members
+}
+
+// PerMember is a count as a rate for one member.
+func (p MembershipPart) PerMember(count int64) float64 {
+	return float64(count) / float64(p.Running) / p.Elapsed.Seconds()
+}
+
+// Core is the part of a core that one member uses.
+func (p MembershipPart) Core() float64 {
+	return p.CPU.Seconds() / float64(p.Running) / p.Elapsed.Seconds()
+}
+
+// MembershipResult is what a run has measured.
+type MembershipResult struct {
+	Agree       MembershipPart   // from the start of the last batch until all agree
+	Rest        MembershipPart   // nothing happens
+	Join        MembershipPart   // from the start of one more member until all agree
+	Deaths      []MembershipPart // from each group's end until all others call all of it failed
+	RSSBytes    int64            // added by all members, garbage aside
+	Descriptors int              // added likewise
+	FalseAlarms uint64           // times that a member was called failed that was not, before any death, by all members
+}
+
+// MembershipError says that something did not come to hold in time.
+type MembershipError struct {
+	Member string
+	What   string
+	Within time.Duration
+}
+
+func (e *MembershipError) Error() string {
+	return fmt.Sprintf("scale: member %s has not %s within %v: the machine may be too slow for so many members in one process", e.Member, e.What, e.Within)
+}
+
+// membershipRun is one run.
+type membershipRun struct {
+	options MembershipOptions
+	keyFile string
+	rooms   []*peers.Room // that run
+	began   time.Time
+	before  MembershipTraffic
+	cpu     time.Duration
+}
+
+// MeasureMembership runs members in this process, each with the real package peers on an address of its own in
+// 127.0.0.0/8, takes them through all parts and stops them.
+func MeasureMembership(ctx context.Context, options MembershipOptions) (result MembershipResult, err error) {
+	run := &membershipRun{options: options}
+	defer func() { run.close(run.rooms) }()
+	before, err := readOwnUsage(true)
+	if err != nil {
+		return result, err
+	}
+	if result.Agree, err = run.agree(ctx); err != nil {
+		return result, err
+	}
+	if result.Rest, err = run.rest(ctx); err != nil {
+		return result, err
+	}
+	after, err := readOwnUsage(true)
+	if err != nil {
+		return result, err
+	}
+	result.RSSBytes, result.Descriptors = after.rssBytes-before.rssBytes, after.descriptors-before.descriptors
+	result.FalseAlarms = run.failures()
+	if result.Join, err = run.joinOne(ctx); err != nil {
+		return result, err
+	}
+	for _, count := range options.Deaths {
+		part, err := run.die(ctx, count)
+		if err != nil {
+			return result, err
+		}
+		result.Deaths = append(result.Deaths, part)
+	}
+	return result, nil
+}
+
+// agree starts all members and waits until each agrees and has all others.
+func (r *membershipRun) agree(ctx context.Context) (MembershipPart, error) {
+	if err := r.writeKey(); err != nil {
+		return MembershipPart{}, err
+	}
+	batch := r.options.Members
+	if r.options.Batch > 0 {
+		batch = r.options.Batch
+	}
+	for len(r.rooms) < r.options.Members {
+		if err := r.untilMet(ctx); err != nil {
+			return MembershipPart{}, err
+		}
+		r.begin()
+		for range min(batch, r.options.Members-len(r.rooms)) {
+			if err := r.join(); err != nil {
+				return MembershipPart{}, err
+			}
+		}
+	}
+	err := r.untilAgreed(ctx)
+	return r.end(), err
+}
+
+// joinOne starts one more member and waits until all agree.
+func (r *membershipRun) joinOne(ctx context.Context) (MembershipPart, error) {
+	r.begin()
+	if err := r.join(); err != nil {
+		return MembershipPart{}, err
+	}
+	err := r.untilAgreed(ctx)
+	return r.end(), err
+}
+
+// untilMet waits until each member that runs has all others.
+func (r *membershipRun) untilMet(ctx context.Context) error {
+	all := len(r.rooms)
+	return r.until(ctx, "met all others", func(v peers.View) bool { return running(v) == all })
+}
+
+// untilAgreed waits until each member that runs agrees, and has all others.
+func (r *membershipRun) untilAgreed(ctx context.Context) error {
+	all := len(r.rooms)
+	return r.until(ctx, "agreed with all others", func(v peers.View) bool { return v.Self == viewAgreed && running(v) == all })
+}
+
+// rest measures while nothing happens.
+func (r *membershipRun) rest(ctx context.Context) (MembershipPart, error) {
+	if err := wait(ctx, r.options.Settle); err != nil {
+		return MembershipPart{}, err
+	}
+	r.begin()
+	err := wait(ctx, r.options.Rest)
+	return r.end(), err
+}
+
+// die closes members without a word, and waits until all others call them failed.
+func (r *membershipRun) die(ctx context.Context, count int) (MembershipPart, error) {
+	dead := slices.Clone(r.rooms[len(r.rooms)-count:])
+	names := map[string]bool{}
+	for _, room := range dead {
+		names[room.View().Me.Name] = true
+	}
+	r.rooms = r.rooms[:len(r.rooms)-count]
+	r.begin()
+	r.close(dead)
+	err := r.until(ctx, "called the dead failed", func(v peers.View) bool { return failed(v, names) == len(names) })
+	return r.end(), err
+}
+
+// begin begins a part.
+func (r *membershipRun) begin() {
+	r.before, r.cpu, r.began = r.traffic(), ownProcessorTime(), time.Now()
+}
+
+// end ends it.
+func (r *membershipRun) end() MembershipPart {
+	elapsed, cpu := time.Since(r.began), ownProcessorTime()-r.cpu
+	return MembershipPart{MembershipTraffic: r.traffic().Since(r.before), Running: len(r.rooms), Elapsed: elapsed, CPU: cpu}
+}
+
+// traffic is what the members that run have sent so far.
+func (r *membershipRun) traffic() (sum MembershipTraffic) {
+	for _, room := range r.rooms {
+		view := room.View()
+		sum.PacketBytes += view.Sent
+		sum.Packets += view.Packets
+		sum.StreamBytes += view.Streams
+	}
+	return sum
+}
+
+// failures is how often the members have called another failed so far.
+func (r *membershipRun) failures() (sum uint64) {
+	for _, room := range r.rooms {
+		sum += room.View().Failed
+	}
+	return sum
+}
+
+// until waits until something has held at each member.
+func (r *membershipRun) until(ctx context.Context, what string, holds func(peers.View) bool) error {
+	limit, stop := context.WithTimeout(ctx, r.options.MostTime)
+	defer stop()
+	look := time.NewTicker(membershipLook)
+	defer look.Stop()
+	for _, room := range r.rooms {
+		for !holds(room.View()) {
+			select {
+			case <-look.C:
+			case <-limit.Done():
+				return &MembershipError{Member: room.View().Me.Name, What: what, Within: r.options.MostTime}
+			}
+		}
+	}
+	return nil
+}
+
+// join starts the next member.
+func (r *membershipRun) join() error {
+	const addressesPerNet = 250
+	index := len(r.rooms)
+	config := peers.Config{
+		Name:    fmt.Sprintf("member-%04d", index),
+		Site:    membershipSites[index%len(membershipSites)],
+		Tree:    membershipTree,
+		Listen:  fmt.Sprintf("127.77.%d.%d:0", index/addressesPerNet, index%addressesPerNet+1),
+		KeyFile: r.keyFile,
+		Label:   "scale",
+		Starts:  &startCounter{},
+	}
+	if index > 0 {
+		config.Seeds = []string{r.rooms[0].Addr()}
+	}
+	room, err := peers.Join(config, slog.New(slog.DiscardHandler))
+	if err != nil {
+		return err
+	}
+	r.rooms = append(r.rooms, room)
+	return nil
+}
+
+// close closes members at once.
+func (r *membershipRun) close(rooms []*peers.Room) {
+	var all sync.WaitGroup
+	for _, room := range rooms {
+		all.Go(room.Close)
+	}
+	all.Wait()
+}
+
+// writeKey writes the key that all members share.
+func (r *membershipRun) writeKey() error {
+	const key = "0123456789abcdef"
+	file, err := os.CreateTemp(r.options.Folder, "key-")
+	if err != nil {
+		return err
+	}
+	r.keyFile = file.Name()
+	_, err = file.WriteString(base64.StdEncoding.EncodeToString([]byte(key)) + "\n")
+	return errors.Join(err, file.Close())
+}
+
+// running counts the members that a view has as running, the member itself among them.
+func running(v peers.View) int {
+	count := 1
+	for _, m := range v.Members {
+		if m.State != memberFailed && m.State != memberLeft {
+			count++
+		}
+	}
+	return count
+}
+
+// failed counts those of some names that a view has as failed.
+func failed(v peers.View, names map[string]bool) (count int) {
+	for _, m := range v.Members {
+		if names[m.Name] && m.State == memberFailed {
+			count++
+		}
+	}
+	return count
+}
+
+// wait waits for a time.
+func wait(ctx context.Context, length time.Duration) error {
+	timer := time.NewTimer(length)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// startCounter keeps the number of a member's start in memory.
+type startCounter struct {
+	mu   sync.Mutex
+	last uint64
+}
+
+// Next is the number of the next start.
+func (s *startCounter) Next() (uint64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.last++
+	return s.last, nil
+}
+
+// Raise keeps a number that is known to be higher.
+func (s *startCounter) Raise(start uint64) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.last = max(s.last, start)
+	return nil
+}
