--- a/internal/node/override.go
+++ b/internal/node/override.go
@@ -7,6 +7,7 @@
 	"fmt"
 
 	"hookwalk.example/hookwalk/deckrelay"
+	"hookwalk.example/hookwalk/internal/discovery"
 )
 
 // Override is what takes the place of a part of the node's configuration file, by a configuration version that was
@@ -51,7 +52,7 @@
 // KnownServers are the servers in service of the list that the configuration names.
 func (c Config) KnownServers() (servers []deckrelay.Server) {
 	for _, h := range c.Known.Hosts {
-		if s := server(h); s.State == deckrelay.Ready {
+		if s := discovery.Server(h); s.State == deckrelay.Ready {
 			servers = append(servers, s)
 		}
 	}
--- a/internal/node/override_test.go
+++ b/internal/node/override_test.go
@@ -55,14 +55,14 @@
 	if err := n.Override(t.Context(), second, nil); err != nil {
 		t.Fatal(err)
 	}
-	if got := answered(t, n, "later", "2"); got != http.StatusOK || n.disc.addr != moved {
-		t.Errorf("the next one: answered %d, discovery %s", got, n.disc.addr)
+	if got := answered(t, n, "later", "2"); got != http.StatusOK || n.disc.Addr() != moved {
+		t.Errorf("the next one: answered %d, discovery %s", got, n.disc.Addr())
 	}
 	if err := n.Override(t.Context(), first, nil); err != nil {
 		t.Fatal(err)
 	}
-	if n.disc.addr != cfg.Discovery {
-		t.Errorf("without an address discovery is %s, want the file's %s", n.disc.addr, cfg.Discovery)
+	if n.disc.Addr() != cfg.Discovery {
+		t.Errorf("without an address discovery is %s, want the file's %s", n.disc.Addr(), cfg.Discovery)
 	}
 }
 
@@ -93,7 +93,7 @@
 		if err == nil || errors.As(err, new(*UnreadableOverrideError)) != c.unreadable || !strings.Contains(err.Error(), c.says) {
 			t.Errorf("%s: said %v", name, err)
 		}
-		if n.disc.addr != cfg.Discovery || n.rules.Load().generation != 0 || n.now.override != nil {
+		if n.disc.Addr() != cfg.Discovery || n.rules.Load().generation != 0 || n.now.override != nil {
 			t.Fatalf("%s: something of it was taken over", name)
 		}
 	}
@@ -131,8 +131,8 @@
 	if err := n.Reload(file); err != nil {
 		t.Fatal(err)
 	}
-	if got := answered(t, n, "fresh", "1"); got != http.StatusOK || n.disc.addr != moved {
-		t.Errorf("the override's class is answered %d, discovery is %s", got, n.disc.addr)
+	if got := answered(t, n, "fresh", "1"); got != http.StatusOK || n.disc.Addr() != moved {
+		t.Errorf("the override's class is answered %d, discovery is %s", got, n.disc.Addr())
 	}
 	if got := answered(t, n, "filed", "2"); got != http.StatusBadRequest {
 		t.Errorf("the file's class is answered %d", got)
--- a/internal/node/rules.go
+++ b/internal/node/rules.go
@@ -86,7 +86,7 @@
 		n.set = set
 	}
 	n.pool.retune(cfg)
-	n.disc.move(cfg.Discovery)
+	n.disc.Move(cfg.Discovery)
 	n.now = cfg
 	n.log.Info("configuration read again", "discovery", cfg.Discovery, "classes", cfg.classNames())
 	return nil
