--- a/cmd/hookwalk/peers.go
+++ b/cmd/hookwalk/peers.go
@@ -22,8 +22,8 @@
 	"hookwalk.example/hookwalk/members"
 )
 
-// leaveTime is how long a node that ends waits for its peers to hear of it.
-const leaveTime = time.Second
+// leaveTimeout is how long a node that ends waits for its peers to hear of it.
+const leaveTimeout = time.Second
 
 // joinPeers has a node meet others, where its settings say so. What it returns is called when the node has ended.
 func joinPeers(cfg node.Config, log *slog.Logger, n *node.Node) (leave func(), err error) {
@@ -32,12 +32,12 @@
 		return func() {}, nil
 	}
 	with := peersConfig(cfg.Name, p, cfg.Features.Sites)
-	with.Starts.(*starts).log = log
-	var room atomic.Pointer[peers.Room]
-	r, err := peers.Join(with, log)
+	with.StartStore.(*startFile).log = log
+	var cluster atomic.Pointer[peers.Cluster]
+	joined, err := peers.Join(with, log)
 	switch {
 	case err == nil:
-		room.Store(r)
+		cluster.Store(joined)
 	case !errors.Is(err, syscall.EADDRINUSE):
 		return nil, err
 	}
@@ -46,7 +46,7 @@
 	if err != nil { // the process that this one replaces has it yet: this one meets the others when that one has left
 		log.Info("peers: the address is taken, by the process before this one if all is well", "err", err)
 		waits.Go(func() {
-			tick := time.NewTicker(takenEvery)
+			tick := time.NewTicker(rejoinInterval)
 			defer tick.Stop()
 			for {
 				select {
@@ -54,40 +54,41 @@
 				case <-ctx.Done():
 					return
 				}
-				if r, err := peers.Join(with, log); err == nil {
-					room.Store(r)
+				if joined, err := peers.Join(with, log); err == nil {
+					cluster.Store(joined)
 					return
 				}
 			}
 		})
 	}
 	n.Sites = func() any {
-		if r := room.Load(); r != nil {
-			return r.View()
+		if c := cluster.Load(); c != nil {
+			return c.View()
 		}
 		return peers.View{Self: members.Joining.String(), Site: p.Site}
 	}
 	n.Reread = func() error {
-		if r := room.Load(); r != nil {
-			return r.Rekey()
+		if c := cluster.Load(); c != nil {
+			return c.ReloadKeys()
 		}
 		return nil
 	}
 	return func() {
 		stop()
 		waits.Wait()
-		r := room.Load()
-		if r == nil {
+		c := cluster.Load()
+		if c == nil {
 			return
 		}
-		if err := r.Leave(leaveTime); err != nil {
+		if err := c.Leave(leaveTimeout); err != nil {
 			log.Warn("peers", "err", err)
 		}
-		r.Close()
+		c.Close()
 	}, nil
 }
 
-const takenEvery = 200 * time.Millisecond
+// rejoinInterval is how often a node tries the address that the process before it still has.
+const rejoinInterval = 200 * time.Millisecond
 
 func peersConfig(name string, p *settings.Peers, sites []settings.Site) peers.Config {
 	tree := members.Tree{}
@@ -99,11 +100,11 @@
 		folder = os.TempDir()
 	}
 	return peers.Config{Name: name, Site: p.Site, Tree: tree, Listen: p.Listen, Seeds: p.Seeds, KeyFile: p.KeyFile, Label: p.Label,
-		Via: p.Via, Starts: &starts{path: filepath.Join(folder, "hookwalk-start."+name), owner: name}}
+		AddressOverrides: p.Via, StartStore: &startFile{path: filepath.Join(folder, "hookwalk-start."+name), owner: name}}
 }
 
-// starts keeps the number of a node's start in a file.
-type starts struct {
+// startFile keeps the number of a node's start in a file.
+type startFile struct {
 	path, owner string
 	log         *slog.Logger
 	writes      sync.WaitGroup // that are under way
@@ -120,8 +121,8 @@
 }
 func (e *StartError) Unwrap() error { return e.Err }
 
-// Next is one more than the last.
-func (s *starts) Next() (uint64, error) {
+// Next returns the stored number plus one, and stores it in the background.
+func (s *startFile) Next() (uint64, error) {
 	var last uint64
 	var wrong error
 	found := state.Read(s.path, s.owner)
@@ -142,11 +143,11 @@
 	return last + 1, nil
 }
 
-// Raise keeps a number that the peers' word made necessary.
-func (s *starts) Raise(start uint64) error { return s.write(start) }
+// Save stores a number that a refutation raised.
+func (s *startFile) Save(start uint64) error { return s.write(start) }
 
-func (s *starts) write(start uint64) error {
-	ctx, cancel := context.WithTimeout(context.Background(), leaveTime)
+func (s *startFile) write(start uint64) error {
+	ctx, cancel := context.WithTimeout(context.Background(), leaveTimeout)
 	defer cancel()
 	release, err := state.Lock(ctx, s.path)
 	if err != nil {
--- a/cmd/hookwalk/peers_test.go
+++ b/cmd/hookwalk/peers_test.go
@@ -45,7 +45,7 @@
 			if err := tc.befall(path); err != nil {
 				t.Fatal(err)
 			}
-			s := &starts{path: path, owner: "n", log: slog.New(slog.DiscardHandler)}
+			s := &startFile{path: path, owner: "n", log: slog.New(slog.DiscardHandler)}
 			got, err := s.Next()
 			if got != tc.want || (err != nil) != tc.wrong || err != nil && !strings.Contains(err.Error(), "look at the folder's disk") {
 				t.Errorf("start %d, %v; want %d", got, err, tc.want)
@@ -56,11 +56,11 @@
 			}
 		})
 	}
-	nowhere := &starts{path: "/proc/nowhere/start", owner: "n", log: slog.New(slog.DiscardHandler)}
+	nowhere := &startFile{path: "/proc/nowhere/start", owner: "n", log: slog.New(slog.DiscardHandler)}
 	if n, _ := nowhere.Next(); n != 1 {
 		t.Errorf("without a folder it is start %d", n)
 	}
-	if err := nowhere.Raise(7); err == nil {
+	if err := nowhere.Save(7); err == nil {
 		t.Error("it is kept nowhere, and nobody says so")
 	}
 }
--- a/cmd/hookwalk/sites_test.go
+++ b/cmd/hookwalk/sites_test.go
@@ -18,10 +18,10 @@
 func installed(t testing.TB, per int, ways bool) *sites.Installation {
 	t.Helper()
 	in, err := sites.Up(t.Context(), sites.Options{Program: []string{os.Args[0]}, Env: []string{"HOOKWALK_AS_PROGRAM=1"}, Dir: t.TempDir(),
-		Per: per, Ways: ways, Config: func(name, control string) string {
+		NodesPerSite: per, Links: ways, Config: func(name, control string) string {
 			return strings.Replace(fmt.Sprintf(config, "127.0.0.1:1"), `"name":"n0",`, fmt.Sprintf(`"name":%q,"control":%q,`, name, control), 1)
 		}})
-	t.Cleanup(in.Down)
+	t.Cleanup(in.Close)
 	must(t, err)
 	return in
 }
@@ -36,7 +36,7 @@
 // until wants something of some nodes within a minute.
 func until(t testing.TB, in *sites.Installation, what string, who []*sites.Node, holds func(sites.View) bool) time.Duration {
 	t.Helper()
-	took, err := in.Until(who, holds)
+	took, err := in.WaitUntil(who, holds)
 	if err != nil {
 		t.Fatalf("%s: %v", what, err)
 	}
@@ -44,7 +44,7 @@
 }
 
 func whole(n int) func(sites.View) bool {
-	return func(v sites.View) bool { return v.Self == "agreed" && v.Here() == n }
+	return func(v sites.View) bool { return v.Self == "agreed" && v.Alive() == n }
 }
 func has(name, state string) func(sites.View) bool {
 	return func(v sites.View) bool { return v.State(name) == state }
@@ -74,7 +74,7 @@
 	if v, _ := in.Nodes[4].View(); v.Self != "agreed" {
 		t.Errorf("one death of seven and %s is %s", in.Nodes[4].Name, v.Self)
 	}
-	must(t, victim.Forget())
+	must(t, victim.WipeFolder())
 	must(t, in.Start(victim))
 	t.Logf("agreed %v after its return with an empty folder", until(t, in, "agreed", in.Nodes, whole(n)))
 	if v, _ := victim.View(); v.Me.Start != 2 {
@@ -85,11 +85,11 @@
 	// another: nobody is called failed.
 	still, watcher := in.Nodes[2], in.Nodes[3]
 	before, _ := watcher.View()
-	in.Lose(rough)
+	in.SetLoss(rough)
 	for _, i := range []int{2, 6, 8, 10} { // by the last one, the first would be called failed
 		stalled(t, in.Nodes[i], 700*time.Millisecond)
 	}
-	in.Lose(link.Loss{})
+	in.SetLoss(link.Loss{})
 	until(t, in, "agreed", in.Nodes, whole(n))
 	if after, ok := watcher.View(); !ok || after.Failed != before.Failed {
 		t.Errorf("%s calls %d failed who are not", watcher.Name, after.Failed-before.Failed)
@@ -105,7 +105,7 @@
 	}
 
 	// A site is cut off from all others, both ways: half of whom it concerns is no majority. The others go on.
-	lone := in.Of("okanagan")
+	lone := in.InSite("okanagan")
 	must(t, in.Cut(true, lone, in.Others(lone...)))
 	must(t, in.Cut(true, in.Others(lone...), lone))
 	until(t, in, "cut off", lone, is("cut off"))
@@ -117,17 +117,17 @@
 	// One way: what a node says arrives nowhere, also where it answers on another's stream, and it hears all packets.
 	dumb := in.Nodes[7]
 	must(t, in.Cut(true, []*sites.Node{dumb}, in.Nodes))
-	must(t, in.Answers(true, in.Nodes, dumb))
+	must(t, in.SilenceAnswers(true, in.Nodes, dumb))
 	until(t, in, "told of it", in.Others(dumb), has(dumb.Name, "failed"))
 	t.Logf("it doubts itself %v later", until(t, in, "in doubt", []*sites.Node{dumb}, func(v sites.View) bool { return v.Self != "agreed" }))
 	must(t, in.Cut(false, []*sites.Node{dumb}, in.Nodes))
-	must(t, in.Answers(false, in.Nodes, dumb))
+	must(t, in.SilenceAnswers(false, in.Nodes, dumb))
 	t.Logf("agreed %v after a cut one way", until(t, in, "agreed", in.Nodes, whole(n)))
 
 	// All are killed and come back with empty folders: they find together from the seeds.
 	for _, m := range in.Nodes {
 		m.Kill()
-		must(t, m.Forget())
+		must(t, m.WipeFolder())
 	}
 	for _, m := range in.Nodes {
 		must(t, in.Start(m))
@@ -137,7 +137,7 @@
 	// A node that is told to end leaves: it is no failure, and nobody counts it any more.
 	leaver := in.Nodes[n-1]
 	must(t, leaver.Signal(syscall.SIGTERM))
-	leaver.Ended()
+	leaver.Wait()
 	until(t, in, "told of the leave", in.Others(leaver), has(leaver.Name, "left"))
 	until(t, in, "agreed", in.Others(leaver), whole(n-1))
 
@@ -195,7 +195,7 @@
 				b.ReportMetric(float64(sent()-before)/float64(3*per)/time.Since(at).Seconds(), "B/s-a-node")
 				in.Nodes[1].Kill()
 				b.ReportMetric(float64(until(b, in, "told", in.Others(in.Nodes[1]), has(in.Nodes[1].Name, "failed")).Milliseconds()), "ms-to-notice")
-				in.Down()
+				in.Close()
 			}
 		})
 	}
@@ -207,7 +207,7 @@
 	for b.Loop() {
 		in := installed(b, 4, true)
 		until(b, in, "agreed", in.Nodes, whole(len(in.Nodes)))
-		in.Lose(rough)
+		in.SetLoss(rough)
 		for i := range 50 {
 			stalled(b, in.Nodes[i%len(in.Nodes)], time.Duration(300+100*(i%7))*time.Millisecond)
 			<-time.After(700 * time.Millisecond)
--- a/internal/lab/scale/membership_rig.go
+++ b/internal/lab/scale/membership_rig.go
@@ -108,19 +108,19 @@
 
 // membershipRun is one run.
 type membershipRun struct {
-	options MembershipOptions
-	keyFile string
-	rooms   []*peers.Room // that run
-	began   time.Time
-	before  MembershipTraffic
-	cpu     time.Duration
+	options  MembershipOptions
+	keyFile  string
+	clusters []*peers.Cluster // that run
+	began    time.Time
+	before   MembershipTraffic
+	cpu      time.Duration
 }
 
 // MeasureMembership runs members in this process, each with the real package peers on an address of its own in
 // 127.0.0.0/8, takes them through all parts and stops them.
 func MeasureMembership(ctx context.Context, options MembershipOptions) (result MembershipResult, err error) {
 	run := &membershipRun{options: options}
-	defer func() { run.close(run.rooms) }()
+	defer func() { run.close(run.clusters) }()
 	before, err := readOwnUsage(true)
 	if err != nil {
 		return result, err
@@ -159,12 +159,12 @@
 	if r.options.Batch > 0 {
 		batch = r.options.Batch
 	}
-	for len(r.rooms) < r.options.Members {
+	for len(r.clusters) < r.options.Members {
 		if err := r.untilMet(ctx); err != nil {
 			return MembershipPart{}, err
 		}
 		r.begin()
-		for range min(batch, r.options.Members-len(r.rooms)) {
+		for range min(batch, r.options.Members-len(r.clusters)) {
 			if err := r.join(); err != nil {
 				return MembershipPart{}, err
 			}
@@ -186,13 +186,13 @@
 
 // untilMet waits until each member that runs has all others.
 func (r *membershipRun) untilMet(ctx context.Context) error {
-	all := len(r.rooms)
+	all := len(r.clusters)
 	return r.until(ctx, "met all others", func(v peers.View) bool { return running(v) == all })
 }
 
 // untilAgreed waits until each member that runs agrees, and has all others.
 func (r *membershipRun) untilAgreed(ctx context.Context) error {
-	all := len(r.rooms)
+	all := len(r.clusters)
 	return r.until(ctx, "agreed with all others", func(v peers.View) bool { return v.Self == viewAgreed && running(v) == all })
 }
 
@@ -208,12 +208,12 @@
 
 // die closes members without a word, and waits until all others call them failed.
 func (r *membershipRun) die(ctx context.Context, count int) (MembershipPart, error) {
-	dead := slices.Clone(r.rooms[len(r.rooms)-count:])
+	dead := slices.Clone(r.clusters[len(r.clusters)-count:])
 	names := map[string]bool{}
-	for _, room := range dead {
-		names[room.View().Me.Name] = true
+	for _, cluster := range dead {
+		names[cluster.View().Me.Name] = true
 	}
-	r.rooms = r.rooms[:len(r.rooms)-count]
+	r.clusters = r.clusters[:len(r.clusters)-count]
 	r.begin()
 	r.close(dead)
 	err := r.until(ctx, "called the dead failed", func(v peers.View) bool { return failed(v, names) == len(names) })
@@ -228,13 +228,13 @@
 // end ends it.
 func (r *membershipRun) end() MembershipPart {
 	elapsed, cpu := time.Since(r.began), ownProcessorTime()-r.cpu
-	return MembershipPart{MembershipTraffic: r.traffic().Since(r.before), Running: len(r.rooms), Elapsed: elapsed, CPU: cpu}
+	return MembershipPart{MembershipTraffic: r.traffic().Since(r.before), Running: len(r.clusters), Elapsed: elapsed, CPU: cpu}
 }
 
 // traffic is what the members that run have sent so far.
 func (r *membershipRun) traffic() (sum MembershipTraffic) {
-	for _, room := range r.rooms {
-		view := room.View()
+	for _, cluster := range r.clusters {
+		view := cluster.View()
 		sum.PacketBytes += view.Sent
 		sum.Packets += view.Packets
 		sum.StreamBytes += view.Streams
@@ -244,8 +244,8 @@
 
 // failures is how often the members have called another failed so far.
 func (r *membershipRun) failures() (sum uint64) {
-	for _, room := range r.rooms {
-		sum += room.View().Failed
+	for _, cluster := range r.clusters {
+		sum += cluster.View().Failed
 	}
 	return sum
 }
@@ -256,12 +256,12 @@
 	defer stop()
 	look := time.NewTicker(membershipLook)
 	defer look.Stop()
-	for _, room := range r.rooms {
-		for !holds(room.View()) {
+	for _, cluster := range r.clusters {
+		for !holds(cluster.View()) {
 			select {
 			case <-look.C:
 			case <-limit.Done():
-				return &MembershipError{Member: room.View().Me.Name, What: what, Within: r.options.MostTime}
+				return &MembershipError{Member: cluster.View().Me.Name, What: what, Within: r.options.MostTime}
 			}
 		}
 	}
@@ -271,32 +271,32 @@
 // join starts the next member.
 func (r *membershipRun) join() error {
 	const addressesPerNet = 250
-	index := len(r.rooms)
+	index := len(r.clusters)
 	config := peers.Config{
-		Name:    fmt.Sprintf("member-%04d", index),
-		Site:    membershipSites[index%len(membershipSites)],
-		Tree:    membershipTree,
-		Listen:  fmt.Sprintf("127.77.%d.%d:0", index/addressesPerNet, index%addressesPerNet+1),
-		KeyFile: r.keyFile,
-		Label:   "scale",
-		Starts:  &startCounter{},
+		Name:       fmt.Sprintf("member-%04d", index),
+		Site:       membershipSites[index%len(membershipSites)],
+		Tree:       membershipTree,
+		Listen:     fmt.Sprintf("127.77.%d.%d:0", index/addressesPerNet, index%addressesPerNet+1),
+		KeyFile:    r.keyFile,
+		Label:      "scale",
+		StartStore: &startCounter{},
 	}
 	if index > 0 {
-		config.Seeds = []string{r.rooms[0].Addr()}
+		config.Seeds = []string{r.clusters[0].Addr()}
 	}
-	room, err := peers.Join(config, slog.New(slog.DiscardHandler))
+	cluster, err := peers.Join(config, slog.New(slog.DiscardHandler))
 	if err != nil {
 		return err
 	}
-	r.rooms = append(r.rooms, room)
+	r.clusters = append(r.clusters, cluster)
 	return nil
 }
 
 // close closes members at once.
-func (r *membershipRun) close(rooms []*peers.Room) {
+func (r *membershipRun) close(clusters []*peers.Cluster) {
 	var all sync.WaitGroup
-	for _, room := range rooms {
-		all.Go(room.Close)
+	for _, cluster := range clusters {
+		all.Go(cluster.Close)
 	}
 	all.Wait()
 }
@@ -360,8 +360,8 @@
 	return s.last, nil
 }
 
-// Raise keeps a number that is known to be higher.
-func (s *startCounter) Raise(start uint64) error {
+// Save keeps a number that a refutation raised.
+func (s *startCounter) Save(start uint64) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.last = max(s.last, start)
--- a/internal/lab/sites/sites.go
+++ b/internal/lab/sites/sites.go
@@ -1,4 +1,4 @@
-// Package sites is an installation of three sites whose nodes are processes of the program, each pair joined by a way of
+// Package sites is an installation of three sites whose nodes are processes of the program, each pair joined by a link of
 // its own for streams and packets, on which faults are made. It knows the program by its settings, its configuration and
 // the control's answer; what must hold is its callers' to say.
 package sites
@@ -28,34 +28,37 @@
 
 // Options say how an installation is made.
 type Options struct {
-	Program []string // `run --settings FILE` is added to it
-	Env     []string // added to the environment
-	Dir     string   // for settings, keys and the nodes' folders
-	Per     int      // nodes of a site
-	Ways    bool     // a way of its own between each pair; else they reach each other at once
-	Config  func(name, control string) string
+	Program      []string // `run --settings FILE` is added to it
+	Env          []string // added to the environment
+	Dir          string   // for settings, keys and the nodes' folders
+	NodesPerSite int
+	Links        bool // a link of its own between each pair; else they reach each other directly
+	Config       func(name, control string) string
 }
 
 // Installation is one that is up. Its methods are called from one goroutine.
 type Installation struct {
 	Nodes []*Node
 
-	opt     Options
+	options Options
 	ports   int // a block that no other rig, and no outgoing connection, has
 	release func()
-	ways    map[[2]string]*link.Peers // by the names of who calls and who is called
+	links   map[[2]string]*link.Peers // by the names of who calls and who is called
 }
 
-// Node is one of its nodes, over all of its lives.
+// Node is one of its nodes, over all of its incarnations.
 type Node struct {
 	Name, Site, Folder, Control string
 
 	listen, config, settings string
 	cmd                      *exec.Cmd
 	ended                    chan struct{}
-	log                      *said
+	log                      *logBuffer
 }
 
+// aliveState is the control's word for an alive member.
+const aliveState = "here"
+
 // View is what of a node's answer is looked at.
 type View struct {
 	Self    string
@@ -65,11 +68,11 @@
 	Failed  uint64
 }
 
-// Here counts the members that are here, the node among them.
-func (v View) Here() int {
+// Alive counts the members that are alive, the node among them.
+func (v View) Alive() int {
 	n := 1
 	for _, m := range v.Members {
-		if m.State == "here" {
+		if m.State == aliveState {
 			n++
 		}
 	}
@@ -86,19 +89,19 @@
 	return ""
 }
 
-// said is what a process has written so far.
-type said struct {
+// logBuffer is what a process has written so far.
+type logBuffer struct {
 	mu sync.Mutex
 	b  bytes.Buffer
 }
 
-func (s *said) Write(p []byte) (int, error) {
+func (s *logBuffer) Write(p []byte) (int, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.b.Write(p)
 }
 
-func (s *said) String() string {
+func (s *logBuffer) String() string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.b.String()
@@ -106,27 +109,27 @@
 
 const nodePorts = 3000 // of the block: no link has one from there on
 
-// Up makes an installation whose processes all run. Down must follow, also after an error.
+// Up makes an installation whose processes all run. Close must follow, also after an error.
 func Up(ctx context.Context, o Options) (in *Installation, err error) {
-	in = &Installation{opt: o, ways: map[[2]string]*link.Peers{}}
+	in = &Installation{options: o, links: map[[2]string]*link.Peers{}}
 	if in.ports, in.release, err = link.Claim(ctx); err != nil {
 		return in, err
 	}
 	addr := func() string { return fmt.Sprintf("127.0.0.1:%d", in.ports+nodePorts+2*len(in.Nodes)) }
 	for _, site := range Names {
-		for i := range o.Per {
+		for i := range o.NodesPerSite {
 			n := &Node{Name: fmt.Sprintf("%s-%d", site, i), Site: site, listen: addr()}
 			n.Folder = filepath.Join(o.Dir, n.Name)
 			n.Control = fmt.Sprintf("127.0.0.1:%d", in.ports+nodePorts+2*len(in.Nodes)+1)
 			in.Nodes = append(in.Nodes, n)
 		}
 	}
-	if o.Ways {
-		if err := in.open(); err != nil {
+	if o.Links {
+		if err := in.openLinks(); err != nil {
 			return in, err
 		}
 	}
-	if err := in.settle(); err != nil {
+	if err := in.writeSettings(); err != nil {
 		return in, err
 	}
 	for _, n := range in.Nodes {
@@ -137,7 +140,7 @@
 	return in, nil
 }
 
-func (in *Installation) open() error {
+func (in *Installation) openLinks() error {
 	for _, a := range in.Nodes {
 		for _, b := range in.Nodes {
 			if a == b {
@@ -147,26 +150,26 @@
 			if err != nil {
 				return err
 			}
-			in.ways[[2]string{a.Name, b.Name}] = w
+			in.links[[2]string{a.Name, b.Name}] = w
 		}
 	}
 	return nil
 }
 
-// settle writes each node's settings.
-func (in *Installation) settle() error {
-	key := filepath.Join(in.opt.Dir, "key")
+// writeSettings writes each node's settings.
+func (in *Installation) writeSettings() error {
+	key := filepath.Join(in.options.Dir, "key")
 	if err := os.WriteFile(key, []byte(base64.StdEncoding.EncodeToString([]byte("0123456789abcdef"))+"\n"), 0o600); err != nil {
 		return err
 	}
 	for _, n := range in.Nodes {
 		var via []string
 		for _, o := range in.Nodes {
-			if w := in.ways[[2]string{n.Name, o.Name}]; w != nil {
+			if w := in.links[[2]string{n.Name, o.Name}]; w != nil {
 				via = append(via, fmt.Sprintf("%q", o.listen+"="+w.Addr()))
 			}
 		}
-		n.settings, n.config = filepath.Join(in.opt.Dir, n.Name+".hcl"), filepath.Join(in.opt.Dir, n.Name+".json")
+		n.settings, n.config = filepath.Join(in.options.Dir, n.Name+".hcl"), filepath.Join(in.options.Dir, n.Name+".json")
 		text := fmt.Sprintf(`site "dc" {}
 site "okanagan" { parent = "dc" }
 site "similkameen" { parent = "dc" }
@@ -174,8 +177,8 @@
   site = %q listen = %q seeds = [%q, %q] key_file = %q label = "benchland" folder = %q
   via = [%s]
 }
-`, n.Site, n.listen, in.Nodes[0].listen, in.Nodes[in.opt.Per].listen, key, n.Folder, strings.Join(via, ", "))
-		err := errors.Join(os.WriteFile(n.settings, []byte(text), 0o600), os.WriteFile(n.config, []byte(in.opt.Config(n.Name, n.Control)), 0o600),
+`, n.Site, n.listen, in.Nodes[0].listen, in.Nodes[in.options.NodesPerSite].listen, key, n.Folder, strings.Join(via, ", "))
+		err := errors.Join(os.WriteFile(n.settings, []byte(text), 0o600), os.WriteFile(n.config, []byte(in.options.Config(n.Name, n.Control)), 0o600),
 			os.MkdirAll(n.Folder, 0o700))
 		if err != nil {
 			return err
@@ -184,11 +187,11 @@
 	return nil
 }
 
-// Start begins a life of a node.
+// Start starts a node's process.
 func (in *Installation) Start(n *Node) error {
-	n.cmd = exec.Command(in.opt.Program[0], append(slices.Clone(in.opt.Program[1:]), "run", "--settings", n.settings)...)
-	n.cmd.Env = append(os.Environ(), append(slices.Clone(in.opt.Env), "ROUTER_CONFIG="+n.config, "TMPDIR="+n.Folder)...)
-	n.log, n.ended = &said{}, make(chan struct{})
+	n.cmd = exec.Command(in.options.Program[0], append(slices.Clone(in.options.Program[1:]), "run", "--settings", n.settings)...)
+	n.cmd.Env = append(os.Environ(), append(slices.Clone(in.options.Env), "ROUTER_CONFIG="+n.config, "TMPDIR="+n.Folder)...)
+	n.log, n.ended = &logBuffer{}, make(chan struct{})
 	n.cmd.Stderr = n.log
 	if err := n.cmd.Start(); err != nil {
 		close(n.ended)
@@ -205,8 +208,8 @@
 // Signal sends one to a node's process.
 func (n *Node) Signal(s syscall.Signal) error { return n.cmd.Process.Signal(s) }
 
-// Ended waits for a node's process to end.
-func (n *Node) Ended() { <-n.ended }
+// Wait waits for a node's process to end.
+func (n *Node) Wait() { <-n.ended }
 
 // Log is what the present process has written.
 func (n *Node) Log() string { return n.log.String() }
@@ -217,19 +220,19 @@
 	<-n.ended
 }
 
-// Forget empties a node's folder, as a disk that forgets.
-func (n *Node) Forget() error {
+// WipeFolder empties a node's folder, as a disk that forgets.
+func (n *Node) WipeFolder() error {
 	return errors.Join(os.RemoveAll(n.Folder), os.Mkdir(n.Folder, 0o700))
 }
 
-// Down ends all that runs.
-func (in *Installation) Down() {
+// Close ends all that runs.
+func (in *Installation) Close() {
 	for _, n := range in.Nodes {
 		if n.cmd != nil {
 			n.Kill()
 		}
 	}
-	for _, w := range in.ways {
+	for _, w := range in.links {
 		w.Close()
 	}
 	if in.release != nil {
@@ -249,19 +252,19 @@
 }
 
 const (
-	askEvery = 20 * time.Millisecond
-	mostWait = time.Minute
+	pollInterval = 20 * time.Millisecond
+	waitTimeout  = time.Minute
 )
 
-// Until asks some nodes until each has answered what is wanted, and returns how long that took.
-func (in *Installation) Until(who []*Node, holds func(View) bool) (time.Duration, error) {
+// WaitUntil asks some nodes until each has answered what is wanted, and returns how long that took.
+func (in *Installation) WaitUntil(who []*Node, holds func(View) bool) (time.Duration, error) {
 	begin := time.Now()
-	tick := time.NewTicker(askEvery)
+	tick := time.NewTicker(pollInterval)
 	defer tick.Stop()
 	for _, n := range who {
 		for v, ok := n.View(); !ok || !holds(v); v, ok = n.View() {
-			if time.Since(begin) > mostWait {
-				return 0, fmt.Errorf("%s does not after %v: %+v\n%s", n.Name, mostWait, v, n.Log())
+			if time.Since(begin) > waitTimeout {
+				return 0, fmt.Errorf("%s does not after %v: %+v\n%s", n.Name, waitTimeout, v, n.Log())
 			}
 			<-tick.C
 		}
@@ -274,24 +277,24 @@
 	return slices.DeleteFunc(slices.Clone(in.Nodes), func(n *Node) bool { return slices.Contains(out, n) })
 }
 
-// Of are the nodes of a site.
-func (in *Installation) Of(site string) []*Node {
+// InSite are the nodes of a site.
+func (in *Installation) InSite(site string) []*Node {
 	return slices.DeleteFunc(slices.Clone(in.Nodes), func(n *Node) bool { return n.Site != site })
 }
 
-// Cut cuts the ways from some nodes to others, or mends them.
+// Cut cuts the links from some nodes to others, or mends them.
 func (in *Installation) Cut(off bool, from, to []*Node) error {
 	return in.each(from, to, func(w *link.Peers) error { return w.Cut(off) })
 }
 
-// Answers has what is answered on the streams from some nodes to another stay where it is, or arrive again.
-func (in *Installation) Answers(off bool, from []*Node, to *Node) error {
+// SilenceAnswers has what is answered on the streams from some nodes to another stay where it is, or arrive again.
+func (in *Installation) SilenceAnswers(off bool, from []*Node, to *Node) error {
 	return in.each(from, []*Node{to}, func(w *link.Peers) error { return w.Set(link.Fault{Silent: [2]bool{link.Back: off}}) })
 }
 
-// Lose changes what is wrong with all packets.
-func (in *Installation) Lose(l link.Loss) {
-	for _, w := range in.ways {
+// SetLoss changes what is wrong with all packets.
+func (in *Installation) SetLoss(l link.Loss) {
+	for _, w := range in.links {
 		w.SetLoss(l)
 	}
 }
@@ -299,7 +302,7 @@
 func (in *Installation) each(from, to []*Node, do func(*link.Peers) error) error {
 	for _, a := range from {
 		for _, b := range to {
-			if w := in.ways[[2]string{a.Name, b.Name}]; w != nil {
+			if w := in.links[[2]string{a.Name, b.Name}]; w != nil {
 				if err := do(w); err != nil {
 					return err
 				}
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -1,19 +1,18 @@
-// Package peers is how nodes reach each other: memberlist (SWIM with Lifeguard's corrections) detects and spreads, this
-// package carries what it says to the pure module members and that module's words to the other nodes. It decides nothing.
-// Who has a Room reads its View; nothing in it is waited for by a request.
+// Package peers is how the nodes of an installation reach each other. The memberlist library detects failures and spreads
+// messages (SWIM with Lifeguard's corrections); this package feeds the pure module members with what the library reports,
+// and carries that module's announcements to the other nodes. It decides nothing, and no request waits for it: consumers
+// read a Cluster's View.
 package peers
 
 import (
 	"context"
 	"crypto/rand"
 	"encoding/binary"
-	"encoding/json"
 	"fmt"
 	"io"
 	"log"
 	"log/slog"
 	"net"
-	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -26,34 +25,41 @@
 
 // Config says who a node is among others.
 type Config struct {
-	Name, Site string
-	Tree       members.Tree
-	Listen     string // HOST:PORT, for packets and streams
-	Seeds      []string
-	KeyFile    string
-	Label      string // of the installation: others' messages get in nowhere
-	Via        map[string]string
-	Starts     Starts
-	Limits     members.Limits
+	Name, Site       string
+	Tree             members.Tree
+	Listen           string            // HOST:PORT, for packets and streams
+	Seeds            []string          // HOST:PORT of nodes to join through
+	KeyFile          string            // see ReadKeys
+	Label            string            // of the installation: messages with another one are dropped
+	AddressOverrides map[string]string // where a peer's address is reached from here, if elsewhere
+	StartStore       StartStore
+	Limits           members.Limits // zero: members.DefaultLimits
 }
 
-// Starts keeps the number of a node's start.
-type Starts interface {
-	Next() (uint64, error)    // one more than the last that was kept; without one, 1. It waits for no force to disk
-	Raise(start uint64) error // keeps one; nobody waits for it
+// StartStore keeps the start number of a node.
+type StartStore interface {
+	// Next returns the stored number plus one, or 1 without one, and stores it without waiting for the disk.
+	Next() (uint64, error)
+	// Save stores a number that a refutation raised.
+	Save(start uint64) error
 }
 
 // The pace of detection: a death is noticed within 2 s at 24 nodes and 4 s at 100.
 const (
-	probeEvery  = 250 * time.Millisecond
-	probeTime   = 150 * time.Millisecond
-	gossipEvery = 100 * time.Millisecond
-	suspicion   = 3 // times log10 of the nodes, times probeEvery, at least
-	syncEvery   = 5 * time.Second
-	lookEvery   = 100 * time.Millisecond
-	joinTime    = 2 * time.Second
-	mostQueue   = 2048 // words on their way
-	sayMalform  = time.Minute
+	probeInterval       = 250 * time.Millisecond
+	probeTimeout        = 150 * time.Millisecond
+	gossipInterval      = 100 * time.Millisecond
+	suspicionMultiplier = 3 // a suspicion lasts at least this times log10 of the nodes times probeInterval
+	pushPullInterval    = 5 * time.Second
+	gossipToDead        = 10 * time.Second
+	joinTimeout         = 2 * time.Second
+)
+
+const (
+	reconcileInterval    = 100 * time.Millisecond
+	retransmitMultiplier = 3    // a message is sent on this often, times log10 of the nodes
+	maxQueued            = 2048 // messages that wait to be sent
+	maxReconnects        = 64   // that wait for their turn
 )
 
 // JoinError says that a node could not begin to listen for its peers.
@@ -67,42 +73,37 @@
 }
 func (e *JoinError) Unwrap() error { return e.Err }
 
-// Room is a node's place among others, from Join to Close.
-type Room struct {
-	cfg  Config
-	log  *slog.Logger
-	wire *wire
-	list *memberlist.Memberlist
-	size atomic.Int64 // of there
-	ring *memberlist.Keyring
-
-	mu      sync.Mutex
-	module  *members.Members
-	begin   time.Time
-	there   map[string]peer         // that the detector has, this node aside
-	met     map[string]members.Life // as the module was told of them last
-	addrs   map[string]string
-	left    map[members.Life]bool // that said so
-	heard   map[members.Life]uint64
-	seq     uint64
-	bad     int64
-	badSaid time.Time
-	queue   memberlist.TransmitLimitedQueue
-	changed chan struct{} // closed and made anew at each change of the view
-
-	look  chan struct{}
-	asks  chan string
-	stop  context.CancelFunc
-	ended sync.WaitGroup
-}
-
-// Join begins to listen and to look for the seeds. It returns at once; who is there shows in the View.
-func Join(cfg Config, logger *slog.Logger) (*Room, error) {
-	host, portText, err := net.SplitHostPort(cfg.Listen)
-	if err != nil {
-		return nil, &JoinError{cfg.Listen, err}
-	}
-	port, err := strconv.Atoi(portText)
+// Cluster is a node's membership in its installation, from Join to Close. Its methods may be called from any goroutine.
+type Cluster struct {
+	cfg       Config
+	log       *slog.Logger
+	started   time.Time
+	transport *transport
+	detector  *memberlist.Memberlist
+	keyring   *memberlist.Keyring
+	liveCount atomic.Int64 // of live
+
+	mu           sync.Mutex
+	module       *members.Members
+	live         map[string]detected            // by name, as the detector has them, without this node
+	reported     map[string]members.Incarnation // by name, as the module was told last
+	addresses    map[string]string              // by name, last known
+	left         map[members.Incarnation]bool   // that announced that they leave
+	lastSequence map[members.Incarnation]uint64 // of the messages received
+	sequence     uint64                         // of the messages sent
+	queue        memberlist.TransmitLimitedQueue
+	malformed    malformedCount
+	changed      chan struct{} // closed and replaced at each change of the view
+
+	reconcileNow chan struct{}
+	reconnects   chan string // addresses
+	stop         context.CancelFunc
+	tasks        sync.WaitGroup
+}
+
+// Join begins to listen and to look for the seeds. It returns at once; the View shows who has been found.
+func Join(cfg Config, logger *slog.Logger) (*Cluster, error) {
+	host, port, err := splitListen(cfg.Listen)
 	if err != nil {
 		return nil, &JoinError{cfg.Listen, err}
 	}
@@ -110,451 +111,137 @@
 	if err != nil {
 		return nil, err
 	}
-	ln, err := net.Listen("tcp", cfg.Listen) // the library's error does not say that an address is taken
-	if err != nil {
+	if err := tryListen(cfg.Listen); err != nil {
 		return nil, &JoinError{cfg.Listen, err}
 	}
-	ln.Close()
-	start, err := cfg.Starts.Next()
-	if err != nil { // a disk that can't be read: the peers know the number, if there was one
-		logger.Warn("peers: the number of this start is not known", "err", err)
-	}
-	var nonce [8]byte
-	rand.Read(nonce[:])
-	me := members.Life{Name: cfg.Name, Start: start, Nonce: binary.LittleEndian.Uint64(nonce[:])}
 	if cfg.Limits == (members.Limits{}) {
-		cfg.Limits = members.Usual()
+		cfg.Limits = members.DefaultLimits()
 	}
-	module, err := members.New(me, cfg.Site, cfg.Tree, cfg.Limits, me.Nonce)
+	local := newIncarnation(cfg, logger)
+	module, err := members.New(local, cfg.Site, cfg.Tree, cfg.Limits, local.Nonce)
 	if err != nil {
 		return nil, fmt.Errorf("peers: %w", err)
 	}
-	r := &Room{cfg: cfg, log: logger, module: module, begin: time.Now(), there: map[string]peer{}, met: map[string]members.Life{}, addrs: map[string]string{},
-		left: map[members.Life]bool{}, heard: map[members.Life]uint64{}, changed: make(chan struct{}),
-		look: make(chan struct{}, 1), asks: make(chan string, 64)}
-	quiet := log.New(io.Discard, "", 0) // what matters of it shows in the view
-	transport, err := memberlist.NewNetTransport(&memberlist.NetTransportConfig{BindAddrs: []string{host}, BindPort: port, Logger: quiet})
-	if err != nil {
-		return nil, &JoinError{cfg.Listen, err}
-	}
-	r.wire = &wire{NetTransport: transport, via: cfg.Via}
-	if r.ring, err = memberlist.NewKeyring(keys, keys[0]); err != nil {
-		transport.Shutdown()
-		return nil, &KeyError{cfg.KeyFile, err}
-	}
-	r.queue = memberlist.TransmitLimitedQueue{RetransmitMult: 3, NumNodes: r.known}
-	c := memberlist.DefaultLANConfig()
-	c.Name, c.Label, c.Transport, c.Keyring, c.Logger = cfg.Name, cfg.Label, r.wire, r.ring, quiet
-	c.AdvertiseAddr, c.AdvertisePort = host, transport.GetAutoBindPort()
-	if port != 0 {
-		c.AdvertisePort = port
-	}
-	c.BindAddr, c.BindPort = host, c.AdvertisePort
-	c.ProbeInterval, c.ProbeTimeout, c.GossipInterval, c.SuspicionMult, c.PushPullInterval = probeEvery, probeTime, gossipEvery, suspicion, syncEvery
-	c.TCPTimeout, c.DeadNodeReclaimTime, c.GossipToTheDeadTime = joinTime, time.Millisecond, 10*time.Second
-	c.Delegate, c.Events, c.Conflict = delegate{r}, events{r}, conflict{r}
-	if r.list, err = memberlist.Create(c); err != nil {
-		transport.Shutdown()
-		return nil, &JoinError{cfg.Listen, err}
+	c := &Cluster{
+		cfg:          cfg,
+		log:          logger,
+		started:      time.Now(),
+		module:       module,
+		live:         map[string]detected{},
+		reported:     map[string]members.Incarnation{},
+		addresses:    map[string]string{},
+		left:         map[members.Incarnation]bool{},
+		lastSequence: map[members.Incarnation]uint64{},
+		changed:      make(chan struct{}),
+		reconcileNow: make(chan struct{}, 1),
+		reconnects:   make(chan string, maxReconnects),
+	}
+	c.queue = memberlist.TransmitLimitedQueue{RetransmitMult: retransmitMultiplier, NumNodes: c.nodeCount}
+	if err := c.startDetector(host, port, keys); err != nil {
+		return nil, err
 	}
 	ctx, stop := context.WithCancel(context.Background())
-	r.stop = stop
-	r.ended.Go(func() { r.watch(ctx) })
-	r.ended.Go(func() { r.reach(ctx) })
-	return r, nil
+	c.stop = stop
+	c.tasks.Go(func() { c.run(ctx) })
+	c.tasks.Go(func() { c.connect(ctx) })
+	return c, nil
 }
 
-// Addr is where this node listens for its peers.
-func (r *Room) Addr() string { return r.list.LocalNode().Address() }
-
-// known is how many nodes the detector has.
-func (r *Room) known() int { return int(r.size.Load()) + 1 }
-
-// now is the module's clock: it stands still with the machine's processes, not with a set clock.
-func (r *Room) now() time.Duration { return time.Since(r.begin) }
-
-// watch ticks, compares what the detector has with what the module was told, and notices stalls of this process.
-func (r *Room) watch(ctx context.Context) {
-	tick := time.NewTicker(lookEvery)
-	defer tick.Stop()
-	last := r.now()
-	for {
-		select {
-		case <-tick.C:
-		case <-r.look:
-		case <-ctx.Done():
-			return
-		}
-		now := r.now()
-		if slept := now - last - lookEvery; slept >= r.cfg.Limits.Patience {
-			r.step(members.Slept{For: slept})
-		}
-		last = now
-		r.compare()
-		r.step(members.Tick{})
-	}
-}
-
-// compare tells the module what the detector has by now. That is all of it, each time: nothing that was told is lost.
-func (r *Room) compare() {
-	r.mu.Lock()
-	var news []members.Event
-	for name, p := range r.there {
-		m, err := parseMeta(p.meta)
-		if err != nil {
-			r.malformed(err)
-			continue
-		}
-		l := m.life(name)
-		r.met[name], r.addrs[name] = l, p.addr
-		news = append(news, members.Found{Life: l, Site: m.Site, By: "the detector"})
-	}
-	for name, l := range r.met {
-		if _, there := r.there[name]; !there {
-			news = append(news, members.Lost{Life: l, By: "the detector", Left: r.left[l]})
-			delete(r.met, name)
-		}
-	}
-	r.mu.Unlock()
-	for _, e := range news {
-		r.step(e)
-	}
-}
-
-// step gives an event to the module and carries out what it answers.
-func (r *Room) step(e members.Event) {
-	r.mu.Lock()
-	before := r.module.Revision()
-	actions := r.module.Step(r.now(), e)
-	turned := r.module.Revision() != before
-	var raised *members.Life
-	for _, a := range actions {
-		switch a := a.(type) {
-		case members.Say:
-			r.seq++
-			r.send(note{V: noteVersion, Seq: r.seq, Word: a.Word})
-		case members.Ask:
-			if addr := r.addrs[a.Name]; addr != "" {
-				select {
-				case r.asks <- addr:
-				default: // it is asked again
-				}
-			}
-		case members.Raise:
-			raised = &a.Life
-		case members.Turn:
-			turned = true
-			r.log.Info("among its peers this node", "was", a.From.String(), "is", a.To.String())
-		case members.Warn:
-			r.log.Warn("peers", "err", a.Err)
-		}
-	}
-	if turned {
-		close(r.changed)
-		r.changed = make(chan struct{})
-	}
-	r.mu.Unlock()
-	if raised != nil {
-		r.ended.Go(func() { // the disk and the peers' answers are waited for aside
-			if err := r.cfg.Starts.Raise(raised.Start); err != nil {
-				r.log.Warn("peers: the number of this start is not on disk", "err", err)
-			}
-			r.list.UpdateNode(joinTime) // an error says that nobody has confirmed it yet
-		})
-	}
-}
-
-// send puts a note on its way; one of the same life before it need not go on. The caller holds mu. Views that have no
-// room are left out, those of the sites last by name first.  It is closed when the note has been sent often enough.
-func (r *Room) send(n note) (gone <-chan struct{}) {
-	for {
-		b, err := json.Marshal(n)
-		if err != nil {
-			r.log.Error("peers", "err", err)
-			return nil
-		}
-		if len(b) <= mostNote {
-			sent := make(chan struct{})
-			r.queue.QueueBroadcast(&broadcast{n.Word.From.Name, b, sync.OnceFunc(func() { close(sent) })})
-			r.queue.Prune(mostQueue)
-			return sent
-		}
-		last := ""
-		for site := range n.Word.Views {
-			if site != n.Word.Site {
-				last = max(last, site)
-			}
-		}
-		if last == "" {
-			return nil
-		}
-		delete(n.Word.Views, last)
-	}
-}
-
-// take hears a note, and hands it on if it is new.
-func (r *Room) take(b []byte) {
-	n, err := parseNote(b)
-	r.mu.Lock()
+func splitListen(listen string) (host string, port int, err error) {
+	host, text, err := net.SplitHostPort(listen)
 	if err != nil {
-		r.malformed(err)
-		r.mu.Unlock()
-		return
-	}
-	news := n.Word.From.Name != r.cfg.Name && n.Seq > r.heard[n.Word.From]
-	if news {
-		if len(r.heard) > 2*r.cfg.Limits.Most {
-			clear(r.heard) // lives that are over; those that are not are heard again
-		}
-		r.heard[n.Word.From] = n.Seq
-		r.queue.QueueBroadcast(&broadcast{n.Word.From.Name, slices.Clone(b), func() {}})
-		r.queue.Prune(mostQueue)
-	}
-	if _, there := r.met[n.Word.From.Name]; news && n.Bye {
-		if len(r.left) > 2*r.cfg.Limits.Most {
-			clear(r.left)
-		}
-		r.left[n.Word.From] = true
-		news = !there // else the detector's word is waited for
-	}
-	r.mu.Unlock()
-	switch {
-	case news && n.Bye:
-		r.step(members.Lost{Life: n.Word.From, By: n.Word.From.Name, Left: true})
-	case news:
-		r.step(members.Heard{Word: n.Word})
+		return "", 0, err
 	}
+	port, err = strconv.Atoi(text)
+	return host, port, err
 }
 
-// malformed counts what can't be read; the log says so once a minute at most. The caller holds mu.
-func (r *Room) malformed(err error) {
-	r.bad++
-	if time.Since(r.badSaid) >= sayMalform {
-		r.badSaid = time.Now()
-		r.log.Warn("peers", "err", &MalformedError{err, r.bad})
+// tryListen says why an address can't be listened at. The library's own error does not tell that one is taken.
+func tryListen(listen string) error {
+	listener, err := net.Listen("tcp", listen)
+	if err != nil {
+		return err
 	}
+	return listener.Close()
 }
 
-// reach looks for the seeds until somebody is there, and for members that have failed, one after another.
-func (r *Room) reach(ctx context.Context) {
-	wait := 100 * time.Millisecond
-	again := time.NewTimer(0)
-	defer again.Stop()
-	for {
-		select {
-		case addr := <-r.asks:
-			r.list.Join([]string{addr}) // an error says that it is still away
-		case <-again.C:
-			if r.known() > 1 {
-				wait = 100 * time.Millisecond
-				again.Reset(time.Second)
-				continue
-			}
-			for _, s := range r.cfg.Seeds {
-				if s != r.cfg.Listen {
-					r.list.Join([]string{s})
-				}
-				if ctx.Err() != nil {
-					return
-				}
-			}
-			again.Reset(wait)
-			wait = min(2*wait, 2*time.Second)
-		case <-ctx.Done():
-			return
-		}
+// newIncarnation begins an incarnation of the local node. Without its start number it claims one that may be stale: the
+// peers know the right one, if there is one.
+func newIncarnation(cfg Config, logger *slog.Logger) members.Incarnation {
+	start, err := cfg.StartStore.Next()
+	if err != nil {
+		logger.Warn("peers: the number of this start is not known", "err", err)
 	}
+	var nonce [8]byte
+	rand.Read(nonce[:])
+	return members.Incarnation{Name: cfg.Name, Start: start, Nonce: binary.LittleEndian.Uint64(nonce[:])}
 }
 
-// Rekey reads the key file again: its keys are in force at once, others no longer.
-func (r *Room) Rekey() error {
-	keys, err := ReadKeys(r.cfg.KeyFile)
+// startDetector starts the library.
+func (c *Cluster) startDetector(host string, port int, keys [][]byte) error {
+	quiet := log.New(io.Discard, "", 0) // what matters of the library's log shows in the view
+	network, err := memberlist.NewNetTransport(&memberlist.NetTransportConfig{BindAddrs: []string{host}, BindPort: port, Logger: quiet})
 	if err != nil {
-		return err
-	}
-	for _, k := range keys {
-		if err := r.ring.AddKey(k); err != nil {
-			return &KeyError{r.cfg.KeyFile, err}
-		}
-	}
-	if err := r.ring.UseKey(keys[0]); err != nil {
-		return &KeyError{r.cfg.KeyFile, err}
-	}
-	for _, old := range r.ring.GetKeys() {
-		if !slices.ContainsFunc(keys, func(k []byte) bool { return slices.Equal(k, old) }) {
-			r.ring.RemoveKey(old)
-		}
+		return &JoinError{c.cfg.Listen, err}
+	}
+	c.transport = &transport{NetTransport: network, overrides: c.cfg.AddressOverrides}
+	if c.keyring, err = memberlist.NewKeyring(keys, keys[0]); err != nil {
+		network.Shutdown()
+		return &KeyError{c.cfg.KeyFile, err}
+	}
+	if port == 0 {
+		port = network.GetAutoBindPort()
+	}
+	lib := memberlist.DefaultLANConfig()
+	lib.Name = c.cfg.Name
+	lib.Label = c.cfg.Label
+	lib.Transport = c.transport
+	lib.Keyring = c.keyring
+	lib.Logger = quiet
+	lib.BindAddr = host
+	lib.BindPort = port
+	lib.AdvertiseAddr = host
+	lib.AdvertisePort = port
+	lib.ProbeInterval = probeInterval
+	lib.ProbeTimeout = probeTimeout
+	lib.GossipInterval = gossipInterval
+	lib.SuspicionMult = suspicionMultiplier
+	lib.PushPullInterval = pushPullInterval
+	lib.GossipToTheDeadTime = gossipToDead
+	lib.TCPTimeout = joinTimeout
+	lib.DeadNodeReclaimTime = time.Millisecond
+	lib.Delegate = delegate{c}
+	lib.Events = eventDelegate{c}
+	lib.Conflict = conflictDelegate{c}
+	if c.detector, err = memberlist.Create(lib); err != nil {
+		network.Shutdown()
+		return &JoinError{c.cfg.Listen, err}
 	}
 	return nil
 }
 
-// View is what a node knows of its peers at a moment.
-type View struct {
-	Self    string
-	Me      members.Life
-	Site    string
-	Digest  string
-	Sites   map[string]members.Count
-	Members []MemberView
-	Sent    int64  // bytes in packets since the start
-	Packets int64  // sent since the start
-	Streams int64  // bytes both ways since the start, on the streams that this node opened
-	Bad     int64  // messages that could not be read
-	Failed  uint64 // times that a member was taken for failed
-}
-
-// MemberView is one member.
-type MemberView struct {
-	Name, Site, State string
-	Start             uint64
-	ForMS             int64 // it has been so
-}
-
-// View reads it.
-func (r *Room) View() View {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	v := View{Self: r.module.Self().String(), Me: r.module.Me(), Site: r.cfg.Site, Digest: fmt.Sprintf("%016x", r.module.Digest()),
-		Sites: r.module.Sites(), Sent: r.wire.bytes.Load(), Packets: r.wire.packets.Load(), Streams: r.wire.streams.Load(), Bad: r.bad, Failed: r.module.Failures()}
-	for _, m := range r.module.List() {
-		v.Members = append(v.Members, MemberView{m.Name, m.Site, m.State.String(), m.Start, (r.now() - m.Since).Milliseconds()})
-	}
-	return v
-}
-
-// May says what this node may do at this moment.
-func (r *Room) May(a members.Act) bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.module.Self().May(a)
-}
-
-// Changed is closed when the view is another than now.
-func (r *Room) Changed() <-chan struct{} {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.changed
-}
-
-// Leave tells the others that this node ends; they need not suspect it.
-func (r *Room) Leave(within time.Duration) error {
-	r.mu.Lock()
-	r.seq++
-	gone := r.send(note{V: noteVersion, Seq: r.seq, Bye: true, Word: members.Word{From: r.module.Me(), Site: r.cfg.Site}})
-	r.mu.Unlock()
-	select { // the note is on its way with the gossip that is due
-	case <-gone:
+// Addr is where this node listens for its peers.
+func (c *Cluster) Addr() string { return c.detector.LocalNode().Address() }
+
+// Leave announces that this node ends, so that the others need not suspect it.
+func (c *Cluster) Leave(within time.Duration) error {
+	c.mu.Lock()
+	farewell := members.Announcement{From: c.module.Local(), Site: c.cfg.Site}
+	sent := c.enqueue(message{Leaving: true, Announcement: farewell})
+	c.mu.Unlock()
+	select { // it is sent with the gossip that is due
+	case <-sent:
 	case <-time.After(within / 2):
 	}
-	if err := r.list.Leave(within); err != nil {
+	if err := c.detector.Leave(within); err != nil {
 		return fmt.Errorf("peers: the others may take this node for failed: %w", err)
 	}
 	return nil
 }
 
-// Close ends the Room without a word.
-func (r *Room) Close() {
-	r.stop()
-	r.list.Shutdown()
-	r.ended.Wait()
-}
-
-// broadcast is a note in the queue.
-type broadcast struct {
-	from string
-	b    []byte
-	gone func()
-}
-
-// Invalidates says that a younger note of the same node goes instead.
-func (b *broadcast) Invalidates(o memberlist.Broadcast) bool {
-	other, ok := o.(*broadcast)
-	return ok && other.from == b.from
-}
-
-// Message is what is sent.
-func (b *broadcast) Message() []byte { return b.b }
-
-// Finished is when it is not sent any more.
-func (b *broadcast) Finished() { b.gone() }
-
-// delegate is what the library asks.
-type delegate struct{ r *Room }
-
-// NodeMeta is what this node tells of itself.
-func (d delegate) NodeMeta(limit int) []byte {
-	d.r.mu.Lock()
-	defer d.r.mu.Unlock()
-	me := d.r.module.Me()
-	b, err := json.Marshal(meta{me.Start, me.Nonce, d.r.cfg.Site})
-	if err != nil || len(b) > limit {
-		return nil
-	}
-	return b
-}
-
-// NotifyMsg brings a note.
-func (d delegate) NotifyMsg(b []byte) { d.r.take(slices.Clone(b)) }
-
-// GetBroadcasts gives notes their way.
-func (d delegate) GetBroadcasts(overhead, limit int) [][]byte {
-	return d.r.queue.GetBroadcasts(overhead, limit)
-}
-
-// LocalState and MergeRemoteState: the library's own lists are enough.
-func (d delegate) LocalState(bool) []byte        { return nil }
-func (d delegate) MergeRemoteState([]byte, bool) {}
-
-// events keep what the detector has: its own list may be read only while it calls here. It holds its lock meanwhile, so
-// nothing that holds mu may call it.
-type events struct{ r *Room }
-
-// peer is a node as the detector has it.
-type peer struct {
-	addr string
-	meta []byte
-}
-
-func (e events) note(n *memberlist.Node, there bool) {
-	if n.Name == e.r.cfg.Name {
-		return
-	}
-	e.r.mu.Lock()
-	defer e.r.mu.Unlock()
-	if there {
-		e.r.there[n.Name] = peer{n.Address(), slices.Clone(n.Meta)}
-	} else {
-		delete(e.r.there, n.Name)
-	}
-	e.r.size.Store(int64(len(e.r.there)))
-	select {
-	case e.r.look <- struct{}{}:
-	default:
-	}
-}
-
-// NotifyJoin is a node that is there.
-func (e events) NotifyJoin(n *memberlist.Node) { e.note(n, true) }
-
-// NotifyUpdate is one that tells something new of itself.
-func (e events) NotifyUpdate(n *memberlist.Node) { e.note(n, true) }
-
-// NotifyLeave is one that is gone. Whether it left or failed the library does not tell: leaving has a note of its own.
-func (e events) NotifyLeave(n *memberlist.Node) { e.note(n, false) }
-
-// conflict is another node that uses a name.
-type conflict struct{ r *Room }
-
-// NotifyConflict tells the module of another life of a name that is there.
-func (c conflict) NotifyConflict(_, other *memberlist.Node) {
-	m, err := parseMeta(other.Meta)
-	if err != nil {
-		c.r.mu.Lock()
-		defer c.r.mu.Unlock()
-		c.r.malformed(err)
-		return
-	}
-	if sane(other.Name) { // the library goes on with the one that it has: the module hears of both
-		go c.r.step(members.Found{Life: m.life(other.Name), Site: m.Site, By: "the detector"})
-	}
+// Close ends the membership without an announcement.
+func (c *Cluster) Close() {
+	c.stop()
+	c.detector.Shutdown()
+	c.tasks.Wait()
 }
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"encoding/base64"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"log/slog"
 	"net"
 	"os"
 	"path/filepath"
+	"reflect"
 	"strings"
 	"sync"
 	"testing"
@@ -16,21 +18,21 @@
 	"hookwalk.example/hookwalk/members"
 )
 
-// kept is a number that is on no disk.
-type kept struct {
+// memoryStore is a StartStore without a disk.
+type memoryStore struct {
 	mu   sync.Mutex
 	last uint64
 	err  error
 }
 
-func (k *kept) Next() (uint64, error) {
+func (k *memoryStore) Next() (uint64, error) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.last++
 	return k.last, k.err
 }
 
-func (k *kept) Raise(n uint64) error {
+func (k *memoryStore) Save(n uint64) error {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.last = max(k.last, n)
@@ -70,22 +72,22 @@
 	return ln.Addr().String()
 }
 
-type place struct {
-	cfg  Config
-	kept *kept
-	*Room
+type testNode struct {
+	cfg   Config
+	store *memoryStore
+	*Cluster
 }
 
-func (p *place) begin(t *testing.T) {
+func (p *testNode) join(t *testing.T) {
 	t.Helper()
 	var err error
-	if p.Room, err = Join(p.cfg, slog.New(slog.DiscardHandler)); err != nil {
+	if p.Cluster, err = Join(p.cfg, slog.New(slog.DiscardHandler)); err != nil {
 		t.Fatal(err)
 	}
 }
 
 // until waits for something to hold of a view.
-func until(t *testing.T, r *Room, what string, holds func(View) bool) View {
+func until(t *testing.T, r *Cluster, what string, holds func(View) bool) View {
 	t.Helper()
 	for end := time.After(30 * time.Second); ; {
 		changed := r.Changed()
@@ -114,8 +116,8 @@
 	}
 }
 
-func gather(t *testing.T, keys string) []*place {
-	var all []*place
+func gather(t *testing.T, keys string) []*testNode {
+	var all []*testNode
 	names := []string{"r1", "r2", "r3", "a1", "a2", "a3"}
 	first := port(t)
 	for n, name := range names {
@@ -126,15 +128,15 @@
 		if n == 0 {
 			listen = first
 		}
-		p := &place{kept: &kept{last: 5}}
+		p := &testNode{store: &memoryStore{last: 5}}
 		p.cfg = Config{Name: name, Site: site, Tree: tree, Listen: listen, Seeds: []string{first}, KeyFile: keys, Label: "benchland",
-			Starts: p.kept}
-		p.begin(t)
+			StartStore: p.store}
+		p.join(t)
 		t.Cleanup(func() { p.Close() })
 		all = append(all, p)
 	}
 	for _, p := range all {
-		until(t, p.Room, "agreed", agreed(len(all)))
+		until(t, p.Cluster, "agreed", agreed(len(all)))
 	}
 	return all
 }
@@ -147,24 +149,24 @@
 	for _, list := range [][]string{{key, fresh}, {fresh, key}, {fresh}} {
 		writeKeys(t, keys, list...)
 		for _, p := range all {
-			if err := p.Rekey(); err != nil {
+			if err := p.ReloadKeys(); err != nil {
 				t.Fatal(err)
 			}
 		}
 	}
-	late := &place{cfg: all[1].cfg, kept: &kept{}}
-	late.cfg.Name, late.cfg.Listen, late.cfg.Starts = "late", port(t), late.kept
-	late.begin(t)
+	late := &testNode{cfg: all[1].cfg, store: &memoryStore{}}
+	late.cfg.Name, late.cfg.Listen, late.cfg.StartStore = "late", port(t), late.store
+	late.join(t)
 	defer late.Close()
-	until(t, late.Room, "agreed", agreed(len(all)+1))
+	until(t, late.Cluster, "agreed", agreed(len(all)+1))
 	if err := os.WriteFile(keys, []byte("short\n"), 0o600); err != nil {
 		t.Fatal(err)
 	}
 	var wrong *KeyError
-	if err := late.Rekey(); !errors.As(err, &wrong) {
+	if err := late.ReloadKeys(); !errors.As(err, &wrong) {
 		t.Errorf("a broken key file: %v", err)
 	}
-	until(t, all[0].Room, "agreed", agreed(len(all)+1))
+	until(t, all[0].Cluster, "agreed", agreed(len(all)+1))
 }
 
 // A stranger with another key, or of another installation, gets in nowhere.
@@ -174,11 +176,11 @@
 		"another key":          func(c *Config) { c.KeyFile = keyFile(t, "fedcba9876543210") },
 		"another installation": func(c *Config) { c.Label = "elsewhere" },
 	} {
-		p := &place{cfg: all[1].cfg, kept: &kept{}}
-		p.cfg.Name, p.cfg.Listen, p.cfg.Starts = "stranger", port(t), p.kept
+		p := &testNode{cfg: all[1].cfg, store: &memoryStore{}}
+		p.cfg.Name, p.cfg.Listen, p.cfg.StartStore = "stranger", port(t), p.store
 		change(&p.cfg)
-		p.begin(t)
-		if n, err := p.list.Join([]string{all[0].cfg.Listen}); n > 0 || err == nil {
+		p.join(t)
+		if n, err := p.detector.Join([]string{all[0].cfg.Listen}); n > 0 || err == nil {
 			t.Errorf("with %s it got in", what)
 		}
 		p.Close()
@@ -190,7 +192,7 @@
 
 // Errors have types and say what to do.
 func TestWhatCantBeUsed(t *testing.T) {
-	good := Config{Name: "n", Site: "dc", Tree: tree, Listen: "127.0.0.1:0", KeyFile: keyFile(t, key), Starts: &kept{}}
+	good := Config{Name: "n", Site: "dc", Tree: tree, Listen: "127.0.0.1:0", KeyFile: keyFile(t, key), StartStore: &memoryStore{}}
 	taken, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -219,35 +221,64 @@
 	}
 }
 
+// Nodes of an earlier build read what this one sends: the names in JSON are part of the protocol.
+func TestProtocolNames(t *testing.T) {
+	sent := message{Version: messageVersion, Sequence: 3, Leaving: true, Announcement: members.Announcement{
+		From:    members.Incarnation{Name: "a", Start: 1, Nonce: 2},
+		Site:    "dc",
+		Digests: map[string]uint64{"dc": 7},
+		Newer:   []members.Incarnation{{Name: "b", Start: 4}},
+		Request: true,
+	}}
+	const want = `{"V":1,"Seq":3,"Bye":true,"Word":{"From":{"Name":"a","Start":1,"Nonce":2},"Site":"dc",` +
+		`"Views":{"dc":7},"Claims":[{"Name":"b","Start":4,"Nonce":0}],"Wants":true}}`
+	got, err := encode(sent)
+	if err != nil || string(got) != want {
+		t.Errorf("%s, %v; want %s", got, err, want)
+	}
+	read, err := parseMessage([]byte(want))
+	if err != nil || !reflect.DeepEqual(read, sent) {
+		t.Errorf("read %+v, %v; want %+v", read, err, sent)
+	}
+	meta, err := json.Marshal(nodeMeta{1, 2, "dc"})
+	if err != nil || string(meta) != `{"s":1,"n":2,"w":"dc"}` {
+		t.Errorf("%s, %v", meta, err)
+	}
+	view, err := json.Marshal(View{Sites: map[string]members.Count{"dc": {Running: 1, Known: 2}}})
+	if err != nil || !strings.Contains(string(view), `"Sites":{"dc":{"There":1,"Known":2}}`) {
+		t.Errorf("%s, %v", view, err)
+	}
+}
+
 // Whatever a peer sends is read or counted, and what is read is within bounds.
-func FuzzNote(f *testing.F) {
+func FuzzMessage(f *testing.F) {
 	f.Add([]byte(`{"V":1,"Seq":1,"Word":{"From":{"Name":"a","Start":1,"Nonce":2},"Site":"dc","Views":{"dc":7},"Claims":[{"Name":"b"}]}}`))
 	f.Add([]byte(`{"V":2}`))
 	f.Fuzz(func(t *testing.T, b []byte) {
-		if n, err := parseNote(b); err == nil && (n.V != noteVersion || !sane(n.Word.From.Name) || len(n.Word.Claims) > members.MostClaims) {
+		if n, err := parseMessage(b); err == nil && (n.Version != messageVersion || !validName(n.Announcement.From.Name) || len(n.Announcement.Newer) > members.MaxNewer) {
 			t.Errorf("%+v", n)
 		}
-		if m, err := parseMeta(b); err == nil && !sane(m.Site) {
+		if m, err := parseMeta(b); err == nil && !validName(m.Site) {
 			t.Errorf("%+v", m)
 		}
 	})
 }
 
-// A name that two machines use: the others go on with the younger life, as with a node that moved; the one before grants
-// nothing while that lasts, and is itself again when the other is gone.
+// A name that two machines use: the others go on with the newer incarnation, as with a node that moved; the one before
+// grants nothing while that lasts, and is itself again when the other is gone.
 func TestNameOfTwo(t *testing.T) {
 	all := gather(t, keyFile(t, key))
 	first := all[3]
-	second := &place{cfg: first.cfg, kept: &kept{last: 5}}
-	second.cfg.Listen, second.cfg.Starts = port(t), second.kept
-	second.begin(t)
-	until(t, first.Room, "in doubt", func(v View) bool { return v.Self == "disputed" })
+	second := &testNode{cfg: first.cfg, store: &memoryStore{last: 5}}
+	second.cfg.Listen, second.cfg.StartStore = port(t), second.store
+	second.join(t)
+	until(t, first.Cluster, "in doubt", func(v View) bool { return v.Self == "disputed" })
 	if first.May(members.Grant) {
 		t.Error("the older of two nodes of a name may grant")
 	}
 	for _, p := range all[:3] {
-		until(t, p.Room, "agreed", func(v View) bool { return v.Self == "agreed" })
+		until(t, p.Cluster, "agreed", func(v View) bool { return v.Self == "agreed" })
 	}
 	second.Close()
-	until(t, first.Room, "agreed", agreed(len(all)))
+	until(t, first.Cluster, "agreed", agreed(len(all)))
 }
--- /dev/null
+++ b/internal/peers/transport.go
@@ -0,0 +1,72 @@
+package peers
+
+import (
+	"net"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/memberlist"
+)
+
+// transport is the library's own, with addresses as they are reached from here, and counts of the traffic.
+type transport struct {
+	*memberlist.NetTransport
+	overrides   map[string]string
+	packets     atomic.Int64 // sent
+	packetBytes atomic.Int64 // sent
+	streamBytes atomic.Int64 // both ways, on streams that this node opened
+}
+
+// resolve is where a peer's address is reached from here.
+func (t *transport) resolve(address string) string {
+	if override, ok := t.overrides[address]; ok {
+		return override
+	}
+	return address
+}
+
+// WriteTo sends a packet.
+func (t *transport) WriteTo(b []byte, address string) (time.Time, error) {
+	return t.WriteToAddress(b, memberlist.Address{Addr: address})
+}
+
+// WriteToAddress sends a packet.
+func (t *transport) WriteToAddress(b []byte, to memberlist.Address) (time.Time, error) {
+	t.packets.Add(1)
+	t.packetBytes.Add(int64(len(b)))
+	return t.NetTransport.WriteTo(b, t.resolve(to.Addr))
+}
+
+// DialTimeout opens a stream.
+func (t *transport) DialTimeout(address string, timeout time.Duration) (net.Conn, error) {
+	return t.DialAddressTimeout(memberlist.Address{Addr: address}, timeout)
+}
+
+// DialAddressTimeout opens a stream.
+func (t *transport) DialAddressTimeout(to memberlist.Address, timeout time.Duration) (net.Conn, error) {
+	conn, err := t.NetTransport.DialTimeout(t.resolve(to.Addr), timeout)
+	if err != nil {
+		return nil, err
+	}
+	return &countedStream{conn, &t.streamBytes}, nil
+}
+
+// countedStream counts the bytes of a stream, both ways.
+type countedStream struct {
+	net.Conn
+	bytes *atomic.Int64
+}
+
+// Read reads from the stream.
+func (s *countedStream) Read(p []byte) (int, error) {
+	n, err := s.Conn.Read(p)
+	s.bytes.Add(int64(n))
+	return n, err
+}
+
+// Write writes to the stream.
+func (s *countedStream) Write(p []byte) (int, error) {
+	n, err := s.Conn.Write(p)
+	s.bytes.Add(int64(n))
+	return n, err
+}
--- /dev/null
+++ b/internal/peers/view.go
@@ -0,0 +1,66 @@
+package peers
+
+import (
+	"fmt"
+
+	"hookwalk.example/hookwalk/members"
+)
+
+// View is what a node knows of its peers at a moment. Its names are those of the control's answer in JSON.
+type View struct {
+	Self    string // the local state
+	Me      members.Incarnation
+	Site    string
+	Digest  string
+	Sites   map[string]members.Count
+	Members []MemberView
+	Sent    int64  // bytes in packets since the start
+	Packets int64  // sent since the start
+	Streams int64  // bytes both ways since the start, on the streams that this node opened
+	Bad     int64  // messages that could not be read
+	Failed  uint64 // times that a member was taken for failed
+}
+
+// MemberView is one member.
+type MemberView struct {
+	Name, Site, State string
+	Start             uint64
+	ForMS             int64 // how long it has been in this state
+}
+
+// View returns the present view.
+func (c *Cluster) View() View {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	v := View{
+		Self:    c.module.LocalState().String(),
+		Me:      c.module.Local(),
+		Site:    c.cfg.Site,
+		Digest:  fmt.Sprintf("%016x", c.module.Digest()),
+		Sites:   c.module.Sites(),
+		Sent:    c.transport.packetBytes.Load(),
+		Packets: c.transport.packets.Load(),
+		Streams: c.transport.streamBytes.Load(),
+		Bad:     c.malformed.total,
+		Failed:  c.module.Failures(),
+	}
+	now := c.now()
+	for _, m := range c.module.List() {
+		v.Members = append(v.Members, MemberView{m.Name, m.Site, m.State.String(), m.Start, (now - m.Since).Milliseconds()})
+	}
+	return v
+}
+
+// May says whether this node may carry out an operation now.
+func (c *Cluster) May(operation members.Operation) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.module.LocalState().May(operation)
+}
+
+// Changed returns a channel that is closed at the next change of the view.
+func (c *Cluster) Changed() <-chan struct{} {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.changed
+}
--- /dev/null
+++ b/members/evaluate.go
@@ -0,0 +1,110 @@
+package members
+
+import (
+	"maps"
+	"slices"
+	"time"
+)
+
+// quorum counts the members that concern the local node, itself included.
+type quorum struct {
+	known   int // that have not left
+	running int
+	agreed  int // that announced the local node's digest
+}
+
+// reachable says that more than half of the known members run.
+func (q quorum) reachable() bool { return 2*q.running > q.known }
+
+// agrees says that more than half of the known members have the local node's view.
+func (q quorum) agrees() bool { return 2*q.agreed > q.known }
+
+// evaluate draws the conclusions of a step: what is due is done, and the local state follows from the view.
+func (m *Members) evaluate() {
+	m.retryFailed()
+	if m.announcementDue() {
+		m.announce()
+	}
+	if m.inConflict() && m.now-m.conflictSeen > m.AnnounceInterval { // nobody reports the other node any more
+		m.conflicting = Incarnation{}
+	}
+	q := m.countQuorum()
+	if q.agrees() && !m.inConflict() {
+		m.disputedSince = 0
+		m.needsReplies = m.needsReplies && q.known == 1
+	} else if m.disputedSince == 0 {
+		m.disputedSince = max(m.now, 1)
+	}
+	m.setLocalState(m.nextLocalState(q))
+}
+
+// retryFailed reconnects to failed members, ever more rarely, and forgets those that ended long ago.
+func (m *Members) retryFailed() {
+	for _, name := range slices.Sorted(maps.Keys(m.members)) {
+		member := m.members[name]
+		switch {
+		case !member.State.running() && m.now-member.Since >= m.FailedTTL:
+			m.forget(name)
+		case member.State == Failed && m.now-member.lastReconnect >= member.reconnectDelay:
+			jitter := time.Duration(m.rng.Float64() * float64(m.ReconnectMin) / 4)
+			member.lastReconnect = m.now
+			member.reconnectDelay = min(2*member.reconnectDelay, m.ReconnectMax) + jitter
+			m.emit(Reconnect{name})
+		}
+	}
+}
+
+// inConflict says that another running node uses the local node's name.
+func (m *Members) inConflict() bool { return m.conflicting.Name != "" }
+
+func (m *Members) countQuorum() quorum {
+	q := quorum{known: 1, running: 1, agreed: 1}
+	own := m.announcedDigests[m.site]
+	for _, member := range m.concerned(m.site) {
+		q.known++
+		if !member.State.running() {
+			continue
+		}
+		q.running++
+		last := m.announcements[member.Name]
+		if last == nil || m.announcementExpired(member) && m.enabled(guardExpired) {
+			continue
+		}
+		if last.Digests[m.site] == own {
+			q.agreed++
+		}
+	}
+	return q
+}
+
+// nextLocalState is the local state that follows from the members counted.
+func (m *Members) nextLocalState(q quorum) LocalState {
+	switch {
+	case q.running == 1 && q.known > 1:
+		return Isolated
+	case !q.reachable():
+		return Minority
+	case q.known == 1 && m.state == Joining: // there may be others, which it has not met yet
+		return Joining
+	case q.known == 1:
+		return Isolated
+	case m.disputedSince == 0:
+		return Agreed
+	case m.state == Joining:
+		return Joining
+	case m.state == Agreed && m.now-m.disputedSince < m.DisputeTimeout && !m.inConflict():
+		return Agreed
+	}
+	return Disputed
+}
+
+// setLocalState moves the local node to another state and reports the change.
+func (m *Members) setLocalState(state LocalState) {
+	if state == Agreed {
+		m.agreedOnce = true
+	}
+	if m.state != state {
+		m.emit(LocalStateChanged{m.state, state})
+		m.state = state
+	}
+}
--- a/members/mutate_test.go
+++ b/members/mutate_test.go
@@ -11,8 +11,8 @@
 	"time"
 )
 
-// world plays several nodes' views in virtual time: words go over a network of links that can be cut, and what the
-// detector says comes from who runs and who reaches whom. Every message has a number; one of them may be changed.
+// world plays several nodes' views in virtual time: announcements go over a network of links that can be cut, and the
+// detector's reports come from who runs and who reaches whom. Every message has a number; one of them may be changed.
 type world struct {
 	t       time.Duration
 	nodes   map[string]*node
@@ -26,29 +26,29 @@
 	broken  []string
 	off     guard
 	reports int
-	excused Life                     // the one whose end, as it was, is the message that is changed: it may be believed until the detector speaks again
+	excused Incarnation              // the one whose end, as it was, is the message that is changed: it may be believed until the detector speaks again
 	apart   map[string]time.Duration // when one was last out of another's reach
 }
 
 type node struct {
 	*Members
 	name, site string
-	life       int // of the process
+	run        int // number of the process
 	disk       uint64
 	up         bool
 	asleep     time.Duration // until then
-	woke       time.Duration // the last time; no word has come since while >0
+	woke       time.Duration // the last time; no announcement has come since while >0
 	raises     int
-	seen, lost map[string]Life // what it has been told by the detector of each other node
+	seen, lost map[string]Incarnation // what it has been told by the detector of each other node
 	starts     map[string]uint64
 }
 
 type delivery struct {
-	at   time.Duration
-	to   string
-	life int
-	e    Event
-	n    int
+	at  time.Duration
+	to  string
+	run int
+	e   Event
+	n   int
 }
 
 // mutation is what becomes of one message.
@@ -57,8 +57,8 @@
 	how string
 }
 
-var ways = []string{"dropped", "doubled", "doubled late", "held past the next", "held past a restart", "to another", "of the life before",
-	"of a life to come", "of another site", "of no site", "number at its end", "other views", "no views", "claims the receiver", "claims another", "cut short"}
+var ways = []string{"dropped", "doubled", "doubled late", "held past the next", "held past a restart", "to another", "of the incarnation before",
+	"of an incarnation to come", "of another site", "of no site", "number at its end", "other views", "no views", "claims the receiver", "claims another", "cut short"}
 
 var tree = Tree{"dc": "", "okanagan": "dc"}
 
@@ -74,33 +74,33 @@
 
 func (w *world) start(name string, disk uint64) {
 	n := w.nodes[name]
-	n.life++
+	n.run++
 	n.disk = disk + 1
-	me := Life{name, n.disk, uint64(n.life)*1000 + uint64(slices.Index(w.names, name))}
-	m, err := New(me, n.site, tree, Usual(), uint64(n.life))
+	me := Incarnation{name, n.disk, uint64(n.run)*1000 + uint64(slices.Index(w.names, name))}
+	m, err := New(me, n.site, tree, DefaultLimits(), uint64(n.run))
 	if err != nil {
 		panic(err)
 	}
-	m.off = w.off
+	m.disabled = w.off
 	n.Members, n.up, n.raises, n.starts, n.woke = m, true, 0, map[string]uint64{}, 0
-	n.seen, n.lost = map[string]Life{}, map[string]Life{}
+	n.seen, n.lost = map[string]Incarnation{}, map[string]Incarnation{}
 	w.step(n, Tick{})
 }
 
 // step gives an event to a node and carries out what it answers.
 func (w *world) step(n *node, e Event) {
-	if h, ok := e.(Heard); ok && n.woke > 0 && h.From.Name != n.name {
+	if h, ok := e.(AnnouncementReceived); ok && n.woke > 0 && h.From.Name != n.name {
 		n.woke = -n.woke
 	}
 	for _, a := range n.Step(w.t, e) {
 		switch a := a.(type) {
-		case Say:
+		case Broadcast:
 			for _, to := range w.names {
 				if to != n.name && w.reach(n.name, to) {
-					w.send(delivery{w.t + time.Duration(20+7*len(to)+3*slices.Index(w.names, to))*time.Millisecond, to, w.nodes[to].life, Heard(a), 0})
+					w.send(delivery{w.t + time.Duration(20+7*len(to)+3*slices.Index(w.names, to))*time.Millisecond, to, w.nodes[to].run, AnnouncementReceived(a), 0})
 				}
 			}
-		case Raise:
+		case Refute:
 			n.disk = a.Start
 			n.raises++
 			if n.raises > 3 {
@@ -108,21 +108,21 @@
 			}
 		}
 	}
-	for name, h := range n.words {
-		if k := n.members[name]; k == nil || k.Life != h.From {
-			w.fault("%s goes by a word of %s, start %d, which is not there", n.name, name, h.From.Start)
+	for name, h := range n.announcements {
+		if k := n.members[name]; k == nil || k.Incarnation != h.From {
+			w.fault("%s counts an announcement of %s, start %d, which does not run", n.name, name, h.From.Start)
 		}
 	}
-	if n.Self() == Agreed && n.woke > 0 {
+	if n.LocalState() == Agreed && n.woke > 0 {
 		w.fault("%s agrees though it has heard nobody since it woke", n.name)
 		n.woke = 0
 	}
 	for _, k := range n.members {
-		if k.Start < n.starts[k.Name] && n.starts[k.Name] <= w.nodes[k.Name].Me().Start { // one that never was is no start
+		if k.Start < n.starts[k.Name] && n.starts[k.Name] <= w.nodes[k.Name].Local().Start { // one that never was is no start
 			w.fault("%s takes %s back from start %d to %d", n.name, k.Name, n.starts[k.Name], k.Start)
 		}
 		n.starts[k.Name] = k.Start
-		if o := w.nodes[k.Name]; k.State == Failed && k.Life == o.Me() && k.Life != w.excused && o.up && w.t >= o.asleep && w.t-w.apart[n.name+k.Name] > 3*time.Second {
+		if o := w.nodes[k.Name]; k.State == Failed && k.Incarnation == o.Local() && k.Incarnation != w.excused && o.up && w.t >= o.asleep && w.t-w.apart[n.name+k.Name] > 3*time.Second {
 			w.fault("%s calls %s failed, which it reaches", n.name, k.Name)
 		}
 	}
@@ -148,20 +148,20 @@
 		d.at += by
 		w.queue = append(w.queue, d)
 	}
-	if lost, ok := d.e.(Lost); ok {
-		w.excused = lost.Life
+	if lost, ok := d.e.(NodeDead); ok {
+		w.excused = lost.Incarnation
 	}
-	word, isWord := d.e.(Heard)
-	life := func(f func(*Life)) {
+	announcement, isAnnouncement := d.e.(AnnouncementReceived)
+	incarnation := func(f func(*Incarnation)) {
 		switch e := d.e.(type) {
-		case Heard:
+		case AnnouncementReceived:
 			f(&e.From)
 			d.e = e
-		case Found:
-			f(&e.Life)
+		case NodeAlive:
+			f(&e.Incarnation)
 			d.e = e
-		case Lost:
-			f(&e.Life)
+		case NodeDead:
+			f(&e.Incarnation)
 			d.e = e
 		}
 	}
@@ -176,45 +176,45 @@
 		later(d, 1500*time.Millisecond)
 		return
 	case "held past a restart":
-		d.life = 0 // whichever life is there then
+		d.run = 0 // whichever runs then
 		later(d, 4*time.Second)
 		return
 	case "to another":
 		d.to = w.names[(slices.Index(w.names, d.to)+1)%len(w.names)]
-		d.life = 0
-	case "of the life before":
-		life(func(l *Life) { l.Start, l.Nonce = l.Start-1, l.Nonce-1000 })
-	case "of a life to come":
-		life(func(l *Life) { l.Start, l.Nonce = l.Start+1, l.Nonce+1000 })
+		d.run = 0
+	case "of the incarnation before":
+		incarnation(func(l *Incarnation) { l.Start, l.Nonce = l.Start-1, l.Nonce-1000 })
+	case "of an incarnation to come":
+		incarnation(func(l *Incarnation) { l.Start, l.Nonce = l.Start+1, l.Nonce+1000 })
 	case "number at its end":
-		life(func(l *Life) { l.Start = 1<<64 - 1 })
+		incarnation(func(l *Incarnation) { l.Start = 1<<64 - 1 })
 	case "of another site", "of no site":
 		site := map[string]string{"of another site": "okanagan", "of no site": "nowhere"}[w.change.how]
 		switch e := d.e.(type) {
-		case Heard:
+		case AnnouncementReceived:
 			e.Site = site
 			d.e = e
-		case Found:
+		case NodeAlive:
 			e.Site = site
 			d.e = e
 		}
 	case "other views", "no views", "claims the receiver", "claims another", "cut short":
-		if !isWord {
+		if !isAnnouncement {
 			break
 		}
 		switch w.change.how {
 		case "other views":
-			word.Views = map[string]uint64{"dc": 1, "okanagan": 2}
+			announcement.Digests = map[string]uint64{"dc": 1, "okanagan": 2}
 		case "no views":
-			word.Views = nil
+			announcement.Digests = nil
 		case "claims the receiver":
-			word.Claims = []Life{{d.to, 1<<64 - 1, 7}}
+			announcement.Newer = []Incarnation{{d.to, 1<<64 - 1, 7}}
 		case "claims another":
-			word.Claims = []Life{{"a2", 1<<64 - 1, 7}, {"r1", 1 << 40, 7}}
+			announcement.Newer = []Incarnation{{"a2", 1<<64 - 1, 7}, {"r1", 1 << 40, 7}}
 		default:
-			word.Word = Word{From: word.From}
+			announcement.Announcement = Announcement{From: announcement.From}
 		}
-		d.e = word
+		d.e = announcement
 	}
 	w.queue = append(w.queue, d)
 }
@@ -238,15 +238,15 @@
 				w.apart[a+b] = w.t
 			}
 			switch {
-			case reached && (!met || known != o.Me() || w.reports%4 == 0): // and again, as it stands
-				n.seen[b] = o.Me()
-				w.send(delivery{w.t + 30*time.Millisecond, a, n.life, Found{o.Me(), o.site, b}, 0})
+			case reached && (!met || known != o.Local() || w.reports%4 == 0): // and again, as it stands
+				n.seen[b] = o.Local()
+				w.send(delivery{w.t + 30*time.Millisecond, a, n.run, NodeAlive{o.Local(), o.site}, 0})
 			case !reached && met:
 				delete(n.seen, b)
 				n.lost[b] = known
-				w.send(delivery{w.t + 1500*time.Millisecond, a, n.life, Lost{known, a, false}, 0})
+				w.send(delivery{w.t + 1500*time.Millisecond, a, n.run, NodeDead{known, false}, 0})
 			case !reached && n.lost[b].Name != "" && w.reports%4 == 0:
-				w.send(delivery{w.t + 30*time.Millisecond, a, n.life, Lost{n.lost[b], a, false}, 0})
+				w.send(delivery{w.t + 30*time.Millisecond, a, n.run, NodeDead{n.lost[b], false}, 0})
 			}
 		}
 	}
@@ -272,7 +272,7 @@
 	case 38:
 		n := w.nodes["r1"]
 		n.asleep, n.woke = 0, w.t
-		w.step(n, Slept{3 * time.Second})
+		w.step(n, Stalled{3 * time.Second})
 	}
 }
 
@@ -309,7 +309,7 @@
 			w.queue = slices.Delete(w.queue, next, next+1)
 			w.t = max(w.t, d.at)
 			n := w.nodes[d.to]
-			if n.Members == nil || !n.up || d.life != 0 && d.life != n.life {
+			if n.Members == nil || !n.up || d.run != 0 && d.run != n.run {
 				continue
 			}
 			if w.t < n.asleep { // it is read when it wakes
@@ -319,12 +319,12 @@
 			}
 			w.step(n, d.e)
 		}
-		if half >= 27 && half < 28 && w.nodes["a1"].Self() == Agreed {
+		if half >= 27 && half < 28 && w.nodes["a1"].LocalState() == Agreed {
 			w.fault("a1 agrees while it is cut off")
 		}
 		switch half {
 		case settledBy:
-			w.settled = w.nodes["a2"].Self() == Agreed
+			w.settled = w.nodes["a2"].LocalState() == Agreed
 		case changedBy:
 			w.early = w.sent
 		case agreesBy:
@@ -338,15 +338,15 @@
 func (w *world) judge() {
 	for _, a := range w.names {
 		n := w.nodes[a]
-		if n.Self() != Agreed {
-			w.fault("%s is %v at the end", a, n.Self())
+		if n.LocalState() != Agreed {
+			w.fault("%s is %v at the end", a, n.LocalState())
 		}
 		list := n.List()
 		if len(list) != len(w.names)-1 {
 			w.fault("%s knows %d others", a, len(list))
 		}
 		for _, k := range list {
-			if o := w.nodes[k.Name]; o == nil || k.State != Here || k.Life != o.Me() {
+			if o := w.nodes[k.Name]; o == nil || k.State != Alive || k.Incarnation != o.Local() {
 				w.fault("%s has %s as %v, start %d", a, k.Name, k.State, k.Start)
 			}
 		}
@@ -365,8 +365,8 @@
 	if w.sent < 200 {
 		t.Errorf("%d messages", w.sent)
 	}
-	if n := w.nodes["a2"]; n.raises != 1 || n.Me().Start != 7 {
-		t.Errorf("a2 came back with an old number and is start %d after %d raises", n.Me().Start, n.raises)
+	if n := w.nodes["a2"]; n.raises != 1 || n.Local().Start != 7 {
+		t.Errorf("a2 came back with an old number and is start %d after %d raises", n.Local().Start, n.raises)
 	}
 }
 
@@ -428,10 +428,10 @@
 
 // Each guard is there for something: without it some message, changed, does harm; or the course of its own below.
 func TestEachGuardIsNeeded(t *testing.T) {
-	own := map[guard]func(guard) bool{guardStale: falls, guardRaise: func(off guard) bool {
+	own := map[guard]func(guard) bool{guardExpired: falls, guardRefute: func(off guard) bool {
 		w := newWorld(mutation{}, off)
 		w.run()
-		return !w.settled // its peers wait until they take the life before for gone
+		return !w.settled // its peers wait until they take the incarnation before for failed
 	}}
 	for n := range guards {
 		g := guard(1) << n
@@ -447,25 +447,25 @@
 	}
 }
 
-// falls says that a node goes on to agree by the words of others that the detector still has, but that have long said
-// nothing: what they hold now, nobody knows.
+// falls says that a node goes on to agree by the announcements of others that the detector still has, but that have long
+// been silent: what their view is by now, nobody knows.
 func falls(off guard) bool {
-	m, err := New(Life{"r1", 1, 1}, "dc", tree, Usual(), 1)
+	m, err := New(Incarnation{"r1", 1, 1}, "dc", tree, DefaultLimits(), 1)
 	if err != nil {
 		panic(err)
 	}
-	m.off = off
+	m.disabled = off
 	for n, name := range []string{"r2", "r3"} {
-		l := Life{name, 1, uint64(n + 2)}
-		m.Step(0, Found{l, "dc", name})
+		l := Incarnation{name, 1, uint64(n + 2)}
+		m.Step(0, NodeAlive{l, "dc"})
 	}
 	for n, name := range []string{"r2", "r3"} {
-		m.Step(time.Second, Heard{Word{From: Life{name, 1, uint64(n + 2)}, Site: "dc", Views: m.digests()}})
+		m.Step(time.Second, AnnouncementReceived{Announcement{From: Incarnation{name, 1, uint64(n + 2)}, Site: "dc", Digests: m.digests()}})
 	}
-	if m.Self() != Agreed {
-		panic(m.Self())
+	if m.LocalState() != Agreed {
+		panic(m.LocalState())
 	}
 	m.Step(20*time.Second, Tick{})
 	m.Step(25*time.Second, Tick{})
-	return m.Self() == Agreed
+	return m.LocalState() == Agreed
 }
