peers: nothing replaces the farewell of a node that leaves

A node that leaves puts a farewell in the queue of messages and waits until it has been sent. An announcement that fell due meanwhile replaced it there, and at the nodes that pass messages on; the wait ended as if it had been sent, and others took the node for failed.

Once the farewell is queued, a node announces nothing more.

--- a/internal/peers/message.go
+++ b/internal/peers/message.go
@@ -130,9 +130,23 @@
 	}
 }
 
+// enqueueFarewell has the others told that this node ends. Later announcements are not sent: in the queue, here and at the
+// nodes that pass messages on, they would replace it, and the others would take this node for failed.
+func (c *Cluster) enqueueFarewell() (sent <-chan struct{}) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	farewell := members.Announcement{From: c.module.Local(), Site: c.cfg.Site}
+	sent = c.enqueue(message{Leaving: true, Announcement: farewell})
+	c.leaving = true
+	return sent
+}
+
 // enqueue has a message of this node sent; an earlier one that still waits need not be. The channel is closed when it has
 // been sent often enough. The caller holds mu.
 func (c *Cluster) enqueue(m message) (sent <-chan struct{}) {
+	if c.leaving {
+		return nil
+	}
 	c.sequence++
 	m.Version = messageVersion
 	m.Sequence = c.sequence
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -92,6 +92,7 @@
 	lastSequence map[members.Incarnation]uint64 // of the messages received
 	sequence     uint64                         // of the messages sent
 	queue        memberlist.TransmitLimitedQueue
+	leaving      bool // the farewell is queued: nothing may replace it
 	malformed    malformedCount
 	changed      chan struct{} // closed and replaced at each change of the view
 
@@ -225,10 +226,7 @@
 
 // Leave announces that this node ends, so that the others need not suspect it.
 func (c *Cluster) Leave(within time.Duration) error {
-	c.mu.Lock()
-	farewell := members.Announcement{From: c.module.Local(), Site: c.cfg.Site}
-	sent := c.enqueue(message{Leaving: true, Announcement: farewell})
-	c.mu.Unlock()
+	sent := c.enqueueFarewell()
 	select { // it is sent with the gossip that is due
 	case <-sent:
 	case <-time.After(within / 2):
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -282,3 +282,27 @@
 	second.Close()
 	until(t, first.Cluster, "agreed", agreed(len(all)))
 }
+
+// Nothing that a leaving node would announce replaces its farewell in the queue: without it the others call it failed.
+func TestFarewellStaysQueued(t *testing.T) {
+	c, err := Join(Config{Name: "a", Site: "dc", Tree: tree, Listen: "127.0.0.1:0", KeyFile: keyFile(t, key),
+		StartStore: &memoryStore{}}, slog.New(slog.DiscardHandler))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	c.enqueueFarewell()
+	before := c.View().Digest
+	c.step(members.NodeAlive{Incarnation: members.Incarnation{Name: "b", Start: 1, Nonce: 2}, Site: "dc"})
+	if c.View().Digest == before {
+		t.Fatal("the view has not changed: there is nothing to announce")
+	}
+	const wholePacket = 1400
+	queued := c.queue.GetBroadcasts(0, wholePacket)
+	if len(queued) != 1 {
+		t.Fatalf("%d messages are queued", len(queued))
+	}
+	if m, err := parseMessage(queued[0]); err != nil || !m.Leaving {
+		t.Errorf("%+v, %v is sent in place of the farewell", m, err)
+	}
+}
