--- a/internal/configclient/client.go
+++ b/internal/configclient/client.go
@@ -21,8 +21,11 @@
 
 const (
 	dialTimeout = 500 * time.Millisecond
-	// tryTimeout is how long one controller may take to answer; then another one is asked.
-	tryTimeout = 2 * time.Second
+	// publishTimeout is how long one controller may take to answer a publish; then another one is asked, with the same
+	// ID. A quorum's disks take some milliseconds; a leader that is stalled takes for ever.
+	publishTimeout = time.Second
+	// statusTimeout is how long one controller may take to say what it knows.
+	statusTimeout = 2 * time.Second
 	// retryDelay is the pause after a controller that could not take the request.
 	retryDelay = 150 * time.Millisecond
 	maxReply   = 64 << 20 // bytes: 10,000 nodes of a few hundred bytes, and room
@@ -92,7 +95,7 @@
 }
 
 func (p *publisher) try(ctx context.Context) (configapi.PublishReply, error) {
-	ctx, cancel := context.WithTimeout(ctx, tryTimeout)
+	ctx, cancel := context.WithTimeout(ctx, publishTimeout)
 	defer cancel()
 	var reply configapi.PublishReply
 	err := p.client.call(ctx, http.MethodPost, p.targets[0], configapi.PathPublish, p.body, &reply)
@@ -182,7 +185,7 @@
 	var calls sync.WaitGroup
 	for i, address := range addresses {
 		calls.Go(func() {
-			ctx, cancel := context.WithTimeout(ctx, tryTimeout)
+			ctx, cancel := context.WithTimeout(ctx, statusTimeout)
 			defer cancel()
 			failures[i] = c.call(ctx, http.MethodGet, address, configapi.PathStatus, nil, &answers[i])
 		})
--- a/internal/controller/document.go
+++ b/internal/controller/document.go
@@ -75,9 +75,10 @@
 	return &configapi.Error{Kind: configapi.ErrorInvalid, Message: fmt.Sprintf(format, args...)}
 }
 
-// validName says that a text is one word of visible ASCII characters.
+// validName says that a text can be a name: visible ASCII characters, and spaces between them, as in nodes' settings.
 func validName(text string) bool {
-	return text != "" && len(text) <= maxName && !strings.ContainsFunc(text, func(c rune) bool { return c <= ' ' || c > '~' })
+	return text != "" && len(text) <= maxName && text == strings.TrimSpace(text) &&
+		!strings.ContainsFunc(text, func(c rune) bool { return c < ' ' || c > '~' })
 }
 
 // clip shortens a text for a message.
--- a/internal/controller/raftlog.go
+++ b/internal/controller/raftlog.go
@@ -3,6 +3,8 @@
 import (
 	"io"
 	"log/slog"
+	"sync"
+	"time"
 
 	"github.com/hashicorp/go-hclog"
 )
@@ -10,23 +12,66 @@
 // raftLogger makes a logger for raft, which writes to slog. Raft's warnings are news, the rest is for debugging.
 func raftLogger(log *slog.Logger) hclog.Logger {
 	logger := hclog.NewInterceptLogger(&hclog.LoggerOptions{Name: "raft", Output: io.Discard, Level: hclog.Info})
-	logger.RegisterSink(slogSink{log})
+	logger.RegisterSink(&slogSink{log: log, said: map[string]*repetition{}})
 	return logger
 }
 
-type slogSink struct{ log *slog.Logger }
+// repeatInterval is how often raft may say the same thing: it does so several times a second while a controller is away.
+const repeatInterval = 10 * time.Second
 
-// Accept passes one line on.
-func (s slogSink) Accept(name string, level hclog.Level, message string, args ...any) {
-	switch {
-	case level >= hclog.Error:
+// slogSink passes raft's lines on.
+type slogSink struct {
+	log *slog.Logger
+
+	lock sync.Mutex
+	said map[string]*repetition // by the line's text, of which raft has a few dozen
+}
+
+// repetition counts how often a line was left out since it was last passed on.
+type repetition struct {
+	at      time.Time
+	leftOut int
+}
+
+// Accept passes one line on, unless raft has said the same a moment ago about whatever it may be.
+func (s *slogSink) Accept(name string, level hclog.Level, message string, args ...any) {
+	if level < hclog.Info {
+		return
+	}
+	leftOut, again := s.count(message, time.Now())
+	if again {
+		return
+	}
+	if leftOut > 0 {
+		args = append(args[:len(args):len(args)], "said_before", leftOut)
+	}
+	switch level {
+	case hclog.Error:
 		s.log.Error(name+": "+message, args...)
-	case level == hclog.Warn:
+	case hclog.Warn:
 		s.log.Warn(name+": "+message, args...)
-	case level == hclog.Info:
+	default:
 		s.log.Debug(name+": "+message, args...)
 	}
 }
 
+// count says how many lines of this text were left out before this one, or that this one is to be left out.
+func (s *slogSink) count(message string, now time.Time) (leftOut int, again bool) {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	r := s.said[message]
+	if r == nil {
+		s.said[message] = &repetition{at: now}
+		return 0, false
+	}
+	if now.Sub(r.at) < repeatInterval {
+		r.leftOut++
+		return 0, true
+	}
+	leftOut = r.leftOut
+	*r = repetition{at: now}
+	return leftOut, false
+}
+
 // quietLogger says nothing.
 func quietLogger() hclog.Logger { return hclog.NewNullLogger() }
