--- a/internal/lab/fleet/rig.go
+++ b/internal/lab/fleet/rig.go
@@ -7,20 +7,15 @@
 package fleet
 
 import (
-	"bufio"
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"os"
-	"os/exec"
 	"path/filepath"
 	"runtime"
 	"slices"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"hookwalk.example/hookwalk/internal/lab/link"
@@ -87,183 +82,6 @@
 	wg        sync.WaitGroup
 }
 
-// part is a process of the rig that is no node.
-type part struct {
-	r     *rig
-	name  string
-	has   string
-	boxes [][2]int
-	lives int
-	downs int // troubles that have it down at present
-
-	mu     sync.Mutex
-	cmd    *exec.Cmd
-	words  chan []byte // to it, until nil
-	ready  chan sockets.Message
-	exited chan struct{}
-	killed bool
-}
-
-// begin starts a process that does not outlive the parent, whatever ends that.
-func (r *rig) begin(cmd *exec.Cmd) error {
-	// The system's signal comes when the thread that started a process ends: one thread starts all, and stays.
-	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL, Setpgid: true}
-	err := make(chan error, 1)
-	r.starts <- func() { err <- cmd.Start() }
-	return <-err
-}
-
-// mostWords is how many lines a part that is stopped may leave unread beside what its pipe takes.
-const mostWords = 4096
-
-// tell sends a line to a part. One that is gone needs none; one that is stopped holds up nobody.
-func (p *part) tell(m sockets.Message) {
-	text, err := json.Marshal(m)
-	if err != nil {
-		p.r.end(fmt.Errorf("%s: %w", p.name, err))
-		return
-	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.words == nil {
-		return
-	}
-	select {
-	case p.words <- append(text, '\n'):
-	default:
-		p.r.end(fmt.Errorf("%s reads nothing", p.name))
-	}
-}
-
-// speak writes what a part is told until that is over, and closes its pipe.
-func speak(in io.WriteCloser, words <-chan []byte) {
-	defer in.Close()
-	for text := range words {
-		in.Write(text) // one that is gone needs none
-	}
-}
-
-// silence ends what a part is told. The caller holds mu.
-func (p *part) silence() {
-	if p.words != nil {
-		close(p.words)
-		p.words = nil
-	}
-}
-
-// start begins a life of a part and returns what it says once it is ready.
-func (p *part) start(m sockets.Message) (sockets.Message, error) {
-	r := p.r
-	p.lives++
-	m.Do, m.Scenario, m.Has, m.Boxes, m.Ports = sockets.DoInit, r.s, p.has, p.boxes, r.ports
-	m.History = filepath.Join(r.dir, fmt.Sprintf("%s.%d.jsonl", p.name, p.lives))
-	cmd := exec.Command(r.opt.Program[0], append(append([]string(nil), r.opt.Program[1:]...), "lab", "part")...)
-	cmd.Env = append(os.Environ(), append(slices.Clone(r.opt.Env), "TMPDIR="+r.dir)...)
-	in, err := cmd.StdinPipe()
-	if err != nil {
-		return m, err
-	}
-	out, err := cmd.StdoutPipe()
-	if err != nil {
-		return m, err
-	}
-	log, err := os.OpenFile(filepath.Join(r.dir, p.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
-	if err != nil {
-		return m, err
-	}
-	cmd.Stderr = log
-	err = r.begin(cmd)
-	log.Close()
-	if err != nil {
-		return m, fmt.Errorf("%s: %w", p.name, err)
-	}
-	ready, exited := make(chan sockets.Message, 1), make(chan struct{})
-	p.mu.Lock()
-	words := make(chan []byte, mostWords)
-	p.cmd, p.words, p.ready, p.exited, p.killed = cmd, words, ready, exited, false
-	p.mu.Unlock()
-	r.wg.Go(func() { speak(in, words) })
-	over := context.AfterFunc(r.ctx, func() { cmd.Process.Kill() }) // also one that begins as the fleet ends
-	r.mu.Lock()
-	r.files = append(r.files, m.History)
-	r.mu.Unlock()
-	r.wg.Go(func() {
-		defer over()
-		lines := bufio.NewReader(out)
-		for {
-			text, err := lines.ReadBytes('\n')
-			if err != nil {
-				break
-			}
-			var got sockets.Message
-			if err := json.Unmarshal(text, &got); err != nil {
-				r.end(fmt.Errorf("%s: %w", p.name, err))
-				continue
-			}
-			if got.Do == sockets.DoReady {
-				ready <- got
-				continue
-			}
-			r.heard(p, got)
-		}
-		err := cmd.Wait()
-		p.mu.Lock()
-		killed := p.killed
-		p.silence()
-		p.mu.Unlock()
-		close(exited)
-		if !killed {
-			r.end(fmt.Errorf("%s ended by itself: %v; see %s", p.name, err, filepath.Join(r.dir, p.name+".log")))
-		}
-	})
-	p.tell(m)
-	select {
-	case got := <-ready:
-		if got.Err != "" {
-			return got, fmt.Errorf("%s: %s", p.name, got.Err)
-		}
-		return got, nil
-	case <-exited:
-		return m, fmt.Errorf("%s ended before it was ready", p.name)
-	case <-time.After(partReady):
-		return m, fmt.Errorf("%s is not ready", p.name)
-	case <-r.ctx.Done():
-		return m, context.Cause(r.ctx)
-	}
-}
-
-const partReady = 20 * time.Second
-
-// signal sends a signal to a part that runs.
-func (p *part) signal(s syscall.Signal) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.cmd == nil || p.words == nil {
-		return
-	}
-	p.killed = p.killed || s == syscall.SIGKILL
-	p.cmd.Process.Signal(s) // one that has just ended needs none
-}
-
-// stop ends a part as it is meant to, by closing its pipe.
-func (p *part) stop() {
-	p.mu.Lock()
-	cmd, exited := p.cmd, p.exited
-	p.killed = true
-	p.silence()
-	p.mu.Unlock()
-	if cmd == nil {
-		return
-	}
-	cmd.Process.Signal(syscall.SIGCONT)
-	select {
-	case <-exited:
-	case <-time.After(partReady):
-		cmd.Process.Kill()
-		<-exited
-	}
-}
-
 // own runs something that the rig waits for at its end.
 func (r *rig) own(f func()) { r.nodes.Own(f) }
 
--- /dev/null
+++ b/internal/lab/link/ports.go
@@ -0,0 +1,79 @@
+// Blocks of ports, one for each rig on the machine, and what the addresses in them are for.
+
+package link
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"time"
+)
+
+// The system takes the ports of outgoing connections, and of listeners that ask for any, from 32768 on. An address that
+// is given up for a while and opened again must not be taken meanwhile, so it is below; and each rig has a block of its
+// own, for what was meant for one must not reach another.
+const (
+	firstPort = 12000
+	blocks    = 5
+	block     = 4000
+)
+
+// Claim takes a block of ports for a rig, until release, and gives its first. Where all are taken it waits for one: two
+// rigs in one block would take each other's addresses while these are given up for a fault.
+func Claim(ctx context.Context) (ports int, release func(), err error) {
+	var firsts []int
+	for n := range blocks {
+		firsts = append(firsts, firstPort+n*block)
+	}
+	return claim(ctx, firsts)
+}
+
+func claim(ctx context.Context, firsts []int) (ports int, release func(), err error) {
+	look := time.NewTicker(50 * time.Millisecond)
+	defer look.Stop()
+	for {
+		for _, n := range rand.Perm(len(firsts)) {
+			first := firsts[n]
+			if ln, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", first)); err == nil { // held: others see that it is taken
+				return first, func() { ln.Close() }, nil
+			}
+		}
+		select {
+		case <-look.C:
+		case <-ctx.Done():
+			return 0, nil, fmt.Errorf("link: all ports are other rigs': %w", context.Cause(ctx))
+		}
+	}
+}
+
+// Use is what an address is for: one that is closed for a while must not be taken for another use meanwhile.
+type Use int
+
+// Uses. A box that starts again gets another address.
+const (
+	ForLink Use = iota
+	ForDoor
+	ForNode // and the operators' address beside it
+	ForBox
+)
+
+var uses = [...]struct{ from, to int }{ForLink: {1, 2500}, ForDoor: {2500, 3000}, ForNode: {3000, 3500}, ForBox: {3500, block}}
+
+// Listen opens a listener on loopback, in a rig's block of ports if that is above 0, at an address that is nobody's for
+// another use.
+func Listen(ports int, use Use) (*net.TCPListener, error) {
+	first, many := firstPort, blocks*block
+	if ports > 0 {
+		first, many = ports+uses[use].from, uses[use].to-uses[use].from
+	}
+	var last error
+	for range 1000 {
+		ln, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", first+rand.IntN(many)))
+		if err == nil {
+			return ln.(*net.TCPListener), nil
+		}
+		last = err
+	}
+	return nil, last
+}
