--- /dev/null
+++ b/internal/lab/scale/versionsaudit.go
@@ -0,0 +1,315 @@
+package scale
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"hookwalk.example/hookwalk/internal/configapi"
+)
+
+// PublishOutcome is what the sender of a publish knows of it in the end.
+type PublishOutcome int
+
+// Outcomes of a publish.
+const (
+	PublishUnknown  PublishOutcome = iota // no answer that settles it: the version may come into force
+	PublishRefused                        // every answer said that nothing was taken: it must never come into force
+	PublishAccepted                       // a quorum has it on disk: it must be kept
+)
+
+func (o PublishOutcome) String() string {
+	return [...]string{"unknown", "refused", "accepted"}[o]
+}
+
+// Publication is one publish as its sender saw it.
+type Publication struct {
+	ID       string   // stands in the settings of every service that the document names
+	Services []string // that the document names
+	Outcome  PublishOutcome
+	Version  configapi.Version // where accepted
+	Answered time.Time         // when the last answer came
+	Attempts int
+}
+
+func (p Publication) names(service string) bool { return slices.Contains(p.Services, service) }
+
+// Observation is what a node does after it has answered for a version: what is in force there, not what the node says
+// of it.
+type Observation struct {
+	Node    string            `json:"node"`
+	Service string            `json:"service"`
+	Life    int               `json:"life"` // of the node's process, rising
+	Version configapi.Version `json:"version"`
+	Outcome configapi.Outcome `json:"outcome"`
+	InForce configapi.Version `json:"in_force"` // newest version applied, 0: none
+	ID      string            `json:"id"`       // publication whose settings are in force, "": none
+	AtNS    int64             `json:"at_ns"`    // Unix nanoseconds
+}
+
+// At is when the observation was made.
+func (o Observation) At() time.Time { return time.Unix(0, o.AtNS) }
+
+// Rule is a promise of configuration versions that the audit checks.
+type Rule string
+
+// Rules.
+const (
+	RuleBackwards     Rule = "no node goes back to an older version"
+	RuleLost          Rule = "an accepted version is kept"
+	RuleRefusedTaken  Rule = "a refused publish never comes into force"
+	RuleWrongContent  Rule = "a version is the same at every node"
+	RuleNotEverywhere Rule = "an accepted version is in force at every node that can be reached"
+	RuleAcknowledged  Rule = "an acknowledgement says what the node does"
+)
+
+// Violation is one breach of a rule.
+type Violation struct {
+	Rule   Rule
+	Detail string
+}
+
+func (v Violation) Error() string { return string(v.Rule) + ": " + v.Detail }
+
+// Audit collects publications and observations of one run and names violations. It has no clock and no I/O.
+type Audit struct {
+	// KeepsVersion says that nodes have a disk: a later life may not start with an older version.
+	KeepsVersion bool
+
+	publications []Publication
+	byID         map[string]Publication
+	byVersion    map[configapi.Version]Publication
+	nodes        map[string]*nodeHistory
+	violations   []Violation
+}
+
+// nodeHistory is what was observed of one node, in the order of its reports.
+type nodeHistory struct {
+	service      string
+	observations []Observation
+}
+
+// NewAudit returns an empty audit.
+func NewAudit() *Audit {
+	return &Audit{byID: map[string]Publication{}, byVersion: map[configapi.Version]Publication{}, nodes: map[string]*nodeHistory{}}
+}
+
+func (a *Audit) violate(rule Rule, format string, args ...any) {
+	a.violations = append(a.violations, Violation{rule, fmt.Sprintf(format, args...)})
+}
+
+// Expect names a node that takes part, also if nothing is ever heard of it.
+func (a *Audit) Expect(node, service string) {
+	if a.nodes[node] == nil {
+		a.nodes[node] = &nodeHistory{service: service}
+	}
+}
+
+// Published records the end of a publish. Each ID is recorded once.
+func (a *Audit) Published(p Publication) {
+	a.publications = append(a.publications, p)
+	a.byID[p.ID] = p
+	if p.Outcome != PublishAccepted {
+		return
+	}
+	if other, taken := a.byVersion[p.Version]; taken {
+		a.violate(RuleLost, "version %d was the answer to both %s and %s", p.Version, other.ID, p.ID)
+	}
+	a.byVersion[p.Version] = p
+}
+
+// Observed records what a node does. Observations of one node arrive in the order in which they were made.
+func (a *Audit) Observed(o Observation) {
+	a.Expect(o.Node, o.Service)
+	history := a.nodes[o.Node]
+	if n := len(history.observations); n > 0 {
+		a.checkOrder(history.observations[n-1], o)
+	}
+	history.observations = append(history.observations, o)
+}
+
+func (a *Audit) checkOrder(last, o Observation) {
+	if o.Life > last.Life && !a.KeepsVersion {
+		return
+	}
+	if o.InForce < last.InForce {
+		a.violate(RuleBackwards, "%s had version %d in force and then %d", o.Node, last.InForce, o.InForce)
+	}
+}
+
+// Violations checks what can only be told at the end, and returns all violations. Newest is the last version of the
+// controllers' log.
+func (a *Audit) Violations(newest configapi.Version) []Violation {
+	found := slices.Clone(a.violations)
+	end := &Audit{publications: a.publications, byID: a.byID, byVersion: a.byVersion, nodes: a.nodes}
+	end.checkLog(newest)
+	for _, node := range a.sortedNodes() {
+		for _, o := range a.nodes[node].observations {
+			end.checkContent(o)
+		}
+		end.checkLast(node, newest)
+	}
+	return append(found, end.violations...)
+}
+
+func (a *Audit) sortedNodes() []string {
+	names := make([]string, 0, len(a.nodes))
+	for name := range a.nodes {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return names
+}
+
+// checkLog holds accepted versions against the end of the controllers' log.
+func (a *Audit) checkLog(newest configapi.Version) {
+	for _, p := range a.publications {
+		if p.Outcome == PublishAccepted && p.Version > newest {
+			a.violate(RuleLost, "%s was accepted as version %d, but the controllers' log ends at %d", p.ID, p.Version, newest)
+		}
+	}
+}
+
+// checkContent holds what is in force at a node against what was published.
+func (a *Audit) checkContent(o Observation) {
+	want, exact := a.expected(o.Service, o.InForce)
+	if o.ID == want.ID {
+		return
+	}
+	p, known := a.byID[o.ID]
+	switch {
+	case known && p.Outcome == PublishRefused:
+		a.violate(RuleRefusedTaken, "%s has %s in force at version %d", o.Node, o.ID, o.InForce)
+	case known && p.Outcome == PublishUnknown && !exact:
+		// It has come into force without its yes, between two accepted versions.
+	default:
+		a.violate(RuleWrongContent, "%s has %q in force at version %d, not %q", o.Node, o.ID, o.InForce, want.ID)
+	}
+}
+
+// expected is the newest accepted publication for a service up to a version. Exact: it is the one of that version, so
+// that no publish without an answer can lie between.
+func (a *Audit) expected(service string, at configapi.Version) (newest Publication, exact bool) {
+	for version := at; version > 0; version-- {
+		p, accepted := a.byVersion[version]
+		if accepted && p.names(service) {
+			return p, version == at
+		}
+	}
+	return Publication{}, at == 0
+}
+
+// checkLast holds what a node has in force at the end against the end of the log. Rejected versions are answered for,
+// not in force.
+func (a *Audit) checkLast(node string, newest configapi.Version) {
+	observations := a.nodes[node].observations
+	if len(observations) == 0 {
+		if newest > 0 {
+			a.violate(RuleNotEverywhere, "%s never reported a version; the log ends at %d", node, newest)
+		}
+		return
+	}
+	last := observations[len(observations)-1]
+	if last.Version < newest {
+		a.violate(RuleNotEverywhere, "%s answered for version %d last; the log ends at %d", node, last.Version, newest)
+	}
+}
+
+// Acknowledged holds what the controllers know of nodes against what the nodes do. Statuses are of all controllers; of
+// each node the newest word counts.
+func (a *Audit) Acknowledged(statuses []configapi.ControllerStatus) []Violation {
+	newest := newestNodeStatus(statuses)
+	check := &Audit{}
+	for _, node := range a.sortedNodes() {
+		observations := a.nodes[node].observations
+		if len(observations) == 0 {
+			continue
+		}
+		last := observations[len(observations)-1]
+		word, heard := newest[node]
+		switch {
+		case !heard:
+			check.violate(RuleAcknowledged, "no controller knows of %s", node)
+		case word.Applied != last.InForce || word.Held != last.Version || word.Outcome != last.Outcome:
+			check.violate(RuleAcknowledged, "%s answered for %d (%s) with %d in force; its controller has %d (%s) with %d",
+				node, last.Version, last.Outcome, last.InForce, word.Held, word.Outcome, word.Applied)
+		}
+	}
+	return check.violations
+}
+
+func newestNodeStatus(statuses []configapi.ControllerStatus) map[string]configapi.NodeStatus {
+	newest := map[string]configapi.NodeStatus{}
+	for _, status := range statuses {
+		for _, node := range status.Nodes {
+			if known, ok := newest[node.Node]; !ok || later(node, known) {
+				newest[node.Node] = node
+			}
+		}
+	}
+	return newest
+}
+
+// later says that one word of a node is newer than another.
+func later(a, b configapi.NodeStatus) bool {
+	if a.Started != b.Started {
+		return a.Started > b.Started
+	}
+	if a.Session != b.Session {
+		return a.Session > b.Session
+	}
+	return a.SeenMS > b.SeenMS
+}
+
+// InForce gives, for each node of a list, how long after a moment it had a version or a later one in force; a node that
+// had it before that moment counts as 0. Missing are those that never had it.
+func (a *Audit) InForce(version configapi.Version, since time.Time, nodes []string) (delays []time.Duration, missing []string) {
+	for _, node := range nodes {
+		at, ok := a.firstInForce(node, version)
+		if !ok {
+			missing = append(missing, node)
+			continue
+		}
+		delays = append(delays, max(0, at.Sub(since)))
+	}
+	return delays, missing
+}
+
+func (a *Audit) firstInForce(node string, version configapi.Version) (time.Time, bool) {
+	history := a.nodes[node]
+	if history == nil {
+		return time.Time{}, false
+	}
+	for _, o := range history.observations {
+		if o.InForce >= version {
+			return o.At(), true
+		}
+	}
+	return time.Time{}, false
+}
+
+// Everywhere says that each node of a list has answered for a version or a later one.
+func (a *Audit) Everywhere(version configapi.Version, nodes []string) bool {
+	for _, node := range nodes {
+		history := a.nodes[node]
+		if history == nil || len(history.observations) == 0 {
+			return false
+		}
+		if history.observations[len(history.observations)-1].Version < version {
+			return false
+		}
+	}
+	return true
+}
+
+// CameIntoForce says that a publication is or was in force at some node.
+func (a *Audit) CameIntoForce(id string) bool {
+	for _, history := range a.nodes {
+		for _, o := range history.observations {
+			if o.ID == id {
+				return true
+			}
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/lab/scale/versionsaudit_test.go
@@ -0,0 +1,207 @@
+package scale
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"hookwalk.example/hookwalk/internal/configapi"
+)
+
+// auditStart is the first moment of the audits in these tests.
+var auditStart = time.Unix(1_000, 0)
+
+func accepted(id string, version configapi.Version) Publication {
+	return Publication{ID: id, Services: []string{"checkout"}, Outcome: PublishAccepted, Version: version, Answered: auditStart}
+}
+
+func unsettled(id string, outcome PublishOutcome) Publication {
+	return Publication{ID: id, Services: []string{"checkout"}, Outcome: outcome}
+}
+
+// applied is a node's observation of a version in force, some time after the start.
+func applied(node string, version configapi.Version, id string, after time.Duration) Observation {
+	return Observation{Node: node, Service: "checkout", Life: 1, Version: version, Outcome: configapi.Applied, InForce: version,
+		ID: id, AtNS: auditStart.Add(after).UnixNano()}
+}
+
+func rules(violations []Violation) (broken []Rule) {
+	for _, v := range violations {
+		broken = append(broken, v.Rule)
+	}
+	return broken
+}
+
+func TestAuditNamesEachBrokenRule(t *testing.T) {
+	for name, tc := range map[string]struct {
+		publications []Publication
+		observations []Observation
+		newest       configapi.Version
+		want         []Rule
+	}{
+		"all well": {
+			publications: []Publication{accepted("p1", 1), accepted("p2", 2)},
+			observations: []Observation{applied("a", 1, "p1", 0), applied("a", 2, "p2", 1), applied("b", 2, "p2", 1)},
+			newest:       2,
+		},
+		"backwards": {
+			publications: []Publication{accepted("p1", 1), accepted("p2", 2)},
+			observations: []Observation{applied("a", 2, "p2", 0), applied("a", 1, "p1", 1), applied("a", 2, "p2", 2)},
+			newest:       2,
+			want:         []Rule{RuleBackwards},
+		},
+		"an accepted version beyond the log": {
+			publications: []Publication{accepted("p1", 1), accepted("p2", 2)},
+			observations: []Observation{applied("a", 1, "p1", 0)},
+			newest:       1,
+			want:         []Rule{RuleLost},
+		},
+		"two accepted publishes with one version": {
+			publications: []Publication{accepted("p1", 1), accepted("p2", 1)},
+			observations: []Observation{applied("a", 1, "p2", 0)},
+			newest:       1,
+			want:         []Rule{RuleLost},
+		},
+		"a refused publish in force": {
+			publications: []Publication{accepted("p1", 1), unsettled("p2", PublishRefused)},
+			observations: []Observation{applied("a", 2, "p2", 0)},
+			newest:       2,
+			want:         []Rule{RuleRefusedTaken},
+		},
+		"an unanswered publish in force": {
+			publications: []Publication{accepted("p1", 1), unsettled("p2", PublishUnknown)},
+			observations: []Observation{applied("a", 2, "p2", 0)},
+			newest:       2,
+		},
+		"an unanswered publish in the place of an accepted one": {
+			publications: []Publication{accepted("p1", 1), unsettled("p2", PublishUnknown)},
+			observations: []Observation{applied("a", 1, "p2", 0)},
+			newest:       1,
+			want:         []Rule{RuleWrongContent},
+		},
+		"settings that nobody published": {
+			publications: []Publication{accepted("p1", 1)},
+			observations: []Observation{applied("a", 1, "p9", 0)},
+			newest:       1,
+			want:         []Rule{RuleWrongContent},
+		},
+		"the settings of the version before": {
+			publications: []Publication{accepted("p1", 1), accepted("p2", 2)},
+			observations: []Observation{applied("a", 2, "p1", 0)},
+			newest:       2,
+			want:         []Rule{RuleWrongContent},
+		},
+		"a node that lags": {
+			publications: []Publication{accepted("p1", 1), accepted("p2", 2)},
+			observations: []Observation{applied("a", 1, "p1", 0), applied("b", 2, "p2", 0)},
+			newest:       2,
+			want:         []Rule{RuleNotEverywhere},
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			audit := NewAudit()
+			for _, p := range tc.publications {
+				audit.Published(p)
+			}
+			for _, o := range tc.observations {
+				audit.Observed(o)
+			}
+			if got := rules(audit.Violations(tc.newest)); !slices.Equal(got, tc.want) {
+				t.Errorf("broken rules %q, want %q", got, tc.want)
+			}
+		})
+	}
+}
+
+func TestAuditNamesANodeThatNeverReported(t *testing.T) {
+	audit := NewAudit()
+	audit.Expect("silent", "checkout")
+	audit.Published(accepted("p1", 1))
+	if got := rules(audit.Violations(1)); !slices.Equal(got, []Rule{RuleNotEverywhere}) {
+		t.Errorf("broken rules %q", got)
+	}
+}
+
+func TestAuditOfAServiceThatADocumentDoesNotName(t *testing.T) {
+	audit := NewAudit()
+	audit.Published(accepted("p1", 1))
+	other := accepted("p2", 2)
+	other.Services = []string{"search"}
+	audit.Published(other)
+	audit.Observed(applied("a", 2, "p1", 0)) // version 2 changes nothing for checkout
+	if got := audit.Violations(2); len(got) != 0 {
+		t.Errorf("violations %v", got)
+	}
+}
+
+func TestAuditOfALaterLife(t *testing.T) {
+	for name, tc := range map[string]struct {
+		keeps bool
+		want  []Rule
+	}{"without a disk": {false, nil}, "with a disk": {true, []Rule{RuleBackwards}}} {
+		t.Run(name, func(t *testing.T) {
+			audit := NewAudit()
+			audit.KeepsVersion = tc.keeps
+			audit.Published(accepted("p1", 1))
+			audit.Published(accepted("p2", 2))
+			audit.Observed(applied("a", 2, "p2", 0))
+			again := applied("a", 1, "p1", 1)
+			again.Life = 2
+			audit.Observed(again)
+			last := applied("a", 2, "p2", 2)
+			last.Life = 2
+			audit.Observed(last)
+			if got := rules(audit.Violations(2)); !slices.Equal(got, tc.want) {
+				t.Errorf("broken rules %q, want %q", got, tc.want)
+			}
+		})
+	}
+}
+
+func TestAuditHoldsAcknowledgementsAgainstWhatNodesDo(t *testing.T) {
+	audit := NewAudit()
+	audit.Published(accepted("p1", 1))
+	audit.Published(accepted("p2", 2))
+	audit.Observed(applied("a", 1, "p1", 0))
+	rejected := applied("a", 2, "p1", 1)
+	rejected.Outcome, rejected.InForce = configapi.Rejected, 1
+	audit.Observed(rejected)
+	status := func(held, applied configapi.Version, outcome configapi.Outcome) []configapi.ControllerStatus {
+		older := configapi.NodeStatus{Node: "a", Started: 1, Session: 1, Held: 1, Applied: 1, Outcome: configapi.Applied}
+		newer := configapi.NodeStatus{Node: "a", Started: 1, Session: 2, Held: held, Applied: applied, Outcome: outcome}
+		return []configapi.ControllerStatus{{Nodes: []configapi.NodeStatus{newer}}, {Nodes: []configapi.NodeStatus{older}}}
+	}
+	if got := audit.Acknowledged(status(2, 1, configapi.Rejected)); len(got) != 0 {
+		t.Errorf("violations %v", got)
+	}
+	for name, statuses := range map[string][]configapi.ControllerStatus{
+		"applied instead of rejected": status(2, 2, configapi.Applied),
+		"an older version":            status(1, 1, configapi.Applied),
+		"nothing":                     nil,
+	} {
+		if got := rules(audit.Acknowledged(statuses)); !slices.Equal(got, []Rule{RuleAcknowledged}) {
+			t.Errorf("%s: broken rules %q", name, got)
+		}
+	}
+}
+
+func TestAuditMeasuresWhenAVersionIsInForce(t *testing.T) {
+	audit := NewAudit()
+	audit.Published(accepted("p1", 1))
+	audit.Published(accepted("p2", 2))
+	audit.Observed(applied("early", 1, "p1", -time.Second))
+	audit.Observed(applied("late", 2, "p2", 2*time.Second)) // has skipped version 1
+	delays, missing := audit.InForce(1, auditStart, []string{"early", "late", "gone"})
+	if want := []time.Duration{0, 2 * time.Second}; !slices.Equal(delays, want) {
+		t.Errorf("delays %v, want %v", delays, want)
+	}
+	if want := []string{"gone"}; !slices.Equal(missing, want) {
+		t.Errorf("missing %v, want %v", missing, want)
+	}
+	if !audit.Everywhere(1, []string{"early", "late"}) || audit.Everywhere(2, []string{"early", "late"}) {
+		t.Error("Everywhere does not tell version 1 from version 2")
+	}
+	if !audit.CameIntoForce("p1") || audit.CameIntoForce("p9") {
+		t.Error("CameIntoForce does not tell p1 from p9")
+	}
+}
