--- a/internal/lab/scale/hollowconn.go
+++ b/internal/lab/scale/hollowconn.go
@@ -12,12 +12,12 @@
 	"golang.org/x/sys/unix"
 )
 
-// headerBytes is what a TCP segment on loopback or an Ethernet carries beside its payload: 20 bytes of IPv4, 20 of TCP,
+// segmentHeaderBytes is what a TCP segment on loopback or an Ethernet carries beside its payload: 20 bytes of IPv4, 20 of TCP,
 // 12 of timestamps.
-const headerBytes = 52
+const segmentHeaderBytes = 52
 
-// Traffic counts what connections have carried.
-type Traffic struct {
+// SessionTraffic counts what connections of sessions have carried.
+type SessionTraffic struct {
 	BytesIn     int64 `json:"bytes_in"`  // payload
 	BytesOut    int64 `json:"bytes_out"` // payload
 	SegmentsIn  int64 `json:"segments_in"`
@@ -27,19 +27,19 @@
 }
 
 // OnWire is the payload of both directions with the headers of all segments, in bytes.
-func (t Traffic) OnWire() int64 {
-	return t.BytesIn + t.BytesOut + headerBytes*(t.SegmentsIn+t.SegmentsOut)
+func (t SessionTraffic) OnWire() int64 {
+	return t.BytesIn + t.BytesOut + segmentHeaderBytes*(t.SegmentsIn+t.SegmentsOut)
 }
 
 // Plus adds two counts.
-func (t Traffic) Plus(o Traffic) Traffic {
-	return Traffic{t.BytesIn + o.BytesIn, t.BytesOut + o.BytesOut, t.SegmentsIn + o.SegmentsIn, t.SegmentsOut + o.SegmentsOut,
+func (t SessionTraffic) Plus(o SessionTraffic) SessionTraffic {
+	return SessionTraffic{t.BytesIn + o.BytesIn, t.BytesOut + o.BytesOut, t.SegmentsIn + o.SegmentsIn, t.SegmentsOut + o.SegmentsOut,
 		t.Dials + o.Dials, t.Watches + o.Watches}
 }
 
 // Minus is what was counted since an earlier count.
-func (t Traffic) Minus(o Traffic) Traffic {
-	return Traffic{t.BytesIn - o.BytesIn, t.BytesOut - o.BytesOut, t.SegmentsIn - o.SegmentsIn, t.SegmentsOut - o.SegmentsOut,
+func (t SessionTraffic) Minus(o SessionTraffic) SessionTraffic {
+	return SessionTraffic{t.BytesIn - o.BytesIn, t.BytesOut - o.BytesOut, t.SegmentsIn - o.SegmentsIn, t.SegmentsOut - o.SegmentsOut,
 		t.Dials - o.Dials, t.Watches - o.Watches}
 }
 
@@ -52,7 +52,7 @@
 	cut     map[string]bool
 	changed chan struct{} // closed when cut changes
 	up      map[*meteredConn]bool
-	ended   Traffic // of connections that are closed
+	ended   SessionTraffic // of connections that are closed
 }
 
 // NewNetwork returns a network without faults. Opened is called for each watch, from the goroutine that asks for it.
@@ -112,7 +112,7 @@
 }
 
 // Traffic is the count of all connections so far.
-func (n *Network) Traffic() Traffic {
+func (n *Network) Traffic() SessionTraffic {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	total := n.ended
@@ -173,8 +173,8 @@
 	return c.Conn.Close()
 }
 
-func (c *meteredConn) traffic() Traffic {
-	t := Traffic{BytesIn: c.in.Load(), BytesOut: c.out.Load(), Watches: c.watches.Load()}
+func (c *meteredConn) traffic() SessionTraffic {
+	t := SessionTraffic{BytesIn: c.in.Load(), BytesOut: c.out.Load(), Watches: c.watches.Load()}
 	t.SegmentsIn, t.SegmentsOut = segments(c.Conn)
 	return t
 }
--- /dev/null
+++ b/internal/lab/scale/hollowfleet.go
@@ -0,0 +1,297 @@
+package scale
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"sync"
+	"syscall"
+	"time"
+
+	"hookwalk.example/hookwalk/internal/configapi"
+)
+
+// Rig timings.
+const (
+	// pollInterval is how often a rig looks at what its processes have done.
+	pollInterval = 10 * time.Millisecond
+	// reportTimeout is how long a process of hollow nodes may take to answer, on a busy machine.
+	reportTimeout = 20 * time.Second
+	// keptAfter is how long a node may take to write a version to its disk. It starts from that version or a later one
+	// if it is killed afterwards.
+	keptAfter = 5 * time.Second
+)
+
+// HollowOptions say how a fleet of hollow nodes is run.
+type HollowOptions struct {
+	Program     func() *exec.Cmd // a process that calls ServeHollow with its standard input and output
+	Topology    Topology
+	Controllers []configapi.Endpoint
+	Folder      string // of last known good versions; "": nodes keep none
+	Log         string // folder for standard error
+	Seed        uint64
+}
+
+// HollowFleet runs hollow nodes, a process for each zone, and audits what they do. Its methods may be called from any
+// goroutine.
+type HollowFleet struct {
+	options HollowOptions
+
+	mu      sync.Mutex
+	audit   *Audit
+	watches []WatchOpened
+	zones   []*hollowZone
+}
+
+// hollowZone is the process of one zone, over all of its lives.
+type hollowZone struct {
+	nodes   []HollowNode
+	life    int
+	command *exec.Cmd
+	input   io.WriteCloser
+	traffic chan SessionTraffic
+	ended   chan struct{} // closed when the process has ended and all of its reports are read
+}
+
+// NewHollowFleet returns a fleet of which nothing runs yet. Stop must follow.
+func NewHollowFleet(options HollowOptions) *HollowFleet {
+	fleet := &HollowFleet{options: options, audit: NewAudit()}
+	if options.Folder != "" {
+		fleet.audit.KeptAfter = keptAfter
+	}
+	for zone := range options.Topology.Zones() {
+		nodes := options.Topology.ZoneNodes(zone)
+		for _, node := range nodes {
+			fleet.audit.Expect(node.Name, node.Service)
+		}
+		fleet.zones = append(fleet.zones, &hollowZone{nodes: nodes})
+	}
+	return fleet
+}
+
+// Start starts the nodes of zones that do not run.
+func (f *HollowFleet) Start(zones ...int) error {
+	for _, zone := range zones {
+		if err := f.startZone(zone); err != nil {
+			return fmt.Errorf("scale: hollow nodes of zone %d: %w", zone, err)
+		}
+	}
+	return nil
+}
+
+func (f *HollowFleet) startZone(number int) error {
+	zone := f.zones[number]
+	zone.life++
+	command := f.options.Program()
+	command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL, Setpgid: true}
+	log, err := os.OpenFile(filepath.Join(f.options.Log, fmt.Sprintf("zone-%02d.log", number)), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	defer log.Close()
+	command.Stderr = log
+	input, err := command.StdinPipe()
+	if err != nil {
+		return err
+	}
+	output, err := command.StdoutPipe()
+	if err != nil {
+		return err
+	}
+	if err := command.Start(); err != nil {
+		return err
+	}
+	zone.command, zone.input = command, input
+	zone.traffic, zone.ended = make(chan SessionTraffic, 1), make(chan struct{})
+	go f.read(zone, output)
+	return json.NewEncoder(input).Encode(HollowSpec{Nodes: zone.nodes, Controllers: f.options.Controllers, Folder: f.options.Folder,
+		Life: zone.life, Seed: f.options.Seed + uint64(zone.life)<<32 + uint64(number)<<16})
+}
+
+// read takes the reports of one life of a process, to its end.
+func (f *HollowFleet) read(zone *hollowZone, output io.Reader) {
+	defer close(zone.ended)
+	reports := json.NewDecoder(bufio.NewReaderSize(output, 1<<16))
+	for {
+		var report HollowReport
+		if reports.Decode(&report) != nil { // the process has ended, perhaps within a report
+			break
+		}
+		f.take(zone, report)
+	}
+	io.Copy(io.Discard, output)
+	zone.command.Wait()
+}
+
+func (f *HollowFleet) take(zone *hollowZone, report HollowReport) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	switch {
+	case report.Observation != nil:
+		f.audit.Observed(*report.Observation)
+	case report.Watch != nil:
+		f.watches = append(f.watches, *report.Watch)
+	case report.Traffic != nil:
+		select {
+		case zone.traffic <- *report.Traffic:
+		default: // whoever asked has given up
+		}
+	}
+}
+
+// Kill ends the processes of zones with SIGKILL, all at once, and returns when they have ended.
+func (f *HollowFleet) Kill(zones ...int) {
+	for _, zone := range zones {
+		f.zones[zone].command.Process.Kill()
+	}
+	for _, zone := range zones {
+		<-f.zones[zone].ended
+	}
+}
+
+// Cut puts controllers out of the reach of a zone's nodes, and all others in reach.
+func (f *HollowFleet) Cut(zone int, addresses []string) error {
+	return json.NewEncoder(f.zones[zone].input).Encode(HollowCommand{SetCut: true, Cut: addresses})
+}
+
+// Traffic adds up what the nodes of all zones have carried in their present lives.
+func (f *HollowFleet) Traffic() (total SessionTraffic, err error) {
+	for number, zone := range f.zones {
+		if zone.command == nil {
+			continue
+		}
+		if err := json.NewEncoder(zone.input).Encode(HollowCommand{Traffic: true}); err != nil {
+			return total, fmt.Errorf("scale: traffic of zone %d: %w", number, err)
+		}
+		late := time.NewTimer(reportTimeout)
+		select {
+		case traffic := <-zone.traffic:
+			total = total.Plus(traffic)
+		case <-zone.ended:
+			err = fmt.Errorf("scale: traffic of zone %d: its process has ended", number)
+		case <-late.C:
+			err = fmt.Errorf("scale: traffic of zone %d: no answer within %v", number, reportTimeout)
+		}
+		late.Stop()
+		if err != nil {
+			return total, err
+		}
+	}
+	return total, nil
+}
+
+// Usage adds up what the processes of all zones have used.
+func (f *HollowFleet) Usage() (total Usage, err error) {
+	for _, zone := range f.zones {
+		if zone.command == nil {
+			continue
+		}
+		usage, err := ReadUsage(zone.command.Process.Pid)
+		if err != nil {
+			return total, err
+		}
+		total.CPU += usage.CPU
+		total.RSSBytes += usage.RSSBytes
+		total.PrivateBytes += usage.PrivateBytes
+		total.Descriptors += usage.Descriptors
+	}
+	return total, nil
+}
+
+// Nodes are the names of the nodes of zones; none: of all.
+func (f *HollowFleet) Nodes(zones ...int) (list []string) {
+	if len(zones) == 0 {
+		zones = f.AllZones()
+	}
+	for _, zone := range zones {
+		list = append(list, names(f.zones[zone].nodes)...)
+	}
+	return list
+}
+
+// AllZones are the numbers of all zones.
+func (f *HollowFleet) AllZones() (zones []int) {
+	for zone := range f.zones {
+		zones = append(zones, zone)
+	}
+	return zones
+}
+
+// Audit runs a function on the audit.
+func (f *HollowFleet) Audit(look func(*Audit)) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	look(f.audit)
+}
+
+// Watches gives the watches that were opened since a moment, in order.
+func (f *HollowFleet) Watches(since time.Time) []WatchOpened {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var opened []WatchOpened
+	for _, watch := range f.watches {
+		if watch.AtNS >= since.UnixNano() {
+			opened = append(opened, watch)
+		}
+	}
+	slices.SortFunc(opened, func(a, b WatchOpened) int { return int(a.AtNS - b.AtNS) })
+	return opened
+}
+
+// Await waits until all nodes of a list have answered for a version.
+func (f *HollowFleet) Await(ctx context.Context, version configapi.Version, nodes []string) error {
+	err := poll(ctx, func() (done bool) {
+		f.Audit(func(a *Audit) { done = a.Everywhere(version, nodes) })
+		return done
+	})
+	if err != nil {
+		return fmt.Errorf("scale: version %d at %d nodes: %w", version, len(nodes), err)
+	}
+	return nil
+}
+
+// Stop ends all processes: they end when their input does, and are killed if they don't.
+func (f *HollowFleet) Stop() error {
+	var failures []error
+	for _, zone := range f.zones {
+		if zone.command != nil {
+			zone.input.Close()
+		}
+	}
+	for number, zone := range f.zones {
+		if zone.command == nil {
+			continue
+		}
+		late := time.NewTimer(reportTimeout)
+		select {
+		case <-zone.ended:
+		case <-late.C:
+			zone.command.Process.Kill()
+			<-zone.ended
+			failures = append(failures, fmt.Errorf("scale: hollow nodes of zone %d did not end within %v", number, reportTimeout))
+		}
+		late.Stop()
+	}
+	return errors.Join(failures...)
+}
+
+// poll looks again and again until something is done or the context ends.
+func poll(ctx context.Context, done func() bool) error {
+	tick := time.NewTicker(pollInterval)
+	defer tick.Stop()
+	for !done() {
+		select {
+		case <-tick.C:
+		case <-ctx.Done():
+			return context.Cause(ctx)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/lab/scale/versions_test.go
@@ -0,0 +1,109 @@
+package scale
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+// TestVersions is the small form of the rigs of configuration versions: three controllers and 24 nodes go through what
+// the large forms measure, one thing after another. It holds what is in force, its order and counts to bounds, and no
+// speed.
+func TestVersions(t *testing.T) {
+	rig := newVersionsRig(t, rigOptions{topology: SmallTopology, relays: true, folder: t.TempDir()})
+	for _, step := range []struct {
+		name string
+		run  func(*versionsRig)
+	}{
+		{"publishes at rest", checkRest},
+		{"one service", checkOneService},
+		{"bad versions", checkBadVersions},
+		{"a leader killed", checkLeaderKilled},
+		{"a follower stalled", checkFollowerStalled},
+		{"a region cut off", checkRegionCutOff},
+		{"zones killed", checkZonesKilled},
+		{"all controllers killed", checkAllControllersKilled},
+	} {
+		t.Run(step.name, func(t *testing.T) {
+			rig.TB = t
+			step.run(rig)
+			rig.verify()
+		})
+		rig.TB = t
+	}
+}
+
+func checkRest(rig *versionsRig) {
+	const publishes = 3
+	before := rig.newest
+	publishAtRest(rig, publishes)
+	if rig.newest != before+publishes {
+		rig.Errorf("%d publishes led from version %d to %d", publishes, before, rig.newest)
+	}
+}
+
+func checkOneService(rig *versionsRig) {
+	publication := rig.mustPublish([]string{serviceName(1)})
+	rig.await(publication.Version, rig.fleet.Nodes())
+}
+
+// checkBadVersions has nodes reject a version and keep the one before.
+func checkBadVersions(rig *versionsRig) {
+	publication := rig.publishBad(rig.topology.ServiceNames())
+	rig.await(publication.Version, rig.fleet.Nodes())
+	rig.fleet.Audit(func(a *Audit) {
+		if a.CameIntoForce(publication.ID) {
+			rig.Error("a version that nodes can't read came into force")
+		}
+	})
+	rig.verify()
+	rig.mustPublish(rig.topology.ServiceNames())
+}
+
+func checkLeaderKilled(rig *versionsRig) {
+	fault := controllerFault{name: "leader killed", leader: true}
+	round := publishBesideFault(rig, fault, rand.New(rand.NewPCG(1, 0)), true)
+	if round.settled.Outcome != PublishAccepted {
+		rig.Errorf("a publish that is repeated is %s", round.settled.Outcome)
+	}
+}
+
+func checkFollowerStalled(rig *versionsRig) {
+	fault := controllerFault{name: "follower stalled", stall: true}
+	publishBesideFault(rig, fault, rand.New(rand.NewPCG(2, 0)), true)
+}
+
+func checkRegionCutOff(rig *versionsRig) {
+	const publishes = 2
+	const length = 2 * time.Second
+	cut := newRegionCut(rig, 0)
+	cut.set(true)
+	_, attempts := cut.publishDuringCut(publishes, length)
+	cut.checkNothingTaken(attempts, Publication{Version: rig.newest})
+	cut.set(false)
+	rig.await(rig.newest, rig.fleet.Nodes())
+}
+
+func checkZonesKilled(rig *versionsRig) {
+	for _, zones := range [][]int{{0}, rig.fleet.AllZones()} {
+		if back := returnOfZones(rig, zones); back.watches < back.nodes {
+			rig.Errorf("%d nodes came back with %d watches", back.nodes, back.watches)
+		}
+	}
+}
+
+func checkAllControllersKilled(rig *versionsRig) {
+	for _, controller := range rig.cluster.Controllers {
+		rig.cluster.Kill(controller)
+	}
+	before := rig.newest
+	for _, controller := range rig.cluster.Controllers {
+		if err := rig.cluster.Start(controller); err != nil {
+			rig.Fatal(err)
+		}
+	}
+	if newest := rig.caughtUp(); newest < before {
+		rig.Errorf("version %d was accepted, the controllers came back with %d", before, newest)
+	}
+	rig.mustPublish(rig.topology.ServiceNames())
+}
--- /dev/null
+++ b/internal/lab/scale/versionsbad_test.go
@@ -0,0 +1,191 @@
+package scale
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"testing"
+	"time"
+
+	"hookwalk.example/hookwalk/internal/configapi"
+)
+
+// badEvery is how often a version is bad: a fifth of them.
+const badEvery = 5
+
+// badVersion is a kind of settings that a node must reject, with a class of a name in it where it can have classes.
+type badVersion struct {
+	name     string
+	settings func(class string) map[string]any
+}
+
+var badVersions = []badVersion{
+	{"of another form", func(string) map[string]any { return realSettings("none") }},
+	{"refused by the checks", func(class string) map[string]any {
+		lanes := lanesOf(lane{Name: class})
+		lanes[1].DeadlineMS = 0
+		return realSettings(lanes)
+	}},
+	{"a part is missing", func(class string) map[string]any { return map[string]any{"lanes": lanesOf(lane{Name: class})} }},
+	{"a class without a server", func(class string) map[string]any {
+		return realSettings(lanesOf(lane{Name: class, OnlyKinds: []string{"nowhere"}}))
+	}},
+	{"a class that is left with one server", func(class string) map[string]any {
+		lanes := lanesOf(lane{Name: class})
+		lanes[0].OnlyKinds = []string{"a"}
+		return realSettings(lanes)
+	}},
+}
+
+// versionSequence publishes versions to real nodes and holds what nodes say of each against what they do.
+type versionSequence struct {
+	*versionNodes
+	publisher *Publisher
+	lastGood  string         // class that the newest good version has
+	rejected  map[string]int // by kind of version
+}
+
+// publish publishes a version with a class of its own and waits until every node has answered for it.
+func (s *versionSequence) publish(number int, bad *badVersion) {
+	s.Helper()
+	class := fmt.Sprintf("class-%d", number)
+	settings := realSettings(lanesOf(lane{Name: class}))
+	if bad != nil {
+		settings = bad.settings(class)
+	}
+	text, err := json.Marshal(settings)
+	if err != nil {
+		s.Fatal(err)
+	}
+	text, err = json.Marshal(configapi.Document{Services: map[string]configapi.ServiceConfig{realService: {Settings: text}}})
+	if err != nil {
+		s.Fatal(err)
+	}
+	ctx, cancel := context.WithTimeout(s.Context(), rigTimeout)
+	defer cancel()
+	publication := s.publisher.Publish(ctx, configapi.PublishRequest{ID: class, Document: text}, nil, 0)
+	if publication.Outcome != PublishAccepted {
+		s.Fatalf("%s is %s", class, publication.Outcome)
+	}
+	words := s.await(ctx, publication.Version)
+	if bad == nil {
+		s.lastGood = class
+	}
+	for _, node := range s.nodes {
+		s.check(ctx, node, words[node.Name], class, bad)
+	}
+}
+
+// await waits until the controllers have each node's answer for a version.
+func (s *versionSequence) await(ctx context.Context, version configapi.Version) (words map[string]configapi.NodeStatus) {
+	s.Helper()
+	err := poll(ctx, func() bool {
+		words = s.words()
+		for _, node := range s.nodes {
+			if words[node.Name].Held < version {
+				return false
+			}
+		}
+		return true
+	})
+	if err != nil {
+		s.Fatalf("version %d is not answered for by all nodes: %v", version, err)
+	}
+	return words
+}
+
+// check holds a node's answer against what it does with requests.
+func (s *versionSequence) check(ctx context.Context, node *versionNode, word configapi.NodeStatus, class string, bad *badVersion) {
+	s.Helper()
+	want := configapi.Applied
+	if bad != nil {
+		want = configapi.Rejected
+		s.rejected[bad.name]++
+	}
+	if word.Outcome != want {
+		s.Errorf("%s: %s is %s, want %s (%v)", node.Name, class, word.Outcome, want, word.Rejection)
+	}
+	if word.Outcome == configapi.Rejected && (word.Rejection == nil || word.Rejection.Message == "") {
+		s.Errorf("%s rejected %s without a reason", node.Name, class)
+	}
+	s.checkClass(ctx, node, class, word.Outcome == configapi.Applied)
+	s.checkClass(ctx, node, s.lastGood, true)
+}
+
+func (s *versionSequence) checkClass(ctx context.Context, node *versionNode, class string, want bool) {
+	s.Helper()
+	known, err := s.knows(ctx, node, class)
+	if err != nil {
+		s.Errorf("%s: %v", node.Name, err)
+		return
+	}
+	if known != want {
+		s.Errorf("%s: %s in force by its requests: %v, by its acknowledgement: %v", node.Name, class, known, want)
+	}
+}
+
+// run publishes so many versions, one of each badEvery bad, with the kinds of bad ones in turn.
+func (s *versionSequence) run(versions int) {
+	s.Helper()
+	for number := 1; number <= versions && !s.Failed(); number++ {
+		var bad *badVersion
+		if number%badEvery == 0 {
+			bad = &badVersions[number/badEvery%len(badVersions)]
+		}
+		s.publish(number, bad)
+	}
+}
+
+// newVersionSequence starts controllers and real nodes.
+func newVersionSequence(t testing.TB, topology Topology, nodes int) *versionSequence {
+	t.Helper()
+	program := programWithControllers(t)
+	logs := t.TempDir()
+	ctx, cancel := context.WithTimeout(t.Context(), rigTimeout)
+	defer cancel()
+	cluster, err := NewControlCluster(ctx, ClusterOptions{Program: program, Topology: topology, Folder: logs})
+	t.Cleanup(func() {
+		if err := cluster.Stop(); err != nil {
+			t.Error(err)
+		}
+		if t.Failed() {
+			printLogs(t, logs)
+		}
+	})
+	if err == nil {
+		err = cluster.StartAll(ctx)
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+	return &versionSequence{versionNodes: startVersionNodes(t, program, cluster, nodes), publisher: NewPublisher(cluster.Addresses()),
+		rejected: map[string]int{}}
+}
+
+func TestVersionsBad(t *testing.T) {
+	largeOnly(t)
+	const versions, nodes = 500, 20
+	sequence := newVersionSequence(t, TargetTopology, nodes)
+	loaded, stop := context.WithCancel(t.Context())
+	calls, failed := sequence.load(loaded)
+	began := time.Now()
+	sequence.run(versions)
+	took := time.Since(began)
+	stop()
+	table := &Table{Title: fmt.Sprintf("%d versions, a fifth of them bad, %d real nodes under load, 7 controllers", versions, nodes), Header: []string{"", "count"}}
+	for _, bad := range badVersions {
+		table.Add("rejected: "+bad.name, sequence.rejected[bad.name])
+	}
+	table.Add("calls of the load", calls())
+	table.Add("calls not answered by a server", failed())
+	table.Add("seconds", took.Seconds())
+	printTable(table)
+	if lost := failed(); lost > 0 {
+		t.Errorf("%d calls of the load failed", lost)
+	}
+}
+
+// TestRealNodesDoWhatTheyAcknowledge is the small form of TestVersionsBad.
+func TestRealNodesDoWhatTheyAcknowledge(t *testing.T) {
+	newVersionSequence(t, SmallTopology, 2).run(len(badVersions) * badEvery)
+}
--- /dev/null
+++ b/internal/lab/scale/versionscluster.go
@@ -0,0 +1,368 @@
+package scale
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+
+	"hookwalk.example/hookwalk/internal/configapi"
+	"hookwalk.example/hookwalk/internal/lab/link"
+)
+
+// Timings of a ControlCluster.
+const (
+	// statusTimeout is how long a controller may take to tell its status.
+	statusTimeout = 2 * time.Second
+	// stopTimeout is how long a controller may take to end after SIGTERM.
+	stopTimeout = 10 * time.Second
+)
+
+// Controller is one controller of a rig, over all of its lives.
+type Controller struct {
+	Name     string
+	Region   string
+	Zone     string
+	Address  string // of configapi's calls
+	Raft     string
+	Folder   string            // of its data
+	Via      map[string]string // by address of another controller: where it is dialed instead
+	settings string            // its settings file
+	log      string
+	command  *exec.Cmd
+	ended    chan struct{}
+}
+
+// Endpoint is the controller as nodes know it.
+func (c *Controller) Endpoint() configapi.Endpoint {
+	return configapi.Endpoint{Address: c.Address, Region: c.Region, Zone: c.Zone}
+}
+
+// ClusterOptions say how controllers are run.
+type ClusterOptions struct {
+	Program  string // hookwalk
+	Topology Topology
+	Folder   string // for settings, data and logs
+	Relays   bool   // a relay between each pair of controllers in different regions, so that a region can be cut off
+}
+
+// ControlCluster runs controllers as processes. Its methods are called from one goroutine.
+type ControlCluster struct {
+	Controllers []*Controller
+
+	options ClusterOptions
+	release func()
+	relays  map[relayKey][]*link.Link
+	client  *http.Client
+}
+
+// relayKey is a direction between two regions.
+type relayKey struct{ from, to string }
+
+// NewControlCluster writes the settings of all controllers and starts none. Stop must follow, also after an error.
+func NewControlCluster(ctx context.Context, options ClusterOptions) (*ControlCluster, error) {
+	cluster := &ControlCluster{options: options, release: func() {}, relays: map[relayKey][]*link.Link{},
+		client: &http.Client{Timeout: statusTimeout, Transport: &http.Transport{DisableKeepAlives: true}}}
+	ports, release, err := link.Claim(ctx)
+	if err != nil {
+		return cluster, err
+	}
+	cluster.release = release
+	addresses, err := freeAddresses(ports, addressesEach*options.Topology.Controllers)
+	if err != nil {
+		return cluster, err
+	}
+	for number := range options.Topology.Controllers {
+		controller, err := cluster.place(number, addresses[addressesEach*number:])
+		if err != nil {
+			return cluster, err
+		}
+		cluster.Controllers = append(cluster.Controllers, controller)
+	}
+	if options.Relays {
+		if err := cluster.openRelays(ports); err != nil {
+			return cluster, err
+		}
+	}
+	for _, controller := range cluster.Controllers {
+		if err := cluster.writeSettings(controller); err != nil {
+			return cluster, err
+		}
+	}
+	return cluster, nil
+}
+
+// addressesEach is how many addresses a controller has: for configapi's calls and for raft.
+const addressesEach = 2
+
+// place deals controllers out to regions in turn, and to the zones of a region in turn.
+func (c *ControlCluster) place(number int, addresses []string) (*Controller, error) {
+	topology := c.options.Topology
+	region := number % topology.Regions
+	zone := (number / topology.Regions) % topology.ZonesPerRegion
+	controller := &Controller{Name: fmt.Sprintf("controller-%d", number+1), Region: regionName(region), Zone: zoneName(region, zone),
+		Address: addresses[0], Raft: addresses[1], Via: map[string]string{}}
+	controller.Folder = filepath.Join(c.options.Folder, controller.Name)
+	controller.settings = filepath.Join(c.options.Folder, controller.Name+".hcl")
+	controller.log = filepath.Join(c.options.Folder, controller.Name+".log")
+	return controller, os.MkdirAll(controller.Folder, 0o700)
+}
+
+// freeAddresses are different addresses in a rig's block of ports where nobody listens.
+func freeAddresses(ports, count int) (addresses []string, err error) {
+	for range count {
+		listener, err := link.Listen(ports, link.ForNode)
+		if err != nil {
+			return nil, err
+		}
+		defer listener.Close() // when all are found, so that none is found twice
+		addresses = append(addresses, listener.Addr().String())
+	}
+	return addresses, nil
+}
+
+func (c *ControlCluster) openRelays(ports int) error {
+	for _, caller := range c.Controllers {
+		for _, called := range c.Controllers {
+			if caller.Region == called.Region {
+				continue
+			}
+			for _, address := range []string{called.Address, called.Raft} {
+				relay, err := link.Open(ports, func() string { return address })
+				if err != nil {
+					return err
+				}
+				key := relayKey{caller.Region, called.Region}
+				c.relays[key] = append(c.relays[key], relay)
+				caller.Via[address] = relay.Addr()
+			}
+		}
+	}
+	return nil
+}
+
+// CutRegion cuts the controllers of a region off from those of all others, or ends the cut. Bytes under way are held
+// until then.
+func (c *ControlCluster) CutRegion(region string, off bool) error {
+	for key, relays := range c.relays {
+		if key.from != region && key.to != region {
+			continue
+		}
+		for _, relay := range relays {
+			if err := relay.Set(link.Fault{Silent: [2]bool{off, off}}); err != nil {
+				return fmt.Errorf("scale: cut of %s: %w", region, err)
+			}
+		}
+	}
+	return nil
+}
+
+// Endpoints are all controllers as nodes know them.
+func (c *ControlCluster) Endpoints() (endpoints []configapi.Endpoint) {
+	for _, controller := range c.Controllers {
+		endpoints = append(endpoints, controller.Endpoint())
+	}
+	return endpoints
+}
+
+// Addresses are those of all controllers but some.
+func (c *ControlCluster) Addresses(but ...*Controller) (addresses []string) {
+	skip := map[string]bool{}
+	for _, controller := range but {
+		skip[controller.Address] = true
+	}
+	for _, controller := range c.Controllers {
+		if !skip[controller.Address] {
+			addresses = append(addresses, controller.Address)
+		}
+	}
+	return addresses
+}
+
+// InRegion are the controllers of a region.
+func (c *ControlCluster) InRegion(region string) (controllers []*Controller) {
+	for _, controller := range c.Controllers {
+		if controller.Region == region {
+			controllers = append(controllers, controller)
+		}
+	}
+	return controllers
+}
+
+// Start starts a controller that does not run.
+func (c *ControlCluster) Start(controller *Controller) error {
+	log, err := os.OpenFile(controller.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return fmt.Errorf("scale: %s: %w", controller.Name, err)
+	}
+	defer log.Close()
+	command := exec.Command(c.options.Program, "controller", "run", "--name", controller.Name, controller.settings)
+	command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL, Setpgid: true}
+	command.Stderr = log
+	if err := command.Start(); err != nil {
+		return fmt.Errorf("scale: %s: %w", controller.Name, err)
+	}
+	ended := make(chan struct{})
+	controller.command, controller.ended = command, ended
+	go func() {
+		defer close(ended)
+		command.Wait() // how it ended stands in its log
+	}()
+	return nil
+}
+
+// StartAll starts all controllers and waits for a leader.
+func (c *ControlCluster) StartAll(ctx context.Context) error {
+	for _, controller := range c.Controllers {
+		if err := c.Start(controller); err != nil {
+			return err
+		}
+	}
+	_, err := c.AwaitLeader(ctx)
+	return err
+}
+
+// Kill ends a controller with SIGKILL.
+func (c *ControlCluster) Kill(controller *Controller) {
+	controller.command.Process.Kill()
+	<-controller.ended
+	controller.command = nil
+}
+
+// Stall stops a controller with SIGSTOP; Resume has it go on.
+func (c *ControlCluster) Stall(controller *Controller) error {
+	return controller.command.Process.Signal(syscall.SIGSTOP)
+}
+
+// Resume ends a Stall.
+func (c *ControlCluster) Resume(controller *Controller) error {
+	return controller.command.Process.Signal(syscall.SIGCONT)
+}
+
+// Usage is what a controller's process has used.
+func (c *ControlCluster) Usage(controller *Controller) (Usage, error) {
+	return ReadUsage(controller.command.Process.Pid)
+}
+
+// Status asks a controller for its status.
+func (c *ControlCluster) Status(ctx context.Context, controller *Controller) (configapi.ControllerStatus, error) {
+	var status configapi.ControllerStatus
+	err := c.ask(ctx, controller, configapi.PathStatus, &status)
+	return status, err
+}
+
+// Load asks a controller for its load.
+func (c *ControlCluster) Load(ctx context.Context, controller *Controller) (configapi.Load, error) {
+	var load configapi.Load
+	err := c.ask(ctx, controller, configapi.PathLoad, &load)
+	return load, err
+}
+
+func (c *ControlCluster) ask(ctx context.Context, controller *Controller, path string, into any) error {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+controller.Address+path, nil)
+	if err != nil {
+		return err
+	}
+	response, err := c.client.Do(request)
+	if err != nil {
+		return fmt.Errorf("scale: %s: %w", controller.Name, err)
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		return fmt.Errorf("scale: %s: %s answered %s", controller.Name, path, response.Status)
+	}
+	return json.NewDecoder(response.Body).Decode(into)
+}
+
+// Statuses asks all controllers that run, and returns the answers that came.
+func (c *ControlCluster) Statuses(ctx context.Context) (statuses []configapi.ControllerStatus) {
+	answers := make([]*configapi.ControllerStatus, len(c.Controllers))
+	var asking sync.WaitGroup
+	for i, controller := range c.Controllers {
+		if controller.command == nil {
+			continue
+		}
+		asking.Go(func() {
+			if status, err := c.Status(ctx, controller); err == nil {
+				answers[i] = &status
+			}
+		})
+	}
+	asking.Wait()
+	for _, status := range answers {
+		if status != nil {
+			statuses = append(statuses, *status)
+		}
+	}
+	return statuses
+}
+
+// Leader asks the controllers who leads them. Nil: nobody that more than half of them agree on.
+func (c *ControlCluster) Leader(ctx context.Context) *Controller {
+	votes := map[string]int{}
+	for _, status := range c.Statuses(ctx) {
+		if status.Current {
+			votes[status.Leader]++
+		}
+	}
+	for _, controller := range c.Controllers {
+		if 2*votes[controller.Address] > len(c.Controllers) {
+			return controller
+		}
+	}
+	return nil
+}
+
+// AwaitLeader waits until more than half of the controllers agree on a leader.
+func (c *ControlCluster) AwaitLeader(ctx context.Context) (leader *Controller, err error) {
+	err = poll(ctx, func() bool {
+		leader = c.Leader(ctx)
+		return leader != nil
+	})
+	if err != nil {
+		return nil, fmt.Errorf("scale: no leader: %w", err)
+	}
+	return leader, nil
+}
+
+// Stop ends all processes and relays.
+func (c *ControlCluster) Stop() error {
+	for _, controller := range c.Controllers {
+		if controller.command != nil {
+			controller.command.Process.Signal(syscall.SIGCONT)
+			controller.command.Process.Signal(syscall.SIGTERM)
+		}
+	}
+	var failures []error
+	for _, controller := range c.Controllers {
+		if controller.command != nil {
+			failures = append(failures, c.awaitEnd(controller))
+		}
+	}
+	for _, relays := range c.relays {
+		for _, relay := range relays {
+			relay.Close()
+		}
+	}
+	c.release()
+	return errors.Join(failures...)
+}
+
+func (c *ControlCluster) awaitEnd(controller *Controller) error {
+	late := time.NewTimer(stopTimeout)
+	defer late.Stop()
+	select {
+	case <-controller.ended:
+		return nil
+	case <-late.C:
+		c.Kill(controller)
+		return fmt.Errorf("scale: %s did not end within %v of SIGTERM", controller.Name, stopTimeout)
+	}
+}
--- /dev/null
+++ b/internal/lab/scale/versionsdelays.go
@@ -0,0 +1,64 @@
+package scale
+
+import (
+	"fmt"
+	"math"
+	"slices"
+	"time"
+)
+
+// InForceLimit is how long after the yes to its publish a version may take to be in force everywhere.
+const InForceLimit = 3 * time.Second
+
+// Delays summarizes how long versions took to be in force at nodes.
+type Delays struct {
+	Count         int
+	P50, P99, Max time.Duration
+}
+
+// Summarize sorts delays and takes percentiles by the nearest rank.
+func Summarize(delays []time.Duration) Delays {
+	if len(delays) == 0 {
+		return Delays{}
+	}
+	sorted := slices.Sorted(slices.Values(delays))
+	return Delays{Count: len(sorted), P50: rank(sorted, 0.50), P99: rank(sorted, 0.99), Max: sorted[len(sorted)-1]}
+}
+
+func rank(sorted []time.Duration, share float64) time.Duration {
+	return sorted[int(math.Ceil(share*float64(len(sorted))))-1]
+}
+
+// Milliseconds writes a duration for a table.
+func Milliseconds(d time.Duration) string {
+	return fmt.Sprintf("%s ms", Figure(float64(d)/float64(time.Millisecond)))
+}
+
+// MostWithin is the largest number of moments, in ascending nanoseconds, within any span of a length.
+func MostWithin(moments []int64, span time.Duration) (most int) {
+	first := 0
+	for last := range moments {
+		for moments[last]-moments[first] >= int64(span) {
+			first++
+		}
+		most = max(most, last-first+1)
+	}
+	return most
+}
+
+// Unevenness is how far the share that is furthest from the mean is from it, as a part of the mean.
+func Unevenness(shares []int) float64 {
+	total := 0
+	for _, share := range shares {
+		total += share
+	}
+	if total == 0 {
+		return 0
+	}
+	mean := float64(total) / float64(len(shares))
+	furthest := 0.0
+	for _, share := range shares {
+		furthest = max(furthest, math.Abs(float64(share)-mean)/mean)
+	}
+	return furthest
+}
--- /dev/null
+++ b/internal/lab/scale/versionsnode_test.go
@@ -0,0 +1,258 @@
+package scale
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"regexp"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"hookwalk.example/hookwalk/internal/configapi"
+	"hookwalk.example/hookwalk/internal/endpoints"
+)
+
+// versionNodes are real nodes of one service, with servers and a discovery that pushes one list.
+type versionNodes struct {
+	testing.TB
+	program string
+	cluster *ControlCluster
+	list    endpoints.List
+	watch   string // discovery's address
+	nodes   []*versionNode
+	client  *http.Client
+}
+
+// versionNode is one real node.
+type versionNode struct {
+	HollowNode
+	folder  string
+	command *exec.Cmd
+	ended   chan struct{}
+	listen  string
+	calls   atomic.Int64 // of the load
+	failed  atomic.Int64 // of these, those not answered by a server
+}
+
+// realService is the service of all real nodes.
+const realService = "checkout"
+
+// loadInterval is the time between two calls of the load at each node.
+const loadInterval = 20 * time.Millisecond
+
+// lane is a class in a node's settings.
+type lane struct {
+	Name       string   `json:"name"`
+	Effect     string   `json:"effect"`
+	TargetMS   float64  `json:"target-ms"`
+	DeadlineMS float64  `json:"deadline-ms"`
+	Worth      float64  `json:"worth"`
+	OnlyKinds  []string `json:"bound-to,omitempty"`
+	OnlyZones  []string `json:"confined-to,omitempty"`
+}
+
+// lanesOf are the lane "read" and further ones, all of the same form.
+func lanesOf(further ...lane) []lane {
+	lanes := []lane{{Name: "read"}}
+	lanes = append(lanes, further...)
+	for i := range lanes {
+		lanes[i].Effect, lanes[i].TargetMS, lanes[i].DeadlineMS, lanes[i].Worth = "read_like", 1000, 2000, 1
+	}
+	return lanes
+}
+
+// realSettings are settings that a real node can take from its start on. Lanes may be anything, for bad settings.
+func realSettings(lanes any) map[string]any {
+	return map[string]any{"lanes": lanes, "limits": map[string]any{"conn-idle-ms": 30000, "connect-timeout-ms": 1000, "max-attempts": 3,
+		"max-retry-after-ms": 1000, "retry-after": true}}
+}
+
+// startVersionNodes starts real nodes with sessions. They are stopped at the test's end.
+func startVersionNodes(t testing.TB, program string, cluster *ControlCluster, count int) *versionNodes {
+	t.Helper()
+	v := &versionNodes{TB: t, program: program, cluster: cluster, client: &http.Client{Timeout: rigTimeout}}
+	for number, kind := range []string{"a", "b", "b"} {
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { fmt.Fprint(w, r.Header.Get("X-Call-Id")) }))
+		t.Cleanup(server.Close)
+		v.list.Hosts = append(v.list.Hosts, endpoints.Endpoint{Host: fmt.Sprintf("server-%d", number), Dial: server.Listener.Addr().String(),
+			Class: kind, Health: "in_service"})
+	}
+	v.list.Seq, v.list.Whole = 1, true
+	v.startDiscovery()
+	for number := range count {
+		v.nodes = append(v.nodes, v.startNode(number))
+	}
+	return v
+}
+
+func (v *versionNodes) startDiscovery() {
+	discovery := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		json.NewEncoder(w).Encode(v.list)
+		w.(http.Flusher).Flush()
+		<-r.Context().Done()
+	}))
+	v.watch = discovery.Listener.Addr().String()
+	v.Cleanup(func() {
+		discovery.CloseClientConnections()
+		discovery.Close()
+	})
+}
+
+func (v *versionNodes) startNode(number int) *versionNode {
+	v.Helper()
+	node := &versionNode{HollowNode: TargetTopology.Node(number), folder: v.TempDir()}
+	node.Service = realService
+	v.Cleanup(func() { v.stop(node) })
+	v.launch(node)
+	return node
+}
+
+// launch starts the node's process and returns when it is ready.
+func (v *versionNodes) launch(node *versionNode) {
+	v.Helper()
+	settings := v.write(node, "settings.hcl", []byte(sessionSettings(node, v.cluster.Endpoints())))
+	config, err := json.Marshal(map[string]any{"name": node.Name, "listen": "127.0.0.1:0", "discovery": v.watch, "seed": fmt.Sprintf("%x", 1000+len(v.nodes)),
+		"limits": map[string]any{"cores": 1, "memory_mb": 192, "sockets": 1024}, "known": v.list, "settings": realSettings(lanesOf())})
+	if err != nil {
+		v.Fatal(err)
+	}
+	node.command = exec.Command(v.program, "run", "--settings", settings)
+	node.command.Env = append(os.Environ(), "ROUTER_CONFIG="+v.write(node, "config.json", config), "TMPDIR="+node.folder)
+	node.command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL, Setpgid: true}
+	stderr, err := node.command.StderrPipe()
+	if err != nil {
+		v.Fatal(err)
+	}
+	if err := node.command.Start(); err != nil {
+		v.Fatal(err)
+	}
+	node.ended = make(chan struct{})
+	serving := make(chan string, 1)
+	go node.read(stderr, serving)
+	select {
+	case node.listen = <-serving:
+	case <-node.ended:
+		v.Fatalf("%s ended without serving: see its log in %s", node.Name, node.folder)
+	}
+}
+
+// servingLine is what a node writes when it takes calls.
+var servingLine = regexp.MustCompile(`msg=serving .*listen=(\S+)`)
+
+// read keeps what the node writes in its log, and waits for its end.
+func (n *versionNode) read(stderr io.Reader, serving chan<- string) {
+	defer close(n.ended)
+	log, err := os.OpenFile(filepath.Join(n.folder, "node.log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err == nil {
+		defer log.Close()
+	}
+	lines := bufio.NewScanner(stderr)
+	lines.Buffer(nil, 1<<20)
+	for lines.Scan() {
+		fmt.Fprintln(log, lines.Text())
+		if match := servingLine.FindStringSubmatch(lines.Text()); match != nil {
+			serving <- match[1]
+		}
+	}
+	n.command.Wait()
+}
+
+func (v *versionNodes) write(node *versionNode, name string, text []byte) (path string) {
+	v.Helper()
+	path = filepath.Join(node.folder, name)
+	if err := os.WriteFile(path, text, 0o600); err != nil {
+		v.Fatal(err)
+	}
+	return path
+}
+
+func (v *versionNodes) stop(node *versionNode) {
+	if node.ended == nil {
+		return
+	}
+	node.command.Process.Kill()
+	<-node.ended
+}
+
+// knows asks a node by a request whether a class is one of its classes.
+func (v *versionNodes) knows(ctx context.Context, node *versionNode, class string) (bool, error) {
+	status, err := v.call(ctx, node, class)
+	if err != nil {
+		return false, err
+	}
+	return status != http.StatusBadRequest, nil
+}
+
+func (v *versionNodes) call(ctx context.Context, node *versionNode, class string) (status int, err error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+node.listen+"/api", nil)
+	if err != nil {
+		return 0, err
+	}
+	request.Header.Set("X-Call-Id", fmt.Sprintf("%s-%d", node.Name, node.calls.Add(1)))
+	request.Header.Set("X-Call-Class", class)
+	request.Header.Set("X-Budget", "1500000u")
+	response, err := v.client.Do(request)
+	if err != nil {
+		return 0, err
+	}
+	defer response.Body.Close()
+	_, err = io.Copy(io.Discard, response.Body)
+	return response.StatusCode, err
+}
+
+// load calls each node again and again until the context ends, and then returns the calls made and those that failed.
+func (v *versionNodes) load(ctx context.Context) (calls, failed func() int64) {
+	var callers sync.WaitGroup
+	var made, lost atomic.Int64
+	for _, node := range v.nodes {
+		callers.Go(func() {
+			tick := time.NewTicker(loadInterval)
+			defer tick.Stop()
+			for {
+				select {
+				case <-tick.C:
+				case <-ctx.Done():
+					return
+				}
+				made.Add(1)
+				if status, err := v.call(context.WithoutCancel(ctx), node, "read"); err != nil || status != http.StatusOK {
+					lost.Add(1)
+				}
+			}
+		})
+	}
+	count := func(n *atomic.Int64) func() int64 {
+		return func() int64 {
+			callers.Wait()
+			return n.Load()
+		}
+	}
+	return count(&made), count(&lost)
+}
+
+// words are what the controllers last heard of each node.
+func (v *versionNodes) words() map[string]configapi.NodeStatus {
+	return newestNodeStatus(v.cluster.Statuses(v.Context()))
+}
+
+// sessionSettings is a settings file with a session. The node keeps its last known good version in its folder.
+func sessionSettings(node *versionNode, controllers []configapi.Endpoint) string {
+	var addresses []string
+	for _, controller := range controllers {
+		addresses = append(addresses, strconv.Quote(controller.Address))
+	}
+	return fmt.Sprintf("config_watch {\n  controllers = [%s]\n  service = %q\n  region = %q\n  zone = %q\n  folder = %q\n}\n",
+		strings.Join(addresses, ", "), node.Service, node.Region, node.Zone, node.folder)
+}
--- /dev/null
+++ b/internal/lab/scale/versionsrest_test.go
@@ -0,0 +1,41 @@
+package scale
+
+import (
+	"testing"
+	"time"
+)
+
+// restPause is the time between a version that is in force everywhere and the next publish.
+const restPause = 100 * time.Millisecond
+
+// publishAtRest publishes so many times, each when the one before is in force everywhere, and returns for each publish
+// how long it took to the last node, and for all nodes and publishes together.
+func publishAtRest(rig *versionsRig, times int) (last, all []time.Duration) {
+	for range times {
+		publication := rig.mustPublish(rig.topology.ServiceNames())
+		rig.await(publication.Version, rig.fleet.Nodes())
+		delays := rig.delays(publication.Version, publication.Answered, rig.fleet.Nodes())
+		last = append(last, Summarize(delays).Max)
+		all = append(all, delays...)
+		rig.within(restPause)
+	}
+	return last, all
+}
+
+func TestVersionsRest(t *testing.T) {
+	largeOnly(t)
+	const publishes = 100
+	rig := newVersionsRig(t, rigOptions{topology: TargetTopology, folder: memoryFolder(t)})
+	last, all := publishAtRest(rig, publishes)
+	rig.verify()
+	table := &Table{Title: "100 publishes at rest, each for all 68 services: from the yes to in force, 1,900 nodes, 7 controllers",
+		Header: []string{"", "count", "p50", "p99", "most"}}
+	for name, delays := range map[string][]time.Duration{"at a node": all, "at the last node of a version": last} {
+		s := Summarize(delays)
+		table.Add(name, s.Count, Milliseconds(s.P50), Milliseconds(s.P99), Milliseconds(s.Max))
+	}
+	printTable(table)
+	if most := Summarize(last).Max; most > InForceLimit {
+		t.Errorf("a version took %v to be in force everywhere, over %v", most, InForceLimit)
+	}
+}
--- /dev/null
+++ b/internal/lab/scale/versionsreturn_test.go
@@ -0,0 +1,79 @@
+package scale
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+)
+
+// arrivalSpan is the span in which the most arrivals are counted.
+const arrivalSpan = 100 * time.Millisecond
+
+// zonesReturn is what came of zones that were killed and started again at once.
+type zonesReturn struct {
+	nodes     int
+	watches   int
+	mostTotal int // watches opened within arrivalSpan
+	mostOne   int // the same, at one controller
+	inForce   Delays
+	shares    []int
+}
+
+// returnOfZones kills zones, publishes while they are down, starts them again all at once and waits until all of their
+// nodes have the newest version.
+func returnOfZones(rig *versionsRig, zones []int) (back zonesReturn) {
+	rig.Helper()
+	nodes := rig.fleet.Nodes(zones...)
+	rig.fleet.Kill(zones...)
+	publication := rig.mustPublish(rig.topology.ServiceNames())
+	began := time.Now()
+	if err := rig.fleet.Start(zones...); err != nil {
+		rig.Fatal(err)
+	}
+	rig.await(publication.Version, rig.fleet.Nodes())
+	back.nodes = len(nodes)
+	back.inForce = Summarize(rig.delays(publication.Version, began, nodes))
+	back.countArrivals(rig.fleet.Watches(began))
+	back.shares = rig.sessions()
+	return back
+}
+
+func (b *zonesReturn) countArrivals(watches []WatchOpened) {
+	var all []int64
+	at := map[string][]int64{}
+	for _, watch := range watches {
+		all = append(all, watch.AtNS)
+		at[watch.Address] = append(at[watch.Address], watch.AtNS)
+	}
+	b.watches = len(watches)
+	b.mostTotal = MostWithin(all, arrivalSpan)
+	for _, moments := range at {
+		b.mostOne = max(b.mostOne, MostWithin(moments, arrivalSpan))
+	}
+}
+
+func TestVersionsZonesReturn(t *testing.T) {
+	largeOnly(t)
+	const settle = 10 * time.Second
+	rig := newVersionsRig(t, rigOptions{topology: TargetTopology, folder: memoryFolder(t)})
+	rig.within(settle)
+	table := &Table{Title: "nodes killed and back at once, with a version published meanwhile: 1,900 nodes, 7 controllers", Header: []string{"nodes",
+		"watches opened", "most in 100 ms", "most in 100 ms at one controller", "start to in force p50", "p99", "most", "sessions", "sessions 10 s later", "furthest from the mean"}}
+	for _, zones := range [][]int{{0}, rig.fleet.AllZones()} {
+		back := returnOfZones(rig, zones)
+		rig.within(settle)
+		later := rig.sessions()
+		slices.Sort(later)
+		table.Add(back.nodes, back.watches, back.mostTotal, back.mostOne, Milliseconds(back.inForce.P50), Milliseconds(back.inForce.P99),
+			Milliseconds(back.inForce.Max), fmt.Sprint(back.shares), fmt.Sprint(later), fmt.Sprintf("%.1f%%", 100*Unevenness(later)))
+		if uneven := Unevenness(later); uneven > sharesTolerance {
+			t.Errorf("sessions %v: one share is %.1f%% from the mean", later, 100*uneven)
+		}
+	}
+	rig.verify()
+	printTable(table)
+}
+
+// sharesTolerance is how far a controller's sessions may be from the mean.
+const sharesTolerance = 0.1
--- /dev/null
+++ b/internal/lab/scale/versionsrig_test.go
@@ -0,0 +1,301 @@
+package scale
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"hookwalk.example/hookwalk/internal/configapi"
+)
+
+// hollowVariable has the test binary serve hollow nodes.
+const hollowVariable = "HOOKWALK_SCALE_HOLLOW"
+
+// TestHollowProcess is not a test: it is the process of hollow nodes, when a rig runs it.
+func TestHollowProcess(t *testing.T) {
+	if os.Getenv(hollowVariable) == "" {
+		return
+	}
+	if err := ServeHollow(os.Stdin, os.Stdout); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+	os.Exit(0)
+}
+
+// hollowCommand is this test binary as a process of hollow nodes. Like a node in service it has two processors at most.
+func hollowCommand() *exec.Cmd {
+	command := exec.Command(os.Args[0], "-test.run=^TestHollowProcess$", "-test.timeout=30m")
+	command.Env = append(os.Environ(), hollowVariable+"=1", "GOMAXPROCS=2")
+	return command
+}
+
+// programWithControllers builds hookwalk, with controllers and sessions, and returns the program's path.
+func programWithControllers(t testing.TB) string {
+	t.Helper()
+	program := filepath.Join(t.TempDir(), "hookwalk")
+	build := exec.CommandContext(t.Context(), "go", "build", "-buildvcs=false", "-o", program, "hookwalk.example/hookwalk/cmd/hookwalk")
+	if out, err := build.CombinedOutput(); err != nil {
+		t.Fatalf("%v: %s", err, out)
+	}
+	return program
+}
+
+// rigTimeout is how long anything awaited in a rig may take on a busy machine. It is no bound on speed.
+const rigTimeout = time.Minute
+
+// versionsRig is a control cluster with hollow nodes, and what was published there.
+type versionsRig struct {
+	testing.TB
+	topology  Topology
+	cluster   *ControlCluster
+	fleet     *HollowFleet
+	publisher *Publisher
+	published int
+	newest    configapi.Version // of those accepted
+}
+
+// rigOptions say what a rig is made of.
+type rigOptions struct {
+	topology Topology
+	relays   bool   // between regions
+	folder   string // of the nodes' last known good versions; "": they keep none
+}
+
+// newVersionsRig starts controllers and nodes, and has a first version in force everywhere.
+func newVersionsRig(t testing.TB, options rigOptions) *versionsRig {
+	t.Helper()
+	rig := &versionsRig{TB: t, topology: options.topology}
+	logs := t.TempDir()
+	ctx, cancel := context.WithTimeout(t.Context(), rigTimeout)
+	defer cancel()
+	var err error
+	rig.cluster, err = NewControlCluster(ctx, ClusterOptions{Program: programWithControllers(t), Topology: options.topology, Folder: logs,
+		Relays: options.relays})
+	t.Cleanup(func() {
+		if err := rig.cluster.Stop(); err != nil {
+			t.Error(err)
+		}
+		if t.Failed() {
+			printLogs(t, logs)
+		}
+	})
+	if err == nil {
+		err = rig.cluster.StartAll(ctx)
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+	rig.fleet = NewHollowFleet(HollowOptions{Program: hollowCommand, Topology: options.topology, Controllers: rig.cluster.Endpoints(),
+		Folder: options.folder, Log: logs, Seed: 1})
+	t.Cleanup(func() {
+		if err := rig.fleet.Stop(); err != nil {
+			t.Error(err)
+		}
+	})
+	if err := rig.fleet.Start(rig.fleet.AllZones()...); err != nil {
+		t.Fatal(err)
+	}
+	rig.publisher = NewPublisher(rig.cluster.Addresses())
+	rig.mustPublish(rig.topology.ServiceNames())
+	rig.await(rig.newest, rig.fleet.Nodes())
+	return rig
+}
+
+// printLogs shows the end of each log of a folder.
+func printLogs(t testing.TB, folder string) {
+	const shown = 3000
+	paths, _ := filepath.Glob(filepath.Join(folder, "*.log"))
+	for _, path := range paths {
+		text, _ := os.ReadFile(path)
+		t.Logf("%s: ...%s", filepath.Base(path), text[max(0, len(text)-shown):])
+	}
+}
+
+// request is the next publish of a good document for services.
+func (r *versionsRig) request(services []string) configapi.PublishRequest {
+	r.Helper()
+	return r.requestOf(services, true)
+}
+
+func (r *versionsRig) requestOf(services []string, good bool) configapi.PublishRequest {
+	r.Helper()
+	r.published++
+	id := fmt.Sprintf("publication-%d", r.published)
+	text, err := document(id, services, good)
+	if err != nil {
+		r.Fatal(err)
+	}
+	return configapi.PublishRequest{ID: id, Document: text}
+}
+
+// record notes the end of a publish.
+func (r *versionsRig) record(p Publication) Publication {
+	r.fleet.Audit(func(a *Audit) { a.Published(p) })
+	if p.Outcome == PublishAccepted {
+		r.newest = max(r.newest, p.Version)
+	}
+	return p
+}
+
+// mustPublish publishes a good document until it is accepted.
+func (r *versionsRig) mustPublish(services []string) Publication {
+	r.Helper()
+	return r.settle(r.request(services), services)
+}
+
+// publishBad publishes a document that nodes can't read until it is accepted.
+func (r *versionsRig) publishBad(services []string) Publication {
+	r.Helper()
+	return r.settle(r.requestOf(services, false), nil) // it changes the settings of no service
+}
+
+// settle publishes until a document is accepted. Services are those whose settings it changes.
+func (r *versionsRig) settle(request configapi.PublishRequest, services []string) Publication {
+	r.Helper()
+	ctx, cancel := context.WithTimeout(r.Context(), rigTimeout)
+	defer cancel()
+	p := r.record(r.publisher.Publish(ctx, request, services, 0))
+	if p.Outcome != PublishAccepted {
+		r.Fatalf("%s is %s after %d attempts", p.ID, p.Outcome, p.Attempts)
+	}
+	return p
+}
+
+// await waits until nodes have answered for a version.
+func (r *versionsRig) await(version configapi.Version, nodes []string) {
+	r.Helper()
+	ctx, cancel := context.WithTimeout(r.Context(), rigTimeout)
+	defer cancel()
+	if err := r.fleet.Await(ctx, version, nodes); err != nil {
+		r.Fatal(err)
+	}
+}
+
+// leader waits for a leader.
+func (r *versionsRig) leader() *Controller {
+	r.Helper()
+	ctx, cancel := context.WithTimeout(r.Context(), rigTimeout)
+	defer cancel()
+	leader, err := r.cluster.AwaitLeader(ctx)
+	if err != nil {
+		r.Fatal(err)
+	}
+	return leader
+}
+
+// delays are how long nodes took from a moment to a version.
+func (r *versionsRig) delays(version configapi.Version, since time.Time, nodes []string) (delays []time.Duration) {
+	r.Helper()
+	var missing []string
+	r.fleet.Audit(func(a *Audit) { delays, missing = a.InForce(version, since, nodes) })
+	if len(missing) > 0 {
+		r.Errorf("version %d was never in force at %d nodes, %s among them", version, len(missing), missing[0])
+	}
+	return delays
+}
+
+// caughtUp waits until all controllers have the newest version, and returns its number.
+func (r *versionsRig) caughtUp() (newest configapi.Version) {
+	r.Helper()
+	ctx, cancel := context.WithTimeout(r.Context(), rigTimeout)
+	defer cancel()
+	err := poll(ctx, func() bool {
+		newest = 0
+		statuses := r.cluster.Statuses(ctx)
+		for _, status := range statuses {
+			newest = max(newest, status.Version)
+		}
+		for _, status := range statuses {
+			if status.Version != newest {
+				return false
+			}
+		}
+		return len(statuses) == len(r.cluster.Controllers) && newest >= r.newest
+	})
+	if err != nil {
+		r.Fatalf("the controllers do not agree on the newest version: %v", err)
+	}
+	return newest
+}
+
+// verify waits until everything is in force and known, and checks the whole audit.
+func (r *versionsRig) verify() {
+	r.Helper()
+	newest := r.caughtUp()
+	r.await(newest, r.fleet.Nodes())
+	var violations []Violation
+	r.fleet.Audit(func(a *Audit) { violations = a.Violations(newest) })
+	r.show(violations)
+	r.verifyAcknowledgements()
+}
+
+// verifyAcknowledgements waits until the controllers know what the nodes do.
+func (r *versionsRig) verifyAcknowledgements() {
+	r.Helper()
+	ctx, cancel := context.WithTimeout(r.Context(), rigTimeout)
+	defer cancel()
+	var violations []Violation
+	err := poll(ctx, func() bool {
+		statuses := r.cluster.Statuses(ctx)
+		r.fleet.Audit(func(a *Audit) { violations = a.Acknowledged(statuses) })
+		return len(violations) == 0
+	})
+	if err != nil {
+		r.show(violations)
+	}
+}
+
+func (r *versionsRig) show(violations []Violation) {
+	r.Helper()
+	const shown = 10
+	for _, violation := range violations[:min(shown, len(violations))] {
+		r.Error(violation)
+	}
+	if more := len(violations) - shown; more > 0 {
+		r.Errorf("%d more violations", more)
+	}
+}
+
+// sessions are the numbers of sessions of all controllers that answer.
+func (r *versionsRig) sessions() (shares []int) {
+	r.Helper()
+	for _, controller := range r.cluster.Controllers {
+		load, err := r.cluster.Load(r.Context(), controller)
+		if err != nil {
+			r.Error(err)
+			continue
+		}
+		shares = append(shares, load.Sessions)
+	}
+	return shares
+}
+
+// within waits for a span of time in which a rig measures or has a fault go on.
+func (r *versionsRig) within(span time.Duration) {
+	r.Helper()
+	if !pause(r.Context(), span) {
+		r.Fatal(context.Cause(r.Context()))
+	}
+}
+
+// memoryFolder is a folder in memory for the nodes' last known good versions: one disk here would stand for 1,900.
+func memoryFolder(t testing.TB) string {
+	t.Helper()
+	folder, err := os.MkdirTemp("/dev/shm", "hookwalk-scale-")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { os.RemoveAll(folder) })
+	return folder
+}
+
+// printTable prints a table below where it comes from.
+func printTable(table *Table) {
+	fmt.Printf("\n%s\n\n", Origin())
+	table.Print(os.Stdout)
+}
--- /dev/null
+++ b/internal/lab/scale/versionssettings.go
@@ -0,0 +1,35 @@
+package scale
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+)
+
+// writeSettings writes the settings file of one controller. Each has a file of its own, in which the controllers of
+// other regions may stand with the addresses of relays.
+func (c *ControlCluster) writeSettings(self *Controller) error {
+	if err := os.WriteFile(self.settings, []byte(c.settingsOf(self)), 0o600); err != nil {
+		return fmt.Errorf("scale: settings of %s: %w", self.Name, err)
+	}
+	return nil
+}
+
+func (c *ControlCluster) settingsOf(self *Controller) string {
+	var text strings.Builder
+	fmt.Fprintf(&text, "controllers {\n  folder = %q\n}\n", filepath.Dir(self.Folder))
+	for _, controller := range c.Controllers {
+		fmt.Fprintf(&text, "controller %q {\n  listen = %q\n  raft   = %q\n  region = %q\n  zone   = %q\n  dial   = %q\n}\n", controller.Name,
+			controller.Address, self.dials(controller.Raft), controller.Region, controller.Zone, self.dials(controller.Address))
+	}
+	return text.String()
+}
+
+// dials is where a controller reaches an address of another one.
+func (c *Controller) dials(address string) string {
+	if relay, ok := c.Via[address]; ok {
+		return relay
+	}
+	return address
+}
