--- a/internal/lab/scale/versionsnode_test.go
+++ b/internal/lab/scale/versionsnode_test.go
@@ -43,7 +43,6 @@
 	ended   chan struct{}
 	listen  string
 	calls   atomic.Int64 // of the load
-	failed  atomic.Int64 // of these, those not answered by a server
 }
 
 // realService is the service of all real nodes.
