--- a/internal/lab/scale/hollowsession.go
+++ b/internal/lab/scale/hollowsession.go
@@ -7,6 +7,8 @@
 	"io"
 	"log/slog"
 	"net"
+	"os"
+	"path/filepath"
 	"sync/atomic"
 	"time"
 
@@ -73,8 +75,12 @@
 		options.Controllers = append(options.Controllers, controller.Address)
 	}
 	if spec.Folder != "" {
-		options.Store = configwatch.NewStore(spec.Folder, node.Name, log)
-		var err error
+		folder := filepath.Join(spec.Folder, node.Name) // each has one of its own: a write looks at all that is there
+		err := os.MkdirAll(folder, 0o700)
+		if err != nil {
+			return nil, err
+		}
+		options.Store = configwatch.NewStore(folder, node.Name, log)
 		if options.Kept, err = options.Store.Read(); err != nil {
 			return nil, err
 		}
