internal/lab/scale: what a large form could not measure fails it, and the next size goes on

Cause: a size of membership that did not agree in time stopped the other sizes, and parts of discovery's runs that had not ended in time were left out of the table without a word.

--- a/internal/lab/scale/discovery_large_test.go
+++ b/internal/lab/scale/discovery_large_test.go
@@ -39,6 +39,10 @@
 	if err != nil && !errors.Is(err, ErrDiscoveryNotServed) {
 		t.Fatal(err)
 	}
+	if result.Change.Missing > 0 || result.WatchesEnd.Missing > 0 {
+		t.Errorf("%d nodes: %d without the change and %d without a list after the end of all watches, within %v",
+			options.Nodes, result.Change.Missing, result.WatchesEnd.Missing, options.MostTime)
+	}
 	return result
 }
 
@@ -144,7 +148,7 @@
 		t.Skip("prints tables: run it with -scale.large -v")
 	}
 	table := Table{Title: "A service, a zone, a region, everything at once, lists pushed, 28 servers; " + Origin(), Header: []string{"nodes", "ms a call",
-		"calls", "turned down", "s until the last", "at rest: B/s a node out", "calls", "processor, % of a core a node and its watch", "RSS kB a node and its watch",
+		"calls", "turned down", "s until the last", "change: s until the last", "watches end: s until the last", "at rest: B/s a node out", "calls", "processor, % of a core a node and its watch", "RSS kB a node and its watch",
 		"descriptors a node and its watch"}}
 	for _, serviceTime := range discoveryServiceTimes {
 		for _, nodes := range []int{serviceSize, zoneSize, regionSize, targetSize} {
@@ -156,7 +160,7 @@
 			each := func(v float64) float64 { return v / float64(nodes) }
 			rest := max(r.Rest.Elapsed.Seconds(), 1)
 			table.Add(nodes, float64(serviceTime.Milliseconds()), r.Return.Calls, r.Return.TurnedDown, r.Return.Last().Seconds(),
-				each(float64(r.Rest.BytesOut)/rest), r.Rest.Calls, 100*each(r.Rest.CPU.Seconds()/rest), each(float64(r.RSSBytes)/1024), each(float64(r.Descriptors)))
+				r.Change.Last().Seconds(), r.WatchesEnd.Last().Seconds(), each(float64(r.Rest.BytesOut)/rest), r.Rest.Calls, 100*each(r.Rest.CPU.Seconds()/rest), each(float64(r.RSSBytes)/1024), each(float64(r.Descriptors)))
 		}
 	}
 	table.Print(os.Stdout)
--- a/internal/lab/scale/membership_large_test.go
+++ b/internal/lab/scale/membership_large_test.go
@@ -50,14 +50,15 @@
 		series[i] = &discoverySeries{name: figure.name}
 	}
 	for _, size := range membershipSizes {
-		result := measureMembers(t, size)
+		result, ok := measureMembers(t, size)
+		if !ok {
+			continue
+		}
 		for i, figure := range membershipFigures {
 			series[i].add(size.members, figure.of(result, size))
 		}
 	}
-	if !t.Failed() {
-		printFits(t, "Lines by members", series...)
-	}
+	printFits(t, "Lines by members", series...)
 }
 
 // Beyond the sizes of the line: the figures are printed beside it.
@@ -72,13 +73,13 @@
 
 // measureMembers measures one size and prints its table at once: a size that can't be measured must not take the others
 // with it.
-func measureMembers(t *testing.T, size membershipSize) MembershipResult {
+func measureMembers(t *testing.T, size membershipSize) (result MembershipResult, ok bool) {
 	t.Helper()
 	result, err := MeasureMembership(t.Context(), MembershipOptions{Members: size.members, Batch: size.batch, Settle: 3 * time.Second,
 		Rest: 12 * time.Second, Deaths: size.deaths, MostTime: 40 * time.Second, Folder: t.TempDir()})
 	if err != nil {
 		t.Errorf("%d members: %v; what was measured before that: %+v", size.members, err, result)
-		return result
+		return result, false
 	}
 	table := Table{Title: Figure(float64(size.members)) + " members in one process, three sites; " + Origin(), Header: []string{"figure", "value"}}
 	for _, figure := range membershipFigures {
@@ -90,5 +91,5 @@
 		table.Add("processor, % of a core a member meanwhile", 100*part.Core())
 	}
 	table.Print(os.Stdout)
-	return result
+	return result, true
 }
