SIGHUP before a node serves does not hang it any more

A reload holds a lock while it waits for the engine to take the settings; the capture, which deploy/hookwalk.hcl has on, asked for the settings under the same lock before the engine ran. A SIGHUP with changed settings that came before the node served, while it took over from the process before it among others, hung the new process for good. The settings are read without the lock now. The test failed before the change (hung for its 20 s).

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -67,9 +67,10 @@
 	Sites  func() any
 	Reread func() error
 
-	reloads sync.Mutex         // over what follows
-	now     Config             // as it was read last; cfg is that of the start
-	set     deckrelay.Settings // the module's
+	reloads sync.Mutex // over what follows
+	now     Config     // as it was read last; cfg is that of the start
+
+	set atomic.Pointer[deckrelay.Settings] // the module's; written with reloads held
 }
 
 // New wires a node. It opens nothing yet.
@@ -85,9 +86,10 @@
 	if cfg.Sockets == 0 {
 		cfg.Sockets = anyLimit
 	}
-	n := &Node{cfg: cfg, now: cfg, lists: set.Addresses, log: logger, clock: engine.NewClock(), most: killMost, set: set, stderr: spool.Stderr,
+	n := &Node{cfg: cfg, now: cfg, lists: set.Addresses, log: logger, clock: engine.NewClock(), most: killMost, stderr: spool.Stderr,
 		ended: make(chan struct{})}
 	n.life.Store(&lifecycle.Machine{})
+	n.set.Store(&set)
 	n.rules.Store(newRules(set, nil, 0))
 	spare := reserved
 	if cfg.Control != "" {
--- a/internal/node/operated_test.go
+++ b/internal/node/operated_test.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"hookwalk.example/hookwalk/deckrelay"
+	"hookwalk.example/hookwalk/internal/settings"
 )
 
 // A server that is taken out gets nothing more, on kept connections neither, until it is put back.
@@ -324,3 +325,34 @@
 		t.Errorf("an address that can't be had: %v", err)
 	}
 }
+
+// SIGHUP may come while the node is about to serve: it is taken over once the engine runs, and neither waits for the
+// other.
+func TestReloadBeforeTheNodeServes(t *testing.T) {
+	cfg := configWith(t, newBackend(t, ok))
+	cfg.Features.Capture = &settings.Capture{FileBytes: 64 << 10}
+	n, err := New(cfg, quiet())
+	if err != nil {
+		t.Fatal(err)
+	}
+	reloaded := make(chan error, 1)
+	go func() { reloaded <- n.Reload(fileOf(t, cfg, `"name":"unsafe"`, `"name":"fresh"`)) }()
+	for n.reloads.TryLock() { // until the reload has begun
+		n.reloads.Unlock()
+	}
+	ctx, stop := context.WithCancel(t.Context())
+	ran := make(chan error, 1)
+	go func() { ran <- n.Run(ctx) }()
+	select {
+	case err := <-reloaded:
+		if err != nil {
+			t.Error(err)
+		}
+	case <-time.After(20 * time.Second):
+		t.Fatal("the node hangs at its start")
+	}
+	stop()
+	if err := <-ran; err != nil {
+		t.Error(err)
+	}
+}
--- a/internal/node/rules.go
+++ b/internal/node/rules.go
@@ -77,13 +77,13 @@
 	if err != nil {
 		return err
 	}
-	if set.Addresses = n.lists; !reflect.DeepEqual(set, n.set) {
+	if set.Addresses = n.lists; !reflect.DeepEqual(set, n.settings()) {
 		if err := n.engine.Retune(context.Background(), set); err != nil {
 			return err
 		}
 		n.rules.Store(newRules(set, n.rules.Load(), n.clock.Now()))
 		n.engine.Figures.Name(cfg.classNames(), cfg.tenants)
-		n.set = set
+		n.set.Store(&set)
 	}
 	n.pool.retune(cfg)
 	n.disc.Move(cfg.Discovery)
@@ -104,12 +104,8 @@
 	return set, nil
 }
 
-// settings are the module's, as they are now.
-func (n *Node) settings() deckrelay.Settings {
-	n.reloads.Lock()
-	defer n.reloads.Unlock()
-	return n.set
-}
+// settings are the module's, as they are now. A reload that waits for the engine holds up nobody who asks.
+func (n *Node) settings() deckrelay.Settings { return *n.set.Load() }
 
 // follows says why a configuration can't take the place of another while the node runs. A file that was cut off may
 // still be sound as JSON: what the one before had is to be there again, but for what the platform leaves out at times.
