A session forgets the watches that end by themselves

Each watch that failed or was refused left an entry for as long as the process ran: 55 after a minute without a controller. A test counts them; it failed before.

--- a/internal/configwatch/configwatch.go
+++ b/internal/configwatch/configwatch.go
@@ -128,6 +128,7 @@
 		case <-ctx.Done():
 			return
 		}
+		s.forgetEnded(event)
 		for _, action := range s.rules.Step(s.now(), event) {
 			s.carryOut(ctx, action)
 		}
@@ -135,6 +136,16 @@
 	}
 }
 
+// forgetEnded drops what is held for a watch that has ended by itself.
+func (s *Session) forgetEnded(event configversion.SessionEvent) {
+	switch e := event.(type) {
+	case configversion.WatchEnded:
+		delete(s.watches, e.Watch)
+	case configversion.WatchRefused:
+		delete(s.watches, e.Watch)
+	}
+}
+
 // post hands an event to the session's goroutine, unless ctx ends first.
 func (s *Session) post(ctx context.Context, event configversion.SessionEvent) {
 	select {
@@ -153,8 +164,10 @@
 			s.post(watching, s.watch(watching, a))
 		})
 	case configversion.CloseWatch:
-		s.watches[a.Watch]()
-		delete(s.watches, a.Watch)
+		if cancel, open := s.watches[a.Watch]; open {
+			cancel()
+			delete(s.watches, a.Watch)
+		}
 	case configversion.ApplyConfig:
 		s.running.Go(func() { s.post(ctx, s.apply(ctx, a)) })
 	case configversion.SendAck:
--- a/internal/configwatch/configwatch_test.go
+++ b/internal/configwatch/configwatch_test.go
@@ -386,6 +386,10 @@
 				s := startSession(t, n, takesAll(applied))
 				pass(time.Minute)
 				synctest.Wait()
+				s.Close()
+				if held := len(s.watches); held > 3 {
+					t.Errorf("%d watches are held after a minute", held)
+				}
 				if calls < 20 || calls > 150 || len(applied) > 0 || s.State().Held != 0 {
 					t.Errorf("%d calls in a minute, %d applied, %+v", calls, len(applied), s.State())
 				}
