Control service: no node is sent to a controller that does not answer; connected sessions go first in status

A controller that was stalled counted as available for 2 s after its last answer, and as the least loaded, for the others' counts rose: refused nodes were sent to it, and sessions handed on to it. One reading that fails takes it out now; readings come every 300 ms, and nodes that ask first are let in up to a quarter above the share, so that those of a controller that is gone are not refused. A controller that thaws reads requests of watches that nodes have given up long before, with a higher session number: config status said such nodes were away; an open session goes first now. Nodes were sent an update without news when a controller's start was recorded. The tests of watches wait until their controller is current before they count updates: becoming current is an update too.

--- a/configversion/placement.go
+++ b/configversion/placement.go
@@ -11,8 +11,8 @@
 // on. It goes by the loads that the controllers read from each other about once a second, and counts what it has itself
 // sent to the others since, so that many nodes that arrive between two readings are spread.
 //
-// The rules: a node that asks first is let in while the controller is within a tenth of the even share, or has few
-// sessions; a node that another controller has refused is let in up to the limit, so that it is not sent round; nobody
+// The rules: a node that asks first is let in while the controller is less than a quarter above the even share, or has few
+// sessions (the nodes of a controller that is gone come before the others' loads show it); a node that another controller has refused is let in up to the limit, so that it is not sent round; nobody
 // is let in above the limit. A controller that is over its share, while another is under, hands the excess on: a bounded
 // number a second, the sum of what all hand on within the room of those who take it.
 type Placement struct {
@@ -50,6 +50,8 @@
 	shareTolerance = 10
 	// minTolerance is the least tolerance, in sessions, for clusters with few nodes.
 	minTolerance = 2
+	// admissionTolerance is the part of the even share up to which nodes that ask first are let in above it.
+	admissionTolerance = 4
 	// freelyAdmitted is the part of MaxSessions that a controller lets in whatever the others have: one in
 	// freelyAdmitted. Nodes that all start at the same time find controllers that do not know each other's load yet.
 	freelyAdmitted = 4
@@ -89,7 +91,7 @@
 	limit := p.MaxSessions
 	if a.Refused == 0 && p.hasRoomElsewhere() {
 		share := p.share(1)
-		limit = min(limit, max(share+shareSlack(share), p.MaxSessions/freelyAdmitted))
+		limit = min(limit, max(share+max(share/admissionTolerance, minTolerance), p.MaxSessions/freelyAdmitted))
 	}
 	if p.sessions < limit {
 		return true, nil
--- a/configversion/rollout.go
+++ b/configversion/rollout.go
@@ -46,8 +46,7 @@
 	return r.Lagging == 0 && r.Rejected == 0 && len(r.Behind) == 0 && len(r.Foreign) == 0
 }
 
-// MergeStatuses joins what several controllers know. Of a node that more than one of them knows, the word of its newest session
-// counts.
+// MergeStatuses joins what several controllers know. Of a node that more than one of them knows, the newest session counts.
 func MergeStatuses(statuses []configapi.ControllerStatus) Rollout {
 	var r Rollout
 	r.Cluster, r.Version = newestVersion(statuses)
@@ -94,14 +93,28 @@
 	return best, versions[best]
 }
 
-// laterReport says whether one word about a node is newer than another one: by the node's process, its session, the time.
+// laterReport says whether one report about a node goes before another one: that of its newer process; that of a
+// controller which has a session with it, for one that was stalled may read a request of a watch that the node has given
+// up long before; that of the newer session; the later one.
 func laterReport(x, y configapi.NodeStatus) bool {
 	return cmp.Or(
 		cmp.Compare(x.Started, y.Started),
+		compareBool(x.Connected, y.Connected),
 		cmp.Compare(x.Session, y.Session),
 		cmp.Compare(x.SeenMS, y.SeenMS)) > 0
 }
 
+// compareBool orders false before true.
+func compareBool(x, y bool) int {
+	switch {
+	case x == y:
+		return 0
+	case x:
+		return 1
+	}
+	return -1
+}
+
 // stateOf judges a node by what it last said.
 func (r *Rollout) stateOf(node configapi.NodeStatus) RolloutState {
 	switch {
--- a/configversion/rollout_test.go
+++ b/configversion/rollout_test.go
@@ -59,6 +59,21 @@
 	}
 }
 
+// A controller that was stalled reads, late, the request of a watch that its node has given up: the node has a higher
+// session number there, and no session.
+func TestRolloutTakesTheSessionThatIsOpen(t *testing.T) {
+	open, givenUp, olderProcess := appliedNode("n", 3, 7), appliedNode("n", 4, 6), appliedNode("n", 9, 6)
+	givenUp.Connected, givenUp.SeenMS = false, 9000
+	olderProcess.Started = 0
+	r := MergeStatuses([]configapi.ControllerStatus{
+		{Name: "c1", Cluster: "c", Version: 7, Current: true, Nodes: []configapi.NodeStatus{givenUp}},
+		{Name: "c2", Cluster: "c", Version: 7, Current: true, Nodes: []configapi.NodeStatus{open}},
+		{Name: "c3", Cluster: "c", Version: 7, Current: true, Nodes: []configapi.NodeStatus{olderProcess}}})
+	if len(r.Nodes) != 1 || r.Nodes[0].Controller != "c2" || r.Nodes[0].State != RolloutCurrent {
+		t.Errorf("merged into %+v", r.Nodes)
+	}
+}
+
 func TestRolloutNamesControllersThatAreBehindOrForeign(t *testing.T) {
 	r := MergeStatuses([]configapi.ControllerStatus{
 		{Name: "c1", Cluster: "c", Version: 7, Current: true},
--- a/internal/controller/cluster_test.go
+++ b/internal/controller/cluster_test.go
@@ -426,6 +426,7 @@
 	tc := newTestCluster(t, "c1")
 	tc.start("c1")
 	tc.publish("dry")
+	tc.allHave(1)
 	address := tc.configOf("c1").Self.Listen
 	watch := openWatch(t, address, configapi.WatchRequest{Node: "n1", Service: "dry", Started: 1, Session: 1})
 	first := watch.update(t)
@@ -454,6 +455,7 @@
 	tc.start("c1")
 	tc.publish("dry")
 	tc.publish("press")
+	tc.allHave(2)
 	cluster := tc.cluster("c1")
 	for name, c := range map[string]struct {
 		request configapi.WatchRequest
@@ -480,10 +482,27 @@
 	}
 }
 
+// The start of a controller is recorded in the log, and is no news to nodes.
+func TestWatchSaysNothingWithoutNews(t *testing.T) {
+	tc := newTestCluster(t, "c1")
+	tc.start("c1")
+	tc.publish("dry")
+	tc.allHave(1)
+	watch := openWatch(t, tc.configOf("c1").Self.Listen, configapi.WatchRequest{Node: "n1", Service: "dry", Started: 1, Session: 1})
+	watch.update(t)
+	running := tc.running["c1"].consensus.Load()
+	if _, err := running.propose(command{Kind: commandMemberStarted, MemberStarted: &memberStartedCommand{"c9", 1, "p"}}); err != nil {
+		t.Fatal(err)
+	}
+	watch.heartbeat(t)
+	watch.heartbeat(t)
+}
+
 func TestWatchOfAnOlderSessionEnds(t *testing.T) {
 	tc := newTestCluster(t, "c1")
 	tc.start("c1")
 	tc.publish("dry")
+	tc.allHave(1)
 	address := tc.configOf("c1").Self.Listen
 	request := configapi.WatchRequest{Node: "n1", Service: "dry", Started: 1, Session: 1}
 	older := openWatch(t, address, request)
--- a/internal/controller/hub.go
+++ b/internal/controller/hub.go
@@ -27,6 +27,13 @@
 // changed is the newest version that names a service.
 func (v *view) changed(service string) configapi.Version { return v.state.Services[service].Changed }
 
+// saysTheSame says whether nodes are told the same by another view: the start of a controller, for one, is no news to
+// them.
+func (v *view) saysTheSame(other *view) bool {
+	return v.state.Cluster == other.state.Cluster && v.state.Version == other.state.Version && v.current == other.current &&
+		len(v.state.Replaces) == len(other.state.Replaces)
+}
+
 // update builds the update of a service.
 func (v *view) update(key updateKey, controllers []configapi.Endpoint) configapi.Update {
 	u := configapi.Update{Cluster: v.state.Cluster, Replaces: v.state.Replaces, Version: v.state.Version,
--- a/internal/controller/membership.go
+++ b/internal/controller/membership.go
@@ -16,10 +16,11 @@
 
 const (
 	// pollInterval is how often controllers read each other's load.
-	pollInterval = 500 * time.Millisecond
-	// pollTimeout is how long a reading may take; a controller that is stalled holds nobody up.
-	pollTimeout = 400 * time.Millisecond
-	// reportValid is how long a reading counts.
+	pollInterval = 300 * time.Millisecond
+	// pollTimeout is how long a reading may take. A controller that does not answer in time gets no node until it does:
+	// nodes notice that theirs is stalled 0.7 s after the fact at the earliest, and must not be sent to it.
+	pollTimeout = 250 * time.Millisecond
+	// reportValid is how long a reading counts for who is a member.
 	reportValid = 2 * time.Second
 	maxLoad     = 64 << 10 // bytes of one answer
 )
@@ -59,7 +60,8 @@
 
 type timedReport struct {
 	memberReport
-	at time.Time
+	at     time.Time
+	failed bool // a later reading failed
 }
 
 func newPeers(config Config) *peers {
@@ -78,17 +80,25 @@
 		}
 		readings.Go(func() {
 			report, err := p.read(ctx, member, server)
-			if err != nil {
-				return // what it said last counts until it is too old
-			}
-			p.lock.Lock()
-			defer p.lock.Unlock()
-			p.reports[member.Name] = timedReport{report, time.Now()}
+			p.take(member.Name, report, err)
 		})
 	}
 	readings.Wait()
 }
 
+// take notes a reading. Of one that failed, what the controller said last is kept until it is too old.
+func (p *peers) take(name string, report memberReport, err error) {
+	p.lock.Lock()
+	defer p.lock.Unlock()
+	if err == nil {
+		p.reports[name] = timedReport{memberReport: report, at: time.Now()}
+		return
+	}
+	last := p.reports[name]
+	last.failed = true
+	p.reports[name] = last
+}
+
 func (p *peers) read(ctx context.Context, member Member, server string) (memberReport, error) {
 	address := "http://" + member.Dial + configapi.PathLoad + "?server=" + url.QueryEscape(server)
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, address, nil)
@@ -128,14 +138,16 @@
 
 // loads is what the rules of placement need to know of the others.
 func (p *peers) loads(now time.Time, current bool) []configversion.PeerLoad {
-	reports := p.fresh(now)
+	p.lock.Lock()
+	defer p.lock.Unlock()
 	var loads []configversion.PeerLoad
 	for _, member := range p.config.Members {
 		if member.Name == p.config.Self.Name {
 			continue
 		}
-		report, ok := reports[member.Name]
-		available := ok && report.Cluster != "" && (report.Current || !current)
+		report := p.reports[member.Name]
+		answers := !report.failed && now.Sub(report.at) < reportValid
+		available := answers && report.Cluster != "" && (report.Current || !current)
 		loads = append(loads, configversion.PeerLoad{Endpoint: member.Endpoint(), Sessions: report.Sessions, Available: available})
 	}
 	return loads
--- a/internal/controller/membership_test.go
+++ b/internal/controller/membership_test.go
@@ -1,7 +1,9 @@
 package controller
 
 import (
+	"errors"
 	"testing"
+	"time"
 
 	"hookwalk.example/hookwalk/internal/configapi"
 )
@@ -74,3 +76,27 @@
 		t.Errorf("founders %v", got)
 	}
 }
+
+// A controller that does not answer gets no node; it still counts as a member for a moment.
+func TestLoadsOfAControllerThatDoesNotAnswer(t *testing.T) {
+	p := newPeers(configOf("c1", "c2", "c3"))
+	report := memberReport{Phase: phaseMember, Load: configapi.Load{Cluster: "c", Sessions: 5, Current: true}}
+	p.take("c2", report, nil)
+	p.take("c3", report, nil)
+	p.take("c3", memberReport{}, errors.New("no answer"))
+	now := time.Now()
+	loads := p.loads(now, true)
+	if len(loads) != 2 || !loads[0].Available || loads[1].Available {
+		t.Errorf("loads %+v", loads)
+	}
+	if len(p.fresh(now)) != 2 {
+		t.Errorf("members that answered lately: %v", p.fresh(now))
+	}
+	p.take("c3", report, nil)
+	if loads := p.loads(now, true); !loads[1].Available {
+		t.Errorf("after it answered again: %+v", loads)
+	}
+	if loads := p.loads(now.Add(reportValid), true); loads[0].Available {
+		t.Errorf("without any reading: %+v", loads)
+	}
+}
--- a/internal/controller/watch.go
+++ b/internal/controller/watch.go
@@ -66,7 +66,11 @@
 		line := heartbeatLine
 		select {
 		case <-now.superseded:
+			before := now
 			now = c.hub.view()
+			if now.saysTheSame(before) {
+				continue
+			}
 			line = c.line(now, s, false)
 			heartbeat.Reset(c.config.Heartbeat)
 		case to := <-s.move:
