Rollout: of one process of a node, the greater version held is the later report

A node that opens a second watch and closes it, because the first one speaks again, acknowledges by the first one: status took the second one's controller for the newer word, and showed the node as away or lagging (seen with 1,900 nodes after a stall).

--- a/configversion/rollout.go
+++ b/configversion/rollout.go
@@ -60,7 +60,7 @@
 		}
 		for _, node := range status.Nodes {
 			known, ok := nodes[node.Node]
-			if !ok || laterReport(node, known.NodeStatus) {
+			if !ok || r.laterReport(node, known.NodeStatus) {
 				nodes[node.Node] = NodeRollout{NodeStatus: node, Controller: status.Name}
 			}
 		}
@@ -93,17 +93,28 @@
 	return best, versions[best]
 }
 
-// laterReport says whether one report about a node goes before another one: that of its newer process; that of a
-// controller which has a session with it, for one that was stalled may read a request of a watch that the node has given
-// up long before; that of the newer session; the later one.
-func laterReport(x, y configapi.NodeStatus) bool {
+// laterReport says whether one report about a node goes before another one. The report about its newer process does. Of
+// one process, the version held of one cluster never falls, so the greater one is the later, whatever session it came by:
+// a node may open a second watch and close it, because the first one speaks again. Then that of a controller which has a
+// session with the node: one that was stalled may read the request of a watch that was given up long before. Then that of
+// the newer session, and the later one.
+func (r *Rollout) laterReport(x, y configapi.NodeStatus) bool {
 	return cmp.Or(
 		cmp.Compare(x.Started, y.Started),
+		cmp.Compare(r.held(x), r.held(y)),
 		compareBool(x.Connected, y.Connected),
 		cmp.Compare(x.Session, y.Session),
 		cmp.Compare(x.SeenMS, y.SeenMS)) > 0
 }
 
+// held is the version that a node holds of the rollout's cluster.
+func (r *Rollout) held(node configapi.NodeStatus) configapi.Version {
+	if node.Cluster != r.Cluster {
+		return 0
+	}
+	return node.Held
+}
+
 // compareBool orders false before true.
 func compareBool(x, y bool) int {
 	switch {
--- a/configversion/rollout_test.go
+++ b/configversion/rollout_test.go
@@ -74,6 +74,19 @@
 	}
 }
 
+// A node that has opened a second watch and closed it acknowledges by the first one; the controller of the second one may
+// not know yet that it was closed.
+func TestRolloutTakesTheGreaterVersionOfAProcess(t *testing.T) {
+	first, second := appliedNode("n", 3, 7), appliedNode("n", 4, 6)
+	second.SeenMS = 9000
+	r := MergeStatuses([]configapi.ControllerStatus{
+		{Name: "c1", Cluster: "c", Version: 7, Current: true, Nodes: []configapi.NodeStatus{first}},
+		{Name: "c2", Cluster: "c", Version: 7, Current: true, Nodes: []configapi.NodeStatus{second}}})
+	if r.Nodes[0].Controller != "c1" || r.Nodes[0].State != RolloutCurrent {
+		t.Errorf("merged into %+v", r.Nodes)
+	}
+}
+
 func TestRolloutNamesControllersThatAreBehindOrForeign(t *testing.T) {
 	r := MergeStatuses([]configapi.ControllerStatus{
 		{Name: "c1", Cluster: "c", Version: 7, Current: true},
