lab/link: an address without a block is in no rig's block

Listen with no block took any port from 12000 to 31999, also one in the block of a rig that had given it up for a fault and wanted it back: TestSites failed so once ("listen tcp 127.0.0.1:13850: bind: address already in use"), and rigs that open hundreds of such addresses beside it make that likelier. Addresses without a block are now from 9000 to 11999.

--- a/internal/lab/link/link_test.go
+++ b/internal/lab/link/link_test.go
@@ -298,6 +298,21 @@
 	}
 }
 
+// Who has no block takes no address of one: its rig may have given the address up for a fault.
+func TestListenWithoutABlock(t *testing.T) {
+	const tries = 200
+	for range tries {
+		ln, err := Listen(0, ForBox)
+		if err != nil {
+			t.Fatal(err)
+		}
+		ln.Close()
+		if port := ln.Addr().(*net.TCPAddr).Port; port >= firstPort && port < firstPort+blocks*block {
+			t.Fatalf("port %d is in a block", port)
+		}
+	}
+}
+
 // A queue is full when it takes no more, not when a caller's patience is over.
 func TestFullIsToldByTheSystem(t *testing.T) {
 	l, err := Listen(0, ForNode)
--- a/internal/lab/link/ports.go
+++ b/internal/lab/link/ports.go
@@ -12,11 +12,13 @@
 
 // The system takes the ports of outgoing connections, and of listeners that ask for any, from 32768 on. An address that
 // is given up for a while and opened again must not be taken meanwhile, so it is below; and each rig has a block of its
-// own, for what was meant for one must not reach another.
+// own, for what was meant for one must not reach another. Addresses without a block are below all of them: in one, they
+// would take those that its rig has given up for a while.
 const (
-	firstPort = 12000
-	blocks    = 5
-	block     = 4000
+	firstShared = 9000
+	firstPort   = 12000
+	blocks      = 5
+	block       = 4000
 )
 
 // Claim takes a block of ports for a rig, until release, and gives its first. Where all are taken it waits for one: two
@@ -60,10 +62,10 @@
 
 var uses = [...]struct{ from, to int }{ForLink: {1, 2500}, ForDoor: {2500, 3000}, ForNode: {3000, 3500}, ForBox: {3500, block}}
 
-// Listen opens a listener on loopback, in a rig's block of ports if that is above 0, at an address that is nobody's for
-// another use.
+// Listen opens a listener on loopback, at an address of a rig's block of ports that is nobody's for another use; where
+// ports is 0, at one that is in no block.
 func Listen(ports int, use Use) (*net.TCPListener, error) {
-	first, many := firstPort, blocks*block
+	first, many := firstShared, firstPort-firstShared
 	if ports > 0 {
 		first, many = ports+uses[use].from, uses[use].to-uses[use].from
 	}
