--- /dev/null
+++ b/cmd/hookwalk/controller_test.go
@@ -0,0 +1,76 @@
+//go:build !nolab
+
+package main
+
+import (
+	"fmt"
+	"net"
+	"os"
+	"strings"
+	"syscall"
+	"testing"
+)
+
+// freeAddresses finds addresses on loopback at which nobody listens.
+func freeAddresses(t *testing.T, count int) (addresses []string) {
+	t.Helper()
+	for range count {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer listener.Close()
+		addresses = append(addresses, listener.Addr().String())
+	}
+	return addresses
+}
+
+// A controller of a cluster of one, as a process: a document is published, repeated, refused, and status tells.
+func TestControllerAndConfigCommands(t *testing.T) {
+	addresses := freeAddresses(t, 2)
+	file := written(t, "controllers.hcl", fmt.Sprintf(`controllers { folder = %q }
+controller "c1" { listen = %q raft = %q }`, t.TempDir(), addresses[0], addresses[1]))
+	controller := program(t, "", "controller", "run", file)
+	controller.Stderr = os.Stderr
+	if err := controller.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = controller.Process.Kill() })
+
+	document := written(t, "document.json", `{"services":{"dry":{"settings":{}}}}`)
+	publish := func(args ...string) (code int, stdout, stderr string) {
+		return ends(t, program(t, "", append([]string{"config", "publish", "--controllers", addresses[0]}, args...)...))
+	}
+	for range 2 { // with one ID, so the second one adds no version
+		if code, said, complaint := publish("--id", "first", document); code != 0 || said != "version 1\n" {
+			t.Fatalf("exit %d, %q, %q", code, said, complaint)
+		}
+	}
+	bad := written(t, "bad.json", `{"services":{"dry":{}}}`)
+	if code, _, complaint := publish(bad); code != 1 || !strings.Contains(complaint, "service dry has no settings") || strings.Count(complaint, "\n") != 1 {
+		t.Errorf("a document without settings: exit %d, %q", code, complaint)
+	}
+	if code, _, complaint := publish(written(t, "no.json", `{`)); code != 1 || !strings.Contains(complaint, "is not JSON") {
+		t.Errorf("a document that is not JSON: exit %d, %q", code, complaint)
+	}
+	status := program(t, "", "config", "status", "--json", "--controllers", addresses[0])
+	if code, said, complaint := ends(t, status); code != 0 || !strings.Contains(said, `"version": 1`) || !strings.Contains(said, `"complete": true`) {
+		t.Errorf("status: exit %d, %s, %q", code, said, complaint)
+	}
+
+	if err := controller.Process.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	if err := controller.Wait(); err != nil {
+		t.Errorf("the controller's end: %v", err)
+	}
+	if code, said, _ := ends(t, program(t, "", "config", "status", "--controllers", addresses[0])); code != 1 || !strings.Contains(said, "does not answer") {
+		t.Errorf("status without a controller: exit %d, %s", code, said)
+	}
+}
+
+func TestControllerSettingsThatCanNotBeUsed(t *testing.T) {
+	file := written(t, "controllers.hcl", "controller \"c1\" { listen = \"a:1\" }")
+	endsInOneLine(t, program(t, "", "controller", "run", file), file+":1: controller c1 needs raft")
+	endsInOneLine(t, program(t, "", "controller", "run", "/nowhere.hcl"), "/nowhere.hcl")
+}
