Controllers send log entries to a server that is reachable again at once

Cause: raft waits twice as long after each failed send to a follower, up to 10 s (backoff with base 10 ms, limit 12).

Change: the transport repeats a send of entries each 200 ms itself while this server leads in the request's term and the follower is a member, so that raft counts no failure; heartbeats are as before, their wait is bounded in raft.

--- a/internal/controller/consensus.go
+++ b/internal/controller/consensus.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"log/slog"
 	"net"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -44,6 +45,8 @@
 	disk   *disk
 	stream *stream
 	raft   *raft.Raft
+	// started is raft, too, for its own goroutines, which run before raft is set.
+	started atomic.Pointer[raft.Raft]
 	// ready is the term in which this controller leads and has applied all that was committed before; 0: none.
 	ready     atomic.Uint64
 	leaderCh  <-chan bool
@@ -77,8 +80,9 @@
 	c := &consensus{config: config, log: log, hub: h, disk: d, publishes: make(chan struct{}, 1)}
 	c.stream = newStream(listener, config.Self.Name, d.identity.Server, func() configapi.Cluster { return h.view().state.Cluster })
 	logger := raftLogger(log)
-	transport := raft.NewNetworkTransportWithConfig(&raft.NetworkTransportConfig{Stream: c.stream, MaxPool: raftPool, Timeout: raftTimeout,
+	network := raft.NewNetworkTransportWithConfig(&raft.NetworkTransportConfig{Stream: c.stream, MaxPool: raftPool, Timeout: raftTimeout,
 		Logger: logger, ServerAddressProvider: c})
+	transport := &retryingTransport{NetworkTransport: network, wanted: c.replicatesTo, closing: c.stream.closing}
 	options := raftOptions(config, d.identity.Server)
 	options.Logger = logger
 	changes := make(chan bool, 16)
@@ -96,9 +100,23 @@
 		return nil, fmt.Errorf("controller: raft can't start: %w", err)
 	}
 	c.raft = server
+	c.started.Store(server)
 	return c, nil
 }
 
+// replicatesTo says whether this server leads in a term and a server is a member of its cluster.
+func (c *consensus) replicatesTo(server raft.ServerID, term uint64) bool {
+	running := c.started.Load()
+	if running == nil || running.State() != raft.Leader || running.CurrentTerm() != term {
+		return false
+	}
+	configuration := running.GetConfiguration()
+	if configuration.Error() != nil {
+		return false
+	}
+	return slices.ContainsFunc(configuration.Configuration().Servers, func(member raft.Server) bool { return member.ID == server })
+}
+
 func raftOptions(config Config, server string) *raft.Config {
 	options := raft.DefaultConfig()
 	options.LocalID = raft.ServerID(server)
