--- a/internal/lab/scale/versionsfault_test.go
+++ b/internal/lab/scale/versionsfault_test.go
@@ -137,11 +137,12 @@
 		Header: []string{"fault from the publish", "for its sender", "in the end", "attempts", "publish to yes", "yes to in force everywhere"}}
 	var last, toYes []time.Duration
 	for _, round := range rounds {
-		table.Add(Milliseconds(round.offset), round.first.Outcome, round.settled.Outcome, round.settled.Attempts, Milliseconds(round.toYes),
-			Milliseconds(round.last))
+		yes, inForce := "never", "never"
 		if round.settled.Outcome == PublishAccepted {
 			last, toYes = append(last, round.last), append(toYes, round.toYes)
+			yes, inForce = Milliseconds(round.toYes), Milliseconds(round.last)
 		}
+		table.Add(Milliseconds(round.offset), round.first.Outcome, round.settled.Outcome, round.settled.Attempts, yes, inForce)
 	}
 	inForce, yes := Summarize(last), Summarize(toYes)
 	table.Add("p50", "", "", "", Milliseconds(yes.P50), Milliseconds(inForce.P50))
--- a/internal/lab/scale/versionsrig_test.go
+++ b/internal/lab/scale/versionsrig_test.go
@@ -245,11 +245,15 @@
 	var violations []Violation
 	err := poll(ctx, func() bool {
 		statuses := r.cluster.Statuses(ctx)
+		if len(statuses) < len(r.cluster.Controllers) {
+			return false // one did not answer in time: the last violations stand
+		}
 		r.fleet.Audit(func(a *Audit) { violations = a.Acknowledged(statuses) })
 		return len(violations) == 0
 	})
 	if err != nil {
 		r.show(violations)
+		r.Errorf("acknowledgements are not those of the nodes after %v", acknowledgedWithin)
 	}
 }
 
