configversion: the newest word of a node is that of the greatest version, not of the newest watch

A node that opened a second watch while its first one was silent, and closed it again, acknowledged by the first one's session from then on. MergeStatuses went by the number of the session and took the word of the second one for ever: after a region was cut off, config status showed 1,202 of 1,900 nodes with an old version. Within one process of a node and one cluster the version held never falls, so the greater one counts.

--- a/configversion/rollout.go
+++ b/configversion/rollout.go
@@ -46,8 +46,7 @@
 	return r.Lagging == 0 && r.Rejected == 0 && len(r.Behind) == 0 && len(r.Foreign) == 0
 }
 
-// MergeStatuses joins what several controllers know. Of a node that more than one of them knows, the word of its newest session
-// counts.
+// MergeStatuses joins what several controllers know. Of a node that more than one of them knows, the newest word counts.
 func MergeStatuses(statuses []configapi.ControllerStatus) Rollout {
 	var r Rollout
 	r.Cluster, r.Version = newestVersion(statuses)
@@ -94,12 +93,21 @@
 	return best, versions[best]
 }
 
-// laterReport says whether one word about a node is newer than another one: by the node's process, its session, the time.
+// laterReport says whether one word about a node is newer than another one. Within one process of a node and one cluster
+// the version held never falls, so the greater one is newer, whatever session it came by: a node that has opened a second
+// watch, and closed it again because the first one went on, acknowledges by the first one's session. Where that says
+// nothing, the word of a controller that has the node's session counts, then the newest session, then the time.
 func laterReport(x, y configapi.NodeStatus) bool {
-	return cmp.Or(
-		cmp.Compare(x.Started, y.Started),
-		cmp.Compare(x.Session, y.Session),
-		cmp.Compare(x.SeenMS, y.SeenMS)) > 0
+	if order := cmp.Compare(x.Started, y.Started); order != 0 {
+		return order > 0
+	}
+	if order := cmp.Compare(x.Held, y.Held); order != 0 && x.Cluster == y.Cluster {
+		return order > 0
+	}
+	if x.Connected != y.Connected {
+		return x.Connected
+	}
+	return cmp.Or(cmp.Compare(x.Session, y.Session), cmp.Compare(x.SeenMS, y.SeenMS)) > 0
 }
 
 // stateOf judges a node by what it last said.
--- a/configversion/rollout_test.go
+++ b/configversion/rollout_test.go
@@ -110,3 +110,39 @@
 		}
 	})
 }
+
+// A node opens a second watch while its first one is silent, and closes it when the first one speaks again.
+func TestMergeStatusesOfASecondWatchThatWasClosed(t *testing.T) {
+	first := configapi.NodeStatus{Node: "a", Started: 1, Session: 1, Connected: true, SeenMS: 30, Cluster: "c", Held: 9, Applied: 9, Outcome: configapi.Applied}
+	second := configapi.NodeStatus{Node: "a", Started: 1, Session: 2, SeenMS: 20, Cluster: "c", Held: 1, Applied: 1, Outcome: configapi.Applied}
+	for name, tc := range map[string]struct {
+		first, second configapi.NodeStatus
+		want          string
+	}{
+		"a version was acknowledged by the first one": {first, second, "one"},
+		"no version has come since": {first, func() configapi.NodeStatus {
+			same := second
+			same.Held, same.Applied = 9, 9
+			return same
+		}(), "one"},
+		"the node has moved to the second one": {func() configapi.NodeStatus {
+			left := first
+			left.Connected = false
+			return left
+		}(), func() configapi.NodeStatus {
+			there := second
+			there.Connected, there.Held, there.Applied = true, 9, 9
+			return there
+		}(), "two"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			merged := MergeStatuses([]configapi.ControllerStatus{
+				{Name: "one", Cluster: "c", Version: 9, Current: true, Nodes: []configapi.NodeStatus{tc.first}},
+				{Name: "two", Cluster: "c", Version: 9, Current: true, Nodes: []configapi.NodeStatus{tc.second}},
+			})
+			if merged.Current != 1 || len(merged.Nodes) != 1 || merged.Nodes[0].Controller != tc.want {
+				t.Errorf("merged into %+v", merged)
+			}
+		})
+	}
+}
