--- a/internal/lab/scale/versionsnode_test.go
+++ b/internal/lab/scale/versionsnode_test.go
@@ -38,6 +38,7 @@
 // versionNode is one real node.
 type versionNode struct {
 	HollowNode
+	off     bool // without a session
 	folder  string
 	command *exec.Cmd
 	ended   chan struct{}
@@ -91,7 +92,7 @@
 	v.list.Seq, v.list.Whole = 1, true
 	v.startDiscovery()
 	for number := range count {
-		v.nodes = append(v.nodes, v.startNode(number))
+		v.nodes = append(v.nodes, v.startNode(number, false))
 	}
 	return v
 }
@@ -109,9 +110,9 @@
 	})
 }
 
-func (v *versionNodes) startNode(number int) *versionNode {
+func (v *versionNodes) startNode(number int, off bool) *versionNode {
 	v.Helper()
-	node := &versionNode{HollowNode: TargetTopology.Node(number), folder: v.TempDir()}
+	node := &versionNode{HollowNode: TargetTopology.Node(number), off: off, folder: v.TempDir()}
 	node.Service = realService
 	v.Cleanup(func() { v.stop(node) })
 	v.launch(node)
@@ -121,7 +122,11 @@
 // launch starts the node's process and returns when it is ready.
 func (v *versionNodes) launch(node *versionNode) {
 	v.Helper()
-	settings := v.write(node, "settings.hcl", []byte(sessionSettings(node, v.cluster.Endpoints())))
+	var session string
+	if !node.off {
+		session = sessionSettings(node, v.cluster.Endpoints())
+	}
+	settings := v.write(node, "settings.hcl", []byte(session))
 	config, err := json.Marshal(map[string]any{"name": node.Name, "listen": "127.0.0.1:0", "discovery": v.watch, "seed": fmt.Sprintf("%x", 1000+len(v.nodes)),
 		"limits": map[string]any{"cores": 1, "memory_mb": 192, "sockets": 1024}, "known": v.list, "settings": realSettings(lanesOf())})
 	if err != nil {
--- a/internal/lab/scale/versionsoff_test.go
+++ b/internal/lab/scale/versionsoff_test.go
@@ -4,6 +4,7 @@
 	"os/exec"
 	"strings"
 	"testing"
+	"time"
 )
 
 // TestVersionsAreNotInTheBuildForService lists what the build for service is made of.
@@ -26,3 +27,55 @@
 		}
 	}
 }
+
+// nodesEach is how many real nodes run with a session, and as many without one.
+const nodesEach = 5
+
+// meanUsage is the mean of what nodes have used.
+func meanUsage(t *testing.T, nodes []*versionNode) (mean Usage) {
+	t.Helper()
+	for _, node := range nodes {
+		usage, err := ReadUsage(node.command.Process.Pid)
+		if err != nil {
+			t.Fatal(err)
+		}
+		mean.CPU += usage.CPU / time.Duration(len(nodes))
+		mean.RSSBytes += usage.RSSBytes / int64(len(nodes))
+		mean.PrivateBytes += usage.PrivateBytes / int64(len(nodes))
+		mean.Descriptors += usage.Descriptors
+	}
+	mean.Descriptors /= len(nodes)
+	return mean
+}
+
+// TestVersionsNodeCost measures real nodes without calls, with a session and without one, while versions are published.
+func TestVersionsNodeCost(t *testing.T) {
+	largeOnly(t)
+	const span, versions = time.Minute, changesPerMinute
+	sequence := newVersionSequence(t, TargetTopology, nodesEach)
+	on := sequence.nodes
+	var off []*versionNode
+	for number := range nodesEach {
+		off = append(off, sequence.startNode(nodesEach+number, true))
+	}
+	sequence.publish(0, nil)
+	began := time.Now()
+	onBefore, offBefore := meanUsage(t, on), meanUsage(t, off)
+	for number := 1; number <= versions; number++ {
+		sequence.publish(number, nil)
+		if !pause(t.Context(), time.Until(began.Add(span*time.Duration(number)/versions))) {
+			return
+		}
+	}
+	onAfter, offAfter := meanUsage(t, on), meanUsage(t, off)
+	percent := func(from, to Usage) float64 { return 100 * (to.CPU - from.CPU).Seconds() / time.Since(began).Seconds() }
+	table := &Table{Title: "real nodes, 53 versions in a minute, each for their service and asked about twice by a request: mean of 5",
+		Header: []string{"session", "CPU, % of a core", "RSS, MB", "private, MB", "descriptors"}}
+	megabytes := func(bytes int64) float64 { return float64(bytes) / (1 << 20) }
+	table.Add("on", percent(onBefore, onAfter), megabytes(onAfter.RSSBytes), megabytes(onAfter.PrivateBytes), onAfter.Descriptors)
+	table.Add("off", percent(offBefore, offAfter), megabytes(offAfter.RSSBytes), megabytes(offAfter.PrivateBytes), offAfter.Descriptors)
+	printTable(table)
+	if above := onAfter.RSSBytes - offAfter.RSSBytes; above > budgetRSS {
+		t.Errorf("a session takes %d bytes, over %d", above, budgetRSS)
+	}
+}
