Tests of the transport that sends entries again

Change: entries are sent again while they are wanted, heartbeats once, and a transport that closes holds nobody up; in virtual time, against a stream layer whose dials fail. go test -race -count=20: ok.

--- /dev/null
+++ b/internal/controller/transport_retry_test.go
@@ -0,0 +1,94 @@
+package controller
+
+import (
+	"errors"
+	"io"
+	"log/slog"
+	"net"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/hashicorp/raft"
+)
+
+// unreachable is a stream layer whose dials fail at once.
+type unreachable struct {
+	dials  atomic.Int64
+	closed chan struct{}
+}
+
+var errUnreachable = errors.New("unreachable")
+
+func (u *unreachable) Dial(raft.ServerAddress, time.Duration) (net.Conn, error) {
+	u.dials.Add(1)
+	return nil, errUnreachable
+}
+
+func (u *unreachable) Accept() (net.Conn, error) {
+	<-u.closed
+	return nil, net.ErrClosed
+}
+
+func (u *unreachable) Close() error {
+	close(u.closed)
+	return nil
+}
+
+func (u *unreachable) Addr() net.Addr { return address("c1") }
+
+// newRetryingTransport returns a transport that reaches nobody.
+func newRetryingTransport(t *testing.T, wanted func(raft.ServerID, uint64) bool) (*retryingTransport, *unreachable) {
+	t.Helper()
+	layer := &unreachable{closed: make(chan struct{})}
+	network := raft.NewNetworkTransportWithConfig(&raft.NetworkTransportConfig{Stream: layer, Timeout: time.Second,
+		Logger: raftLogger(slog.New(slog.DiscardHandler))})
+	return &retryingTransport{NetworkTransport: network, wanted: wanted, closing: layer.closed}, layer
+}
+
+var entries = &raft.AppendEntriesRequest{Term: 7, PrevLogEntry: 3, Entries: []*raft.Log{{Index: 4}}}
+
+// Entries are sent again, 200 ms apart, for as long as they are wanted.
+func TestEntriesAreSentAgainWhileWanted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const minute = int64(time.Minute / appendRetryInterval)
+		asked := int64(0)
+		transport, layer := newRetryingTransport(t, func(server raft.ServerID, term uint64) bool {
+			asked++
+			return server == "c2" && term == entries.Term && asked < minute
+		})
+		begin := time.Now()
+		err := transport.AppendEntries("c2", "c2", entries, &raft.AppendEntriesResponse{})
+		if !errors.Is(err, errUnreachable) || layer.dials.Load() != minute || time.Since(begin) != time.Minute {
+			t.Errorf("%d sends in %v, then %v; want %d", layer.dials.Load(), time.Since(begin), err, minute)
+		}
+		_ = transport.Close()
+	})
+}
+
+// A heartbeat is sent once: raft counts its failures.
+func TestHeartbeatsAreSentOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		transport, layer := newRetryingTransport(t, func(raft.ServerID, uint64) bool { return true })
+		err := transport.AppendEntries("c2", "c2", &raft.AppendEntriesRequest{Term: 7}, &raft.AppendEntriesResponse{})
+		if !errors.Is(err, errUnreachable) || layer.dials.Load() != 1 {
+			t.Errorf("%d sends, then %v", layer.dials.Load(), err)
+		}
+		_ = transport.Close()
+	})
+}
+
+// A transport that closes holds nobody up.
+func TestClosingEndsRetries(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		transport, _ := newRetryingTransport(t, func(raft.ServerID, uint64) bool { return true })
+		done := make(chan error)
+		go func() { done <- transport.AppendEntries("c2", "c2", entries, &raft.AppendEntriesResponse{}) }()
+		synctest.Wait()
+		_ = transport.Close()
+		if err := <-done; err == nil || errors.Is(err, io.EOF) {
+			t.Errorf("ended with %v", err)
+		}
+	})
+}
