A connection at rest that is closed has read nothing: its request is not forwarded too

By reading: takePlace chose a connection under the lock and closed it after the lock was given back, and http.Server.Shutdown does the same with those whose head is being read. A request read in between was forwarded, and its client, whose connection closed without an answer, sends it again. Change: what is about to be closed is marked as shut under the lock, so that what crosses the close counts as unread (Read gives io.EOF). Before Shutdown all that rests is marked. Test: TestWhatCrossesACloseIsUnread failed for both paths, passes; the third path (clients sent away) held before.

--- a/internal/node/inbound.go
+++ b/internal/node/inbound.go
@@ -29,9 +29,10 @@
 	end     func()
 	retired atomic.Bool // the listener is closed, and connections go on
 
-	mu    sync.Mutex
-	open  int
-	rests *list.List // of *inConn with no open request, the longest such first
+	mu     sync.Mutex
+	open   int
+	rests  *list.List // of *inConn with no open request, the longest such first
+	ending bool       // what comes to rest reads nothing more
 }
 
 // inConn is a connection from a caller.
@@ -41,6 +42,7 @@
 	place *list.Element // in in.rests; nil: a request is open
 	since time.Time     // it rests
 	shut  time.Time     // nothing more is read from it; zero: it is open
+	asked bool          // a request has come on it
 	tags  figures.Tags  // of its last request
 	gone  bool
 
@@ -120,7 +122,9 @@
 		return time.Hour, false
 	}
 	c := first.Value.(*inConn)
-	wait = restMin - time.Since(c.since)
+	if wait = restMin - time.Since(c.since); wait <= 0 && c.shut.IsZero() {
+		c.shut = time.Now() // a request that crosses the close is unread
+	}
 	in.mu.Unlock()
 	if wait <= 0 {
 		c.Close()
@@ -134,6 +138,9 @@
 	defer in.mu.Unlock()
 	if c.place == nil && !c.gone {
 		c.since, c.place = time.Now(), in.rests.PushBack(c)
+		if in.ending && c.asked {
+			c.shut = c.since
+		}
 		in.signal()
 	}
 }
@@ -145,6 +152,7 @@
 	if !c.shut.IsZero() {
 		return false
 	}
+	c.asked = true
 	in.leave(c)
 	return true
 }
@@ -157,6 +165,23 @@
 	}
 }
 
+// newTime is how long the HTTP server leaves a connection alone that has asked nothing yet, when it shuts down.
+const newTime = 5 * time.Second
+
+// shutRests has every connection at rest, and each that comes to rest from now on, read nothing more: the HTTP server is
+// about to close them, and a request that crosses the close is its client's to send again. One that has just come up is
+// not closed, and may ask.
+func (in *inbound) shutRests() {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	in.ending = true
+	for e := in.rests.Front(); e != nil; e = e.Next() {
+		if c := e.Value.(*inConn); c.shut.IsZero() && (c.asked || time.Since(c.accepted) >= newTime) {
+			c.shut = time.Now()
+		}
+	}
+}
+
 // shutTime is how long a connection that was shut waits for its client to close it too.
 const shutTime = 200 * time.Millisecond
 
--- a/internal/node/inbound_test.go
+++ b/internal/node/inbound_test.go
@@ -1,10 +1,12 @@
 package node
 
 import (
+	"io"
 	"net"
 	"net/http"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 )
 
@@ -119,3 +121,48 @@
 		})
 	}
 }
+
+// crossing is a client's connection on which a request comes in the very moment of its close.
+type crossing struct {
+	net.Conn
+	close func()
+}
+
+func (c *crossing) Read(b []byte) (int, error) { return copy(b, "G"), nil }
+
+func (c *crossing) Close() error {
+	c.close()
+	return nil
+}
+
+func (c *crossing) SetReadDeadline(time.Time) error { return nil }
+
+// A connection at rest that is closed has not read the request that crosses its close: its client sends that again, and
+// if it were forwarded too it would run twice, or have no answer.
+func TestWhatCrossesACloseIsUnread(t *testing.T) {
+	for name, closes := range map[string]func(in *inbound, c *inConn){
+		"for its place":   func(in *inbound, _ *inConn) { in.takePlace() },
+		"as clients go":   func(in *inbound, _ *inConn) { in.sweep(0); <-time.After(shutTime); in.sweep(0) },
+		"as the node end": func(in *inbound, c *inConn) { in.shutRests(); c.Close() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				in := newInbound(nil, 1, nil)
+				conn := &crossing{}
+				c := &inConn{Conn: conn, in: in, ahead: newLookahead(conn)}
+				read := make(chan error, 1)
+				conn.close = func() {
+					_, err := c.Read(make([]byte, 1))
+					read <- err
+				}
+				in.open = 1
+				in.rest(c)
+				<-time.After(restMin)
+				closes(in, c)
+				if err := <-read; err != io.EOF {
+					t.Errorf("what crossed the close was read: %v", err)
+				}
+			})
+		})
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -325,6 +325,7 @@
 		n.handOff(life)
 	}
 	time.Sleep(life.Stops(n.clock.Now()))
+	n.in.shutRests()
 	ctx, cancel := context.WithTimeout(context.Background(), n.rules.Load().longest+20*time.Millisecond)
 	defer cancel()
 	if err := server.Shutdown(ctx); err != nil && !errors.Is(err, net.ErrClosed) {
