Invariants: one guard for sends, repeats, answers and starts, counted in log and figures

Cause: the rule was known where the list is held and asked by nobody who sends; a check where the thing is done does not rest on what was decided before. Change: package invariants has pure checks of typed facts (drain, duplicate, lost, budget, slow start) and a Guard that counts and logs; the engine calls it before each attempt and with each answer, the sender with the first byte, the front with each close. Figures: hookwalk.invariant.violations, hookwalk.refused.list_expired; the counts line has refused_list_expired.

--- a/deckrelay/balancer.go
+++ b/deckrelay/balancer.go
@@ -132,6 +132,12 @@
 	outside bool // it does not count for the window
 }
 
+// MostAttempts is how many attempts a request that comes now may have.
+func (b *Balancer) MostAttempts() int { return max(1, b.set.MaxAttempts) }
+
+// WarmAfter is how long after its start a server is in slow start.
+func (b *Balancer) WarmAfter() time.Duration { return b.set.WarmAfter }
+
 // start is when a server began to serve: its process's boot, or its return by hand, if that was later.
 func (s *server) start() time.Duration { return max(s.Boot, s.back) }
 
--- a/deckrelay/deckrelay.go
+++ b/deckrelay/deckrelay.go
@@ -125,6 +125,9 @@
 	Void
 )
 
+// NeverRan says that the ending proves that the attempt never ran.
+func (e Ending) NeverRan() bool { return e == Overloaded || e == Unreachable || e == Void }
+
 // Event is something that happened: one of the types below.
 type Event interface{ event() }
 
--- a/deckrelay/request.go
+++ b/deckrelay/request.go
@@ -30,7 +30,7 @@
 		c = b.order[len(b.order)-1] // unknown: unsafe
 	}
 	r := &request{id: e.ID, class: c, arrived: b.now, deadline: min(e.Deadline, b.now+c.Deadline),
-		repeat: e.Repeat, bulk: e.Bulk, most: max(1, b.set.MaxAttempts)}
+		repeat: e.Repeat, bulk: e.Bulk, most: b.MostAttempts()}
 	b.requests[e.ID] = r
 	b.backdate(r)
 	for _, k := range b.order {
@@ -108,7 +108,7 @@
 	}
 	a := r.attempts[e.Attempt]
 	a.ended = true
-	a.unsent = e.Ending == Overloaded || e.Ending == Unreachable || e.Ending == Void
+	a.unsent = e.Ending.NeverRan()
 	a.leave()
 	if l := r.line; l != nil && (e.Ending == TimedOut || e.Ending == Broken || e.Ending == Withdrawn) {
 		l.rest = b.now + b.set.OrderSettle // it may still run
--- a/internal/engine/call.go
+++ b/internal/engine/call.go
@@ -7,26 +7,30 @@
 
 	"hookwalk.example/hookwalk/deckrelay"
 	"hookwalk.example/hookwalk/internal/figures"
+	"hookwalk.example/hookwalk/invariants"
 )
 
 // Call is one request of a front's client. The front fills the exported fields and hands it in once.
 type Call struct {
-	Request  deckrelay.Request
-	Tenant   string
-	Budget   time.Duration // as the client gave it
-	Upload   time.Duration // of a bulk call: the longest that its body may take
-	Tags     figures.Tags
-	Stranger bool // the lists keep its client out; of its request there is only the id
-	Payload  any  // what the sender needs of it; the engine does not look at it
+	Request    deckrelay.Request
+	Tenant     string
+	Budget     time.Duration // as the client gave it
+	Upload     time.Duration // of a bulk call: the longest that its body may take
+	Tags       figures.Tags
+	Repeatable bool // its class allows that it runs more than once
+	Stranger   bool // the lists keep its client out; of its request there is only the id
+	Payload    any  // what the sender needs of it; the engine does not look at it
 	// Gone, if it is there, says that the client of a bulk call has left before that can be read off its body.
 	Gone func() bool
 
-	closed atomic.Bool // answered or given up by the client: nothing more may be sent for it
-	left   atomic.Bool // its client has gone; the loop may not know yet
-	reply  chan Answer // takes the one final answer without blocking
+	closed atomic.Bool  // answered or given up by the client: nothing more may be sent for it
+	left   atomic.Int64 // when its client has gone, by the engine's clock; the loop may not know yet; 0: it has not
+	reply  chan Answer  // takes the one final answer without blocking
 
-	attempts int // the loop's own, as is out
-	out      int
+	attempts   int // the loop's own, as is the rest
+	most       int // of them, by the settings that it came with
+	out        int
+	mayHaveRun bool // one of those that have ended
 }
 
 // Close marks the call as over and says whether it was open.
@@ -70,14 +74,15 @@
 	Addr string
 	Boot time.Duration
 
-	stopped atomic.Bool
+	stopped atomic.Int64 // when, by the engine's clock; 0: it is not
+	calls   int          // that are out there; the loop's own
 }
 
-// Stop marks a server as one that gets nothing new.
-func (t *Target) Stop() { t.stopped.Store(true) }
+// Stop marks a server as one that gets nothing new from a time on.
+func (t *Target) Stop(now time.Duration) { t.stopped.CompareAndSwap(0, int64(now)) }
 
 // Stopped says that the server drains or is gone: nothing new may go to it.
-func (t *Target) Stopped() bool { return t.stopped.Load() }
+func (t *Target) Stopped() bool { return t.stopped.Load() != 0 }
 
 // Attempt is one send of a call.
 type Attempt struct {
@@ -90,17 +95,27 @@
 
 	begun bool   // a streamed answer is the client's; the loop's own
 	lease *lease // on the list that the target is from; nil: it has no end
+	guard *invariants.Guard
 }
 
 // MaySend says whether the attempt may still leave at a time. A sender asks right before it writes.
 func (a *Attempt) MaySend(now time.Duration) bool {
 	c := a.Call
-	if a.lease.expired(now) || c.Closed() || c.left.Load() || a.Target.Stopped() || now >= a.Deadline {
+	if a.lease.expired(now) || c.Closed() || c.left.Load() != 0 || a.Target.Stopped() || now >= a.Deadline {
 		return false
 	}
 	return !c.Request.Bulk || c.Gone == nil || !c.Gone()
 }
 
+// Sent notes when the first byte of an attempt was written, and how long its server was told that the node waits; 0:
+// nothing that counts from there. What is wrong with that is counted.
+func (a *Attempt) Sent(began, told time.Duration) {
+	c := a.Call
+	a.guard.Note(invariants.Send{Began: began, Stopped: time.Duration(a.Target.stopped.Load()), ListExpires: a.lease.until(),
+		ClientLeft: time.Duration(c.left.Load()), Deadline: c.Request.Deadline, Told: told}.Check(),
+		"id", c.Request.ID, "server", a.Target.ID, "attempt", a.N)
+}
+
 // Result is how an attempt ended.
 type Result struct {
 	Attempt *Attempt
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -15,6 +15,7 @@
 	"hookwalk.example/hookwalk/deckrelay"
 	"hookwalk.example/hookwalk/internal/capture"
 	"hookwalk.example/hookwalk/internal/figures"
+	"hookwalk.example/hookwalk/invariants"
 )
 
 // Options are an engine's parts. Figures and Capture may be nil: off.
@@ -26,6 +27,7 @@
 	Subscribe func() // asks the source for a watch; must not block
 	Figures   *figures.Reporter
 	Capture   *capture.Writer
+	Guard     *invariants.Guard // nil: violations are not counted
 }
 
 // Engine is one host of one Balancer. Its methods may be called from any goroutine while Run runs.
@@ -91,7 +93,7 @@
 		return a, nil
 	case <-ctx.Done():
 	}
-	c.left.Store(true) // a busy loop must not let an attempt go meanwhile
+	c.left.Store(int64(e.Clock.Now())) // a busy loop must not let an attempt go meanwhile
 	select {
 	case e.gone <- c:
 	case <-e.stop:
@@ -297,6 +299,7 @@
 		c.reply <- Answer{Verdict: Doubled}
 		return
 	}
+	c.most = e.Balancer.MostAttempts()
 	e.calls[c.Request.ID] = c
 	e.tally.taken++
 	e.aside = c.aside()
@@ -346,16 +349,18 @@
 		return
 	}
 	att := &Attempt{Call: c, N: c.attempts, Target: e.targets[a.Server], Deadline: min(now+a.Timeout, c.Request.Deadline),
-		Patience: a.Timeout, lease: &e.lease}
+		Patience: a.Timeout, lease: &e.lease, guard: e.Guard}
 	if c.Request.Bulk {
 		att.Deadline = now + c.Upload + a.Timeout
 	}
 	if att.Target == nil { // no such server any more: the attempt ends unsent
 		att.Target = &Target{ID: a.Server}
-		att.Target.Stop()
+		att.Target.Stop(now)
 	}
+	e.guardStart(now, att)
 	c.attempts++
 	c.out++
+	att.Target.calls++
 	att.Started = e.Clock.Now()
 	e.Sender.Start(att)
 }
@@ -370,14 +375,37 @@
 		e.tally.refused[tried(c)]++
 		if e.expired {
 			e.tally.expired++
+			e.Figures.Count(c.Tags, figures.RefusedExpired)
 		}
 	} else {
 		e.tally.failed[tried(c)]++
 	}
+	e.guardClose(c, a.Verdict == Refused || a.Status == unavailable)
 	c.reply <- a
 	e.forget(c)
 }
 
+// guardStart counts what is wrong with an attempt that is about to begin.
+func (e *Engine) guardStart(now time.Duration, att *Attempt) {
+	c, t := att.Call, att.Target
+	who := []any{"id", c.Request.ID, "server", t.ID, "attempt", att.N}
+	if c.attempts > 0 {
+		e.Guard.Note(invariants.Repeat{Attempts: c.attempts, Most: c.most, Out: c.out, MayHaveRun: c.mayHaveRun,
+			Repeatable: c.Repeatable}.Check(), who...)
+	}
+	e.Guard.Note(invariants.Start{Cold: t.Boot > 0 && now < t.Boot+e.Balancer.WarmAfter(), Out: t.calls}.Check(), who...)
+}
+
+// guardClose counts what is wrong with a final answer.
+func (e *Engine) guardClose(c *Call, refused bool) {
+	end := invariants.Close{At: e.Clock.Now(), Deadline: c.Request.Deadline, Answered: true, Refused: refused,
+		MayHaveRun: c.mayHaveRun, Repeatable: c.Repeatable}
+	if c.Request.Bulk { // its time runs from its body's last byte
+		end.Deadline = end.At
+	}
+	e.Guard.Note(end.Check(), "id", c.Request.ID, "attempts", c.attempts)
+}
+
 // forget drops a call that is closed and has no attempt out.
 func (e *Engine) forget(c *Call) {
 	if c.Closed() && c.out == 0 && e.calls[c.Request.ID] == c {
@@ -387,14 +415,17 @@
 
 func (e *Engine) takeResult(r Result) {
 	c := r.Attempt.Call
-	if c.left.Load() {
+	if c.left.Load() != 0 {
 		e.takeGone(c) // ahead of what would follow the attempt
 	}
 	c.out--
+	r.Attempt.Target.calls--
+	c.mayHaveRun = c.mayHaveRun || !r.Ending.NeverRan()
 	e.tally.note(e.Log, e.Clock.Now(), r)
 	if r.Ending == deckrelay.Success && c.Close() {
 		e.tally.served++
 		e.aside.Served = true
+		e.guardClose(c, false)
 		c.reply <- Answer{Verdict: Served, Reply: r.Reply}
 	}
 	if r.Attempt.begun { // it is not moved: its break is its call's end, and its client has seen it
@@ -466,7 +497,7 @@
 // halt stops all sends to a server, those that wait for a connection among them.
 func (e *Engine) halt(id string) {
 	if t := e.targets[id]; t != nil {
-		t.Stop()
+		t.Stop(e.Clock.Now())
 		e.Sender.Retire(t)
 		delete(e.targets, id)
 	}
--- a/internal/engine/lease.go
+++ b/internal/engine/lease.go
@@ -27,10 +27,16 @@
 	return l
 }
 
-func (l *lease) until() time.Duration { return time.Duration(l.end.Load()) }
+// until is when it ends; nil has no end.
+func (l *lease) until() time.Duration {
+	if l == nil {
+		return math.MaxInt64
+	}
+	return time.Duration(l.end.Load())
+}
 
 // expired says that the list may not be relied on at a time.
-func (l *lease) expired(now time.Duration) bool { return l != nil && now >= l.until() }
+func (l *lease) expired(now time.Duration) bool { return now >= l.until() }
 
 // Renew says until when the list may be relied on. It does not block, and holds at once for what has not been written.
 func (e *Engine) Renew(l Lease) {
--- a/internal/figures/figures.go
+++ b/internal/figures/figures.go
@@ -34,10 +34,13 @@
 	Failed                    // answered anything else
 	Left                      // given up by the client
 	Drilled                   // part of a drill
+	Violations                // of an invariant; without tags
+	RefusedExpired            // of the refused, while the list of servers had expired
 	counters
 )
 
-var counterNames = [counters]string{"requests", "served", "refused", "turned_away", "failed", "left", "drill.applied"}
+var counterNames = [counters]string{"requests", "served", "refused", "turned_away", "failed", "left", "drill.applied", "invariant.violations",
+	"refused.list_expired"}
 
 // Gauge is a figure that rises and falls.
 type Gauge int
--- a/internal/node/callers.go
+++ b/internal/node/callers.go
@@ -16,6 +16,7 @@
 	"hookwalk.example/hookwalk/internal/drills"
 	"hookwalk.example/hookwalk/internal/engine"
 	"hookwalk.example/hookwalk/internal/figures"
+	"hookwalk.example/hookwalk/invariants"
 )
 
 const (
@@ -49,6 +50,7 @@
 	drills  *drills.Keys
 	figures *figures.Reporter    // nil: off
 	lists   *deckrelay.Addresses // nil: everybody is let in
+	guard   *invariants.Guard
 	ready   func() bool
 	closing func() bool          // every answer ends its connection
 	cutoff  func() time.Duration // the clock time by which the node answers all, once it is told to stop; else 0
@@ -112,6 +114,7 @@
 		return http.StatusBadRequest
 	}
 	if err != nil { // it left, or the node ends and this connection was cut
+		h.guard.Note(invariants.Close{ClientLeft: errors.Is(err, engine.ErrLeft)}.Check(), "id", c.Request.ID, "err", err)
 		return gaveUp
 	}
 	return h.write(w, a)
@@ -168,10 +171,12 @@
 	"Idempotency-Key", "Content-Length"}
 
 // check says why a request is not one of the protocol, before its body is read.
-func (h *callers) check(r *http.Request) (generation, status int, err error) {
-	bad := func(text string) (int, int, error) { return 0, http.StatusBadRequest, errors.New(text) }
+func (h *callers) check(r *http.Request) (effect deckrelay.Effect, generation, status int, err error) {
+	bad := func(text string) (deckrelay.Effect, int, int, error) {
+		return effect, 0, http.StatusBadRequest, errors.New(text)
+	}
 	if !r.ProtoAtLeast(1, 1) { // net/http overlooks a Transfer-Encoding there
-		return 0, http.StatusHTTPVersionNotSupported, errors.New("the version is HTTP/1.1")
+		return effect, 0, http.StatusHTTPVersionNotSupported, errors.New("the version is HTTP/1.1")
 	}
 	// With two lengths net/http believes one, and what a caller wrote as the end of its body would run as a request
 	// of its own.
@@ -179,7 +184,7 @@
 		return bad(c.heads.seen.fault)
 	}
 	if r.ContentLength > maxBulk {
-		return 0, http.StatusRequestEntityTooLarge, fmt.Errorf("the body is over %d bytes", maxBulk)
+		return effect, 0, http.StatusRequestEntityTooLarge, fmt.Errorf("the body is over %d bytes", maxBulk)
 	}
 	for _, name := range single {
 		if len(r.Header[name]) > 1 {
@@ -202,13 +207,13 @@
 	}
 	switch key := r.Header.Get("Idempotency-Key") != ""; {
 	case r.Method != want:
-		return 0, http.StatusMethodNotAllowed, errors.New("the method of the class is " + want)
+		return effect, 0, http.StatusMethodNotAllowed, errors.New("the method of the class is " + want)
 	case key != (effect == deckrelay.Keyed):
 		return bad("Idempotency-Key does not go with the class")
 	case want == http.MethodGet && r.ContentLength > 0:
 		return bad("a GET has no body")
 	}
-	return generation, 0, nil
+	return effect, generation, 0, nil
 }
 
 // read turns an HTTP request into a call, or says with which status to turn it down.
@@ -216,11 +221,12 @@
 	bad := func(format string, args ...any) (*call, int, error) {
 		return nil, http.StatusBadRequest, fmt.Errorf(format, args...)
 	}
-	generation, status, err := h.check(r)
+	effect, generation, status, err := h.check(r)
 	if err != nil {
 		return nil, status, err
 	}
 	c := &call{method: r.Method, url: r.URL, host: r.Host}
+	c.Repeatable = effect != deckrelay.Unsafe
 	c.Tenant = r.Header.Get("X-Caller")
 	c.Request.ID = r.Header.Get("X-Call-Id")
 	c.Request.Class = r.Header.Get("X-Call-Class")
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -27,6 +27,7 @@
 	"hookwalk.example/hookwalk/internal/figures"
 	"hookwalk.example/hookwalk/internal/lifecycle"
 	"hookwalk.example/hookwalk/internal/spool"
+	"hookwalk.example/hookwalk/invariants"
 )
 
 const (
@@ -95,7 +96,8 @@
 	if cfg.Control != "" {
 		spare += control.Places + 1
 	}
-	n.engine = engine.New(engine.Options{Clock: n.clock, Log: logger, Balancer: bal})
+	n.engine = engine.New(engine.Options{Clock: n.clock, Log: logger, Balancer: bal, Guard: invariants.NewGuard(logger)})
+	n.engine.Guard.Counted = func(invariants.Rule) { n.engine.Figures.Count(figures.Tags(0), figures.Violations) }
 	n.inbound = (cfg.Sockets - spare) * 5 / 8
 	n.pool = newPool(n.clock, cfg, cfg.Sockets-spare-n.inbound, n.engine.Ended, n.engine.Answers)
 	n.disc = discovery.New(discovery.Config{Addr: cfg.Discovery, Asked: cfg.Settings.AskDiscovery, AskWithin: cfg.Settings.AskWithin,
@@ -162,6 +164,7 @@
 			drills:  drills.NewKeys(n.cfg.Features.Drills),
 			figures: n.engine.Figures,
 			lists:   n.lists,
+			guard:   n.engine.Guard,
 			closing: func() bool { return n.life.Load().EndsConnections(n.clock.Now()) },
 			cutoff:  func() time.Duration { return n.life.Load().Cutoff() }},
 		ReadHeaderTimeout: headTime,
--- a/internal/node/servers.go
+++ b/internal/node/servers.go
@@ -142,13 +142,16 @@
 			return without(deckrelay.Unreachable, errClosed)
 		}
 	}
-	began := att.Started
+	began, writes := att.Started, p.clock.Now()
 	if call.rest == nil {
-		if _, err := c.Write(p.message(att)); err != nil {
+		left := att.Deadline - writes
+		_, err := c.Write(p.message(att, left))
+		att.Sent(writes, left)
+		if err != nil {
 			p.close(c)
 			return without(deckrelay.Unreachable, err) // the last byte was not written
 		}
-	} else if err := p.upload(c, att); err != nil {
+	} else if err := p.upload(c, att, writes); err != nil {
 		e := c.unsent()
 		p.close(c)
 		if call.rest.lost() {
@@ -194,10 +197,10 @@
 	return res
 }
 
-// message is the request as it goes to a server.
-func (p *pool) message(att *engine.Attempt) []byte {
+// message is the request as it goes to a server, which is told how long the node waits.
+func (p *pool) message(att *engine.Attempt, left time.Duration) []byte {
 	c := att.Call.Payload.(*call)
-	req := p.request(att, att.Deadline-p.clock.Now())
+	req := p.request(att, left)
 	if req.ContentLength = int64(len(c.body)); len(c.body) > 0 {
 		req.Body = io.NopCloser(bytes.NewReader(c.body))
 	}
@@ -207,7 +210,8 @@
 }
 
 // upload writes a request whose body is not held. From the last byte on its time runs.
-func (p *pool) upload(c *conn, att *engine.Attempt) error {
+func (p *pool) upload(c *conn, att *engine.Attempt, began time.Duration) error {
+	defer att.Sent(began, 0)
 	call := att.Call.Payload.(*call)
 	req := p.request(att, att.Patience)
 	req.ContentLength = call.length
--- a/internal/node/servers_test.go
+++ b/internal/node/servers_test.go
@@ -147,7 +147,7 @@
 // over, must not send a byte.
 func TestNothingSentAfterSlowConnect(t *testing.T) {
 	for name, stop := range map[string]func(*engine.Attempt){
-		"drained":  func(a *engine.Attempt) { a.Target.Stop() },
+		"drained":  func(a *engine.Attempt) { a.Target.Stop(1) },
 		"answered": func(a *engine.Attempt) { a.Call.Close() },
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -308,7 +308,7 @@
 	p := testPool(t)
 	att := testAttempt(p, "127.0.0.1:1", 400*time.Millisecond)
 	att.Call.Payload.(*call).url = &url.URL{Path: "/a/b c", RawPath: "/a%2Fb%20c", RawQuery: "x=%20&y"}
-	r, err := http.ReadRequest(bufio.NewReader(strings.NewReader(string(p.message(att)))))
+	r, err := http.ReadRequest(bufio.NewReader(strings.NewReader(string(p.message(att, att.Deadline-p.clock.Now())))))
 	if err != nil {
 		t.Fatal(err)
 	}
