A list may be relied on before it is told, so that what waited for it is served

Cause: the lease was renewed after the update had been handed to the engine, where it refuses what waits while the list has expired. Change: renewed before; in between at most what was chosen from the list before can go, as at any update. TestNewProcessWaitsForTheAgentsWord waits for longer than an unconfirmed list may be relied on; it passed with both orders, so this is by reading.

--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -353,13 +353,7 @@
 		d.failed(ctx, s, err)
 		return
 	}
-	if d.Tell(ctx, Update(l)) != nil {
-		return // only as ctx ends
-	}
-	s.lists++
-	d.seq, d.generation, d.older = l.Seq, s.generation, 0
-	d.version.Store(l.Seq)
-	d.incomplete = d.incomplete && !l.Whole
+	// The list may be relied on before it is told: else what waited for it would be refused as it comes.
 	d.clocked(func(c *listclock.Clock) {
 		if s.whole {
 			c.Answered(s.name, d.now())
@@ -367,6 +361,13 @@
 			c.Whole(s.name, d.now())
 		}
 	})
+	if d.Tell(ctx, Update(l)) != nil {
+		return // only as ctx ends
+	}
+	s.lists++
+	d.seq, d.generation, d.older = l.Seq, s.generation, 0
+	d.version.Store(l.Seq)
+	d.incomplete = d.incomplete && !l.Whole
 	if s.whole {
 		d.end(s.name, errDropped)
 	}
--- a/internal/node/list_test.go
+++ b/internal/node/list_test.go
@@ -133,6 +133,7 @@
 	for range cap(read) { // they are at the node before the agent's word is
 		<-read
 	}
+	<-time.After(300 * time.Millisecond) // longer than a list may be relied on that nobody confirms
 	a.Lines <- `{"seq":2,"hosts":[{"host":"s-1","dial":"` + old.addr() + `","site":"z","health":"terminating"}]}`
 	for range cap(statuses) {
 		if status := <-statuses; status != http.StatusOK {
