A soak of real nodes under random, overlapping faults; an outage behind calls that wait is known

Change: a discovery that has ended its watch, or never had one, and lets two calls in a row fail after more than 1 s counts as away until it speaks.

--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -405,6 +405,8 @@
 			c.Refused(s.name, d.now())
 		case neverReached(err):
 			c.Unreachable(d.now())
+		default:
+			c.Failed(s.name, d.now())
 		}
 		c.Ended(s.name, d.now())
 	})
--- a/internal/figures/figures.go
+++ b/internal/figures/figures.go
@@ -27,15 +27,15 @@
 
 // Counters.
 const (
-	Requests   Counter = iota // all that came, those that were turned away among them
-	Served                    // answered 200
-	Refused                   // answered 429 or 503
-	TurnedAway                // not taken: answered another 4xx
-	Failed                    // answered anything else
-	Left                      // given up by the client
-	Drilled                   // part of a drill
-	Violations                // of an invariant; without tags
-	RefusedExpired            // of the refused, while the list of servers had expired
+	Requests       Counter = iota // all that came, those that were turned away among them
+	Served                        // answered 200
+	Refused                       // answered 429 or 503
+	TurnedAway                    // not taken: answered another 4xx
+	Failed                        // answered anything else
+	Left                          // given up by the client
+	Drilled                       // part of a drill
+	Violations                    // of an invariant; without tags
+	RefusedExpired                // of the refused, while the list of servers had expired
 	counters
 )
 
--- /dev/null
+++ b/internal/lab/soak/nodes.go
@@ -0,0 +1,199 @@
+package soak
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// nodeReady is how long a node may take until it says that it is ready.
+const nodeReady = 30 * time.Second
+
+const nodeConfig = `{"name":"n%d","listen":%q,"discovery":%q,"seed":"8c1f30d27a5be9%02x",
+ "limits":{"cores":1,"memory_mb":128,"sockets":512},"known":%s,
+ "settings":{"registry-mode":"on_request","balancers":%d,"me":%d,"rules":{"ask-within-ms":10000,"warm-after-ms":1000,"cold-from":0.2},
+  "limits":{"conn-idle-ms":1000,"connect-timeout-ms":500,"max-attempts":3,"retry-after":true,"max-retry-after-ms":2000},
+  "lanes":[{"name":"read","effect":"read_like","target-ms":500,"deadline-ms":2000,"worth":1},
+   {"name":"write","effect":"non_idempotent","target-ms":500,"deadline-ms":2000,"worth":2}]}}`
+
+// Program gives the command that runs one node with a configuration file.
+type Program func(config string) *exec.Cmd
+
+// node is one real node, over its lives.
+type node struct {
+	index   int
+	of      int // nodes
+	rec     *record
+	program Program
+	disc    *discovery
+	config  string // its file
+	listen  string
+
+	mu      sync.Mutex // over what follows; a life begins and ends under it
+	address string     // of discovery
+	process *exec.Cmd  // nil: it does not run
+	ending  bool       // it was told to end, or killed
+	ended   chan struct{}
+}
+
+func newNode(index, of int, rec *record, d *discovery, program Program, folder string) (*node, error) {
+	n := &node{index: index, of: of, rec: rec, disc: d, program: program, config: filepath.Join(folder, fmt.Sprintf("n%d.json", index))}
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	n.listen = ln.Addr().String()
+	if err := ln.Close(); err != nil {
+		return nil, err
+	}
+	n.address, err = d.open(index)
+	return n, err
+}
+
+func (n *node) url() string { return "http://" + n.listen }
+
+// write writes the configuration file. The caller holds the lock.
+func (n *node) write() error {
+	known, err := json.Marshal(n.disc.known())
+	if err != nil {
+		return err
+	}
+	text := fmt.Sprintf(nodeConfig, n.index, n.listen, n.address, n.index, known, n.of, n.index)
+	return os.WriteFile(n.config, []byte(text), 0o600)
+}
+
+// start begins a life and waits until it is ready.
+func (n *node) start() error {
+	if err := n.launch(); err != nil {
+		return err
+	}
+	for end := time.Now().Add(nodeReady); time.Now().Before(end); {
+		resp, err := http.Get(n.url() + "/ready")
+		if err == nil {
+			resp.Body.Close()
+			if resp.StatusCode == http.StatusOK {
+				return nil
+			}
+		}
+		<-time.After(10 * time.Millisecond)
+	}
+	return fmt.Errorf("node n%d is not ready after %v: look at its log", n.index, nodeReady)
+}
+
+func (n *node) launch() error {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if err := n.write(); err != nil {
+		return err
+	}
+	c := n.program(n.config)
+	stderr, err := c.StderrPipe()
+	if err != nil {
+		return err
+	}
+	n.rec.note(func(f *Facts) { f.Lives = append(f.Lives, Life{Node: n.index, From: n.rec.now()}) })
+	if err := c.Start(); err != nil {
+		return err
+	}
+	n.process, n.ending, n.ended = c, false, make(chan struct{})
+	go n.attend(c, stderr, n.ended)
+	return nil
+}
+
+// attend reads a life's log to its end.
+func (n *node) attend(c *exec.Cmd, stderr io.Reader, ended chan struct{}) {
+	defer close(ended)
+	complain := func(text string) {
+		n.rec.note(func(f *Facts) { f.Complaint = append(f.Complaint, fmt.Sprintf("n%d: %s", n.index, text)) })
+	}
+	lines := bufio.NewScanner(stderr)
+	lines.Buffer(nil, 8<<20)
+	for lines.Scan() {
+		line := lines.Text()
+		if strings.Contains(line, "invariant broken") || strings.HasPrefix(line, "panic:") || strings.HasPrefix(line, "fatal error:") ||
+			strings.Contains(line, "DATA RACE") {
+			complain(line)
+		}
+	}
+	err := c.Wait()
+	n.mu.Lock()
+	expected := n.ending
+	n.mu.Unlock()
+	if !expected {
+		complain(fmt.Sprintf("the process ended by itself: %v", err))
+	}
+}
+
+// move names another address of discovery by SIGHUP.
+func (n *node) move() error {
+	address, err := n.disc.open(n.index)
+	if err != nil {
+		return err
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.address = address
+	if n.process == nil || n.ending {
+		return nil
+	}
+	if err := n.write(); err != nil {
+		return err
+	}
+	n.rec.note(func(f *Facts) { f.Moves = append(f.Moves, Moved{At: n.rec.now(), Node: n.index}) })
+	return n.process.Process.Signal(syscall.SIGHUP)
+}
+
+// pause holds the process up for a while.
+func (n *node) pause(wait time.Duration) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.process == nil || n.ending {
+		return
+	}
+	n.process.Process.Signal(syscall.SIGSTOP)
+	<-time.After(wait)
+	n.process.Process.Signal(syscall.SIGCONT)
+}
+
+// stop ends a life, by SIGTERM or at once, and waits for its end. False: there was none to end.
+func (n *node) stop(kill bool) bool {
+	n.mu.Lock()
+	if n.process == nil || n.ending {
+		n.mu.Unlock()
+		return false
+	}
+	n.ending = true
+	process, ended := n.process, n.ended
+	n.rec.note(func(f *Facts) {
+		for i := range f.Lives {
+			if l := &f.Lives[i]; l.Node == n.index && l.Told == 0 && l.Killed == 0 {
+				if now := n.rec.now(); kill {
+					l.Killed = now
+				} else {
+					l.Told = now
+				}
+			}
+		}
+	})
+	n.mu.Unlock()
+	if kill {
+		process.Process.Kill()
+	} else {
+		process.Process.Signal(syscall.SIGTERM)
+	}
+	<-ended
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.process = nil
+	return true
+}
--- a/internal/listclock/lease.go
+++ b/internal/listclock/lease.go
@@ -9,8 +9,10 @@
 	pushedGrace = 100 * time.Millisecond
 
 	// A discovery that takes connections and gives nothing back is slow, crowded, or not there: behind an address that
-	// answers, a service that is down shows as calls that are turned down after a wait, or never. It is held to be slow
-	// for so long after the lease has expired, during which the node refuses; then it counts as away until it speaks.
+	// answers, a service that is down shows as calls that are turned down after a wait, or never. Where it had ended its
+	// watch, so many of these in a row say that it is down (Failed); else it is held to be slow for a while after the
+	// lease has expired, during which the node refuses. Then it counts as away until it speaks.
+	mostSlowNos   = 2
 	slowFor       = 10 * time.Second
 	slowForCaller = 50 * time.Millisecond // of each caller, where that is more,
 	slowForMost   = 20 * time.Second      // and no longer than this
--- a/internal/listclock/listclock.go
+++ b/internal/listclock/listclock.go
@@ -51,6 +51,8 @@
 	absence   absence
 	absent    time.Duration // when discovery was last known to be absent
 	moves     []move        // to addresses from which no list has come yet
+	watching  bool          // the last watch is open, be it silent; one that ended may be of a discovery that went down
+	slowNos   int           // calls in a row that failed after they had been left to wait
 }
 
 // absence says why a discovery that does not tell changes is not held to them.
@@ -59,7 +61,7 @@
 const (
 	present      absence = iota
 	unreachable          // the last connection was refused, or did not come up
-	unresponsive         // connections come up, and for long nothing has come of any
+	unresponsive         // connections come up, and nothing comes of any
 )
 
 // move is a configuration that names another discovery.
@@ -123,13 +125,33 @@
 	c.Reached()
 	s := c.stream(name)
 	if c.crowded = s.name != 0 && now-s.begin <= atOnce; c.crowded {
-		c.alive, c.absence = now, present
+		c.spoke(now)
+		return
 	}
+	c.Failed(name, now)
+}
+
+// Failed notes, before its end, that a call was reset or ended without a list. A discovery that goes down ends its
+// watches, and calls fail after they have waited: a few of these in a row say that it is not there. Where the watch is
+// open and silent, or discovery has moved, it may as well be slow.
+func (c *Clock) Failed(name int, now time.Duration) {
+	s := c.stream(name)
+	if s.name == 0 || s.listed > 0 || s.generation != c.generation || now-s.begin <= atOnce {
+		return
+	}
+	if c.slowNos++; !c.watching && c.slowNos >= mostSlowNos {
+		c.absence, c.absent = unresponsive, now
+	}
+}
+
+// spoke notes that discovery is there.
+func (c *Clock) spoke(now time.Duration) {
+	c.alive, c.absence, c.slowNos = now, present, 0
 }
 
 // Heard notes a sign of life on a stream: the head of an answer, a line, an empty one too, or a part of a list.
 func (c *Clock) Heard(name int, now time.Duration) {
-	c.alive, c.absence = now, present
+	c.spoke(now)
 	s := c.stream(name)
 	if s.heard = now; s.listed > 0 && s.object == 0 {
 		c.current = now // a line of a watch: it holds all that there was
@@ -146,7 +168,7 @@
 
 // Whole notes that a watch has brought a list or its changes, whole: what discovery had is held.
 func (c *Clock) Whole(name int, now time.Duration) {
-	c.alive, c.absence = now, present
+	c.spoke(now)
 	s := c.stream(name)
 	if s.heard, s.object = now, 0; s.listed == 0 {
 		s.listed = max(now, 1)
@@ -154,7 +176,7 @@
 	c.current = now
 	c.moves = slices.DeleteFunc(c.moves, func(m move) bool { return m.generation <= s.generation })
 	if s.generation == c.generation {
-		c.mute, c.fails, c.crowded = 0, 0, false
+		c.mute, c.fails, c.crowded, c.watching = 0, 0, false, true
 	}
 }
 
@@ -178,6 +200,8 @@
 	if s.listed == 0 {
 		c.mute = 0 // it was answered, if with a no
 		c.fails++
+	} else if !c.watched() {
+		c.watching = false
 	}
 	c.next = now + c.again(s.draw)
 }
@@ -211,6 +235,7 @@
 	c.generation++
 	c.next, c.begun = now, true
 	c.mute, c.fails, c.garbled, c.crowded = 0, 0, 0, false
+	c.watching, c.slowNos = true, 0
 	if len(c.moves) == mostMoves {
 		c.moves[mostMoves-1].generation = c.generation
 		return
--- a/internal/listclock/listclock_test.go
+++ b/internal/listclock/listclock_test.go
@@ -40,22 +40,41 @@
 				c.Heard(1, at)
 			}
 		}, 5 * s, s + Object, 6 * s, Aging},
-		"a call refused":              {slow, func(c *Clock) { c.Call(s, 0); c.Ended(1, 2*s) }, 2 * s, 2*s + againFirst/5, 6 * s, Aging},
-		"after a list":                {slow, func(c *Clock) { c.Call(s, 0); c.Whole(1, s); c.Ended(1, 2*s); c.Call(3*s, 0); c.Ended(2, 3*s) }, 5 * s, 0, 7 * s, Aging},
-		"a watch that ended":          {asked, func(c *Clock) { c.Call(s, 0); c.Whole(1, 2*s); c.Ended(1, 3*s) }, 3 * s, 3*s + againFirst/10, 8 * s, Aging},
-		"asked for more often":        {Rules{AskWithin: 2 * s}, func(c *Clock) { c.Call(s, 0); c.Whole(1, 2*s); c.Ended(1, 3*s) }, 3 * s, 3*s + againFirst/10, 3 * s, Expired},
-		"the module wants a list":     {asked, func(c *Clock) { c.Wish() }, s, 0, 6 * s, Aging},
-		"but not beside a stream":     {asked, func(c *Clock) { c.Call(s, 0); c.Wish() }, s, s + patient, 6 * s, Aging},
-		"discovery is away":           {asked, func(c *Clock) { c.Call(s, 0); c.Unreachable(s); c.Ended(1, s) }, 60 * s, 0, forEver, Aging},
-		"and back":                    {asked, func(c *Clock) { c.Unreachable(40 * s); c.Call(50*s, 0); c.Whole(1, 51*s) }, 52 * s, 53*s + 300*ms, 57 * s, Fresh},
-		"another discovery":           {asked, func(c *Clock) { c.Call(0, 0); c.Whole(1, s); c.Moved(2 * s) }, 6 * s, 0, 6 * s, Expired},
-		"and its list":                {asked, func(c *Clock) { c.Moved(2 * s); c.Call(2*s, 0); c.Whole(1, 3*s) }, 4 * s, 5*s + 300*ms, 9 * s, Fresh},
-		"pushed, no watch yet":        {pushed, func(c *Clock) { c.Call(s, 0) }, s, s + patient, pushedGrace, Expired},
-		"pushed, a watch":             {pushed, func(c *Clock) { c.Call(s, 0); c.Whole(1, s) }, 2 * s, s + quiet, 7 * s, Fresh},
-		"pushed, a watch that ended":  {pushed, func(c *Clock) { c.Call(s, 0); c.Whole(1, s); c.Ended(1, 2*s) }, 2*s + pushedGrace, 0, 2*s + pushedGrace, Expired},
-		"and just before":             {pushed, func(c *Clock) { c.Call(s, 0); c.Whole(1, s); c.Ended(1, 2*s) }, 2 * s, 2*s + againFirst/10, 2*s + pushedGrace, Aging},
-		"pushed, an outage":           {pushed, func(c *Clock) { c.Call(s, 0); c.Unreachable(s); c.Ended(1, s) }, s, s + againPushed/2, forEver, Aging},
-		"pushed, after SIGHUP":        {pushed, func(c *Clock) { c.Call(s, 0); c.Whole(1, s); c.Heard(1, 4*s); c.Moved(5 * s) }, 8 * s, 0, 9 * s, Aging},
+		"a call refused":                 {slow, func(c *Clock) { c.Call(s, 0); c.Ended(1, 2*s) }, 2 * s, 2*s + againFirst/5, 6 * s, Aging},
+		"after a list":                   {slow, func(c *Clock) { c.Call(s, 0); c.Whole(1, s); c.Ended(1, 2*s); c.Call(3*s, 0); c.Ended(2, 3*s) }, 5 * s, 0, 7 * s, Aging},
+		"a watch that ended":             {asked, func(c *Clock) { c.Call(s, 0); c.Whole(1, 2*s); c.Ended(1, 3*s) }, 3 * s, 3*s + againFirst/10, 8 * s, Aging},
+		"asked for more often":           {Rules{AskWithin: 2 * s}, func(c *Clock) { c.Call(s, 0); c.Whole(1, 2*s); c.Ended(1, 3*s) }, 3 * s, 3*s + againFirst/10, 3 * s, Expired},
+		"the module wants a list":        {asked, func(c *Clock) { c.Wish() }, s, 0, 6 * s, Aging},
+		"but not beside a stream":        {asked, func(c *Clock) { c.Call(s, 0); c.Wish() }, s, s + patient, 6 * s, Aging},
+		"discovery is away":              {asked, func(c *Clock) { c.Call(s, 0); c.Unreachable(s); c.Ended(1, s) }, 60 * s, 0, forEver, Aging},
+		"and back":                       {asked, func(c *Clock) { c.Unreachable(40 * s); c.Call(50*s, 0); c.Whole(1, 51*s) }, 52 * s, 53*s + 300*ms, 57 * s, Fresh},
+		"another discovery":              {asked, func(c *Clock) { c.Call(0, 0); c.Whole(1, s); c.Moved(2 * s) }, 6 * s, 0, 6 * s, Expired},
+		"and its list":                   {asked, func(c *Clock) { c.Moved(2 * s); c.Call(2*s, 0); c.Whole(1, 3*s) }, 4 * s, 5*s + 300*ms, 9 * s, Fresh},
+		"pushed, no watch yet":           {pushed, func(c *Clock) { c.Call(s, 0) }, s, s + patient, pushedGrace, Expired},
+		"pushed, a watch":                {pushed, func(c *Clock) { c.Call(s, 0); c.Whole(1, s) }, 2 * s, s + quiet, 7 * s, Fresh},
+		"pushed, a watch that ended":     {pushed, func(c *Clock) { c.Call(s, 0); c.Whole(1, s); c.Ended(1, 2*s) }, 2*s + pushedGrace, 0, 2*s + pushedGrace, Expired},
+		"and just before":                {pushed, func(c *Clock) { c.Call(s, 0); c.Whole(1, s); c.Ended(1, 2*s) }, 2 * s, 2*s + againFirst/10, 2*s + pushedGrace, Aging},
+		"pushed, an outage":              {pushed, func(c *Clock) { c.Call(s, 0); c.Unreachable(s); c.Ended(1, s) }, s, s + againPushed/2, forEver, Aging},
+		"pushed, after SIGHUP":           {pushed, func(c *Clock) { c.Call(s, 0); c.Whole(1, s); c.Heard(1, 4*s); c.Moved(5 * s) }, 8 * s, 0, 9 * s, Aging},
+		"down: watches end, calls wait":  {asked, func(c *Clock) { lose(c, 0, 3*s, 6*s) }, 7 * s, 8100*ms + againFirst*4/10, forEver, Aging},
+		"and is back":                    {asked, func(c *Clock) { lose(c, 0, 3*s, 6*s); c.Call(9*s, 0); c.Refused(4, 9*s+ms); c.Ended(4, 9*s+ms) }, 14 * s, 0, 14*s + 100*ms, Aging},
+		"a first slow no may be a crowd": {asked, func(c *Clock) { lose(c, 0, 3*s) }, 4 * s, 5100*ms + againFirst*2/10, 7 * s, Aging},
+		"no at once is a crowd":          {asked, func(c *Clock) { lose(c, 0, 3*s, 6*s); crowd(c, 9*s) }, 14 * s, 0, 14*s + 100*ms, Aging},
+		"a silent watch is no outage": {asked, func(c *Clock) {
+			c.Call(0, 0)
+			c.Whole(1, s)
+			for at := 4 * s; at < 7*s; at += s {
+				turnedDown(c, at, at+900*ms+200*ms)
+			}
+		}, 8 * s, 0, 7 * s, Expired},
+		"nor is another address": {asked, func(c *Clock) {
+			c.Call(0, 0)
+			c.Whole(1, s)
+			c.Moved(2 * s)
+			c.Ended(1, 3*s)
+			turnedDown(c, 3*s, 5*s)
+			turnedDown(c, 5*s, 7*s)
+		}, 8 * s, 0, 6 * s, Expired},
 		"what can't be read, again":   {asked, func(c *Clock) { garble(c, 2, s) }, s, s + 2*againFirst, 6 * s, Aging},
 		"is not asked for by a wish":  {asked, func(c *Clock) { garble(c, 2, s); c.Wish() }, s, s + 2*againFirst, 6 * s, Aging},
 		"a whole list alone":          {asked, func(c *Clock) { c.Call(s, 0); c.Answered(1, 2*s) }, 2 * s, 0, 8 * s, Aging},
@@ -71,6 +90,26 @@
 	}
 }
 
+// lose is a watch that ends, and calls after it that are turned down 2.1 s after they began.
+func lose(c *Clock, at time.Duration, calls ...time.Duration) {
+	c.Call(at, 0)
+	c.Whole(1, s)
+	c.Ended(1, 2*s)
+	for _, at := range calls {
+		turnedDown(c, at, at+2100*ms)
+	}
+}
+
+func turnedDown(c *Clock, from, at time.Duration) {
+	name := c.Call(from, 0)
+	c.Reached()
+	c.Refused(name, at)
+	c.Ended(name, at)
+}
+
+// crowd is a call that is turned down at once.
+func crowd(c *Clock, at time.Duration) { turnedDown(c, at, at+ms) }
+
 // garble is so many answers in a row that can't be read.
 func garble(c *Clock, n int, at time.Duration) {
 	for range n {
