--- a/internal/listclock/lease.go
+++ b/internal/listclock/lease.go
@@ -10,9 +10,11 @@
 
 	// A discovery that takes connections and gives nothing back is slow, crowded, or not there: behind an address that
 	// answers, a service that is down shows as calls that are turned down after a wait, or never. Where it had ended its
-	// watch, so many of these in a row say that it is down (Failed); else it is held to be slow for a while after the
+	// watch, one of these says that it is down, or two that were reset; else it is held to be slow for a while after the
 	// lease has expired, during which the node refuses. Then it counts as away until it speaks.
-	mostSlowNos   = 2
+	enoughInVain  = 2
+	slowRefused   = 2
+	slowReset     = 1
 	slowFor       = 10 * time.Second
 	slowForCaller = 50 * time.Millisecond // of each caller, where that is more,
 	slowForMost   = 20 * time.Second      // and no longer than this
--- a/internal/listclock/listclock.go
+++ b/internal/listclock/listclock.go
@@ -52,7 +52,7 @@
 	absent    time.Duration // when discovery was last known to be absent
 	moves     []move        // to addresses from which no list has come yet
 	watching  bool          // the last watch is open, be it silent; one that ended may be of a discovery that went down
-	slowNos   int           // calls in a row that failed after they had been left to wait
+	inVain    int           // what calls in a row that failed after they had been left to wait say of an outage
 }
 
 // absence says why a discovery that does not tell changes is not held to them.
@@ -128,25 +128,28 @@
 		c.spoke(now)
 		return
 	}
-	c.Failed(name, now)
+	c.waitedInVain(name, now, slowRefused)
 }
 
-// Failed notes, before its end, that a call was reset or ended without a list. A discovery that goes down ends its
-// watches, and calls fail after they have waited: a few of these in a row say that it is not there. Where the watch is
-// open and silent, or discovery has moved, it may as well be slow.
-func (c *Clock) Failed(name int, now time.Duration) {
+// Failed notes, before its end, that a call was reset or ended without a list.
+func (c *Clock) Failed(name int, now time.Duration) { c.waitedInVain(name, now, slowReset) }
+
+// waitedInVain notes that a call failed, and how much that says where it had been left to wait. A discovery that goes down
+// ends its watches, and whoever stands before it turns calls down after a wait, or resets them. Where the watch is open
+// and silent, or discovery has moved, it may as well be slow.
+func (c *Clock) waitedInVain(name int, now time.Duration, weight int) {
 	s := c.stream(name)
 	if s.name == 0 || s.listed > 0 || s.generation != c.generation || now-s.begin <= atOnce {
 		return
 	}
-	if c.slowNos++; !c.watching && c.slowNos >= mostSlowNos {
+	if c.inVain += weight; !c.watching && c.inVain >= enoughInVain {
 		c.absence, c.absent = unresponsive, now
 	}
 }
 
 // spoke notes that discovery is there.
 func (c *Clock) spoke(now time.Duration) {
-	c.alive, c.absence, c.slowNos = now, present, 0
+	c.alive, c.absence, c.inVain = now, present, 0
 }
 
 // Heard notes a sign of life on a stream: the head of an answer, a line, an empty one too, or a part of a list.
@@ -235,7 +238,7 @@
 	c.generation++
 	c.next, c.begun = now, true
 	c.mute, c.fails, c.garbled, c.crowded = 0, 0, 0, false
-	c.watching, c.slowNos = true, 0
+	c.watching, c.inVain = true, 0
 	if len(c.moves) == mostMoves {
 		c.moves[mostMoves-1].generation = c.generation
 		return
--- a/internal/listclock/listclock_test.go
+++ b/internal/listclock/listclock_test.go
@@ -58,8 +58,17 @@
 		"pushed, after SIGHUP":           {pushed, func(c *Clock) { c.Call(s, 0); c.Whole(1, s); c.Heard(1, 4*s); c.Moved(5 * s) }, 8 * s, 0, 9 * s, Aging},
 		"down: watches end, calls wait":  {asked, func(c *Clock) { lose(c, 0, 3*s, 6*s) }, 7 * s, 8100*ms + againFirst*4/10, forEver, Aging},
 		"and is back":                    {asked, func(c *Clock) { lose(c, 0, 3*s, 6*s); c.Call(9*s, 0); c.Refused(4, 9*s+ms); c.Ended(4, 9*s+ms) }, 14 * s, 0, 14*s + 100*ms, Aging},
-		"a first slow no may be a crowd": {asked, func(c *Clock) { lose(c, 0, 3*s) }, 4 * s, 5100*ms + againFirst*2/10, 7 * s, Aging},
-		"no at once is a crowd":          {asked, func(c *Clock) { lose(c, 0, 3*s, 6*s); crowd(c, 9*s) }, 14 * s, 0, 14*s + 100*ms, Aging},
+		"a call that waits and is reset": {asked, func(c *Clock) { lose(c, 0); c.Call(3*s, 0); c.Failed(2, 5*s); c.Ended(2, 5*s) }, 5 * s, 5*s + againFirst*2/10, 7 * s, Aging},
+		"a second one": {asked, func(c *Clock) {
+			lose(c, 0)
+			c.Call(3*s, 0)
+			c.Failed(2, 5*s)
+			c.Ended(2, 5*s)
+			c.Call(5*s, 0)
+			c.Failed(3, 7*s)
+			c.Ended(3, 7*s)
+		}, 8 * s, 0, forEver, Aging},
+		"no at once is a crowd": {asked, func(c *Clock) { lose(c, 0, 3*s, 6*s); crowd(c, 9*s) }, 14 * s, 0, 14*s + 100*ms, Aging},
 		"a silent watch is no outage": {asked, func(c *Clock) {
 			c.Call(0, 0)
 			c.Whole(1, s)
