A list that is handed over keeps its age, also past its lease, and no version of an earlier address

A successor held the list that it took over as if it had just been confirmed; one of an age over its lease got 6 s anew, since a time before the process began was taken for never; and a version of the address before a move was asked for at the new one, which may count in its own way. Change: Hold keeps times before the start, ResumeAt gives 0 while no list has come from the present address. Tests: rows of listclock's table (the one of a list 5 s old failed before), TestHandedOverListKeepsItsAge, TestLeaseFollowsDiscovery.

--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -168,6 +168,17 @@
 	d.version.Store(version)
 }
 
+// ResumeAt is the version from which another process of the node may ask at the present address: none, where the list held
+// came from an earlier one, for each may count in its own way.
+func (d *Source) ResumeAt() int64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.clock.Moving() {
+		return 0
+	}
+	return d.Version()
+}
+
 // Hold has the list held be as old as it was in the other process of the node that handed it over. It is for the time
 // before Run.
 func (d *Source) Hold(age time.Duration) {
--- /dev/null
+++ b/internal/discovery/lease_test.go
@@ -0,0 +1,88 @@
+package discovery
+
+import (
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"hookwalk.example/hookwalk/internal/discovery/discoverytest"
+	"hookwalk.example/hookwalk/internal/engine"
+	"hookwalk.example/hookwalk/internal/listclock"
+)
+
+// What one process hands to the next is as old as it was: a list that was confirmed 4 s ago may be relied on for 2 s more.
+// Where it came from an address that is no longer named, its version says nothing.
+func TestHandedOverListKeepsItsAge(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a := discoverytest.NewAgent(discoverytest.WholeList)
+		d, heard := watchOn(t, "agent:1", "on_request", piped(t, a), func(d *Source) { d.Subscribe() })
+		a.WantCall(t, "watch 1")
+		a.Lines <- `{"seq":43,"whole":false,"hosts":[]}`
+		<-heard
+		<-time.After(4 * time.Second)
+		if d.Age() != 4*time.Second || d.ResumeAt() != 43 {
+			t.Errorf("handed over %v old, version %d", d.Age(), d.ResumeAt())
+		}
+		d.Move("agent:2")
+		if d.ResumeAt() != 0 {
+			t.Errorf("after a move handed over version %d", d.ResumeAt())
+		}
+		var lease engine.Lease
+		config := testConfig("agent:2", "on_request")
+		config.AskWithin = 10 * time.Second
+		next := New(config, d.log, nil)
+		next.Renew = func(l engine.Lease) { lease = l }
+		next.Hold(d.Age())
+		if left := time.Until(lease.Until); lease.Open || left != listclock.Told-4*time.Second {
+			t.Errorf("the next process may rely on it for %v more", left)
+		}
+	})
+}
+
+// The lease follows what is heard: each line of a watch renews it, an outage opens it, and a discovery that turns calls
+// down at once ends that.
+func TestLeaseFollowsDiscovery(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a := discoverytest.NewAgent(discoverytest.WholeList)
+		leases := make(chan engine.Lease, 100)
+		_, heard := watchOn(t, "agent:1", "on_request", piped(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			select {
+			case <-a.End: // closed: down
+				<-time.After(2 * time.Second)
+				w.WriteHeader(http.StatusServiceUnavailable)
+			default:
+				a.ServeHTTP(w, r)
+			}
+		})), func(d *Source) {
+			d.Renew = func(l engine.Lease) { leases <- l }
+			d.Subscribe()
+		})
+		newest := func() (l engine.Lease) {
+			synctest.Wait()
+			for len(leases) > 0 {
+				l = <-leases
+			}
+			return l
+		}
+		a.WantCall(t, "watch 1")
+		a.Lines <- `{"seq":43,"whole":false,"hosts":[]}`
+		<-heard
+		if l := newest(); l.Open || time.Until(l.Until) != listclock.Told {
+			t.Errorf("after a list: %+v", l)
+		}
+		<-time.After(2 * time.Second)
+		a.Lines <- ""
+		if l := newest(); time.Until(l.Until) != listclock.Told {
+			t.Errorf("after a line: %+v", l)
+		}
+		close(a.End)
+		if u := <-heard; !u.Failed {
+			t.Fatalf("heard %+v", u)
+		}
+		<-time.After(3 * time.Second)
+		if l := newest(); !l.Open {
+			t.Errorf("in an outage: %+v", l)
+		}
+	})
+}
--- a/internal/listclock/lease.go
+++ b/internal/listclock/lease.go
@@ -31,7 +31,10 @@
 	if c.Away() {
 		return forEver
 	}
-	expires := max(c.current, c.absent) + Told
+	expires := c.current + Told
+	if c.absent > 0 {
+		expires = max(expires, c.absent+Told)
+	}
 	switch {
 	case c.watched():
 	case c.Pushed:
--- a/internal/listclock/listclock.go
+++ b/internal/listclock/listclock.go
@@ -73,6 +73,9 @@
 // Generation counts the addresses so far: it is that of the streams that are called now.
 func (c *Clock) Generation() int { return c.generation }
 
+// Moving says that no list has come yet from the present address.
+func (c *Clock) Moving() bool { return len(c.moves) > 0 }
+
 // mostMoves are kept apart. Of further ones the last is held to the time of the one before it.
 const mostMoves = 16
 
--- a/internal/listclock/listclock_test.go
+++ b/internal/listclock/listclock_test.go
@@ -84,6 +84,11 @@
 			turnedDown(c, 3*s, 5*s)
 			turnedDown(c, 5*s, 7*s)
 		}, 8 * s, 0, 6 * s, Expired},
+		"handed over 5 s old":         {asked, func(c *Clock) { c.Hold(0, 5*s); c.Call(0, 0) }, s, patient, s, Expired},
+		"handed over, pushed":         {pushed, func(c *Clock) { c.Hold(0, 0); c.Call(0, 0) }, 50 * ms, patient, pushedGrace, Aging},
+		"moved twice":                 {asked, func(c *Clock) { c.Call(0, 0); c.Whole(1, s); c.Heard(1, 2*s); c.Moved(2 * s); c.Moved(4 * s) }, 5 * s, 0, 6 * s, Aging},
+		"a list from the one before":  {asked, func(c *Clock) { c.Moved(2 * s); c.Call(2*s, 0); c.Moved(3 * s); c.Whole(1, 4*s) }, 5 * s, 0, 7 * s, Aging},
+		"a line from the first":       {asked, func(c *Clock) { c.Call(0, 0); c.Whole(1, s); c.Moved(2 * s); c.Heard(1, 5*s) }, 5 * s, 0, 6 * s, Aging},
 		"what can't be read, again":   {asked, func(c *Clock) { garble(c, 2, s) }, s, s + 2*againFirst, 6 * s, Aging},
 		"is not asked for by a wish":  {asked, func(c *Clock) { garble(c, 2, s); c.Wish() }, s, s + 2*againFirst, 6 * s, Aging},
 		"a whole list alone":          {asked, func(c *Clock) { c.Call(s, 0); c.Answered(1, 2*s) }, 2 * s, 0, 8 * s, Aging},
--- a/internal/node/takeover.go
+++ b/internal/node/takeover.go
@@ -197,7 +197,7 @@
 	if n.kin.over {
 		return handover.ErrOver
 	}
-	e := handover.Estate{Node: n.cfg.Name, Listen: n.cfg.Listen, Settings: set, Seq: n.disc.Version(), ListAge: n.disc.Age()}
+	e := handover.Estate{Node: n.cfg.Name, Listen: n.cfg.Listen, Settings: set, Seq: n.disc.ResumeAt(), ListAge: n.disc.Age()}
 	e.Module, e.Boxes, e.Out, err = n.engine.Estate(context.Background(), func() {
 		e.Drained = n.life.Load().Drained()
 	})
