--- a/cmd/hookwalk/lab.go
+++ b/cmd/hookwalk/lab.go
@@ -28,6 +28,7 @@
 	Up     labUp     `cmd:"" help:"Bring a scenario's world up on loopback, print how to reach it, and stay until Ctrl-C."`
 	Paper  labPaper  `cmd:"" help:"Compute the tables of the design's paper beside the published ones, and the module in the same world; status 1 where one differs."`
 	Fleet  labFleet  `cmd:"" help:"Play a scenario with a process for every node, for boxes, discovery and clients, and faults between them; status 1 where a rule is broken, 3 where the machine was too slow to tell."`
+	Soak   labSoak   `cmd:"" help:"Play real nodes against random, overlapping faults, judged from outside and by their invariants; status 1 where a rule is broken."`
 	Part   labPart   `cmd:"" hidden:"" help:"A process of lab fleet."`
 	Run    labRun    `cmd:"" help:"Play a scenario and hold it to the rules; status 1 where one is broken."`
 }
--- a/internal/lab/soak/discovery.go
+++ b/internal/lab/soak/discovery.go
@@ -204,12 +204,12 @@
 	for first := true; ; first = false {
 		text, version, news := d.since(from)
 		if first || version > from {
-			d.rec.note(func(f *Facts) { f.Written = append(f.Written, Written{At: d.rec.now(), Node: node, Version: version}) })
 			if _, cut := d.faults.meets(Cut); cut {
 				w.Write(text[:len(text)/2])
 				w.(http.Flusher).Flush()
 				panic(http.ErrAbortHandler)
 			}
+			d.rec.note(func(f *Facts) { f.Written = append(f.Written, Written{At: d.rec.now(), Node: node, Version: version}) })
 			w.Write(text)
 			w.(http.Flusher).Flush()
 			from = version
--- a/internal/lab/soak/facts.go
+++ b/internal/lab/soak/facts.go
@@ -30,7 +30,7 @@
 	Version int64
 }
 
-// Written is a list that discovery wrote to a node, whether or not it arrived whole.
+// Written is a list that discovery wrote to a node whole. One that is cut is a call that failed.
 type Written struct {
 	At      time.Duration
 	Node    int
