A lease that was over before discovery went away stays over; soaks side by side have own addresses

What counts as told goes on to count. Change: the lease keeps an end that was past before the outage can have begun; nodes of a soak listen on addresses of their process.

--- a/deckrelay/discovery.go
+++ b/deckrelay/discovery.go
@@ -36,8 +36,8 @@
 	}
 }
 
-// unreliable says that a list is held and has expired. Before the first list there is nothing to send on, and its arrival
-// is waited for.
+// unreliable says that a list is held and has expired. Before the first list there is nothing to send on, and
+// its arrival is waited for.
 func (b *Balancer) unreliable() bool { return b.expired && len(b.servers) > 0 }
 
 // relist finds the servers in service of every pool: listed as ready, and not out by hand.
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -284,7 +284,7 @@
 		return
 	}
 	d.expires = expires
-	d.Renew(engine.Lease{Until: d.epoch.Add(expires), Open: d.clock.Away()})
+	d.Renew(engine.Lease{Until: d.epoch.Add(expires), Open: d.clock.Open()})
 }
 
 // State says what the list that the node holds is worth.
@@ -384,7 +384,7 @@
 		case errors.As(err, new(*StatusError)):
 			c.Refused(s.name, d.now())
 		case neverReached(err):
-			c.Unreachable(d.now())
+			c.Unreachable(s.name, d.now())
 		default:
 			c.Failed(s.name, d.now())
 		}
--- a/internal/lab/soak/discovery.go
+++ b/internal/lab/soak/discovery.go
@@ -69,7 +69,7 @@
 
 // open gives a node a new address. The one before takes no new connections, and closes those that it has after a while.
 func (d *discovery) open(node int) (addr string, err error) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	ln, err := net.Listen("tcp", standInAddress()+":0")
 	if err != nil {
 		return "", err
 	}
--- a/internal/lab/soak/nodes.go
+++ b/internal/lab/soak/nodes.go
@@ -3,9 +3,9 @@
 import (
 	"bufio"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -48,18 +48,26 @@
 
 func newNode(index, of int, rec *record, d *discovery, program Program, folder string) (*node, error) {
 	n := &node{index: index, of: of, rec: rec, disc: d, program: program, config: filepath.Join(folder, fmt.Sprintf("n%d.json", index))}
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return nil, err
-	}
-	n.listen = ln.Addr().String()
-	if err := ln.Close(); err != nil {
-		return nil, err
-	}
+	n.listen = fmt.Sprintf("%s:%d", nodeAddress(), firstPort+index)
+	var err error
 	n.address, err = d.open(index)
 	return n, err
 }
 
+// firstPort is that of the first node. Nodes have addresses of their own on loopback, so that no port of theirs is
+// another's while they do not run, nor another soak's beside this one.
+const firstPort = 20000
+
+func standInAddress() string { return ownAddress(1) }
+
+func nodeAddress() string { return ownAddress(2) }
+
+// ownAddress is an address on loopback that this process has to itself, but for one in 16,384 others.
+func ownAddress(last int) string {
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.%d", 64+pid>>8&63, pid&255, last)
+}
+
 func (n *node) url() string { return "http://" + n.listen }
 
 // write writes the configuration file. The caller holds the lock.
@@ -150,7 +158,10 @@
 		return err
 	}
 	n.rec.note(func(f *Facts) { f.Moves = append(f.Moves, Moved{At: n.rec.now(), Node: n.index}) })
-	return n.process.Process.Signal(syscall.SIGHUP)
+	if err := n.process.Process.Signal(syscall.SIGHUP); !errors.Is(err, os.ErrProcessDone) { // its end is a complaint
+		return err
+	}
+	return nil
 }
 
 // pause holds the process up for a while.
--- a/internal/lab/soak/servers.go
+++ b/internal/lab/soak/servers.go
@@ -69,7 +69,7 @@
 }
 
 func newServer(index int, rec *record) (*server, error) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	ln, err := net.Listen("tcp", standInAddress()+":0")
 	if err != nil {
 		return nil, err
 	}
--- a/internal/listclock/lease.go
+++ b/internal/listclock/lease.go
@@ -28,7 +28,10 @@
 // and nothing may be sent on the list. It may be past. Whatever a call that failed or was given up allows, a change
 // counts Told after discovery had it and could be reached.
 func (c *Clock) Expires() time.Duration {
-	if c.Away() {
+	switch {
+	case c.lapsed > 0:
+		return c.lapsed
+	case c.Away():
 		return forEver
 	}
 	expires := c.current + Told
@@ -48,6 +51,9 @@
 	return expires
 }
 
+// Open says that the lease has no end for now: discovery is away.
+func (c *Clock) Open() bool { return c.Expires() == forEver }
+
 // Hold takes over a list from the process before this one: it was all that discovery had so long ago.
 func (c *Clock) Hold(now, age time.Duration) { c.current = now - age }
 
--- a/internal/listclock/listclock.go
+++ b/internal/listclock/listclock.go
@@ -50,6 +50,7 @@
 	alive     time.Duration // when discovery spoke last, be it to say no at once
 	absence   absence
 	absent    time.Duration // when discovery was last known to be absent
+	lapsed    time.Duration // the end of a lease that was over before discovery went away; 0: none was
 	moves     []move        // to addresses from which no list has come yet
 	watching  bool          // the last watch is open, be it silent; one that ended may be of a discovery that went down
 	inVain    int           // what calls in a row that failed after they had been left to wait say of an outage
@@ -117,9 +118,20 @@
 	}
 }
 
-// Unreachable notes that a connection to discovery was refused or did not come up.
-func (c *Clock) Unreachable(now time.Duration) {
-	c.absence, c.absent = unreachable, now
+// Unreachable notes, before its end, that a call's connection was refused or did not come up.
+func (c *Clock) Unreachable(name int, now time.Duration) {
+	c.away(unreachable, c.stream(name).begin, now)
+}
+
+// away notes that discovery has been absent since a time at the latest. What counted as told before does so still.
+func (c *Clock) away(how absence, since, now time.Duration) {
+	if c.Pushed { // its watch ended as it went
+		since = min(since, c.unwatched)
+	}
+	if expires := c.Expires(); c.absence == present && expires <= since {
+		c.lapsed = max(expires, 1)
+	}
+	c.absence, c.absent = how, now
 }
 
 // Refused notes, before its end, that a call was answered with a no. One that comes at once is of a discovery that is
@@ -146,7 +158,7 @@
 		return
 	}
 	if c.inVain += weight; !c.watching && c.inVain >= enoughInVain {
-		c.absence, c.absent = unresponsive, now
+		c.away(unresponsive, s.begin, now)
 	}
 }
 
@@ -160,7 +172,7 @@
 	c.spoke(now)
 	s := c.stream(name)
 	if s.heard = now; s.listed > 0 && s.object == 0 {
-		c.current = now // a line of a watch: it holds all that there was
+		c.current, c.lapsed = now, 0 // a line of a watch: it holds all that there was
 	}
 }
 
@@ -179,7 +191,7 @@
 	if s.heard, s.object = now, 0; s.listed == 0 {
 		s.listed = max(now, 1)
 	}
-	c.current = now
+	c.current, c.lapsed = now, 0
 	c.moves = slices.DeleteFunc(c.moves, func(m move) bool { return m.generation <= s.generation })
 	if s.generation == c.generation {
 		c.mute, c.fails, c.crowded, c.watching = 0, 0, false, true
--- a/internal/listclock/listclock_test.go
+++ b/internal/listclock/listclock_test.go
@@ -40,21 +40,27 @@
 				c.Heard(1, at)
 			}
 		}, 5 * s, s + Object, 6 * s, Aging},
-		"a call refused":                 {slow, func(c *Clock) { c.Call(s, 0); c.Ended(1, 2*s) }, 2 * s, 2*s + againFirst/5, 6 * s, Aging},
-		"after a list":                   {slow, func(c *Clock) { c.Call(s, 0); c.Whole(1, s); c.Ended(1, 2*s); c.Call(3*s, 0); c.Ended(2, 3*s) }, 5 * s, 0, 7 * s, Aging},
-		"a watch that ended":             {asked, func(c *Clock) { c.Call(s, 0); c.Whole(1, 2*s); c.Ended(1, 3*s) }, 3 * s, 3*s + againFirst/10, 8 * s, Aging},
-		"asked for more often":           {Rules{AskWithin: 2 * s}, func(c *Clock) { c.Call(s, 0); c.Whole(1, 2*s); c.Ended(1, 3*s) }, 3 * s, 3*s + againFirst/10, 3 * s, Expired},
-		"the module wants a list":        {asked, func(c *Clock) { c.Wish() }, s, 0, 6 * s, Aging},
-		"but not beside a stream":        {asked, func(c *Clock) { c.Call(s, 0); c.Wish() }, s, s + patient, 6 * s, Aging},
-		"discovery is away":              {asked, func(c *Clock) { c.Call(s, 0); c.Unreachable(s); c.Ended(1, s) }, 60 * s, 0, forEver, Aging},
-		"and back":                       {asked, func(c *Clock) { c.Unreachable(40 * s); c.Call(50*s, 0); c.Whole(1, 51*s) }, 52 * s, 53*s + 300*ms, 57 * s, Fresh},
+		"a call refused":          {slow, func(c *Clock) { c.Call(s, 0); c.Ended(1, 2*s) }, 2 * s, 2*s + againFirst/5, 6 * s, Aging},
+		"after a list":            {slow, func(c *Clock) { c.Call(s, 0); c.Whole(1, s); c.Ended(1, 2*s); c.Call(3*s, 0); c.Ended(2, 3*s) }, 5 * s, 0, 7 * s, Aging},
+		"a watch that ended":      {asked, func(c *Clock) { c.Call(s, 0); c.Whole(1, 2*s); c.Ended(1, 3*s) }, 3 * s, 3*s + againFirst/10, 8 * s, Aging},
+		"asked for more often":    {Rules{AskWithin: 2 * s}, func(c *Clock) { c.Call(s, 0); c.Whole(1, 2*s); c.Ended(1, 3*s) }, 3 * s, 3*s + againFirst/10, 3 * s, Expired},
+		"the module wants a list": {asked, func(c *Clock) { c.Wish() }, s, 0, 6 * s, Aging},
+		"but not beside a stream": {asked, func(c *Clock) { c.Call(s, 0); c.Wish() }, s, s + patient, 6 * s, Aging},
+		"discovery is away":       {asked, func(c *Clock) { c.Call(s, 0); c.Unreachable(1, s); c.Ended(1, s) }, 60 * s, 0, forEver, Aging},
+		"and back": {asked, func(c *Clock) {
+			c.Call(s, 0)
+			c.Unreachable(1, 40*s)
+			c.Ended(1, 40*s)
+			c.Call(50*s, 0)
+			c.Whole(2, 51*s)
+		}, 52 * s, 53*s + 300*ms, 57 * s, Fresh},
 		"another discovery":              {asked, func(c *Clock) { c.Call(0, 0); c.Whole(1, s); c.Moved(2 * s) }, 6 * s, 0, 6 * s, Expired},
 		"and its list":                   {asked, func(c *Clock) { c.Moved(2 * s); c.Call(2*s, 0); c.Whole(1, 3*s) }, 4 * s, 5*s + 300*ms, 9 * s, Fresh},
 		"pushed, no watch yet":           {pushed, func(c *Clock) { c.Call(s, 0) }, s, s + patient, pushedGrace, Expired},
 		"pushed, a watch":                {pushed, func(c *Clock) { c.Call(s, 0); c.Whole(1, s) }, 2 * s, s + quiet, 7 * s, Fresh},
 		"pushed, a watch that ended":     {pushed, func(c *Clock) { c.Call(s, 0); c.Whole(1, s); c.Ended(1, 2*s) }, 2*s + pushedGrace, 0, 2*s + pushedGrace, Expired},
 		"and just before":                {pushed, func(c *Clock) { c.Call(s, 0); c.Whole(1, s); c.Ended(1, 2*s) }, 2 * s, 2*s + againFirst/10, 2*s + pushedGrace, Aging},
-		"pushed, an outage":              {pushed, func(c *Clock) { c.Call(s, 0); c.Unreachable(s); c.Ended(1, s) }, s, s + againPushed/2, forEver, Aging},
+		"pushed, an outage":              {pushed, func(c *Clock) { c.Call(s, 0); c.Unreachable(1, s); c.Ended(1, s) }, s, s + againPushed/2, forEver, Aging},
 		"pushed, after SIGHUP":           {pushed, func(c *Clock) { c.Call(s, 0); c.Whole(1, s); c.Heard(1, 4*s); c.Moved(5 * s) }, 8 * s, 0, 9 * s, Aging},
 		"down: watches end, calls wait":  {asked, func(c *Clock) { lose(c, 0, 3*s, 6*s) }, 7 * s, 8100*ms + againFirst*4/10, forEver, Aging},
 		"and is back":                    {asked, func(c *Clock) { lose(c, 0, 3*s, 6*s); c.Call(9*s, 0); c.Refused(4, 9*s+ms); c.Ended(4, 9*s+ms) }, 14 * s, 0, 14*s + 100*ms, Aging},
@@ -84,6 +90,23 @@
 			turnedDown(c, 3*s, 5*s)
 			turnedDown(c, 5*s, 7*s)
 		}, 8 * s, 0, 6 * s, Expired},
+		"away after the lease was over": {asked, func(c *Clock) {
+			c.Call(0, 0)
+			c.Whole(1, s)
+			c.Ended(1, 2*s)
+			crowd(c, 3*s)
+			c.Call(7500*ms, 0)
+			c.Unreachable(3, 7500*ms)
+			c.Ended(3, 7500*ms)
+		}, 9 * s, 0, 7 * s, Expired},
+		"pushed, away as its watch ends": {pushed, func(c *Clock) {
+			c.Call(0, 0)
+			c.Whole(1, s)
+			c.Ended(1, 2*s)
+			c.Call(2150*ms, 0)
+			c.Unreachable(2, 2150*ms)
+			c.Ended(2, 2150*ms)
+		}, 3 * s, 0, forEver, Aging},
 		"handed over 5 s old":         {asked, func(c *Clock) { c.Hold(0, 5*s); c.Call(0, 0) }, s, patient, s, Expired},
 		"handed over, pushed":         {pushed, func(c *Clock) { c.Hold(0, 0); c.Call(0, 0) }, 50 * ms, patient, pushedGrace, Aging},
 		"moved twice":                 {asked, func(c *Clock) { c.Call(0, 0); c.Whole(1, s); c.Heard(1, 2*s); c.Moved(2 * s); c.Moved(4 * s) }, 5 * s, 0, 6 * s, Aging},
