While calls find discovery away each puts off the lease's end; what it may have had goes on to count

Change: an outage gives no lease without an end any more: each call that is refused, does not come up, or is turned down after a wait puts it off to 6 s after that call's begin, and the next is over before that (1.5 s between calls, 2 s to come up). Where discovery could be reached after the last confirmation and told nothing, the lease keeps its end. Resets say nothing of an outage any more.

--- a/cmd/hookwalk/drain_test.go
+++ b/cmd/hookwalk/drain_test.go
@@ -61,7 +61,8 @@
 	takes    time.Duration // of a call
 	silenced chan struct{} // closed: what is open brings nothing any more
 	drained  time.Time     // zero: not yet
-	listed   time.Time     // when a list with the drain was written first
+	last     string        // the address of discovery that is named last
+	listed   time.Time     // when a list with the drain was written there first
 
 	late     []time.Duration // of requests at the drained server, after the drain
 	statuses map[int]int
@@ -104,7 +105,7 @@
 	case <-r.Context().Done():
 		return
 	}
-	w.Write(p.list())
+	w.Write(p.list(r.Host))
 	w.(http.Flusher).Flush()
 	beat := time.NewTicker(2 * time.Second)
 	defer beat.Stop()
@@ -122,14 +123,14 @@
 	}
 }
 
-// list is the whole list as it is now.
-func (p *drainPlay) list() []byte {
+// list is the whole list as it is now, as an address of discovery writes it.
+func (p *drainPlay) list(address string) []byte {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	version := 1
 	if !p.drained.IsZero() {
 		version = 2
-		if p.listed.IsZero() {
+		if p.listed.IsZero() && address == p.last {
 			p.listed = time.Now()
 		}
 	}
@@ -164,7 +165,8 @@
 	if p.told = toldAfterChange; moves > 0 {
 		p.told = toldAfterMove
 	}
-	known := p.list()
+	p.last = addresses[moves]
+	known := p.list("")
 	config := func(address string) string { return fmt.Sprintf(drainConfig, address, known, p.mode) }
 	c := program(t, config(addresses[0]))
 	path := strings.TrimPrefix(c.Env[len(c.Env)-1], "ROUTER_CONFIG=")
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -89,7 +89,7 @@
 }
 
 // dialTimeout is how long a connection to discovery may take to come up. The system sends its first packet again after 1 s.
-const dialTimeout = 2500 * time.Millisecond
+const dialTimeout = 2 * time.Second
 
 // New makes a Source that makes no call yet. Run does.
 func New(cfg Config, log *slog.Logger, tell func(context.Context, engine.Update) error) *Source {
@@ -384,9 +384,9 @@
 		case errors.As(err, new(*StatusError)):
 			c.Refused(s.name, d.now())
 		case neverReached(err):
-			c.Unreachable(s.name, d.now())
+			c.Unreachable(s.name)
 		default:
-			c.Failed(s.name, d.now())
+			c.Failed(s.name)
 		}
 		c.Ended(s.name, d.now())
 	})
--- a/internal/discovery/lease_test.go
+++ b/internal/discovery/lease_test.go
@@ -40,8 +40,8 @@
 	})
 }
 
-// The lease follows what is heard: each line of a watch renews it, an outage opens it, and a discovery that turns calls
-// down at once ends that.
+// The lease follows what is heard: each line of a watch renews it, and each call that finds
+// discovery away.
 func TestLeaseFollowsDiscovery(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		a := discoverytest.NewAgent(discoverytest.WholeList)
@@ -49,21 +49,26 @@
 		_, heard := watchOn(t, "agent:1", "on_request", piped(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			select {
 			case <-a.End: // closed: down
-				<-time.After(2 * time.Second)
-				w.WriteHeader(http.StatusServiceUnavailable)
+				select {
+				case <-time.After(2 * time.Second):
+					w.WriteHeader(http.StatusServiceUnavailable)
+				case <-r.Context().Done():
+				}
 			default:
 				a.ServeHTTP(w, r)
 			}
 		})), func(d *Source) {
+			d.clock.AskWithin = 10 * time.Second
 			d.Renew = func(l engine.Lease) { leases <- l }
 			d.Subscribe()
 		})
-		newest := func() (l engine.Lease) {
+		var last engine.Lease
+		newest := func() engine.Lease {
 			synctest.Wait()
 			for len(leases) > 0 {
-				l = <-leases
+				last = <-leases
 			}
-			return l
+			return last
 		}
 		a.WantCall(t, "watch 1")
 		a.Lines <- `{"seq":43,"whole":false,"hosts":[]}`
@@ -77,12 +82,14 @@
 			t.Errorf("after a line: %+v", l)
 		}
 		close(a.End)
-		if u := <-heard; !u.Failed {
-			t.Fatalf("heard %+v", u)
-		}
-		<-time.After(3 * time.Second)
-		if l := newest(); !l.Open {
-			t.Errorf("in an outage: %+v", l)
+		for end := time.Now().Add(time.Minute); time.Now().Before(end); {
+			select {
+			case <-heard: // that all calls have failed
+			case <-time.After(100 * time.Millisecond):
+			}
+			if l := newest(); time.Until(l.Until) <= 0 {
+				t.Fatalf("in an outage: %+v", l)
+			}
 		}
 	})
 }
--- a/internal/discovery/stream.go
+++ b/internal/discovery/stream.go
@@ -38,7 +38,7 @@
 // read makes the call and hands on each list of its answer, until that ends or can't be read.
 func (s *subscription) read(ctx context.Context, query string) {
 	defer s.cancel(nil)
-	body, err := s.d.get(ctx, s.addr, query)
+	body, err := s.d.get(ctx, s.name, s.addr, query)
 	if err == nil {
 		defer body.Close()
 		s.Part()
@@ -79,9 +79,9 @@
 func (s *subscription) Begun() { s.d.clocked(func(c *listclock.Clock) { c.Begun(s.name, s.d.now()) }) }
 func (s *subscription) Part()  { s.Blank() }
 
-func (d *Source) get(ctx context.Context, addr, query string) (io.ReadCloser, error) {
+func (d *Source) get(ctx context.Context, name int, addr, query string) (io.ReadCloser, error) {
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { d.clocked((*listclock.Clock).Reached) }})
+		GotConn: func(httptrace.GotConnInfo) { d.clocked(func(c *listclock.Clock) { c.Reached(name) }) }})
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addr+"/v1/endpoints"+query, nil)
 	if err != nil {
 		return nil, err
--- a/internal/listclock/calls.go
+++ b/internal/listclock/calls.go
@@ -26,7 +26,8 @@
 	// them for 15 s. Of an agent that is away what it has counts at once.
 	againFirst  = 150 * time.Millisecond
 	againMost   = 2500 * time.Millisecond
-	againCaller = 25 * time.Millisecond // of each caller, where discovery turns calls down at once
+	againAway   = 1500 * time.Millisecond // the next call is over before the lease is that the last one has put off
+	againCaller = 25 * time.Millisecond   // of each caller, where discovery turns calls down at once
 	againPushed = 200 * time.Millisecond
 	garbledMost = 2 * time.Second // a service that writes what can't be read is not to be swamped by whole lists
 	soundFor    = 2 * garbledMost // a watch that could be read for so long: what was unreadable before is over
@@ -160,6 +161,9 @@
 	if c.crowded {
 		most = max(most, time.Duration(c.Callers)*againCaller)
 	}
+	if c.Away() {
+		most = againAway
+	}
 	wait := min(againFirst<<min(c.fails, 8), most)
 	if c.Pushed && c.Away() {
 		return time.Duration((1 + draw) / 2 * float64(min(wait, againPushed)))
--- a/internal/listclock/lease.go
+++ b/internal/listclock/lease.go
@@ -8,13 +8,8 @@
 	// has counts at once.
 	pushedGrace = 100 * time.Millisecond
 
-	// A discovery that takes connections and gives nothing back is slow, crowded, or not there: behind an address that
-	// answers, a service that is down shows as calls that are turned down after a wait, or never. Where it had ended its
-	// watch, one of these says that it is down, or two that were reset; else it is held to be slow for a while after the
-	// lease has expired, during which the node refuses. Then it counts as away until it speaks.
-	enoughInVain  = 2
-	slowRefused   = 2
-	slowReset     = 1
+	// A discovery that takes connections and gives nothing back is slow, crowded, or not there. It is held to be slow for a
+	// while after the lease has expired, during which the node refuses; then it counts as away until it speaks.
 	slowFor       = 10 * time.Second
 	slowForCaller = 50 * time.Millisecond // of each caller, where that is more,
 	slowForMost   = 20 * time.Second      // and no longer than this
@@ -26,13 +21,15 @@
 
 // Expires is when the lease on the list held ends: from then on a change may count as told that the node was not told of,
 // and nothing may be sent on the list. It may be past. Whatever a call that failed or was given up allows, a change
-// counts Told after discovery had it and could be reached.
+// counts Told after discovery had it and could be reached. While calls find it absent, each puts that off.
 func (c *Clock) Expires() time.Duration {
 	switch {
-	case c.lapsed > 0:
-		return c.lapsed
-	case c.Away():
+	case c.fixed > 0:
+		return c.fixed
+	case c.absence == hung:
 		return forEver
+	case c.Away():
+		return c.absent + Told
 	}
 	expires := c.current + Told
 	if c.absent > 0 {
@@ -66,12 +63,15 @@
 // Lease says at a time what the list is worth, until when it may be relied on, and when to ask again. A discovery that has
 // said nothing for too long is absent from then on.
 func (c *Clock) Lease(now time.Duration) (state State, expires, look time.Duration) {
-	if !c.Away() && c.begun && now >= c.slow() {
-		c.absence, c.absent = unresponsive, now
+	if c.absence != hung && now >= c.Expires() {
+		c.absence = present // what said otherwise is too long ago
+		if c.begun && now >= c.slow() {
+			c.absence = hung
+		}
 	}
 	expires = c.Expires()
 	switch look = expires; {
-	case c.Away():
+	case c.absence == hung:
 		look = forEver
 	case now >= expires:
 		look = c.slow()
--- a/internal/listclock/listclock.go
+++ b/internal/listclock/listclock.go
@@ -49,11 +49,11 @@
 	unwatched time.Duration // when the last watch ended, where there is none
 	alive     time.Duration // when discovery spoke last, be it to say no at once
 	absence   absence
-	absent    time.Duration // when discovery was last known to be absent
-	lapsed    time.Duration // the end of a lease that was over before discovery went away; 0: none was
+	absent    time.Duration // the begin of the last call that found discovery absent
+	fixed     time.Duration // the end of a lease that an outage does not put off; 0: it does
+	touched   bool          // discovery could be reached since the list was confirmed last, and told nothing
 	moves     []move        // to addresses from which no list has come yet
 	watching  bool          // the last watch is open, be it silent; one that ended may be of a discovery that went down
-	inVain    int           // what calls in a row that failed after they had been left to wait say of an outage
 }
 
 // absence says why a discovery that does not tell changes is not held to them.
@@ -62,7 +62,8 @@
 const (
 	present      absence = iota
 	unreachable          // the last connection was refused, or did not come up
-	unresponsive         // connections come up, and nothing comes of any
+	unresponsive         // connections come up, and calls are turned down after a wait
+	hung                 // connections come up, and for long nothing has come of any
 )
 
 // move is a configuration that names another discovery.
@@ -88,6 +89,7 @@
 	heard      time.Duration // the last byte
 	object     time.Duration // when the list that is arriving began; 0: none is
 	draw       float64
+	reached    bool          // its connection has come up
 	listed     time.Duration // the first list was whole; 0: none was
 }
 
@@ -112,67 +114,70 @@
 }
 
 // Reached notes that a call's connection has come up: discovery can be reached, whether or not it answers.
-func (c *Clock) Reached() {
+func (c *Clock) Reached(name int) {
+	c.stream(name).reached = true
 	if c.absence == unreachable {
 		c.absence = present
 	}
 }
 
 // Unreachable notes, before its end, that a call's connection was refused or did not come up.
-func (c *Clock) Unreachable(name int, now time.Duration) {
-	c.away(unreachable, c.stream(name).begin, now)
-}
-
-// away notes that discovery has been absent since a time at the latest. What counted as told before does so still.
-func (c *Clock) away(how absence, since, now time.Duration) {
-	if c.Pushed { // its watch ended as it went
-		since = min(since, c.unwatched)
-	}
-	if expires := c.Expires(); c.absence == present && expires <= since {
-		c.lapsed = max(expires, 1)
-	}
-	c.absence, c.absent = how, now
-}
+func (c *Clock) Unreachable(name int) { c.away(unreachable, name) }
 
 // Refused notes, before its end, that a call was answered with a no. One that comes at once is of a discovery that is
-// there and has too many callers; one that comes late may be of whoever waits for it in vain.
+// there and has too many callers. One that comes late may be of whoever waits for it in vain: a discovery that goes down
+// ends its watches, and what stands before it turns calls down after a wait. Where the watch is open and silent, or
+// discovery has moved, it may as well be slow.
 func (c *Clock) Refused(name int, now time.Duration) {
-	c.Reached()
 	s := c.stream(name)
-	if c.crowded = s.name != 0 && now-s.begin <= atOnce; c.crowded {
-		c.spoke(now)
+	if s.name == 0 || s.generation != c.generation {
 		return
 	}
-	c.waitedInVain(name, now, slowRefused)
+	if c.crowded = now-s.begin <= atOnce; c.crowded {
+		c.spoke(now)
+	} else if !c.watching {
+		c.away(unresponsive, name)
+	}
 }
 
-// Failed notes, before its end, that a call was reset or ended without a list.
-func (c *Clock) Failed(name int, now time.Duration) { c.waitedInVain(name, now, slowReset) }
+// Failed notes, before its end, that a stream was reset or is at its end. A call whose connection had come up, and that
+// brought no list, may have been to a discovery that had something to tell.
+func (c *Clock) Failed(name int) {
+	s := c.stream(name)
+	c.touched = c.touched || s.reached && s.listed == 0
+}
 
-// waitedInVain notes that a call failed, and how much that says where it had been left to wait. A discovery that goes down
-// ends its watches, and whoever stands before it turns calls down after a wait, or resets them. Where the watch is open
-// and silent, or discovery has moved, it may as well be slow.
-func (c *Clock) waitedInVain(name int, now time.Duration, weight int) {
+// away notes that discovery was absent when a call began. What it may have had before that, while it could be reached and
+// told nothing, goes on to count: then the lease keeps its end.
+func (c *Clock) away(how absence, name int) {
 	s := c.stream(name)
-	if s.name == 0 || s.listed > 0 || s.generation != c.generation || now-s.begin <= atOnce {
-		return
-	}
-	if c.inVain += weight; !c.watching && c.inVain >= enoughInVain {
-		c.away(unresponsive, s.begin, now)
+	if c.absence == present {
+		touched := c.touched || slices.ContainsFunc(c.streams, func(o stream) bool { return o.name != name && o.listed == 0 && o.reached })
+		began := s.begin
+		if c.Pushed { // its watch ended as it went
+			began = min(began, c.unwatched)
+		}
+		if expires := c.Expires(); touched || expires <= began {
+			c.fixed = max(expires, 1)
+		}
 	}
+	c.absence, c.absent = how, s.begin
 }
 
 // spoke notes that discovery is there.
 func (c *Clock) spoke(now time.Duration) {
-	c.alive, c.absence, c.inVain = now, present, 0
+	c.alive, c.absence, c.touched = now, present, true
 }
 
+// confirm notes that the list held is all that discovery has.
+func (c *Clock) confirm(now time.Duration) { c.current, c.fixed, c.touched = now, 0, false }
+
 // Heard notes a sign of life on a stream: the head of an answer, a line, an empty one too, or a part of a list.
 func (c *Clock) Heard(name int, now time.Duration) {
 	c.spoke(now)
 	s := c.stream(name)
 	if s.heard = now; s.listed > 0 && s.object == 0 {
-		c.current, c.lapsed = now, 0 // a line of a watch: it holds all that there was
+		c.confirm(now) // a line of a watch: it holds all that there was
 	}
 }
 
@@ -191,7 +196,7 @@
 	if s.heard, s.object = now, 0; s.listed == 0 {
 		s.listed = max(now, 1)
 	}
-	c.current, c.lapsed = now, 0
+	c.confirm(now)
 	c.moves = slices.DeleteFunc(c.moves, func(m move) bool { return m.generation <= s.generation })
 	if s.generation == c.generation {
 		c.mute, c.fails, c.crowded, c.watching = 0, 0, false, true
@@ -209,9 +214,6 @@
 // present one.
 func (c *Clock) Ended(name int, now time.Duration) {
 	s := c.forget(name, now)
-	if c.absence == unresponsive {
-		c.absent = now
-	}
 	if s.name == 0 || s.generation != c.generation {
 		return
 	}
@@ -253,7 +255,7 @@
 	c.generation++
 	c.next, c.begun = now, true
 	c.mute, c.fails, c.garbled, c.crowded = 0, 0, 0, false
-	c.watching, c.inVain = true, 0
+	c.watching = true
 	if len(c.moves) == mostMoves {
 		c.moves[mostMoves-1].generation = c.generation
 		return
--- a/internal/listclock/listclock_test.go
+++ b/internal/listclock/listclock_test.go
@@ -40,16 +40,18 @@
 				c.Heard(1, at)
 			}
 		}, 5 * s, s + Object, 6 * s, Aging},
-		"a call refused":          {slow, func(c *Clock) { c.Call(s, 0); c.Ended(1, 2*s) }, 2 * s, 2*s + againFirst/5, 6 * s, Aging},
-		"after a list":            {slow, func(c *Clock) { c.Call(s, 0); c.Whole(1, s); c.Ended(1, 2*s); c.Call(3*s, 0); c.Ended(2, 3*s) }, 5 * s, 0, 7 * s, Aging},
-		"a watch that ended":      {asked, func(c *Clock) { c.Call(s, 0); c.Whole(1, 2*s); c.Ended(1, 3*s) }, 3 * s, 3*s + againFirst/10, 8 * s, Aging},
-		"asked for more often":    {Rules{AskWithin: 2 * s}, func(c *Clock) { c.Call(s, 0); c.Whole(1, 2*s); c.Ended(1, 3*s) }, 3 * s, 3*s + againFirst/10, 3 * s, Expired},
-		"the module wants a list": {asked, func(c *Clock) { c.Wish() }, s, 0, 6 * s, Aging},
-		"but not beside a stream": {asked, func(c *Clock) { c.Call(s, 0); c.Wish() }, s, s + patient, 6 * s, Aging},
-		"discovery is away":       {asked, func(c *Clock) { c.Call(s, 0); c.Unreachable(1, s); c.Ended(1, s) }, 60 * s, 0, forEver, Aging},
+		"a call refused":            {slow, func(c *Clock) { c.Call(s, 0); c.Ended(1, 2*s) }, 2 * s, 2*s + againFirst/5, 6 * s, Aging},
+		"after a list":              {slow, func(c *Clock) { c.Call(s, 0); c.Whole(1, s); c.Ended(1, 2*s); c.Call(3*s, 0); c.Ended(2, 3*s) }, 5 * s, 0, 7 * s, Aging},
+		"a watch that ended":        {asked, func(c *Clock) { c.Call(s, 0); c.Whole(1, 2*s); c.Ended(1, 3*s) }, 3 * s, 3*s + againFirst/10, 8 * s, Aging},
+		"asked for more often":      {Rules{AskWithin: 2 * s}, func(c *Clock) { c.Call(s, 0); c.Whole(1, 2*s); c.Ended(1, 3*s) }, 3 * s, 3*s + againFirst/10, 3 * s, Expired},
+		"the module wants a list":   {asked, func(c *Clock) { c.Wish() }, s, 0, 6 * s, Aging},
+		"but not beside a stream":   {asked, func(c *Clock) { c.Call(s, 0); c.Wish() }, s, s + patient, 6 * s, Aging},
+		"discovery is away":         {asked, func(c *Clock) { c.Call(s, 0); c.Unreachable(1); c.Ended(1, s) }, 6 * s, 0, 7 * s, Aging},
+		"for a minute":              {asked, func(c *Clock) { away(c, s, 60*s) }, 60 * s, 0, 65 * s, Aging},
+		"and nobody calls any more": {asked, func(c *Clock) { away(c, s, 60*s) }, 65 * s, 0, 65 * s, Expired},
 		"and back": {asked, func(c *Clock) {
 			c.Call(s, 0)
-			c.Unreachable(1, 40*s)
+			c.Unreachable(1)
 			c.Ended(1, 40*s)
 			c.Call(50*s, 0)
 			c.Whole(2, 51*s)
@@ -60,21 +62,21 @@
 		"pushed, a watch":                {pushed, func(c *Clock) { c.Call(s, 0); c.Whole(1, s) }, 2 * s, s + quiet, 7 * s, Fresh},
 		"pushed, a watch that ended":     {pushed, func(c *Clock) { c.Call(s, 0); c.Whole(1, s); c.Ended(1, 2*s) }, 2*s + pushedGrace, 0, 2*s + pushedGrace, Expired},
 		"and just before":                {pushed, func(c *Clock) { c.Call(s, 0); c.Whole(1, s); c.Ended(1, 2*s) }, 2 * s, 2*s + againFirst/10, 2*s + pushedGrace, Aging},
-		"pushed, an outage":              {pushed, func(c *Clock) { c.Call(s, 0); c.Unreachable(1, s); c.Ended(1, s) }, s, s + againPushed/2, forEver, Aging},
+		"pushed, an outage":              {pushed, func(c *Clock) { c.Call(s, 0); c.Unreachable(1); c.Ended(1, s) }, s, s + againPushed/2, 7 * s, Aging},
 		"pushed, after SIGHUP":           {pushed, func(c *Clock) { c.Call(s, 0); c.Whole(1, s); c.Heard(1, 4*s); c.Moved(5 * s) }, 8 * s, 0, 9 * s, Aging},
-		"down: watches end, calls wait":  {asked, func(c *Clock) { lose(c, 0, 3*s, 6*s) }, 7 * s, 8100*ms + againFirst*4/10, forEver, Aging},
-		"and is back":                    {asked, func(c *Clock) { lose(c, 0, 3*s, 6*s); c.Call(9*s, 0); c.Refused(4, 9*s+ms); c.Ended(4, 9*s+ms) }, 14 * s, 0, 14*s + 100*ms, Aging},
-		"a call that waits and is reset": {asked, func(c *Clock) { lose(c, 0); c.Call(3*s, 0); c.Failed(2, 5*s); c.Ended(2, 5*s) }, 5 * s, 5*s + againFirst*2/10, 7 * s, Aging},
-		"a second one": {asked, func(c *Clock) {
+		"down: watches end, calls wait":  {asked, func(c *Clock) { lose(c, 0, 3*s, 6*s) }, 7 * s, 8100*ms + againFirst*4/10, 12 * s, Aging},
+		"and is back":                    {asked, func(c *Clock) { lose(c, 0, 3*s, 6*s); c.Call(9*s, 0); c.Refused(4, 9*s+ms); c.Ended(4, 9*s+ms) }, 11 * s, 0, 12 * s, Aging},
+		"a call that waits and is reset": {asked, func(c *Clock) { lose(c, 0); c.Call(3*s, 0); c.Failed(2); c.Ended(2, 5*s) }, 5 * s, 5*s + againFirst*2/10, 7 * s, Aging},
+		"and again": {asked, func(c *Clock) {
 			lose(c, 0)
 			c.Call(3*s, 0)
-			c.Failed(2, 5*s)
+			c.Failed(2)
 			c.Ended(2, 5*s)
 			c.Call(5*s, 0)
-			c.Failed(3, 7*s)
+			c.Failed(3)
 			c.Ended(3, 7*s)
-		}, 8 * s, 0, forEver, Aging},
-		"no at once is a crowd": {asked, func(c *Clock) { lose(c, 0, 3*s, 6*s); crowd(c, 9*s) }, 14 * s, 0, 14*s + 100*ms, Aging},
+		}, 8 * s, 0, 7 * s, Expired},
+		"no at once is a crowd": {asked, func(c *Clock) { lose(c, 0, 3*s, 6*s); crowd(c, 9*s) }, 11 * s, 0, 12 * s, Aging},
 		"a silent watch is no outage": {asked, func(c *Clock) {
 			c.Call(0, 0)
 			c.Whole(1, s)
@@ -96,7 +98,7 @@
 			c.Ended(1, 2*s)
 			crowd(c, 3*s)
 			c.Call(7500*ms, 0)
-			c.Unreachable(3, 7500*ms)
+			c.Unreachable(3)
 			c.Ended(3, 7500*ms)
 		}, 9 * s, 0, 7 * s, Expired},
 		"pushed, away as its watch ends": {pushed, func(c *Clock) {
@@ -104,9 +106,19 @@
 			c.Whole(1, s)
 			c.Ended(1, 2*s)
 			c.Call(2150*ms, 0)
-			c.Unreachable(2, 2150*ms)
+			c.Unreachable(2)
 			c.Ended(2, 2150*ms)
-		}, 3 * s, 0, forEver, Aging},
+		}, 3 * s, 0, 8150 * ms, Aging},
+		"slow, then away": {asked, func(c *Clock) {
+			c.Call(0, 0)
+			c.Whole(1, s)
+			c.Ended(1, 2*s)
+			c.Call(2100*ms, 0)
+			c.Reached(2)
+			c.Failed(2)
+			c.Ended(2, 5*s)
+			away(c, 5*s, 9*s)
+		}, 7 * s, 7120 * ms, 7 * s, Expired},
 		"handed over 5 s old":         {asked, func(c *Clock) { c.Hold(0, 5*s); c.Call(0, 0) }, s, patient, s, Expired},
 		"handed over, pushed":         {pushed, func(c *Clock) { c.Hold(0, 0); c.Call(0, 0) }, 50 * ms, patient, pushedGrace, Aging},
 		"moved twice":                 {asked, func(c *Clock) { c.Call(0, 0); c.Whole(1, s); c.Heard(1, 2*s); c.Moved(2 * s); c.Moved(4 * s) }, 5 * s, 0, 6 * s, Aging},
@@ -137,9 +149,18 @@
 	}
 }
 
+// away is calls every 2 s to a discovery that refuses connections.
+func away(c *Clock, from, until time.Duration) {
+	for at := from; at < until; at += 2 * s {
+		name := c.Call(at, 0)
+		c.Unreachable(name)
+		c.Ended(name, at)
+	}
+}
+
 func turnedDown(c *Clock, from, at time.Duration) {
 	name := c.Call(from, 0)
-	c.Reached()
+	c.Reached(name)
 	c.Refused(name, at)
 	c.Ended(name, at)
 }
