The time for a body is over with it: its deadline is no sign that the client has left

By reading: at the end of a body net/http begins to look for the client's leaving, under the deadline that the body had until the node takes it back; a node that is held up there for longer (0.8 s, or what 2.9 s since connecting leave of it) takes its own deadline for the client's leaving, closes the connection, and the attempt stays out: the client, on a kept connection, sends the request again. There is no trace of the case itself. Change: a look ahead that meets a deadline other than the HTTP server's own word to end takes it back and goes on. Test: TestABodysDeadlineIsNoLeaving, failed before; tests of bodies, leaving and places -race -count=20.

--- a/internal/node/inbound.go
+++ b/internal/node/inbound.go
@@ -2,9 +2,11 @@
 
 import (
 	"container/list"
+	"errors"
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -262,6 +264,9 @@
 func (c *inConn) Read(b []byte) (int, error) {
 	c.ahead.stop()
 	n, err := c.heads.read(c.ahead.Read, b)
+	for n == 0 && len(b) == 1 && errors.Is(err, os.ErrDeadlineExceeded) && c.ahead.outlasts() {
+		n, err = c.heads.read(c.ahead.Read, b)
+	}
 	if n > 0 && !c.in.ask(c) {
 		return 0, io.EOF
 	}
--- a/internal/node/inbound_test.go
+++ b/internal/node/inbound_test.go
@@ -1,9 +1,11 @@
 package node
 
 import (
+	"errors"
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -166,3 +168,51 @@
 		})
 	}
 }
+
+// The time that a body has to come in is over with the body. A look for the client's leaving that begins just before it is
+// taken back, on a node that is held up there, must not end the request: its client has not gone, would see its connection
+// close, and send the request again while it is out.
+func TestABodysDeadlineIsNoLeaving(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	in := newInbound(ln, 1, nil)
+	defer in.Close()
+	client, err := net.Dial("tcp", ln.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer client.Close()
+	c, err := in.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	type result struct {
+		n   int
+		err error
+	}
+	look := func() <-chan result {
+		read := make(chan result, 1)
+		go func() {
+			n, err := c.Read(make([]byte, 1))
+			read <- result{n, err}
+		}()
+		return read
+	}
+	c.SetReadDeadline(time.Now().Add(-time.Millisecond)) // the body's
+	read := look()
+	if _, err := client.Write([]byte("G")); err != nil {
+		t.Fatal(err)
+	}
+	if got := <-read; got.n != 1 || got.err != nil {
+		t.Errorf("read %d, %v", got.n, got.err)
+	}
+	c.SetReadDeadline(time.Time{})
+	read = look()
+	c.SetReadDeadline(time.Unix(1, 0)) // as the HTTP server ends its look
+	if got := <-read; !errors.Is(got.err, os.ErrDeadlineExceeded) {
+		t.Errorf("a look that is ended gives %d, %v", got.n, got.err)
+	}
+}
--- a/internal/node/lookahead.go
+++ b/internal/node/lookahead.go
@@ -16,6 +16,7 @@
 const (
 	aheadHeld = 16 << 10 // bytes behind an open request that are kept: what follows is as large as a head may be
 	aheadMost = 1 << 20  // that are read at all
+	longPast  = 1        // Unix time in seconds of the deadline by which net/http ends a read
 )
 
 // lookahead reads a client's connection beyond the request that is open, so that its end is seen behind bytes that
@@ -186,6 +187,18 @@
 	return l.conn.SetReadDeadline(t)
 }
 
+// outlasts says that a look ahead goes on past the deadline that it met: that of the body before it, whose time is over. The
+// HTTP server ends its look by a deadline long past.
+func (l *lookahead) outlasts() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.deadline.IsZero() && l.deadline.Unix() <= longPast {
+		return false
+	}
+	l.deadline = time.Time{}
+	return l.conn.SetReadDeadline(time.Time{}) == nil
+}
+
 // closed says that the client has ended its connection, whatever of it is unread: that is asked where the rest of a
 // body waits to be read. Where it can't be told the answer is no.
 func (l *lookahead) closed() (yes bool) {
