A silent client is ended by the state of its request, not by the size of a read

Callers saw: a client that sent 4,095 bytes of a head and stayed silent was neither answered nor closed, and held a slot for good; so did 8,191, 12,287, 16,383 and 20,479 bytes. Behind an answered request one to three bytes held theirs for the idle time of a minute. Cause: clientConn.Read took a read into one byte for net/http's background read, whose deadline is lifted. net/http reads a head into what is left of its buffer of 4,096, so the read of the last byte has that size too; at 20,479 bytes the limit of a head leaves one. The second form: net/http bounds a head from its fourth byte on. Both take a count of bytes for the state of the request. Change: requesthead.Reader says whether a head has begun and whether a request has come to its last byte, with chunked bodies followed to their end. TestBodyDeadlineIsNotClientGone read one byte of a connection on which nothing had come, which is a head's read and must meet its deadline: it sends a whole request first now, and also checks that the read of a head's byte is ended.

--- a/internal/node/clientconn.go
+++ b/internal/node/clientconn.go
@@ -36,28 +36,31 @@
 
 // Read marks the connection as active with the first byte of a request: net/http reports the state only after the whole
 // head, and a connection closed in between would lose a request that was begun.
+//
+// What a read is for follows from the state of the request alone. While a request is open of which everything has come,
+// net/http reads only to notice that the client leaves. Any other read is for a head or a body, and ends by its deadline.
 func (c *clientConn) Read(b []byte) (int, error) {
-	c.readAhead.stopReader()
+	watching := c.head.Complete() && c.listener.requestOpen(c)
+	c.readAhead.beginRead(watching)
+	if !watching && c.head.HeadBegun() {
+		c.readAhead.limitHead(requestHeadTimeout)
+	}
 	n, err := c.head.Read(b)
-	for n == 0 && isBackgroundRead(b) && errors.Is(err, os.ErrDeadlineExceeded) && c.readAhead.outlivesDeadline() {
+	for watching && n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.readAhead.outlivesDeadline() {
 		n, err = c.head.Read(b)
 	}
+	if !c.head.HeadBegun() {
+		c.readAhead.endHead()
+	}
 	if n > 0 && !c.listener.markActive(c) {
 		return 0, io.EOF
 	}
-	if n == 1 && isBackgroundRead(b) {
+	if watching && n > 0 {
 		c.readAhead.httpReadByte()
 	}
 	return n, err
 }
 
-// backgroundReadSize is the size in bytes of the buffer of net/http's background read, by which it waits for the client's
-// leaving while a request is open. Its other reads have larger buffers, but where a single byte of one is left.
-const backgroundReadSize = 1
-
-// isBackgroundRead reports whether a read into b looks like net/http's background read, which has no other sign.
-func isBackgroundRead(b []byte) bool { return len(b) == backgroundReadSize }
-
 // SetReadDeadline sets net/http's deadline.
 func (c *clientConn) SetReadDeadline(t time.Time) error { return c.readAhead.setReadDeadline(t) }
 
--- a/internal/node/clientlistener.go
+++ b/internal/node/clientlistener.go
@@ -191,6 +191,13 @@
 	return true
 }
 
+// requestOpen reports whether a request is open on a connection.
+func (l *clientListener) requestOpen(c *clientConn) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return c.idleElement == nil
+}
+
 // removeIdle takes a connection out of idleConns. The caller holds l.mu.
 func (l *clientListener) removeIdle(c *clientConn) {
 	if c.idleElement != nil {
--- a/internal/node/clientlistener_test.go
+++ b/internal/node/clientlistener_test.go
@@ -207,19 +207,29 @@
 		}()
 		return read
 	}
-	c.SetReadDeadline(time.Now().Add(-time.Millisecond)) // the body's
+	request := "POST / HTTP/1.1\r\nContent-Length: 1\r\n\r\nx"
+	if _, err := io.WriteString(client, request); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := io.ReadFull(c, make([]byte, len(request))); err != nil {
+		t.Fatal(err)
+	}
 	read := backgroundRead()
+	c.SetReadDeadline(time.Unix(1, 0)) // as net/http ends its background read
+	if got := <-read; !errors.Is(got.err, os.ErrDeadlineExceeded) {
+		t.Errorf("a background read that is ended gives %d, %v", got.n, got.err)
+	}
+	c.SetReadDeadline(time.Now().Add(-time.Millisecond)) // the body's
+	read = backgroundRead()
 	if _, err := client.Write([]byte("G")); err != nil {
 		t.Fatal(err)
 	}
 	if got := <-read; got.n != 1 || got.err != nil {
 		t.Errorf("read %d, %v", got.n, got.err)
 	}
-	c.SetReadDeadline(time.Time{})
-	read = backgroundRead()
-	c.SetReadDeadline(time.Unix(1, 0)) // as net/http ends its background read
-	if got := <-read; !errors.Is(got.err, os.ErrDeadlineExceeded) {
-		t.Errorf("a background read that is ended gives %d, %v", got.n, got.err)
+	c.SetReadDeadline(time.Now().Add(-time.Millisecond)) // of the head that has begun with that byte
+	if got := <-backgroundRead(); !errors.Is(got.err, os.ErrDeadlineExceeded) {
+		t.Errorf("a read of one byte of a head gives %d, %v", got.n, got.err)
 	}
 }
 
--- a/internal/node/readahead.go
+++ b/internal/node/readahead.go
@@ -22,7 +22,7 @@
 )
 
 // pastDeadlineUnix is a read deadline in the past, in seconds of Unix time. net/http sets this one to end its own
-// background read, and stopReader uses it for the same: it tells such a deadline from one that a request body has met.
+// background read, and beginRead uses it for the same: it tells such a deadline from one that a request body has met.
 const pastDeadlineUnix = 1
 
 // Kernel numbers of the TCP states in which the client has closed its side.
@@ -41,24 +41,26 @@
 //
 // Ownership: at any time one goroutine reads the socket. Between requests, and while a body is read, that is net/http's
 // goroutine by Read. While a request is open and net/http holds its one byte, it is the goroutine started by
-// startReader; stopReader takes the socket back before net/http reads again. The connection is closed by clientConn.
+// startReader; beginRead takes the socket back before net/http reads again. The connection is closed by clientConn.
 type readAheadBuffer struct {
 	conn       net.Conn
 	raw        syscall.RawConn    // nil: not a socket
 	clientGone context.CancelFunc // cancels the contexts of all requests on the connection
 
-	mu          sync.Mutex
-	buf         []byte // read from the socket, not taken by net/http yet
-	err         error  // how the connection ended, behind buf
-	drained     bool   // the socket had nothing more when it was last looked at
-	requestOpen bool   // a request is open and its body has been read
-	httpHasByte bool   // net/http holds a byte that came behind that request, and reads no more
-	discarded   int    // bytes that were not kept: the connection has to end with this response
-	readerDone  chan struct{}
-	stopping    bool
-	deadline    time.Time // the read deadline that net/http has set
-	scratch     [peekSize]byte
-	peekSocket  func(fd uintptr) bool
+	mu           sync.Mutex
+	buf          []byte // read from the socket, not taken by net/http yet
+	err          error  // how the connection ended, behind buf
+	drained      bool   // the socket had nothing more when it was last looked at
+	requestOpen  bool   // a request is open and its body has been read
+	httpHasByte  bool   // net/http holds a byte that came behind that request, and reads no more
+	watching     bool   // net/http reads only to notice that the client of the open request leaves
+	discarded    int    // bytes that were not kept: the connection has to end with this response
+	readerDone   chan struct{}
+	stopping     bool
+	deadline     time.Time // the read deadline that net/http has set
+	headDeadline time.Time // by which the head that has begun must have come; zero: none has
+	scratch      [peekSize]byte
+	peekSocket   func(fd uintptr) bool
 }
 
 func newReadAheadBuffer(nc net.Conn) *readAheadBuffer {
@@ -101,12 +103,13 @@
 	}
 	more := len(a.buf) == 0 && a.err == nil
 	a.drained = false
+	peeks := !a.watching // net/http's background read must meet the end itself: it reports it to the open request
 	a.mu.Unlock()
 	if n == 0 && err == nil {
 		n, err = a.conn.Read(b)
 		more = n < len(b) && err == nil
 	}
-	if more && len(b) > backgroundReadSize {
+	if more && peeks {
 		a.peek()
 	}
 	return n, err
@@ -152,7 +155,7 @@
 }
 
 // startReader starts the goroutine that reads on, if a request is open and nobody else reads. The caller holds a.mu.
-// The goroutine ends by stopReader, by the end of the connection, or when it has dropped maxDiscardedReadAhead bytes.
+// The goroutine ends by beginRead, by the end of the connection, or when it has dropped maxDiscardedReadAhead bytes.
 func (a *readAheadBuffer) startReader() {
 	if a.requestOpen && a.httpHasByte && a.readerDone == nil && a.err == nil {
 		a.readerDone = make(chan struct{})
@@ -187,10 +190,11 @@
 	return err != nil || a.stopping || a.discarded > maxDiscardedReadAhead
 }
 
-// stopReader ends the goroutine that reads on, if there is one, and leaves the connection to net/http.
-func (a *readAheadBuffer) stopReader() {
+// beginRead ends the goroutine that reads on, if there is one, and leaves the connection to net/http.
+func (a *readAheadBuffer) beginRead(watching bool) {
 	a.mu.Lock()
 	a.httpHasByte = false
+	a.watching = watching
 	done := a.readerDone
 	if done != nil {
 		a.stopping = true
@@ -204,7 +208,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.readerDone, a.stopping = nil, false
-	a.conn.SetReadDeadline(a.deadline)
+	a.applyDeadline()
 }
 
 // setReadDeadline sets net/http's deadline. While the goroutine reads on it is only noted: it is not meant for that.
@@ -215,7 +219,35 @@
 	if a.readerDone != nil {
 		return nil
 	}
-	return a.conn.SetReadDeadline(t)
+	return a.applyDeadline()
+}
+
+// applyDeadline sets the socket's read deadline, the earlier of net/http's and the head's. The caller holds a.mu.
+func (a *readAheadBuffer) applyDeadline() error {
+	deadline := a.deadline
+	if deadline.IsZero() || !a.headDeadline.IsZero() && a.headDeadline.Before(deadline) {
+		deadline = a.headDeadline
+	}
+	return a.conn.SetReadDeadline(deadline)
+}
+
+// limitHead bounds the time of a head of which the first bytes have come, once for each head. It guards against a client
+// that sends some bytes of a further request and stays silent: net/http gives the first four as long as an idle connection
+// has, and the connection would hold its slot for all of that.
+func (a *readAheadBuffer) limitHead(timeout time.Duration) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.headDeadline.IsZero() {
+		a.headDeadline = time.Now().Add(timeout)
+		a.applyDeadline()
+	}
+}
+
+// endHead takes the bound of a head back. The socket's deadline stays until net/http sets the next one, after each head.
+func (a *readAheadBuffer) endHead() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.headDeadline = time.Time{}
 }
 
 // outlivesDeadline reports whether net/http's background read goes on past the deadline that it met, and clears that
--- a/internal/node/slowclients_test.go
+++ b/internal/node/slowclients_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -225,3 +226,86 @@
 		})
 	}
 }
+
+// silentClientCase is what a client sends before it stays silent.
+type silentClientCase struct {
+	name    string
+	request string // whole, and answered, before the text; "": none
+	text    string
+}
+
+// httpBufferSize is the size in bytes of net/http's read buffer, into which heads and chunk sizes are read.
+const httpBufferSize = 4096
+
+// silentClientCases draws lengths of all kinds of text over four of net/http's buffers, beside those that leave one byte.
+func silentClientCases(rng *rand.Rand) (cases []silentClientCase) {
+	whole := "POST /api HTTP/1.1\r\nHost: h\r\nX-Call-Id: %d\r\nX-Call-Class: unsafe\r\nX-Budget: 2000m\r\nContent-Length: 0\r\n\r\n"
+	beginnings := map[string]string{
+		"request line": "GET /",
+		"header":       "GET / HTTP/1.1\r\nHost: h\r\nX-Long: ",
+		"chunk": "POST /api HTTP/1.1\r\nHost: h\r\nX-Call-Id: c\r\nX-Call-Class: unsafe\r\nX-Budget: 1000m\r\n" +
+			"Transfer-Encoding: chunked\r\n\r\n1;",
+	}
+	lengths := []int{1, 2, 3, 4, 5}
+	for buffers := 1; buffers <= 5; buffers++ {
+		lengths = append(lengths, buffers*httpBufferSize-1)
+	}
+	for range 20 {
+		lengths = append(lengths, 1+rng.IntN(4*httpBufferSize))
+	}
+	for kind, beginning := range beginnings {
+		for _, length := range lengths {
+			text := (beginning + strings.Repeat("a", max(length-len(beginning), 0)))[:length]
+			name := fmt.Sprintf("%s of %d bytes", kind, length)
+			cases = append(cases, silentClientCase{name, "", text}, silentClientCase{name + " behind a request", fmt.Sprintf(whole, len(cases)), text})
+		}
+	}
+	return cases
+}
+
+// A client sends the beginning of a head or a body, and stays silent: at once, or after a request that was answered. It is
+// owed an answer or a close within 3 s, whatever it has sent: where a read's size stood for the state of the request, some
+// lengths held their slots without end, and up to three bytes behind a request held theirs for a minute.
+func TestSilentClientIsEnded(t *testing.T) {
+	n := startWith(t, newBackend(t, respondOK))
+	const seed = 7
+	var clients sync.WaitGroup
+	for _, tc := range silentClientCases(rand.New(rand.NewPCG(seed, seed))) {
+		clients.Go(func() {
+			if err := tc.play(strings.TrimPrefix(n.url, "http://")); err != nil {
+				t.Errorf("%s: %v", tc.name, err)
+			}
+		})
+	}
+	clients.Wait()
+}
+
+// play connects, sends what the case has, and returns an error unless the client is answered or closed in time.
+func (tc silentClientCase) play(address string) error {
+	c, err := net.Dial("tcp", address)
+	if err != nil {
+		return err
+	}
+	defer c.Close()
+	responses := bufio.NewReader(c)
+	if tc.request != "" {
+		io.WriteString(c, tc.request)
+		response, err := http.ReadResponse(responses, nil)
+		if err != nil {
+			return err
+		}
+		if _, err := io.Copy(io.Discard, response.Body); err != nil || response.StatusCode != http.StatusOK {
+			return fmt.Errorf("the request before: %d, %w", response.StatusCode, err)
+		}
+	}
+	if err := c.SetReadDeadline(time.Now().Add(3 * time.Second)); err != nil {
+		return err
+	}
+	if _, err := io.WriteString(c, tc.text); err != nil {
+		return err
+	}
+	if _, err := responses.ReadByte(); errors.Is(err, os.ErrDeadlineExceeded) {
+		return errors.New("neither answered nor closed within 3 s")
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/requesthead/chunked.go
@@ -0,0 +1,134 @@
+package requesthead
+
+import "math"
+
+// maxChunkSizeDigits is how many hexadecimal digits net/http reads of a chunk's size.
+const maxChunkSizeDigits = 16
+
+// chunkState is what the next byte of a chunked body belongs to.
+type chunkState int
+
+// States of a chunkedBody, in the order of RFC 9112, section 7.1. A body that breaks the grammar stays malformed.
+const (
+	chunkSize      chunkState = iota // the hexadecimal digits of a chunk's size
+	chunkExtension                   // the rest of that line, behind a semicolon
+	chunkSizeLF                      // the LF of that line
+	chunkData
+	chunkDataCR
+	chunkDataLF
+	trailerStart // the first byte of a line of the trailer section
+	trailerLine
+	trailerLineLF
+	lastLF // the LF of the empty line that ends the body
+	chunkedComplete
+	chunkedMalformed
+)
+
+// chunkedBody follows the framing of a chunked body, to tell when all of it has come. It is strict: what net/http might
+// go on reading never counts as complete.
+type chunkedBody struct {
+	state  chunkState
+	digits int    // of the chunk size that is coming
+	left   uint64 // bytes of the chunk that have not come
+}
+
+// consume inspects bytes of the body. What follows the body is passed over.
+func (c *chunkedBody) consume(b []byte) {
+	for len(b) > 0 && c.state != chunkedComplete && c.state != chunkedMalformed {
+		if c.state == chunkData {
+			n := min(c.left, uint64(len(b)))
+			b = b[n:]
+			if c.left -= n; c.left == 0 {
+				c.state = chunkDataCR
+			}
+			continue
+		}
+		c.state = c.next(b[0])
+		b = b[1:]
+	}
+}
+
+// next returns the state after a byte that is not data of a chunk.
+func (c *chunkedBody) next(b byte) chunkState {
+	switch c.state {
+	case chunkSize:
+		return c.addSizeByte(b)
+	case chunkExtension:
+		return lineState(b, chunkExtension, chunkSizeLF)
+	case chunkSizeLF:
+		return c.beginChunk(b)
+	case chunkDataCR:
+		return expect(b, '\r', chunkDataLF)
+	case chunkDataLF:
+		return expect(b, '\n', chunkSize)
+	case trailerStart:
+		return lineState(b, trailerLine, lastLF)
+	case trailerLine:
+		return lineState(b, trailerLine, trailerLineLF)
+	case trailerLineLF:
+		return expect(b, '\n', trailerStart)
+	case lastLF:
+		return expect(b, '\n', chunkedComplete)
+	}
+	return chunkedMalformed
+}
+
+// expect returns the next state if a byte is the wanted one.
+func expect(b, want byte, next chunkState) chunkState {
+	if b != want {
+		return chunkedMalformed
+	}
+	return next
+}
+
+// lineState returns the state after a byte of a line that ends in CR LF.
+func lineState(b byte, within, afterCR chunkState) chunkState {
+	switch b {
+	case '\r':
+		return afterCR
+	case '\n':
+		return chunkedMalformed
+	}
+	return within
+}
+
+// addSizeByte adds one byte of a line that begins with a chunk's size.
+func (c *chunkedBody) addSizeByte(b byte) chunkState {
+	digit, isDigit := hexDigit(b)
+	switch {
+	case isDigit && c.digits < maxChunkSizeDigits:
+		c.digits++
+		c.left = c.left<<4 | digit
+		return chunkSize
+	case c.digits == 0:
+		return chunkedMalformed
+	case b == ';':
+		return chunkExtension
+	}
+	return expect(b, '\r', chunkSizeLF)
+}
+
+// beginChunk takes the LF of a size line: data of the chunk follows, or the trailer section behind the last one.
+func (c *chunkedBody) beginChunk(b byte) chunkState {
+	c.digits = 0
+	switch {
+	case b != '\n' || c.left > math.MaxInt64:
+		return chunkedMalformed
+	case c.left == 0:
+		return trailerStart
+	}
+	return chunkData
+}
+
+// hexDigit returns the value of a hexadecimal digit.
+func hexDigit(b byte) (value uint64, ok bool) {
+	switch {
+	case '0' <= b && b <= '9':
+		return uint64(b - '0'), true
+	case 'a' <= b && b <= 'f':
+		return uint64(b-'a') + 10, true
+	case 'A' <= b && b <= 'F':
+		return uint64(b-'A') + 10, true
+	}
+	return 0, false
+}
--- a/internal/requesthead/requesthead.go
+++ b/internal/requesthead/requesthead.go
@@ -57,8 +57,8 @@
 // Reader reads a client connection and follows its bytes from one request's head to the next.
 //
 // It never lets one Read go beyond the request that it began in. So when net/http has parsed a head, Findings are those of
-// that same head. It does not parse chunks: the end of a chunked body is unknown here, which is why a chunked request is
-// the last of its connection.
+// that same head. A chunked request is the last of its connection: where its body ends is followed only for Complete, and
+// nothing behind it starts a request.
 //
 // It belongs to the goroutine that reads the connection and has no lock. A handler may ask for Findings and Count until
 // its request's body has been read to its end: until then nobody reads the next head.
@@ -73,7 +73,8 @@
 	headerName string // of the header line before, in lower case, for its continuation lines
 	current    head
 	complete   Findings // of the last complete head
-	count      int      // complete heads
+	chunks     chunkedBody
+	count      int // complete heads
 }
 
 // NewReader returns a Reader for a connection of which nothing has been read.
@@ -85,6 +86,23 @@
 // Count returns how many heads were complete.
 func (r *Reader) Count() int { return r.count }
 
+// HeadBegun reports whether a part of a head has come, and not all of it.
+func (r *Reader) HeadBegun() bool {
+	return r.state == readingHead && (r.current.lines > 0 || r.lineSize > 0)
+}
+
+// Complete reports whether all of the last request has come, and nothing of the next one. Before the first head it is
+// false, and for a request whose framing can't be trusted.
+func (r *Reader) Complete() bool {
+	switch r.state {
+	case readingHead:
+		return r.count > 0 && !r.HeadBegun()
+	case readingToEnd:
+		return r.complete.Fault == "" && r.chunks.state == chunkedComplete
+	}
+	return false
+}
+
 // Read fills b from the connection, no further than the end of the current request.
 func (r *Reader) Read(b []byte) (n int, err error) {
 	for {
@@ -109,7 +127,7 @@
 // skipEmptyLines returns how many bytes at the start of b are empty lines between two requests. They belong to neither;
 // net/http would take them for the start of a request.
 func (r *Reader) skipEmptyLines(b []byte) (skipped int) {
-	betweenRequests := r.state == readingHead && r.current.lines == 0 && r.lineSize == 0
+	betweenRequests := r.state == readingHead && !r.HeadBegun()
 	for betweenRequests && skipped < len(b) && (b[skipped] == '\r' || b[skipped] == '\n') {
 		if b[skipped] == '\n' && !r.afterCR {
 			break
@@ -125,6 +143,7 @@
 	for i, c := range b {
 		switch r.state {
 		case readingToEnd:
+			r.chunks.consume(b[i:])
 			return len(b)
 		case readingBody:
 			n := int(min(r.bodyLeft, int64(len(b)-i)))
@@ -142,6 +161,7 @@
 		switch {
 		case r.complete.TransferEncoding || r.complete.Fault != "":
 			r.state = readingToEnd
+			r.chunks.consume(b[i+1:])
 			return len(b)
 		case r.complete.ContentLength == 0:
 			return i + 1
