--- a/cmd/hookwalk/main_test.go
+++ b/cmd/hookwalk/main_test.go
@@ -17,6 +17,10 @@
 
 // TestMain has the test binary be the program when the environment says so.
 func TestMain(m *testing.M) {
+	if fault := os.Getenv(faultyNodeEnv); fault != "" {
+		runFaultyNode(fault)
+		os.Exit(0)
+	}
 	if os.Getenv("HOOKWALK_AS_PROGRAM") != "" {
 		main()
 		os.Exit(0)
--- a/cmd/hookwalk/soak.go
+++ b/cmd/hookwalk/soak.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"os"
 	"os/exec"
 	"os/signal"
@@ -19,6 +20,7 @@
 	Seeds   int           `default:"20" help:"How many seeds are played."`
 	Nodes   int           `default:"24" help:"Nodes of each play, a process each."`
 	Length  time.Duration `default:"20s" help:"Of each play."`
+	Kept    bool          `help:"Also play the seeds that once broke a rule, each with the nodes that it had."`
 	Program string        `placeholder:"PATH" help:"Another build of hookwalk to play."`
 }
 
@@ -29,7 +31,7 @@
 )
 
 // Run plays one seed after another and prints what was seen and what was broken.
-func (c labSoak) Run(io streams) error {
+func (c labSoak) Run(streams streams) error {
 	if c.Seeds < 1 || c.Nodes < 1 || c.Nodes > maxSoakNodes || c.Length < minSoakLength {
 		return fmt.Errorf("lab: --seeds must be above 0, --nodes from 1 to %d, --length %v or more", maxSoakNodes, minSoakLength)
 	}
@@ -42,36 +44,67 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
-	found := 0
-	for i := range c.Seeds {
-		plan := soak.DrawPlan(c.First+uint64(i), c.Nodes, c.Length)
-		played, err := soak.Run(ctx, plan, func(config string) *exec.Cmd {
-			node := exec.Command(program, "run")
-			node.Env = append(os.Environ(), "ROUTER_CONFIG="+config)
-			return node
-		})
-		if err == nil {
-			err = ctx.Err()
-		}
-		if err != nil {
+	play := soakPlay{out: streams.stdout, program: program}
+	for _, plan := range c.plans() {
+		if err := play.run(ctx, plan); err != nil {
 			return fmt.Errorf("lab: %w", err)
 		}
-		broken := played.Violations()
-		fmt.Fprintf(io.stdout, "seed %d: %v; %d broken\n", plan.Seed, played, len(broken))
-		if len(broken) == 0 {
-			continue
-		}
-		found++
-		for _, text := range broken {
-			fmt.Fprintf(io.stdout, "  %s\n", text)
-		}
-		for _, fault := range played.Plan.Faults {
-			fmt.Fprintf(io.stdout, "  fault: %v\n", fault)
-		}
 	}
-	fmt.Fprintf(io.stdout, "%d seeds, %d with something broken\n", c.Seeds, found)
-	if found > 0 {
+	fmt.Fprintf(streams.stdout, "all: %v\n%d seeds, %d with something broken\n", play.sum, play.played, play.broken)
+	if play.broken > 0 {
 		return exitStatus(exitFailed)
 	}
 	return nil
 }
+
+// plans are those of the kept seeds, if they are asked for, and those of the seeds in a row.
+func (c labSoak) plans() (plans []soak.Plan) {
+	if c.Kept {
+		for _, kept := range soak.KeptSeeds {
+			plans = append(plans, soak.DrawPlan(kept.Seed, kept.Nodes, c.Length))
+		}
+	}
+	for i := range c.Seeds {
+		plans = append(plans, soak.DrawPlan(c.First+uint64(i), c.Nodes, c.Length))
+	}
+	return plans
+}
+
+// soakPlay plays plans one after another and adds up what was seen.
+type soakPlay struct {
+	out     io.Writer
+	program string
+	sum     soak.Totals
+	played  int
+	broken  int // plans that broke a rule
+}
+
+// run plays one plan and prints what was seen and what was broken.
+func (p *soakPlay) run(ctx context.Context, plan soak.Plan) error {
+	result, err := soak.Run(ctx, plan, func(config string) *exec.Cmd {
+		node := exec.Command(p.program, "run")
+		node.Env = append(os.Environ(), "ROUTER_CONFIG="+config)
+		return node
+	})
+	if err == nil {
+		err = ctx.Err()
+	}
+	if err != nil {
+		return err
+	}
+	broken, totals := result.Violations(), result.Totals()
+	p.sum.Add(totals)
+	p.played++
+	fmt.Fprintf(p.out, "seed %d, %d nodes: %v; %d broken\n", plan.Seed, plan.Nodes, totals, len(broken))
+	if len(broken) == 0 {
+		return nil
+	}
+	p.broken++
+	for _, text := range broken {
+		fmt.Fprintf(p.out, "  %s\n", text)
+	}
+	for _, line := range result.Plan.Lines() {
+		fmt.Fprintf(p.out, "  fault: %s\n", line)
+	}
+	return nil
+}
--- a/cmd/hookwalk/soak_test.go
+++ b/cmd/hookwalk/soak_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"flag"
+	"fmt"
 	"os"
 	"os/exec"
 	"testing"
@@ -12,7 +13,7 @@
 
 var (
 	soakSeed    = flag.Uint64("soak.seed", 1, "the first seed of TestSoak")
-	soakSeeds   = flag.Int("soak.seeds", 2, "how many seeds TestSoak plays")
+	soakSeeds   = flag.Int("soak.seeds", 4, "how many seeds TestSoak plays")
 	soakNodes   = flag.Int("soak.nodes", 8, "nodes of each play")
 	soakLength  = flag.Duration("soak.length", 20*time.Second, "of each play")
 	soakProgram = flag.String("soak.program", "", "another build of hookwalk to play; empty: this one")
@@ -34,22 +35,27 @@
 //	go test ./cmd/hookwalk -run TestSoak -soak.seeds 50 -soak.nodes 24 -timeout 1h
 func TestSoak(t *testing.T) {
 	for i := range *soakSeeds {
-		plan := soak.DrawPlan(*soakSeed+uint64(i), *soakNodes, *soakLength)
-		result, err := soak.Run(t.Context(), plan, testBinaryAsNode)
-		if err != nil {
-			t.Fatal(err)
-		}
-		violations := result.Violations()
-		t.Logf("seed %d: %v", plan.Seed, result)
-		if len(violations) == 0 {
-			continue
-		}
-		t.Errorf("seed %d: %d broken, the first:", plan.Seed, len(violations))
-		for _, violation := range violations[:min(len(violations), 5)] {
-			t.Errorf("  %s", violation)
-		}
-		for _, f := range result.Plan.Faults {
-			t.Logf("  %v", f)
-		}
+		seed := *soakSeed + uint64(i)
+		t.Run(fmt.Sprintf("seed_%d", seed), func(t *testing.T) { playSoak(t, seed) })
+	}
+}
+
+// playSoak plays the plan of one seed and reports the rules that it broke.
+func playSoak(t *testing.T, seed uint64) {
+	result, err := soak.Run(t.Context(), soak.DrawPlan(seed, *soakNodes, *soakLength), testBinaryAsNode)
+	if err != nil {
+		t.Fatal(err)
+	}
+	violations := result.Violations()
+	t.Log(result.Totals())
+	if len(violations) == 0 {
+		return
+	}
+	t.Errorf("%d broken, the first:", len(violations))
+	for _, violation := range violations[:min(len(violations), 5)] {
+		t.Errorf("  %s", violation)
+	}
+	for _, line := range result.Plan.Lines() {
+		t.Logf("  %s", line)
 	}
 }
--- /dev/null
+++ b/cmd/hookwalk/soakfaulty_test.go
@@ -0,0 +1,98 @@
+package main
+
+import (
+	"encoding/json"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"os/signal"
+	"strings"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"hookwalk.example/hookwalk/internal/lab/soak"
+)
+
+// Faults of a stand-in for a node, which TestSoakFindsFaults plays. It answers every request with a rejection.
+const (
+	closesAfterTerm = "close" // after SIGTERM it reads a request, closes its connection, and exits
+	hangsAfterTerm  = "hang"  // after SIGTERM it answers nothing more, and goes on until it is killed
+)
+
+// faultyNodeEnv names the fault.
+const faultyNodeEnv = "HOOKWALK_AS_FAULTY_NODE"
+
+// runFaultyNode is the stand-in's main function.
+func runFaultyNode(fault string) {
+	text, err := os.ReadFile(os.Getenv("ROUTER_CONFIG"))
+	if err != nil {
+		panic(err)
+	}
+	var config struct{ Listen string }
+	if err := json.Unmarshal(text, &config); err != nil {
+		panic(err)
+	}
+	listener, err := net.Listen("tcp", config.Listen)
+	if err != nil {
+		panic(err)
+	}
+	var terminated atomic.Bool
+	go http.Serve(listener, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		switch {
+		case r.URL.Path == "/ready":
+		case !terminated.Load():
+			w.Header().Set("Retry-After", "1")
+			w.WriteHeader(http.StatusServiceUnavailable)
+		case fault == hangsAfterTerm:
+			select {}
+		default:
+			panic(http.ErrAbortHandler)
+		}
+	}))
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGHUP)
+	for s := range signals {
+		if s != syscall.SIGTERM {
+			continue
+		}
+		terminated.Store(true)
+		if fault == closesAfterTerm {
+			<-time.After(time.Second) // in which requests come
+			return
+		}
+	}
+}
+
+// A soak that excuses too much passes whatever its nodes do: one that loses what it has read after SIGTERM, and one that does
+// not end and is killed on what it has read, are found.
+func TestSoakFindsFaults(t *testing.T) {
+	const seed, nodes, length = 1, 4, 16 * time.Second // its plan has three restarts
+	for _, fault := range []string{closesAfterTerm, hangsAfterTerm} {
+		t.Run(fault, func(t *testing.T) {
+			result, err := soak.Run(t.Context(), soak.DrawPlan(seed, nodes, length), func(config string) *exec.Cmd {
+				c := exec.Command(os.Args[0])
+				c.Env = append(os.Environ(), faultyNodeEnv+"="+fault, "ROUTER_CONFIG="+config)
+				return c
+			})
+			if err != nil {
+				t.Fatal(err)
+			}
+			lost := 0
+			for _, violation := range result.Violations() {
+				if strings.HasPrefix(violation, "lost: ") && strings.Contains(violation, "has no answer") {
+					lost++
+				}
+			}
+			t.Log(result.Totals())
+			if lost == 0 {
+				t.Error("no lost request was found")
+			}
+			if killed := result.Totals().Kills; (killed > 0) != (fault == hangsAfterTerm) {
+				t.Errorf("%d were killed", killed)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/lab/soak/clientconn.go
@@ -0,0 +1,181 @@
+package soak
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"slices"
+	"sync"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+const (
+	// maxPooledConnections bounds the kept connections to one node.
+	maxPooledConnections = 8
+
+	// resetWait is how long a client waits for the reset of a connection that its node has ended: longer than net/http
+	// leaves between the two steps of a close.
+	resetWait = 1200 * time.Millisecond
+
+	// resetInterval is the time between two looks for a reset.
+	resetInterval = 20 * time.Millisecond
+
+	// tcpClosed is the kernel's number of the state of a connection that was reset.
+	tcpClosed = 7
+)
+
+// clientConn is a client's connection to a node. One request uses it at a time.
+type clientConn struct {
+	net.Conn
+	responses *bufio.Reader
+}
+
+// dialNode opens a connection, before a time.
+func dialNode(address string, deadline time.Time) (*clientConn, error) {
+	dialer := net.Dialer{Deadline: deadline}
+	c, err := dialer.Dial("tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	return &clientConn{c, bufio.NewReader(c)}, nil
+}
+
+// send writes a request as one piece and calls written right after.
+func (c *clientConn) send(r *http.Request, written func()) error {
+	var text bytes.Buffer
+	if err := r.Write(&text); err != nil {
+		return err
+	}
+	if _, err := c.Write(text.Bytes()); err != nil {
+		return err
+	}
+	written()
+	return nil
+}
+
+// receive reads the response to a request, to its end.
+func (c *clientConn) receive(r *http.Request) (*http.Response, error) {
+	response, err := http.ReadResponse(c.responses, r)
+	if err != nil {
+		return nil, err
+	}
+	defer response.Body.Close()
+	if _, err := io.Copy(io.Discard, response.Body); err != nil {
+		return nil, err
+	}
+	return response, nil
+}
+
+// isOpen reports whether the node has not ended the connection, as far as its client can see.
+func (c *clientConn) isOpen() bool {
+	raw, err := c.Conn.(syscall.Conn).SyscallConn()
+	if err != nil {
+		return false
+	}
+	open := false
+	raw.Read(func(fd uintptr) bool {
+		_, _, err := unix.Recvfrom(int(fd), make([]byte, 1), unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		open = errors.Is(err, unix.EAGAIN)
+		return true
+	})
+	return open
+}
+
+// wasReset reports whether the node's kernel reset the connection, which it does where bytes are left that the node has not
+// read. A connection of which all was read ends without a reset. err is what reading or writing ended with.
+func (c *clientConn) wasReset(err error) bool {
+	if errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE) {
+		return true
+	}
+	if !errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF) {
+		return false
+	}
+	for end := time.Now().Add(resetWait); time.Now().Before(end); {
+		if c.state() == tcpClosed {
+			return true
+		}
+		<-time.After(resetInterval)
+	}
+	return false
+}
+
+// state is the kernel's state of the connection.
+func (c *clientConn) state() (state uint8) {
+	raw, err := c.Conn.(syscall.Conn).SyscallConn()
+	if err != nil {
+		return 0
+	}
+	raw.Control(func(fd uintptr) {
+		if info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO); err == nil {
+			state = info.State
+		}
+	})
+	return state
+}
+
+// connPool keeps the connections to one node that no request uses. It does what clients may do that serve themselves: a
+// connection is used for as long as it is open, whatever a response said of it.
+type connPool struct {
+	mu   sync.Mutex
+	idle []*clientConn
+}
+
+// take returns a connection that is open, or nil.
+func (p *connPool) take() *clientConn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for len(p.idle) > 0 {
+		c := p.idle[len(p.idle)-1]
+		p.idle = p.idle[:len(p.idle)-1]
+		if c.isOpen() {
+			return c
+		}
+		c.Close()
+	}
+	return nil
+}
+
+// put keeps a connection for the next request.
+func (p *connPool) put(c *clientConn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.idle) >= maxPooledConnections {
+		c.Close()
+		return
+	}
+	p.idle = slices.Insert(p.idle, 0, c)
+}
+
+// close closes all connections that no request uses.
+func (p *connPool) close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, c := range p.idle {
+		c.Close()
+	}
+	p.idle = nil
+}
+
+// newHTTPRequest is the request as a node reads it.
+func newHTTPRequest(request *Request, n *node) *http.Request {
+	method, class, body := http.MethodGet, "read", io.Reader(nil)
+	if request.NonIdempotent {
+		method, class, body = http.MethodPost, "write", bytes.NewReader([]byte("x"))
+	}
+	r, err := http.NewRequest(method, n.url()+"/api", body)
+	if err != nil {
+		panic(err) // only if a node's address is none
+	}
+	r.Header.Set("X-Call-Id", request.ID)
+	r.Header.Set("X-Call-Class", class)
+	r.Header.Set("X-Budget", fmt.Sprintf("%dm", requestBudget.Milliseconds()))
+	r.Header.Set(nodeHeader, fmt.Sprint(request.Node))
+	return r
+}
--- a/internal/lab/soak/clients.go
+++ b/internal/lab/soak/clients.go
@@ -4,10 +4,8 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"math/rand/v2"
 	"net/http"
-	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -25,36 +23,29 @@
 
 // Times of the clients.
 const (
-	requestBudget = 2 * time.Second // until a request's deadline
+	requestBudget = 2 * time.Second // until a request's deadline; the longest deadline of the nodes' settings
 	answerGrace   = 2 * time.Second // that a client waits on after the deadline, so that a late answer is seen as such
-	poolIdleTime  = time.Minute     // longer than the nodes' own, so that nodes close idle connections
 )
 
-// maxPooledConnections bounds the idle connections to one node.
-const maxPooledConnections = 8
-
 // clients send requests to the nodes at a steady rate, each to one drawn node.
 type clients struct {
 	recorder *recorder
 	nodes    []*node
 	faults   activeFaults
-	pooled   *http.Client // uses idle connections again
-	unpooled *http.Client // opens a connection for each request
+	pools    []connPool // by node
 	inFlight sync.WaitGroup
 }
 
 // newClients are clients of some nodes; nothing is sent before run.
 func newClients(recorder *recorder, nodes []*node) *clients {
-	return &clients{recorder: recorder, nodes: nodes,
-		pooled:   &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: maxPooledConnections, IdleConnTimeout: poolIdleTime}},
-		unpooled: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}}
+	return &clients{recorder: recorder, nodes: nodes, pools: make([]connPool, len(nodes))}
 }
 
 // run sends requests, so many a second, until ctx ends, and waits for the last answers.
 func (c *clients) run(ctx context.Context, rate int) {
 	tick := time.NewTicker(time.Second / time.Duration(rate))
 	defer tick.Stop()
-	defer c.inFlight.Wait()
+	defer c.close()
 	for number := 0; ; number++ {
 		select {
 		case <-tick.C:
@@ -65,66 +56,99 @@
 	}
 }
 
+// close waits for the last answers and closes all connections.
+func (c *clients) close() {
+	c.inFlight.Wait()
+	for i := range c.pools {
+		c.pools[i].close()
+	}
+}
+
 // send makes one request and records what became of it.
 func (c *clients) send(number int) {
 	n := c.nodes[rand.IntN(len(c.nodes))]
-	request := &Request{ID: fmt.Sprintf("r-%d", number), Node: n.index, NonIdempotent: rand.Float64() < nonIdempotentRatio,
-		NewConnection: rand.Float64() < newConnectionRatio}
-	ctx, cancel := context.WithTimeout(context.Background(), requestBudget+answerGrace)
-	defer cancel()
-	if _, cancels := c.faults.hits(ClientCancel); cancels {
-		c.cancelSoon(request, cancel)
-	}
-	r := newHTTPRequest(ctx, request, n)
+	request := &Request{ID: fmt.Sprintf("r-%d", number), Node: n.index, NonIdempotent: rand.Float64() < nonIdempotentRatio}
+	ownConnection := rand.Float64() < newConnectionRatio
+	_, cancels := c.faults.hits(ClientCancel)
 	request.At = c.recorder.now()
 	request.Deadline = request.At + requestBudget
 	c.recorder.record(func(o *Observations) { o.Requests = append(o.Requests, request) })
-	client := c.pooled
-	if request.NewConnection {
-		client = c.unpooled
+	giveUp := time.Now().Add(requestBudget + answerGrace)
+	conn, err := c.connect(request, ownConnection, giveUp)
+	if err != nil {
+		c.recordEnd(request, nil, err)
+		return
+	}
+	conn.SetDeadline(giveUp)
+	if cancels {
+		c.cancelSoon(request, conn)
 	}
-	resp, err := client.Do(r)
-	if err == nil {
-		_, err = io.Copy(io.Discard, resp.Body)
-		resp.Body.Close()
+	response, err := c.exchange(conn, request)
+	c.recordEnd(request, response, err)
+	switch {
+	case err != nil:
+		unread := conn.wasReset(err)
+		c.recorder.record(func(*Observations) { request.Unread = unread })
+		conn.Close()
+	case ownConnection:
+		conn.Close()
+	default:
+		c.pools[n.index].put(conn)
+	}
+}
+
+// connect returns the connection for a request: a kept one that is open, or a new one if there is none, or the request is to
+// have its own.
+func (c *clients) connect(request *Request, ownConnection bool, deadline time.Time) (*clientConn, error) {
+	if !ownConnection {
+		if conn := c.pools[request.Node].take(); conn != nil {
+			return conn, nil
+		}
+	}
+	c.recorder.record(func(*Observations) { request.NewConnection = true })
+	return dialNode(c.nodes[request.Node].listen, deadline)
+}
+
+// exchange sends a request and reads its response to its end.
+func (c *clients) exchange(conn *clientConn, request *Request) (*http.Response, error) {
+	r := newHTTPRequest(request, c.nodes[request.Node])
+	if err := conn.send(r, func() { c.noteWritten(request) }); err != nil {
+		return nil, err
 	}
+	return conn.receive(r)
+}
+
+// recordEnd records how a request ended, by its response or an error.
+func (c *clients) recordEnd(request *Request, response *http.Response, err error) {
 	c.recorder.record(func(*Observations) {
 		request.Finished = c.recorder.now()
 		if err != nil {
 			request.Err, request.ConnectionRefused = err.Error(), errors.Is(err, syscall.ECONNREFUSED)
 			return
 		}
-		request.Status, request.RetryAfter = resp.StatusCode, resp.Header.Get("Retry-After") != ""
+		request.Status, request.RetryAfter = response.StatusCode, response.Header.Get("Retry-After") != ""
+	})
+}
+
+// noteWritten notes that a request's last byte was written: its time counts from there.
+func (c *clients) noteWritten(request *Request) {
+	c.recorder.record(func(*Observations) {
+		request.Written = c.recorder.now()
+		request.Deadline = request.Written + requestBudget
 	})
 }
 
-// cancelSoon cancels a request after a drawn time, unless it has its answer by then.
-func (c *clients) cancelSoon(request *Request, cancel context.CancelFunc) {
+// cancelSoon closes a request's connection after a drawn time, unless it has its answer by then.
+func (c *clients) cancelSoon(request *Request, conn *clientConn) {
 	time.AfterFunc(rand.N(maxCancelAfter), func() {
+		gone := false
 		c.recorder.record(func(*Observations) {
-			if request.Finished == 0 {
+			if gone = request.Finished == 0; gone {
 				request.ClientGone = c.recorder.now()
 			}
 		})
-		cancel()
+		if gone {
+			conn.Close()
+		}
 	})
 }
-
-// newHTTPRequest is the request as a node reads it. The client's library must not send it a second time by itself, so
-// GetBody is nil.
-func newHTTPRequest(ctx context.Context, request *Request, n *node) *http.Request {
-	method, class, body := http.MethodGet, "read", io.Reader(nil)
-	if request.NonIdempotent {
-		method, class, body = http.MethodPost, "write", strings.NewReader("x")
-	}
-	r, err := http.NewRequestWithContext(ctx, method, n.url()+"/api", body)
-	if err != nil {
-		panic(err) // only if a node's address is none
-	}
-	r.GetBody = nil
-	r.Header.Set("X-Call-Id", request.ID)
-	r.Header.Set("X-Call-Class", class)
-	r.Header.Set("X-Budget", fmt.Sprintf("%dm", requestBudget.Milliseconds()))
-	r.Header.Set(nodeHeader, fmt.Sprint(request.Node))
-	return r
-}
--- /dev/null
+++ b/internal/lab/soak/crowd.go
@@ -0,0 +1,68 @@
+package soak
+
+import (
+	"context"
+	"net"
+	"time"
+)
+
+// crowdInterval is the time between two passes in which a crowd opens the connections again that its node has closed.
+const crowdInterval = 100 * time.Millisecond
+
+// crowd is the idle clients of one node. They send nothing, and come again when they are sent away.
+type crowd struct {
+	address string
+	conns   []*clientConn
+}
+
+// hold keeps so many connections to the node open until ctx ends, and closes them.
+func (c *crowd) hold(ctx context.Context, connections int) {
+	defer c.close()
+	again := time.NewTicker(crowdInterval)
+	defer again.Stop()
+	for {
+		c.dropClosed()
+		for len(c.conns) < connections && ctx.Err() == nil {
+			if !c.open(ctx) {
+				break
+			}
+		}
+		select {
+		case <-again.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// open opens one connection, and reports whether it came up soon.
+func (c *crowd) open(ctx context.Context) bool {
+	dialer := net.Dialer{Timeout: crowdInterval}
+	conn, err := dialer.DialContext(ctx, "tcp", c.address)
+	if err != nil {
+		return false
+	}
+	c.conns = append(c.conns, &clientConn{Conn: conn})
+	return true
+}
+
+// dropClosed forgets the connections that the node has ended.
+func (c *crowd) dropClosed() {
+	open := c.conns[:0]
+	for _, conn := range c.conns {
+		if conn.isOpen() {
+			open = append(open, conn)
+		} else {
+			conn.Close()
+		}
+	}
+	c.conns = open
+}
+
+// close closes all connections.
+func (c *crowd) close() {
+	for _, conn := range c.conns {
+		conn.Close()
+	}
+	c.conns = nil
+}
--- a/internal/lab/soak/nodes.go
+++ b/internal/lab/soak/nodes.go
@@ -22,13 +22,20 @@
 	readyInterval    = 10 * time.Millisecond // between two looks
 )
 
+// killDelay is the time from the first SIGTERM to SIGKILL, the earliest that the platform allows: 0.7 s and the longest
+// deadline of the nodes' settings.
+const killDelay = 700*time.Millisecond + requestBudget
+
+// nodeDescriptors is how many descriptors each node has.
+const nodeDescriptors = 512
+
 // maxLogLine bounds a line of a node's log: a captured list is one long line.
 const maxLogLine = 8 << 20
 
 // nodeConfigFormat is a node's configuration file; the arguments are its index, its address, discovery's address, its
-// index, the bootstrap list, the number of nodes and its index.
+// index, its descriptors, the bootstrap list, the number of nodes and its index.
 const nodeConfigFormat = `{"name":"n%d","listen":%q,"discovery":%q,"seed":"8c1f30d27a5be9%02x",
- "limits":{"cores":1,"memory_mb":128,"sockets":512},"known":%s,
+ "limits":{"cores":1,"memory_mb":128,"sockets":%d},"known":%s,
  "settings":{"registry-mode":"on_request","balancers":%d,"me":%d,"rules":{"ask-within-ms":10000,"warm-after-ms":1000,"cold-from":0.2},
   "limits":{"conn-idle-ms":1000,"connect-timeout-ms":500,"max-attempts":3,"retry-after":true,"max-retry-after-ms":2000},
   "lanes":[{"name":"read","effect":"read_like","target-ms":500,"deadline-ms":2000,"worth":1},
@@ -49,9 +56,14 @@
 
 	mu               sync.Mutex // an incarnation begins and ends under it
 	discoveryAddress string
-	command          *exec.Cmd     // nil: it does not run
-	ending           bool          // it was sent SIGTERM or SIGKILL
-	ended            chan struct{} // closed when the process has ended and its log is read
+	process          *process // nil: it does not run
+	ending           bool     // it was sent SIGTERM or SIGKILL
+}
+
+// process is that of one incarnation.
+type process struct {
+	command *exec.Cmd
+	ended   chan struct{} // closed when it has ended and its log is read
 }
 
 // newNode is a node that does not run yet, with an address of discovery of its own.
@@ -89,7 +101,7 @@
 	if err != nil {
 		return err
 	}
-	text := fmt.Sprintf(nodeConfigFormat, n.index, n.listen, n.discoveryAddress, n.index, bootstrap, n.nodeCount, n.index)
+	text := fmt.Sprintf(nodeConfigFormat, n.index, n.listen, n.discoveryAddress, n.index, nodeDescriptors, bootstrap, n.nodeCount, n.index)
 	return os.WriteFile(n.config, []byte(text), 0o600)
 }
 
@@ -103,6 +115,7 @@
 		if err == nil {
 			resp.Body.Close()
 			if resp.StatusCode == http.StatusOK {
+				n.recordLast(func(i *Incarnation) { i.Ready = n.recorder.now() })
 				return nil
 			}
 		}
@@ -129,15 +142,15 @@
 	if err := command.Start(); err != nil {
 		return err
 	}
-	n.command, n.ending, n.ended = command, false, make(chan struct{})
-	go n.readLog(command, stderr, n.ended)
+	n.process, n.ending = &process{command, make(chan struct{})}, false
+	go n.readLog(n.process, stderr)
 	return nil
 }
 
 // readLog reads an incarnation's log to its end and records what must never stand in one, and an end that no
 // fault has caused.
-func (n *node) readLog(command *exec.Cmd, stderr io.Reader, ended chan struct{}) {
-	defer close(ended)
+func (n *node) readLog(p *process, stderr io.Reader) {
+	defer close(p.ended)
 	lines := bufio.NewScanner(stderr)
 	lines.Buffer(nil, maxLogLine)
 	for lines.Scan() {
@@ -145,7 +158,7 @@
 			n.complain(line)
 		}
 	}
-	err := command.Wait()
+	err := p.command.Wait()
 	n.mu.Lock()
 	expected := n.ending
 	n.mu.Unlock()
@@ -174,7 +187,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.discoveryAddress = address
-	if n.command == nil || n.ending {
+	if n.process == nil || n.ending {
 		return nil
 	}
 	if err := n.writeConfig(); err != nil {
@@ -183,7 +196,7 @@
 	n.recorder.record(func(o *Observations) {
 		o.AddressChanges = append(o.AddressChanges, AddressChange{At: n.recorder.now(), Node: n.index})
 	})
-	if err := n.command.Process.Signal(syscall.SIGHUP); !errors.Is(err, os.ErrProcessDone) { // readLog records such an end
+	if err := n.process.command.Process.Signal(syscall.SIGHUP); !errors.Is(err, os.ErrProcessDone) { // readLog records such an end
 		return err
 	}
 	return nil
@@ -193,67 +206,104 @@
 func (n *node) pause(length time.Duration) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if n.command == nil || n.ending {
+	if n.process == nil || n.ending {
 		return
 	}
-	n.command.Process.Signal(syscall.SIGSTOP)
+	n.process.command.Process.Signal(syscall.SIGSTOP)
 	<-time.After(length)
-	n.command.Process.Signal(syscall.SIGCONT)
+	n.process.command.Process.Signal(syscall.SIGCONT)
 }
 
-// stop ends an incarnation, by SIGTERM or SIGKILL, and waits for its end. It returns false if there is none to end.
-func (n *node) stop(kill bool) bool {
-	command, ended := n.beginStop(kill)
-	if command == nil {
+// kill ends an incarnation by SIGKILL and waits for its end. It returns false if there is none to end.
+func (n *node) kill() bool {
+	running := n.beginEnd(true)
+	if running == nil {
 		return false
 	}
-	if kill {
-		command.Process.Kill()
-	} else {
-		command.Process.Signal(syscall.SIGTERM)
+	running.command.Process.Kill()
+	n.awaitEnd(running)
+	return true
+}
+
+// restart ends an incarnation by signals in a row, of which the first SIGTERM is the one that counts, and by SIGKILL once the
+// platform may send it. It returns false if there is no incarnation to end.
+func (n *node) restart(interval time.Duration, signals ...syscall.Signal) bool {
+	var running *process
+	var killAt <-chan time.Time
+	for i, signal := range signals {
+		if i > 0 {
+			<-time.After(interval)
+		}
+		if signal == syscall.SIGTERM && running == nil {
+			if running = n.beginEnd(false); running == nil {
+				return false
+			}
+			running.command.Process.Signal(signal)
+			killAt = time.After(killDelay)
+			continue
+		}
+		n.signal(running, signal)
 	}
-	<-ended
-	if kill {
-		n.recordExit()
+	select {
+	case <-running.ended:
+	case <-killAt:
+		n.recordKill()
+		running.command.Process.Kill()
 	}
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	n.command = nil
+	n.awaitEnd(running)
 	return true
 }
 
-// recordExit records that the incarnation that was killed last has exited.
-func (n *node) recordExit() {
-	n.recorder.record(func(o *Observations) {
-		for i := range o.Incarnations {
-			incarnation := &o.Incarnations[i]
-			if incarnation.Node == n.index && incarnation.Killed != 0 && incarnation.Exited == 0 {
-				incarnation.Exited = n.recorder.now()
-			}
+// signal sends a signal to an incarnation that is ending, or to the one that runs where none is given.
+func (n *node) signal(running *process, signal syscall.Signal) {
+	if running == nil {
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		if running = n.process; running == nil || n.ending {
+			return
 		}
-	})
+	}
+	running.command.Process.Signal(signal) // one that has ended needs none
 }
 
-// beginStop marks the incarnation as ending and records when; nil if there is none.
-func (n *node) beginStop(kill bool) (command *exec.Cmd, ended <-chan struct{}) {
+// beginEnd marks the incarnation as ending and records when and how; nil if there is none.
+func (n *node) beginEnd(kill bool) *process {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if n.command == nil || n.ending {
-		return nil, nil
+	if n.process == nil || n.ending {
+		return nil
 	}
 	n.ending = true
+	n.recordLast(func(i *Incarnation) {
+		if now := n.recorder.now(); kill {
+			i.Killed = now
+		} else {
+			i.Terminated = now
+		}
+	})
+	return n.process
+}
+
+// recordKill records that the incarnation that was sent SIGTERM is sent SIGKILL.
+func (n *node) recordKill() { n.recordLast(func(i *Incarnation) { i.Killed = n.recorder.now() }) }
+
+// awaitEnd waits until an incarnation has ended.
+func (n *node) awaitEnd(running *process) {
+	<-running.ended
+	n.recordLast(func(i *Incarnation) { i.Exited = n.recorder.now() })
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.process = nil
+}
+
+// recordLast changes the node's last incarnation.
+func (n *node) recordLast(change func(*Incarnation)) {
 	n.recorder.record(func(o *Observations) {
-		for i := range o.Incarnations {
-			incarnation := &o.Incarnations[i]
-			if incarnation.Node != n.index || incarnation.Terminated != 0 || incarnation.Killed != 0 {
-				continue
-			}
-			if now := n.recorder.now(); kill {
-				incarnation.Killed = now
-			} else {
-				incarnation.Terminated = now
+		for i := len(o.Incarnations) - 1; i >= 0; i-- {
+			if o.Incarnations[i].Node == n.index {
+				change(&o.Incarnations[i])
+				return
 			}
 		}
 	})
-	return n.command, n.ended
 }
--- a/internal/lab/soak/observations.go
+++ b/internal/lab/soak/observations.go
@@ -12,6 +12,8 @@
 	Incarnations   []Incarnation
 	AddressChanges []AddressChange
 	Outages        []Span // of discovery
+	Crowds         []CrowdSpan
+	Series         int // of signals that were sent
 	Attempts       []*Attempt
 	Requests       []*Request
 	Complaints     []string // of nodes: broken invariants, panics, unexpected ends
@@ -23,6 +25,12 @@
 	Open     bool
 }
 
+// CrowdSpan is a time in which a crowd holds connections to a node.
+type CrowdSpan struct {
+	Node     int
+	From, To time.Duration
+}
+
 // DrainStart is a server that began to drain, with the version of the endpoint list that has it.
 type DrainStart struct {
 	At      time.Duration
@@ -41,9 +49,10 @@
 type Incarnation struct {
 	Node       int
 	Started    time.Duration
-	Terminated time.Duration // when it was sent SIGTERM; 0: never
-	Exited     time.Duration // when the process that was killed had ended; 0: not yet, or it was not killed
+	Ready      time.Duration // when it said so; 0: not yet
+	Terminated time.Duration // when it was sent its first SIGTERM; 0: never
 	Killed     time.Duration // when it was sent SIGKILL; 0: never
+	Exited     time.Duration // when it had ended; 0: not yet
 }
 
 // AddressChange is a SIGHUP that names another address of discovery.
@@ -57,7 +66,8 @@
 	ID             string
 	Node           int
 	Server         int
-	At             time.Duration
+	HeadRead       time.Duration // when the server had read its head
+	At             time.Duration // when the server began to handle it
 	Budget         time.Duration // what is left until the deadline, as the attempt says
 	Executed       bool          // it was not rejected
 	Finished       time.Duration // when the server was done, or its connection had ended; 0: never
@@ -69,15 +79,17 @@
 	ID                string
 	Node              int
 	NonIdempotent     bool
-	At                time.Duration
-	Deadline          time.Duration
+	At                time.Duration // when its client began to send it
+	Written           time.Duration // when its last byte was written; 0: it was not, or that is not known
+	Deadline          time.Duration // counts from its last byte
 	ClientGone        time.Duration // when its client canceled; 0: it waited
 	Finished          time.Duration // when it had its answer, or knew that there is none
 	Status            int           // 0: none
 	RetryAfter        bool          // the answer says when to come back
 	Err               string
-	NewConnection     bool // it was on a connection of its own
+	NewConnection     bool // it was the first one on its connection
 	ConnectionRefused bool // no connection came up
+	Unread            bool // its node ended the connection and had not read all of it
 }
 
 // recorder collects observations. Its methods may be called from any goroutine.
--- a/internal/lab/soak/plan.go
+++ b/internal/lab/soak/plan.go
@@ -27,7 +27,7 @@
 	ServerReject       Kind = "reject"    // the Target server rejects a Share of the requests
 	ServerError        Kind = "fail"      // the Target server answers a Share of the requests with 500
 	NodePause          Kind = "pause"     // the Target node is stopped for Wait
-	NodeRestart        Kind = "restart"   // the Target node is sent SIGTERM, and started again
+	NodeRestart        Kind = "restart"   // the Target node is sent SIGTERM, SIGKILL once it may be, and started again
 	NodeKill           Kind = "kill"      // the Target node is sent SIGKILL, and started again
 	ClientCancel       Kind = "leave"     // a Share of the clients cancels early
 )
@@ -68,6 +68,22 @@
 	Rate    int           // requests a second, of all clients
 	Length  time.Duration // from the begin of the run to the last request; a plan that is shifted gets longer
 	Faults  []Fault       // by their begin
+	Series  []SignalSeries
+	Crowds  []Crowd
+}
+
+// Lines has all that goes wrong in a plan, a line each.
+func (p Plan) Lines() (lines []string) {
+	for _, f := range p.Faults {
+		lines = append(lines, f.String())
+	}
+	for _, s := range p.Series {
+		lines = append(lines, s.String())
+	}
+	for _, c := range p.Crowds {
+		lines = append(lines, c.String())
+	}
+	return lines
 }
 
 // Size of a plan beside its nodes.
@@ -124,6 +140,14 @@
 		p.Faults[i].From += begin
 		p.Faults[i].To += begin
 	}
+	p.Series, p.Crowds = slices.Clone(p.Series), slices.Clone(p.Crowds)
+	for i := range p.Series {
+		p.Series[i].From += begin
+	}
+	for i := range p.Crowds {
+		p.Crowds[i].From += begin
+		p.Crowds[i].To += begin
+	}
 	p.Length += begin
 	return p
 }
@@ -140,6 +164,7 @@
 	}
 	p.Faults = append(p.Faults, drawStaleListFaults(rng, p)...)
 	slices.SortStableFunc(p.Faults, func(a, b Fault) int { return cmp.Compare(a.From, b.From) })
+	p.Series, p.Crowds = drawSignals(seed, p)
 	return p
 }
 
--- a/internal/lab/soak/plan_test.go
+++ b/internal/lab/soak/plan_test.go
@@ -5,7 +5,10 @@
 	"encoding/hex"
 	"fmt"
 	"reflect"
+	"slices"
+	"syscall"
 	"testing"
+	"time"
 )
 
 // A seed that failed once is kept and played again later. If a change of the drawing moved one random draw, all kept
@@ -48,3 +51,47 @@
 		}
 	}
 }
+
+// A restart or a crowd that lasts into the recovery hides whether nodes recover, and one that no seed has is never played.
+func TestSignalsAndCrowds(t *testing.T) {
+	patterns, crowds, outages := map[string]bool{}, 0, 0
+	const seeds = 300
+	for seed := range uint64(seeds) {
+		p := DrawPlan(seed, 24, 20*second)
+		for _, s := range p.Series {
+			patterns[fmt.Sprint(s.Signals)] = true
+			end := s.From + time.Duration(len(s.Signals)-1)*s.Interval + killDelay
+			if s.From < firstFault || end > p.Length-recoveryTime || s.Node >= p.Nodes || !slices.Contains(s.Signals, syscall.SIGTERM) {
+				t.Errorf("seed %d: %v", seed, s)
+			}
+		}
+		for _, c := range p.Crowds {
+			crowds++
+			if c.Outage {
+				outages++
+			}
+			if c.From < firstFault || c.To > p.Length-recoveryTime || c.Node >= p.Nodes || c.Connections <= nodeDescriptors {
+				t.Errorf("seed %d: %v", seed, c)
+			}
+		}
+		if len(p.Series) == 0 {
+			t.Errorf("seed %d has no restart by signals in a row", seed)
+		}
+	}
+	if len(patterns) != len(signalPatterns) || crowds < seeds/3 || outages == 0 || outages == crowds {
+		t.Errorf("%d patterns of signals, %d crowds, %d of them with an outage", len(patterns), crowds, outages)
+	}
+}
+
+// Kept seeds go on standing for their series and crowds too, as for their faults.
+func TestSeedKeepsItsSignals(t *testing.T) {
+	const want = "b566a3d3a3b2db7fe5d69f1607effbc256005540cf4aba80b30d0ecfb4dc4132"
+	digest := sha256.New()
+	for seed := range uint64(300) {
+		p := DrawPlan(seed, 24, 20*second)
+		fmt.Fprintln(digest, p.Series, p.Crowds)
+	}
+	if got := hex.EncodeToString(digest.Sum(nil)); got != want {
+		t.Errorf("digest of the series and crowds is %s, want %s", got, want)
+	}
+}
--- a/internal/lab/soak/run.go
+++ b/internal/lab/soak/run.go
@@ -3,9 +3,9 @@
 import (
 	"context"
 	"fmt"
-	"net/http"
 	"os"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -87,7 +87,7 @@
 func (r *run) close() {
 	var stopping sync.WaitGroup
 	for _, n := range r.nodes {
-		stopping.Go(func() { n.stop(true) })
+		stopping.Go(func() { n.kill() })
 	}
 	stopping.Wait()
 	if r.discovery != nil {
@@ -111,6 +111,20 @@
 			}
 		})
 	}
+	for _, s := range r.plan.Series {
+		injecting.Go(func() {
+			if r.waitUntil(ctx, s.From) {
+				r.playSeries(s)
+			}
+		})
+	}
+	for _, c := range r.plan.Crowds {
+		injecting.Go(func() {
+			if r.waitUntil(ctx, c.From) {
+				r.playCrowd(ctx, c)
+			}
+		})
+	}
 	r.clients.run(ctx, r.plan.Rate)
 	injecting.Wait()
 	r.mu.Lock()
@@ -158,15 +172,46 @@
 		r.activate(ctx, &r.servers[f.Target].faults, f)
 	case NodePause:
 		r.nodes[f.Target].pause(f.Wait)
-	case NodeRestart, NodeKill:
-		if r.nodes[f.Target].stop(f.Kind == NodeKill) {
-			r.keepError(r.nodes[f.Target].start())
-		}
+	case NodeRestart:
+		r.startAgain(f.Target, r.nodes[f.Target].restart(0, syscall.SIGTERM))
+	case NodeKill:
+		r.startAgain(f.Target, r.nodes[f.Target].kill())
 	case ClientCancel:
 		r.activate(ctx, &r.clients.faults, f)
 	}
 }
 
+// startAgain starts a node whose incarnation has ended.
+func (r *run) startAgain(node int, ended bool) {
+	if ended {
+		r.keepError(r.nodes[node].start())
+	}
+}
+
+// playSeries restarts a node with signals in a row.
+func (r *run) playSeries(s SignalSeries) {
+	ended := r.nodes[s.Node].restart(s.Interval, s.Signals...)
+	if ended {
+		r.recorder.record(func(o *Observations) { o.Series++ })
+	}
+	r.startAgain(s.Node, ended)
+}
+
+// playCrowd holds connections to a node until the crowd goes.
+func (r *run) playCrowd(ctx context.Context, c Crowd) {
+	ctx, cancel := context.WithTimeout(ctx, c.To-r.recorder.now())
+	defer cancel()
+	if c.Outage {
+		r.keepError(r.discovery.setOutage(true, false))
+		defer func() { r.keepError(r.discovery.setOutage(false, false)) }()
+	}
+	idle := crowd{address: r.nodes[c.Node].listen}
+	idle.hold(ctx, c.Connections)
+	r.recorder.record(func(o *Observations) {
+		o.Crowds = append(o.Crowds, CrowdSpan{Node: c.Node, From: c.From, To: r.recorder.now()})
+	})
+}
+
 // activate has a fault in force at a stand-in until it is over.
 func (r *run) activate(ctx context.Context, at *activeFaults, f Fault) {
 	at.begin(f)
@@ -183,24 +228,3 @@
 		r.waitUntil(ctx, r.recorder.now()+f.Wait)
 	}
 }
-
-// String says how much was observed, in one line of a run's output.
-func (r *Result) String() string {
-	served, rejected, failed, unanswered := 0, 0, 0, 0
-	for _, request := range r.Observations.Requests {
-		switch {
-		case request.ClientGone > 0:
-		case request.Status == http.StatusOK:
-			served++
-		case request.Status == http.StatusServiceUnavailable:
-			rejected++
-		case request.Status == 0:
-			unanswered++
-		default:
-			failed++
-		}
-	}
-	o := r.Observations
-	return fmt.Sprintf("%d faults, %d requests: %d served, %d refused, %d failed, %d without an answer; %d attempts, %d drains, %d lists, %d moves",
-		len(r.Plan.Faults), len(o.Requests), served, rejected, failed, unanswered, len(o.Attempts), len(o.Drains), len(o.Deliveries), len(o.AddressChanges))
-}
--- a/internal/lab/soak/servers.go
+++ b/internal/lab/soak/servers.go
@@ -35,8 +35,8 @@
 		return nil, err
 	}
 	s := &server{index: index, recorder: recorder, addr: listener.Addr().String()}
-	s.http = &http.Server{Handler: s, IdleTimeout: serverIdleTimeout, ReadHeaderTimeout: readHeaderTimeout}
-	go s.http.Serve(listener) // ends with Close
+	s.http = &http.Server{Handler: s, IdleTimeout: serverIdleTimeout, ReadHeaderTimeout: readHeaderTimeout, ConnContext: withClockConn}
+	go s.http.Serve(clockListener{listener, recorder}) // ends with Close
 	return s, nil
 }
 
@@ -72,7 +72,7 @@
 func (s *server) newAttempt(r *http.Request) *Attempt {
 	node, _ := strconv.Atoi(r.Header.Get(nodeHeader))
 	budget, _ := strconv.ParseInt(strings.TrimSuffix(r.Header.Get("X-Budget"), "u"), 10, 64)
-	return &Attempt{ID: r.Header.Get("X-Call-Id"), Node: node, Server: s.index, At: s.recorder.now(),
+	return &Attempt{ID: r.Header.Get("X-Call-Id"), Node: node, Server: s.index, HeadRead: lastRead(r), At: s.recorder.now(),
 		Budget: time.Duration(budget) * time.Microsecond}
 }
 
--- /dev/null
+++ b/internal/lab/soak/totals.go
@@ -0,0 +1,120 @@
+package soak
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"time"
+)
+
+// Totals are what was observed, in numbers. Those of several runs can be added.
+type Totals struct {
+	Faults, Requests, Served, Rejected, Failed, Unanswered, Canceled int
+	Attempts, Drains, Deliveries, AddressChanges                     int
+	Restarts, Kills, Series, Crowds                                  int // Kills: at the end of a restart too
+	Excused                                                          map[Excuse]int
+	Delays                                                           Delays
+}
+
+// Delays are the longest waits on the way of a request in which a node has no part, or not alone: they tell a late rig from a
+// late node.
+type Delays struct {
+	Write  time.Duration // from a client's begin to its last byte
+	Node   time.Duration // from there until a server has read the head of the first attempt
+	Handle time.Duration // from there until the server handles it
+}
+
+// String is a part of a run's output.
+func (d Delays) String() string {
+	return fmt.Sprintf("longest to write %v, to a server %v, to its handler %v", d.Write.Round(time.Millisecond),
+		d.Node.Round(time.Millisecond), d.Handle.Round(time.Millisecond))
+}
+
+// longest is the longer of each wait.
+func (d Delays) longest(other Delays) Delays {
+	return Delays{max(d.Write, other.Write), max(d.Node, other.Node), max(d.Handle, other.Handle)}
+}
+
+// delays are the longest waits that were observed.
+func (o *Observations) delays() (longest Delays) {
+	first := map[string]*Attempt{}
+	for _, a := range o.Attempts {
+		longest.Handle = max(longest.Handle, a.At-a.HeadRead)
+		if first[a.ID] == nil || a.HeadRead < first[a.ID].HeadRead {
+			first[a.ID] = a
+		}
+	}
+	for _, r := range o.Requests {
+		if r.Written == 0 {
+			continue
+		}
+		longest.Write = max(longest.Write, r.Written-r.At)
+		if a := first[r.ID]; a != nil {
+			longest.Node = max(longest.Node, a.HeadRead-r.Written)
+		}
+	}
+	return longest
+}
+
+// Totals counts what was observed.
+func (r *Result) Totals() Totals {
+	o := r.Observations
+	t := Totals{Faults: len(r.Plan.Faults), Requests: len(o.Requests), Attempts: len(o.Attempts), Drains: len(o.Drains),
+		Deliveries: len(o.Deliveries), AddressChanges: len(o.AddressChanges), Series: o.Series, Crowds: len(o.Crowds), Excused: r.Excused(), Delays: o.delays()}
+	for _, request := range o.Requests {
+		switch {
+		case request.ClientGone > 0:
+			t.Canceled++
+		case request.Status == http.StatusOK:
+			t.Served++
+		case request.Status == http.StatusServiceUnavailable:
+			t.Rejected++
+		case request.Status == 0:
+			t.Unanswered++
+		default:
+			t.Failed++
+		}
+	}
+	for _, i := range o.Incarnations {
+		if i.Terminated != 0 {
+			t.Restarts++
+		}
+		if i.Killed != 0 && i.Killed <= r.Plan.Length {
+			t.Kills++
+		}
+	}
+	return t
+}
+
+// Add adds the totals of another run.
+func (t *Totals) Add(other Totals) {
+	for _, sum := range []struct {
+		to   *int
+		from int
+	}{
+		{&t.Faults, other.Faults}, {&t.Requests, other.Requests}, {&t.Served, other.Served}, {&t.Rejected, other.Rejected},
+		{&t.Failed, other.Failed}, {&t.Unanswered, other.Unanswered}, {&t.Canceled, other.Canceled}, {&t.Attempts, other.Attempts},
+		{&t.Drains, other.Drains}, {&t.Deliveries, other.Deliveries}, {&t.AddressChanges, other.AddressChanges},
+		{&t.Restarts, other.Restarts}, {&t.Kills, other.Kills}, {&t.Series, other.Series}, {&t.Crowds, other.Crowds},
+	} {
+		*sum.to += sum.from
+	}
+	t.Delays = t.Delays.longest(other.Delays)
+	if t.Excused == nil {
+		t.Excused = map[Excuse]int{}
+	}
+	for excuse, count := range other.Excused {
+		t.Excused[excuse] += count
+	}
+}
+
+// String is one line of a run's output.
+func (t Totals) String() string {
+	excused := make([]string, len(excuses))
+	for i, excuse := range excuses {
+		excused[i] = fmt.Sprintf("%d %s", t.Excused[excuse], excuse)
+	}
+	return fmt.Sprintf("%d faults, %d restarts, %d kills, %d series, %d crowds; %d requests: %d served, %d refused, %d failed, %d canceled, %d without an answer; excused: %s; %d attempts, %d drains, %d lists, %d moves; %v",
+		t.Faults, t.Restarts, t.Kills, t.Series, t.Crowds, t.Requests, t.Served, t.Rejected, t.Failed, t.Canceled, t.Unanswered,
+		strings.Join(excused, ", "), t.Attempts, t.Drains, t.Deliveries, t.AddressChanges, t.Delays)
+}
--- a/internal/lab/soak/violations.go
+++ b/internal/lab/soak/violations.go
@@ -29,6 +29,7 @@
 	broken = append(broken, checkDrains(o)...)
 	broken = append(broken, checkDuplicates(o)...)
 	broken = append(broken, checkAnswers(o)...)
+	broken = append(broken, checkRestarts(o)...)
 	return append(broken, checkService(r.Plan, o)...)
 }
 
@@ -148,53 +149,18 @@
 			if r.ClientGone > 0 && a.At > r.ClientGone+invariants.ClientGoneGrace+clockTolerance {
 				broken = append(broken, fmt.Sprintf("lost: request %s was sent %v after its client was gone", r.ID, a.At-r.ClientGone))
 			}
-			if by := a.Budget - (r.Deadline - a.At) - invariants.BudgetSlack - clockTolerance; by > 0 {
-				broken = append(broken, fmt.Sprintf("budget: request %s gave its server %v too much", r.ID, by))
+			if by := a.Budget - (r.Deadline - a.HeadRead) - invariants.BudgetSlack - clockTolerance; by > 0 {
+				broken = append(broken, fmt.Sprintf("budget: request %s gave its server %v too much: begun %v, last byte written %v, head read by the server %v, handled %v, %v left",
+					r.ID, by, r.At, r.Written, a.HeadRead, a.At, a.Budget))
 			}
 		}
-		if why := answerFault(o, r, len(attempts[r.ID]) > 0); why != "" {
-			broken = append(broken, fmt.Sprintf("lost: request %s of %v: %s (%s)", r.ID, r.At, why, r.Err))
+		if e := endOf(o, r, len(attempts[r.ID]) > 0); e.fault != "" {
+			broken = append(broken, fmt.Sprintf("lost: request %s of %v at n%d: %s (%s)", r.ID, r.At, r.Node, e.fault, r.Err))
 		}
 	}
 	return broken
 }
 
-// answerFault says what is wrong with the end of a request, "" if nothing is. It is the client's to repeat if its node is
-// killed, if it meets the close of an idle connection, or if its process had been sent SIGTERM long before. A process that
-// is killed goes on for some milliseconds on a busy machine, and its kernel accepts connections until it has exited.
-func answerFault(o *Observations, r *Request, forwarded bool) string {
-	if r.ClientGone > 0 || r.ConnectionRefused {
-		return ""
-	}
-	for _, incarnation := range o.Incarnations {
-		if incarnation.Node == r.Node && incarnation.killedDuring(r) {
-			return ""
-		}
-	}
-	switch {
-	case r.Status == 0 && forwarded:
-		return "it was forwarded and has no answer"
-	case r.Status == 0 && r.NewConnection:
-		return "it was on a new connection and has no answer"
-	case r.Status == 0:
-		return ""
-	case r.Finished > r.Deadline+invariants.AnswerSlack+clockTolerance:
-		return fmt.Sprintf("its answer came %v after its deadline", r.Finished-r.Deadline)
-	case r.Status == http.StatusServiceUnavailable && !r.RetryAfter:
-		return "it was rejected without Retry-After"
-	}
-	return ""
-}
-
-// killedDuring reports whether an incarnation was killed, or had not exited yet after it, while a request was under way.
-func (i Incarnation) killedDuring(r *Request) bool {
-	if i.Killed == 0 {
-		return false
-	}
-	exited := max(i.Exited, i.Killed)
-	return exited >= r.At && i.Killed <= r.Finished+clockTolerance
-}
-
 // checkService says whether the nodes serve once all faults are over.
 func checkService(p Plan, o *Observations) []string {
 	requests, served := 0, 0
--- a/internal/lab/soak/violations_test.go
+++ b/internal/lab/soak/violations_test.go
@@ -17,9 +17,13 @@
 		change(a)
 		return []*Request{a}
 	}
+	refuse := func(a *Request) { a.Status, a.NewConnection, a.ConnectionRefused = 0, true, true }
+	restarted := func(at time.Duration) []Incarnation {
+		return []Incarnation{{Ready: second, Terminated: at, Killed: at + killDelay, Exited: at + killDelay}}
+	}
 	answered := requests(func(*Request) {})
 	attempt := func(at time.Duration, change func(*Attempt)) *Attempt {
-		a := &Attempt{ID: "r", Server: 3, At: at, Budget: second, Executed: true, Finished: at + 1}
+		a := &Attempt{ID: "r", Server: 3, HeadRead: at, At: at, Budget: second, Executed: true, Finished: at + 1}
 		change(a)
 		return a
 	}
@@ -29,28 +33,41 @@
 		observations Observations
 		want         string // what the one line begins with; "": none
 	}{
-		"no fault":                        {Observations{Requests: answered, Attempts: []*Attempt{attempt(10500*time.Millisecond, unchanged)}}, ""},
-		"a drain before its deadline":     {Observations{Drains: drained, Attempts: []*Attempt{attempt(10300*time.Millisecond, unchanged)}}, ""},
-		"a drain after its deadline":      {Observations{Drains: drained, Attempts: []*Attempt{attempt(10400*time.Millisecond, unchanged)}}, "drain"},
-		"after a delivered list":          {Observations{Drains: drained, Deliveries: []Delivery{{At: 5 * second, Version: 2}}, Attempts: []*Attempt{attempt(5400*time.Millisecond, unchanged)}}, "drain"},
-		"4 s after a change of address":   {Observations{Drains: drained, AddressChanges: []AddressChange{{At: 5 * second}}, Attempts: []*Attempt{attempt(9400*time.Millisecond, unchanged)}}, "drain"},
-		"while discovery is unreachable":  {Observations{Drains: drained, Outages: []Span{{From: 3 * second, To: 8 * second}}, Attempts: []*Attempt{attempt(14300*time.Millisecond, unchanged)}}, ""},
-		"6 s after its return":            {Observations{Drains: drained, Outages: []Span{{From: 3 * second, To: 8 * second}}, Attempts: []*Attempt{attempt(14400*time.Millisecond, unchanged)}}, "drain"},
-		"a new process":                   {Observations{Drains: drained, Incarnations: []Incarnation{{Started: 5 * second}}, Attempts: []*Attempt{attempt(11300*time.Millisecond, unchanged)}}, ""},
-		"executed twice":                  {Observations{Requests: answered, Attempts: []*Attempt{attempt(10*second, unchanged), attempt(11*second, unchanged)}}, "duplicate"},
-		"rejected, then executed":         {Observations{Requests: answered, Attempts: []*Attempt{attempt(10*second, func(a *Attempt) { a.Executed = false }), attempt(11*second, unchanged)}}, ""},
-		"out twice at once":               {Observations{Attempts: []*Attempt{attempt(10*second, func(a *Attempt) { a.Finished = 0 }), attempt(11*second, unchanged)}}, "duplicate"},
-		"an answer after the deadline":    {Observations{Requests: requests(func(a *Request) { a.Finished = 12700 * time.Millisecond })}, "lost"},
-		"forwarded, no answer":            {Observations{Requests: requests(func(a *Request) { a.Status = 0 }), Attempts: []*Attempt{attempt(10*second, unchanged)}}, "lost"},
-		"no answer on an idle connection": {Observations{Requests: requests(func(a *Request) { a.Status = 0 })}, ""},
-		"no answer on a new connection":   {Observations{Requests: requests(func(a *Request) { a.Status, a.NewConnection = 0, true })}, "lost"},
-		"its node was killed":             {Observations{Requests: requests(func(a *Request) { a.Status, a.NewConnection = 0, true }), Incarnations: []Incarnation{{Killed: 11 * second}}}, ""},
-		"its killed node still accepts":   {Observations{Requests: requests(func(a *Request) { a.Status, a.NewConnection = 0, true }), Incarnations: []Incarnation{{Killed: 9990 * time.Millisecond, Exited: 10010 * time.Millisecond}}}, ""},
-		"its node was dead before":        {Observations{Requests: requests(func(a *Request) { a.Status, a.NewConnection = 0, true }), Incarnations: []Incarnation{{Killed: 9 * second, Exited: 9990 * time.Millisecond}}}, "lost"},
-		"rejected without Retry-After":    {Observations{Requests: requests(func(a *Request) { a.Status = 503 })}, "lost"},
-		"sent after the client was gone":  {Observations{Requests: requests(func(a *Request) { a.ClientGone = 10 * second }), Attempts: []*Attempt{attempt(10300*time.Millisecond, unchanged)}}, "lost"},
-		"too large a budget":              {Observations{Requests: answered, Attempts: []*Attempt{attempt(10*second, func(a *Attempt) { a.Budget = 2300 * time.Millisecond })}}, "budget"},
-		"a broken invariant of a node":    {Observations{Complaints: []string{"n1: invariant broken"}}, "n1"},
+		"no fault":                       {Observations{Requests: answered, Attempts: []*Attempt{attempt(10500*time.Millisecond, unchanged)}}, ""},
+		"a drain before its deadline":    {Observations{Drains: drained, Attempts: []*Attempt{attempt(10300*time.Millisecond, unchanged)}}, ""},
+		"a drain after its deadline":     {Observations{Drains: drained, Attempts: []*Attempt{attempt(10400*time.Millisecond, unchanged)}}, "drain"},
+		"after a delivered list":         {Observations{Drains: drained, Deliveries: []Delivery{{At: 5 * second, Version: 2}}, Attempts: []*Attempt{attempt(5400*time.Millisecond, unchanged)}}, "drain"},
+		"4 s after a change of address":  {Observations{Drains: drained, AddressChanges: []AddressChange{{At: 5 * second}}, Attempts: []*Attempt{attempt(9400*time.Millisecond, unchanged)}}, "drain"},
+		"while discovery is unreachable": {Observations{Drains: drained, Outages: []Span{{From: 3 * second, To: 8 * second}}, Attempts: []*Attempt{attempt(14300*time.Millisecond, unchanged)}}, ""},
+		"6 s after its return":           {Observations{Drains: drained, Outages: []Span{{From: 3 * second, To: 8 * second}}, Attempts: []*Attempt{attempt(14400*time.Millisecond, unchanged)}}, "drain"},
+		"a new process":                  {Observations{Drains: drained, Incarnations: []Incarnation{{Started: 5 * second}}, Attempts: []*Attempt{attempt(11300*time.Millisecond, unchanged)}}, ""},
+		"executed twice":                 {Observations{Requests: answered, Attempts: []*Attempt{attempt(10*second, unchanged), attempt(11*second, unchanged)}}, "duplicate"},
+		"rejected, then executed":        {Observations{Requests: answered, Attempts: []*Attempt{attempt(10*second, func(a *Attempt) { a.Executed = false }), attempt(11*second, unchanged)}}, ""},
+		"out twice at once":              {Observations{Attempts: []*Attempt{attempt(10*second, func(a *Attempt) { a.Finished = 0 }), attempt(11*second, unchanged)}}, "duplicate"},
+		"an answer after the deadline":   {Observations{Requests: requests(func(a *Request) { a.Finished = 12700 * time.Millisecond })}, "lost"},
+		"forwarded, no answer":           {Observations{Requests: requests(func(a *Request) { a.Status = 0 }), Attempts: []*Attempt{attempt(10*second, unchanged)}}, "lost"},
+		"not read on a kept connection":  {Observations{Requests: requests(func(a *Request) { a.Status, a.Unread = 0, true })}, ""},
+		"read on a kept connection":      {Observations{Requests: requests(func(a *Request) { a.Status = 0 })}, "lost"},
+		"no answer on a new connection":  {Observations{Requests: requests(func(a *Request) { a.Status, a.NewConnection = 0, true })}, "lost"},
+		"its node was killed":            {Observations{Requests: requests(func(a *Request) { a.Status, a.NewConnection = 0, true }), Incarnations: []Incarnation{{Killed: 11 * second}}}, ""},
+		"its killed node still accepts":  {Observations{Requests: requests(func(a *Request) { a.Status, a.NewConnection = 0, true }), Incarnations: []Incarnation{{Killed: 9990 * time.Millisecond, Exited: 10010 * time.Millisecond}}}, ""},
+		"its node was dead before":       {Observations{Requests: requests(func(a *Request) { a.Status, a.NewConnection = 0, true }), Incarnations: []Incarnation{{Killed: 9 * second, Exited: 9990 * time.Millisecond}}}, "lost"},
+		"not read on a new connection":   {Observations{Requests: requests(func(a *Request) { a.Status, a.NewConnection, a.Unread = 0, true, true })}, "lost"},
+		"the same in a crowd":            {Observations{Requests: requests(func(a *Request) { a.Status, a.NewConnection, a.Unread = 0, true, true }), Crowds: []CrowdSpan{{From: 9 * second, To: 13 * second}}}, ""},
+		"read in a crowd":                {Observations{Requests: requests(func(a *Request) { a.Status, a.NewConnection = 0, true }), Crowds: []CrowdSpan{{From: 9 * second, To: 13 * second}}}, "lost"},
+		"refused by a node in service":   {Observations{Requests: requests(refuse), Incarnations: []Incarnation{{Ready: second}}}, "lost"},
+		"refused by a node that ends":    {Observations{Requests: requests(refuse), Incarnations: []Incarnation{{Ready: second, Terminated: 10 * second}}}, ""},
+		"refused just after SIGTERM":     {Observations{Requests: requests(func(a *Request) { refuse(a); a.Finished = a.At }), Incarnations: []Incarnation{{Ready: second, Terminated: 9800 * time.Millisecond}}}, "lost"},
+		"refused before it is ready":     {Observations{Requests: requests(refuse), Incarnations: []Incarnation{{Ready: second, Killed: 9 * second, Exited: 9 * second}, {Started: 9 * second}}}, ""},
+		"read 0.7 s after SIGTERM":       {Observations{Requests: requests(func(a *Request) { a.Status, a.Finished = 0, 12*second }), Incarnations: restarted(9300 * time.Millisecond)}, "lost"},
+		"read later, and killed":         {Observations{Requests: requests(func(a *Request) { a.Status, a.Finished = 0, 12*second }), Incarnations: restarted(9299 * time.Millisecond)}, ""},
+		"read later, the node exits":     {Observations{Requests: requests(func(a *Request) { a.Status = 0 }), Incarnations: []Incarnation{{Ready: second, Terminated: 9 * second, Exited: 11 * second}}}, "lost"},
+		"not read, and killed":           {Observations{Requests: requests(func(a *Request) { a.Status, a.Unread, a.Finished = 0, true, 12*second }), Incarnations: restarted(9300 * time.Millisecond)}, ""},
+		"a restart without an end":       {Observations{Incarnations: []Incarnation{{Terminated: second, Killed: 5 * second, Exited: 5 * second}}}, "restart"},
+		"rejected without Retry-After":   {Observations{Requests: requests(func(a *Request) { a.Status = 503 })}, "lost"},
+		"sent after the client was gone": {Observations{Requests: requests(func(a *Request) { a.ClientGone = 10 * second }), Attempts: []*Attempt{attempt(10300*time.Millisecond, unchanged)}}, "lost"},
+		"too large a budget":             {Observations{Requests: answered, Attempts: []*Attempt{attempt(10*second, func(a *Attempt) { a.Budget = 2300 * time.Millisecond })}}, "budget"},
+		"a broken invariant of a node":   {Observations{Complaints: []string{"n1: invariant broken"}}, "n1"},
 	} {
 		t.Run(name, func(t *testing.T) {
 			result := &Result{Plan: Plan{Length: 60 * second}, Observations: &c.observations}
