A pipelined request that was read with the one before is answered in a shutdown

Callers saw: of requests sent at once on a connection, those behind the first got a close in place of an answer where responses close their connections: in the last 0.9 s before SIGKILL, out of service, with a successor. The bytes of the next request have been read, with the one before or ahead of it, to notice that the client leaves; the response that ends the connection drops them, and no reset tells the client. Change: a response ends its connection only if no byte of the next request has been read. The last one ends it. Evidence: TestPipelinedRequestsAreAnsweredInShutdown failed before ("response 2: unexpected EOF"), -race -count=5 passes.

--- a/internal/node/clientconn.go
+++ b/internal/node/clientconn.go
@@ -61,6 +61,7 @@
 	if !c.head.HeadBegun() {
 		c.readAhead.endHead()
 	}
+	c.readAhead.setBytesBehind(c.head.Buffered())
 	switch {
 	case n > 0 && !c.listener.markActive(c):
 		return 0, io.EOF
--- a/internal/node/ingress.go
+++ b/internal/node/ingress.go
@@ -100,7 +100,7 @@
 		h.guard.Note(closed.Check(), "id", req.Request.ID, "err", err)
 		return statusClientGone
 	}
-	return h.writeResponse(w, answer)
+	return h.writeResponse(w, conn, answer)
 }
 
 // readOrMarkDenied reads and validates a request. notAccepted is the answer to one that breaks the protocol: a 4xx or 505
--- a/internal/node/readahead.go
+++ b/internal/node/readahead.go
@@ -53,6 +53,7 @@
 	drained      bool   // the socket had nothing more when it was last looked at
 	requestOpen  bool   // a request is open and its body has been read
 	httpHasByte  bool   // net/http holds a byte that came behind that request, and reads no more
+	bytesBehind  bool   // bytes behind that request were read with it, and wait for net/http
 	watching     bool   // net/http reads only to notice that the client of the open request leaves
 	discarded    int    // bytes that were not kept: the connection has to end with this response
 	readerDone   chan struct{}
@@ -136,6 +137,21 @@
 	a.startReader()
 }
 
+// setBytesBehind notes whether bytes behind the request that is being read were read with it.
+func (a *readAheadBuffer) setBytesBehind(held bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.bytesBehind = held
+}
+
+// nextBegun reports whether bytes of the next request have been read while one is open. Were the connection closed with its
+// response, the next request would have been read and have none.
+func (a *readAheadBuffer) nextBegun() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.httpHasByte || a.bytesBehind || len(a.buf) > 0
+}
+
 // beginRequest notes that a request is open of which everything has been read, and reports whether its client has
 // already gone.
 func (a *readAheadBuffer) beginRequest() (gone bool) {
--- a/internal/node/response.go
+++ b/internal/node/response.go
@@ -39,12 +39,13 @@
 	return http.StatusBadGateway
 }
 
-// writeResponse writes a final answer and returns its HTTP status, or that of forwardStream.
-func (h *ingressHandler) writeResponse(w http.ResponseWriter, answer engine.Answer) int {
+// writeResponse writes a final answer and returns its HTTP status, or that of forwardStream. conn is the client's connection,
+// or nil in tests that use none.
+func (h *ingressHandler) writeResponse(w http.ResponseWriter, conn *clientConn, answer engine.Answer) int {
 	status := statusOf(answer)
 	response, _ := answer.Reply.(*upstreamResponse)
 	http.NewResponseController(w).SetWriteDeadline(time.Now().Add(responseWriteTimeout))
-	if h.endsConnections() {
+	if h.endsConnections() && (conn == nil || !conn.readAhead.nextBegun()) {
 		endConnection(w)
 	}
 	if answer.RetryAfter > 0 {
--- a/internal/node/shutdown_test.go
+++ b/internal/node/shutdown_test.go
@@ -92,6 +92,36 @@
 	}
 }
 
+// A client sends two requests at once to a node that shuts down, whose responses close their connections by then. The second
+// one has been read with the first: it is answered too, and its response closes the connection.
+func TestPipelinedRequestsAreAnsweredInShutdown(t *testing.T) {
+	n := start(t, configWith(t, newBackend(t, respondOK)), func(n *Node) { n.maxCountedDeadline = maxCountedDeadline })
+	n.stop()
+	eventually(t, "responses close their connections", func() bool { return n.lifecycle.Load().ResponsesCloseConnections(n.clock.Now()) })
+	c, err := net.Dial("tcp", strings.TrimPrefix(n.url, "http://"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	c.SetDeadline(time.Now().Add(10 * time.Second))
+	const request = "POST /api HTTP/1.1\r\nHost: h\r\nX-Call-Id: %d\r\nX-Call-Class: unsafe\r\nX-Budget: 1000m\r\nContent-Length: 0\r\n\r\n"
+	if _, err := fmt.Fprintf(c, request+request, 1, 2); err != nil {
+		t.Fatal(err)
+	}
+	responses := bufio.NewReader(c)
+	for i := range 2 {
+		response, err := http.ReadResponse(responses, nil)
+		if err != nil {
+			t.Fatalf("response %d: %v", i+1, err)
+		}
+		io.Copy(io.Discard, response.Body)
+		response.Body.Close()
+		if isLast := i == 1; response.StatusCode != http.StatusOK || response.Close != isLast {
+			t.Errorf("response %d: %d, closes %v", i+1, response.StatusCode, response.Close)
+		}
+	}
+}
+
 // A node that is told to stop may be its clients' only one. It serves them until responses could meet SIGKILL; what can't be
 // answered by then is answered early.
 func TestServesDuringShutdown(t *testing.T) {
