A connection whose next request has begun does not count as idle

Cause: with a response net/http reports the connection as idle, also where bytes of the next request were read ahead. A connection that is idle may be closed for its slot or in a shutdown; its reader takes it back, but a reader that a busy machine holds up for 50 ms is not waited for. Found by reading.

--- a/internal/node/clientlistener.go
+++ b/internal/node/clientlistener.go
@@ -158,11 +158,13 @@
 	return l.openConns
 }
 
-// connStateChanged is told by net/http which state a connection has come to.
+// connStateChanged is told by net/http which state a connection has come to, by the goroutine that reads it.
 func (l *clientListener) connStateChanged(nc net.Conn, state http.ConnState) {
 	switch c := nc.(*clientConn); state {
 	case http.StateIdle:
-		l.markIdle(c)
+		if !c.holdsBytes() { // else the next request has begun, and the connection is not to be closed
+			l.markIdle(c)
+		}
 	case http.StateActive:
 		l.markActive(c)
 	}
