--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -54,7 +54,7 @@
 	probeInterval       = 250 * time.Millisecond // between two probes of a node
 	probeTimeout        = 150 * time.Millisecond // for an answer, before others are asked to probe
 	gossipInterval      = 100 * time.Millisecond // between two rounds of messages
-	suspicionMultiplier = 3                      // a suspicion lasts at least this times log10 of the nodes times probeInterval
+	suspicionMultiplier = 4                      // a suspicion lasts at least this times log10 of the nodes times probeInterval
 	pushPullInterval    = 5 * time.Second        // between two exchanges of the complete state, which make up for lost messages
 	gossipToDead        = 10 * time.Second       // how long a failed node is still sent messages, so that it can refute
 	joinTimeout         = 2 * time.Second        // of one exchange over TCP
