Attempts say what their outcome rests on: connection, use, last byte, who closed

An attempt now has: the connection's number, which of its uses it was, how long it had been idle, whether the last byte was written, who or what closed it (the server, the deadline, idle time, room, ...), and the ground of its outcome, which for each outcome that allows a retry says why nothing ran. All of it stands in the capture's record of the outcome (new keys conn, use, rest, written, closed, ground; version 5, golden files rewritten for it) and, once a second at most, in the log's "attempt without an answer", with the request's id. Connections made to servers are counted (server_connections). A write that fails behind the last byte would now count as connection lost, not as unreachable.

--- a/internal/capture/golden_test.go
+++ b/internal/capture/golden_test.go
@@ -74,7 +74,8 @@
 	}
 	for outcome := balancer.Success; outcome <= balancer.NotSent; outcome++ {
 		o := goldenEvent{event: balancer.AttemptEnded{ID: id, Attempt: int(outcome), Server: "s-0", Outcome: outcome, Latency: second,
-			RequestDone: outcome == balancer.Success}, context: EventContext{Served: outcome == balancer.Success}}
+			RequestDone: outcome == balancer.Success}, context: EventContext{Served: outcome == balancer.Success, Attempt: AttemptTrace{
+			Connection: 7, Use: int(outcome) + 1, Idle: second, Written: outcome == balancer.ConnectionLost, ClosedBy: "server", Ground: "ended without response"}}}
 		if outcome == balancer.Failure {
 			o.actions = []balancer.Action{balancer.Fail{ID: id}}
 		}
--- a/internal/capture/record.go
+++ b/internal/capture/record.go
@@ -20,7 +20,7 @@
 
 // Version is that of the records' form. Another build of the same version may decide otherwise; that is what a replay is
 // for.
-const Version = "4"
+const Version = "5"
 
 // recordKind says which event a record holds. The values are stored in captures and must not change.
 type recordKind string
@@ -73,6 +73,12 @@
 	SettingsVersion int              `json:"rules,omitempty"`
 	StreamedBody    bool             `json:"bulk,omitempty"`
 	Head            *head            `json:"head,omitempty"`
+	Connection      uint64           `json:"conn,omitempty"` // of an attempt, as the fields below: see AttemptTrace
+	Use             int              `json:"use,omitempty"`
+	Idle            time.Duration    `json:"rest,omitempty"`
+	Written         bool             `json:"written,omitempty"`
+	ClosedBy        string           `json:"closed,omitempty"`
+	Ground          string           `json:"ground,omitempty"`
 
 	Settings *balancer.Settings `json:"settings,omitempty"`
 }
@@ -104,4 +110,15 @@
 	Budget    time.Duration
 	Served    bool              // the outcome is the client's answer
 	Addresses map[string]string // of the endpoints of a list, by server ID
+	Attempt   AttemptTrace      // of an outcome
+}
+
+// AttemptTrace says what an outcome rests on, and on which connection the attempt was made. A retry can be explained by it.
+type AttemptTrace struct {
+	Connection uint64        // its number in the process; 0: none
+	Use        int           // of the connection, from 1; 0: nothing was written
+	Idle       time.Duration // how long the connection had been idle before
+	Written    bool          // the request's last byte was written
+	ClosedBy   string        // who or what closed the connection; "": it is open
+	Ground     string
 }
--- a/internal/engine/attempt.go
+++ b/internal/engine/attempt.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"hookwalk.example/hookwalk/balancer"
+	"hookwalk.example/hookwalk/internal/capture"
 	"hookwalk.example/hookwalk/invariants"
 )
 
@@ -44,6 +45,38 @@
 	ConnectionUses int
 	ConnectionAge  time.Duration
 	ConnectionIdle time.Duration
+
+	// For the log and the capture: what the outcome rests on, and how far the attempt came.
+	Ground     Ground
+	Connection uint64 // its number in this process; 0: the attempt had none
+	Written    bool   // the request's last byte was written
+	ClosedBy   string // who or what closed the connection; "": it is open
+}
+
+// Ground is what an outcome rests on: for one that allows a retry, why the server can't have run the request, or that its
+// class allows a second run. Its text is what logs and captures have.
+type Ground string
+
+// The grounds.
+const (
+	GroundResponse       Ground = "response"               // to this request, on a connection without anything else on its way
+	GroundRejection      Ground = "marked rejection"       // such a response that says that the request did not run
+	GroundOver           Ground = "nothing written: over"  // the call is over, its server gets nothing new, or the list has expired
+	GroundNoDescriptor   Ground = "no descriptor"          // nothing was written
+	GroundBodyUsed       Ground = "body not complete"      // at the client's side; the last byte was not written
+	GroundNoConnection   Ground = "no connection"          // none came up, or it had ended before the first byte
+	GroundNotWritten     Ground = "last byte not written"  // the server can't have run it
+	GroundEnded          Ground = "ended without response" // after the last byte: it may have run
+	GroundDeadline       Ground = "deadline"               // likewise
+	GroundNotPassedOn    Ground = "response not passed on" // the client has gone
+	GroundStreamFinished Ground = "streamed to its end"    // a response that was passed on as it came
+	GroundStreamBroken   Ground = "stream broken off"      // by the server or by the client
+)
+
+// trace is what the capture has of an attempt's end beside the balancer's event.
+func (r Result) trace() capture.AttemptTrace {
+	return capture.AttemptTrace{Connection: r.Connection, Use: r.ConnectionUses, Idle: r.ConnectionIdle, Written: r.Written,
+		ClosedBy: r.ClosedBy, Ground: string(r.Ground)}
 }
 
 // Sender carries attempts to servers. The event loop calls its methods, which must not block.
@@ -180,6 +213,7 @@
 	if latency == 0 {
 		latency = e.Clock.Now() - r.Attempt.Started
 	}
+	e.eventContext.Attempt = r.trace()
 	e.dispatch(balancer.AttemptEnded{
 		ID:          c.Request.ID,
 		Attempt:     r.Attempt.Number,
--- a/internal/engine/counters.go
+++ b/internal/engine/counters.go
@@ -42,6 +42,11 @@
 	nextFailureLog               time.Duration             // by the engine's clock; until then no failed attempt is logged
 }
 
+// outcomeNames are the outcomes in the log.
+var outcomeNames = [balancer.NotSent + 1]string{balancer.Success: "success", balancer.Failure: "failure",
+	balancer.Overloaded: "overloaded", balancer.TimedOut: "timed_out", balancer.Unreachable: "unreachable",
+	balancer.ConnectionLost: "connection_lost", balancer.Canceled: "canceled", balancer.NotSent: "not_sent"}
+
 // logCounters logs the counters, if anything was counted, and starts anew.
 func (e *Engine) logCounters() { e.counters.log(e.Log, len(e.calls)) }
 
@@ -82,6 +87,8 @@
 	c.nextFailureLog = now + failureInterval
 	log.Warn("attempt without an answer", append([]any{"server", r.Attempt.Target.ID, "err", r.Err,
 		"elapsed", now - r.Attempt.Started, "connection_uses", r.ConnectionUses,
-		"connection_age", r.ConnectionAge, "connection_idle", r.ConnectionIdle},
+		"connection_age", r.ConnectionAge, "connection_idle", r.ConnectionIdle,
+		"id", r.Attempt.Call.Request.ID, "attempt", r.Attempt.Number, "outcome", outcomeNames[r.Outcome], "ground", r.Ground,
+		"connection", r.Connection, "written", r.Written, "closed_by", r.ClosedBy},
 		clientAttr(r.Attempt.Call.Request.Client)...)...)
 }
--- a/internal/engine/counters_test.go
+++ b/internal/engine/counters_test.go
@@ -18,7 +18,8 @@
 	log, c := slog.New(slog.NewTextHandler(&out, nil)), &counters{}
 	attempt := &Attempt{Call: &Call{attempts: 1}, Target: &Target{ID: "s-1"}, Started: failureInterval / 2}
 	for i := range 10 { // ten in one interval
-		c.addResult(log, failureInterval+failureInterval/10*time.Duration(i), Result{Attempt: attempt, Outcome: balancer.ConnectionLost, Err: errors.New("reset"), ConnectionUses: 3})
+		c.addResult(log, failureInterval+failureInterval/10*time.Duration(i), Result{Attempt: attempt, Outcome: balancer.ConnectionLost, Err: errors.New("reset"), ConnectionUses: 3,
+			Ground: GroundEnded, Connection: 7, Written: true, ClosedBy: "server"})
 	}
 	c.addResult(log, 3*failureInterval, Result{Attempt: attempt, Outcome: balancer.Unreachable, Err: errors.New("refused")})
 	c.addResult(log, 9*failureInterval, Result{Attempt: attempt, Outcome: balancer.Success})
@@ -28,6 +29,9 @@
 	if !strings.Contains(out.String(), "server=s-1 err=reset elapsed=500ms connection_uses=3") {
 		t.Errorf("the connection is not described:\n%s", out.String())
 	}
+	if !strings.Contains(out.String(), `outcome=connection_lost ground="ended without response" connection=7 written=true closed_by=server`) {
+		t.Errorf("the outcome is not explained:\n%s", out.String())
+	}
 	out.Reset()
 	c.rejected[attempt.Call.attemptStage()]++
 	c.rejected[(&Call{}).attemptStage()]++
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -32,11 +32,12 @@
 	FaultInjected                  // with an injected fault
 	Violations                     // of an invariant; without tags
 	RejectedExpired                // of the rejected: while the endpoint list had expired
+	ConnectionsMade                // to servers; without tags
 	counterCount                   // how many there are
 )
 
 var counterNames = [counterCount]string{"requests", "served", "refused", "turned_away", "failed", "left", "drill.applied",
-	"invariant.violations", "refused.list_expired"}
+	"invariant.violations", "refused.list_expired", "server_connections"}
 
 // Gauge is a metric that rises and falls.
 type Gauge int
--- a/internal/node/attempt.go
+++ b/internal/node/attempt.go
@@ -39,10 +39,11 @@
 //	Failure          any response that is neither a 200 nor a marked rejection: it may have run
 //	Canceled         the response could not be passed to the client
 type attemptRun struct {
-	pool *connPool
-	att  *engine.Attempt
-	req  *clientRequest
-	conn *upstreamConn // nil: none yet
+	pool    *connPool
+	att     *engine.Attempt
+	req     *clientRequest
+	conn    *upstreamConn // nil: none yet
+	written bool          // the request's last byte was written to it
 }
 
 // runAttempt sends an attempt's request, once, and waits for what comes back.
@@ -53,10 +54,10 @@
 
 func (a *attemptRun) run() *engine.Result {
 	if a.req.remaining != nil && (a.req.remaining.remainderUsed.Load() || a.req.remaining.unsendable()) {
-		return a.ended(balancer.NotSent) // a part of its body is gone
+		return a.ended(balancer.NotSent, engine.GroundBodyUsed)
 	}
 	if !a.att.MaySend(a.pool.clock.Now()) {
-		return a.ended(balancer.NotSent)
+		return a.ended(balancer.NotSent, engine.GroundOver)
 	}
 	if failure := a.connect(); failure != nil {
 		return failure
@@ -69,16 +70,26 @@
 }
 
 // ended is the result of an attempt that ended without an error worth logging.
-func (a *attemptRun) ended(outcome balancer.Outcome) *engine.Result {
-	return &engine.Result{Attempt: a.att, Outcome: outcome}
+func (a *attemptRun) ended(outcome balancer.Outcome, ground engine.Ground) *engine.Result {
+	return a.describe(&engine.Result{Attempt: a.att, Outcome: outcome, Ground: ground})
 }
 
-// failed is the result of an attempt without a response, with what is logged of its connection.
-func (a *attemptRun) failed(outcome balancer.Outcome, err error) *engine.Result {
-	result := &engine.Result{Attempt: a.att, Outcome: outcome, Err: err}
-	if c := a.conn; c != nil {
-		result.ConnectionUses, result.ConnectionAge, result.ConnectionIdle = c.uses, a.pool.clock.Now()-c.connectedAt, c.idleBefore
+// failed is the result of an attempt without a response.
+func (a *attemptRun) failed(outcome balancer.Outcome, ground engine.Ground, err error) *engine.Result {
+	return a.describe(&engine.Result{Attempt: a.att, Outcome: outcome, Ground: ground, Err: err})
+}
+
+// describe adds what is logged of the attempt's connection to a result.
+func (a *attemptRun) describe(result *engine.Result) *engine.Result {
+	c := a.conn
+	if c == nil {
+		return result
 	}
+	result.ConnectionUses, result.ConnectionAge, result.ConnectionIdle = c.uses, a.pool.clock.Now()-c.connectedAt, c.idleBefore
+	result.Connection, result.Written = c.number, a.written
+	a.pool.mu.Lock()
+	defer a.pool.mu.Unlock()
+	result.ClosedBy = string(c.closeReason)
 	return result
 }
 
@@ -88,21 +99,22 @@
 	for {
 		c, fresh, err := a.pool.acquireOrDial(a.att)
 		if errors.Is(err, errNoDescriptor) {
-			return a.ended(balancer.NotSent)
+			return a.ended(balancer.NotSent, engine.GroundNoDescriptor)
 		}
 		if a.conn = c; err != nil {
-			return a.failed(balancer.Unreachable, err)
+			return a.failed(balancer.Unreachable, engine.GroundNoConnection, err)
 		}
 		// Connecting takes time: the request may be over by now, or the server may have begun to drain.
 		if !a.att.MaySend(a.pool.clock.Now()) {
+			a.conn = nil
 			a.pool.release(c)
-			return a.ended(balancer.NotSent)
+			return a.ended(balancer.NotSent, engine.GroundOver)
 		}
 		if a.pool.markRequestSent(c) {
 			return nil
 		}
 		if fresh {
-			return a.failed(balancer.Unreachable, errClosedBeforeRequest)
+			return a.failed(balancer.Unreachable, engine.GroundNoConnection, errClosedBeforeRequest)
 		}
 	}
 }
@@ -115,27 +127,34 @@
 	}
 	writeBegan := a.pool.clock.Now()
 	left := a.att.Deadline - writeBegan
-	_, err := a.conn.Write(encodeRequest(a.req, left))
+	request := encodeRequest(a.req, left)
+	written, err := a.conn.Write(request)
 	a.att.Sent(writeBegan, left)
-	if err != nil {
-		a.pool.close(a.conn)
-		return 0, a.failed(balancer.Unreachable, err)
+	a.written = written == len(request)
+	switch {
+	case err == nil:
+		return a.att.Started, nil
+	case a.written:
+		a.pool.close(a.conn, closedForRequest)
+		return 0, a.failed(balancer.ConnectionLost, engine.GroundEnded, err)
 	}
-	return a.att.Started, nil
+	a.pool.close(a.conn, closedForRequest)
+	return 0, a.failed(balancer.Unreachable, engine.GroundNotWritten, err)
 }
 
 // sendStreamed writes a request whose body is streamed. The server's time counts from the last byte.
 func (a *attemptRun) sendStreamed() (began time.Duration, failure *engine.Result) {
 	err := a.writeStreamed()
 	if err == nil {
+		a.written = true
 		return a.pool.clock.Now(), nil
 	}
 	outcome := a.conn.incompleteSendOutcome()
-	a.pool.close(a.conn)
+	a.pool.close(a.conn, closedForRequest)
 	if a.req.remaining.unsendable() {
-		return 0, a.ended(balancer.NotSent) // the client's fault: it says nothing of the server
+		return 0, a.ended(balancer.NotSent, engine.GroundBodyUsed) // the client's fault: it says nothing of the server
 	}
-	return 0, a.failed(outcome, err)
+	return 0, a.failed(outcome, engine.GroundNotWritten, err)
 }
 
 func (a *attemptRun) writeStreamed() error {
@@ -182,23 +201,39 @@
 	response := <-a.conn.responses
 	switch {
 	case errors.Is(response.err, os.ErrDeadlineExceeded):
-		return a.failed(balancer.TimedOut, errResponseTimeout) // readLoop has closed the connection
+		return a.failed(balancer.TimedOut, engine.GroundDeadline, errResponseTimeout) // readLoop has closed the connection
 	case response.err != nil:
-		return a.failed(balancer.ConnectionLost, response.err)
+		return a.failed(balancer.ConnectionLost, engine.GroundEnded, response.err)
 	}
-	result := &engine.Result{Attempt: a.att, Outcome: responseOutcome(response.head), Reply: response}
+	outcome, ground := a.outcomeOf(response)
+	result := &engine.Result{Attempt: a.att, Outcome: outcome, Ground: ground, Reply: response}
 	if a.req.remaining != nil || response.stream != nil {
 		result.Latency = max(a.pool.clock.Now()-began, 1)
 	}
 	if response.stream != nil && !a.passStream(response, result) {
-		return result
+		return a.describe(result)
 	}
+	a.describe(result) // before another attempt has the connection
+	result.ClosedBy = string(a.finishConnection(response))
+	return result
+}
+
+// finishConnection makes the connection idle behind a response, or closes it and returns why.
+func (a *attemptRun) finishConnection(response *upstreamResponse) closeReason {
 	if response.head.Close {
-		a.pool.close(a.conn)
-	} else {
-		a.pool.release(a.conn)
+		a.pool.close(a.conn, closedForResponse)
+		return closedForResponse
 	}
-	return result
+	return a.pool.release(a.conn)
+}
+
+// outcomeOf is the outcome of an attempt that a response has ended.
+func (a *attemptRun) outcomeOf(response *upstreamResponse) (balancer.Outcome, engine.Ground) {
+	outcome := responseOutcome(response.head)
+	if outcome != balancer.Overloaded {
+		return outcome, engine.GroundResponse
+	}
+	return outcome, engine.GroundRejection
 }
 
 // passStream has a streamed response passed to its client and waits for the end. It returns false if the response was not
@@ -206,20 +241,23 @@
 func (a *attemptRun) passStream(response *upstreamResponse, result *engine.Result) (passed bool) {
 	stream := response.stream
 	if result.Outcome != balancer.Success || !a.pool.passResponse(a.att, response) {
-		a.pool.close(a.conn)
+		a.pool.close(a.conn, closedForStream)
 		close(stream.released)
 		result.Reply = nil
-		if result.Outcome == balancer.Success {
-			result.Outcome = balancer.Canceled // nobody waits for it
+		if result.Outcome == balancer.Success { // nobody waits for it
+			result.Outcome, result.Ground = balancer.Canceled, engine.GroundNotPassedOn
 		}
 		return false
 	}
 	end := <-stream.result
 	if end.outcome != balancer.Success {
-		a.pool.close(a.conn)
+		a.pool.close(a.conn, closedForStream)
 	}
 	close(stream.released)
-	result.Outcome, result.Err = end.outcome, end.err
+	result.Outcome, result.Ground, result.Err = end.outcome, engine.GroundStreamFinished, end.err
+	if end.outcome != balancer.Success {
+		result.Ground = engine.GroundStreamBroken
+	}
 	return true
 }
 
--- a/internal/node/connpool.go
+++ b/internal/node/connpool.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"hookwalk.example/hookwalk/internal/engine"
+	"hookwalk.example/hookwalk/internal/metrics"
 )
 
 const (
@@ -50,6 +51,8 @@
 	passResponse func(*engine.Attempt, any) bool // takes a response that is streamed; false: nobody waits for it
 	goroutines   sync.WaitGroup                  // attempts and readLoops
 
+	count func(metrics.Counter)
+
 	mu           sync.Mutex
 	dialer       net.Dialer
 	idleTimeout  time.Duration
@@ -58,13 +61,14 @@
 	dialing      int                                // connections that are coming up
 	idle         *list.List                         // of *upstreamConn, the one that has been idle longest first
 	idleByTarget map[*engine.Target][]*upstreamConn // the one that has been idle longest first
+	lastNumber   uint64                             // of a connection
 }
 
 func newConnPool(clock engine.Clock, cfg Config, maxConns int, attemptEnded func(engine.Result),
 	passResponse func(*engine.Attempt, any) bool) *connPool {
 	p := &connPool{clock: clock, dialer: net.Dialer{KeepAlive: -1},
 		bufferLimit: bufferLimit(cfg.MemoryMB, responseMemoryDivisor, maxConns), maxConns: maxConns, fullMaxConns: maxConns,
-		attemptEnded: attemptEnded, passResponse: passResponse,
+		attemptEnded: attemptEnded, passResponse: passResponse, count: func(metrics.Counter) {},
 		conns: map[*upstreamConn]bool{}, idle: list.New(), idleByTarget: map[*engine.Target][]*upstreamConn{}}
 	p.applyConfig(cfg)
 	return p
@@ -97,7 +101,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for len(p.idleByTarget[target]) > 0 {
-		p.closeLocked(newest(p.idleByTarget[target]))
+		p.closeLocked(newest(p.idleByTarget[target]), closedForRetiredServer)
 	}
 	delete(p.idleByTarget, target)
 }
@@ -107,7 +111,7 @@
 func (p *connPool) closeAll() {
 	p.mu.Lock()
 	for c := range p.conns {
-		p.closeLocked(c)
+		p.closeLocked(c, closedForShutdown)
 	}
 	p.mu.Unlock()
 	p.goroutines.Wait()
@@ -156,7 +160,7 @@
 // connections that have been idle longest make room, whatever their target. The caller holds p.mu.
 func (p *connPool) reserveDial() (net.Dialer, error) {
 	for len(p.conns)+p.dialing >= p.maxConns && p.idle.Len() > 0 {
-		p.closeLocked(p.idle.Front().Value.(*upstreamConn))
+		p.closeLocked(p.idle.Front().Value.(*upstreamConn), closedForRoom)
 	}
 	if len(p.conns)+p.dialing >= p.maxConns {
 		return net.Dialer{}, errNoDescriptor
@@ -168,12 +172,14 @@
 // addConn adds a connection that has come up, in use, and starts its readLoop. The caller holds p.mu.
 func (p *connPool) addConn(nc net.Conn, target *engine.Target, deadline time.Time) *upstreamConn {
 	now := p.clock.Now()
-	c := &upstreamConn{Conn: nc, pool: p, target: target, responses: make(chan *upstreamResponse, 1), deadline: deadline,
-		connectedAt: now, releasedAt: now}
+	p.lastNumber++
+	c := &upstreamConn{Conn: nc, number: p.lastNumber, pool: p, target: target, responses: make(chan *upstreamResponse, 1),
+		deadline: deadline, connectedAt: now, releasedAt: now}
 	c.reader = bufio.NewReaderSize(c, upstreamReadBuffer)
 	p.conns[c] = true
 	nc.SetDeadline(deadline)
 	p.goroutines.Go(c.readLoop)
+	p.count(metrics.ConnectionsMade)
 	return c
 }
 
@@ -188,16 +194,16 @@
 	return c.requestSent
 }
 
-// release makes a connection idle, for the next attempt to the same target.
-func (p *connPool) release(c *upstreamConn) {
+// release makes a connection idle, for the next attempt to the same target, or closes it and returns why.
+func (p *connPool) release(c *upstreamConn) closeReason {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if c.closed {
-		return
+		return c.closeReason
 	}
 	if c.target.Stopped() {
-		p.closeLocked(c)
-		return
+		p.closeLocked(c, closedForRetiredServer)
+		return c.closeReason
 	}
 	c.requestSent = false
 	c.releasedAt = p.clock.Now()
@@ -205,6 +211,7 @@
 	c.SetDeadline(c.deadline)
 	c.idleElement = p.idle.PushBack(c)
 	p.idleByTarget[c.target] = append(p.idleByTarget[c.target], c)
+	return notClosed
 }
 
 // removeIdle takes a connection out of the idle ones. The caller holds p.mu.
@@ -216,18 +223,18 @@
 	p.idleByTarget[c.target] = slices.Delete(idle, i, i+1)
 }
 
-func (p *connPool) close(c *upstreamConn) {
+func (p *connPool) close(c *upstreamConn, reason closeReason) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.closeLocked(c)
+	p.closeLocked(c, reason)
 }
 
-// closeLocked closes a connection, once. The caller holds p.mu.
-func (p *connPool) closeLocked(c *upstreamConn) {
+// closeLocked closes a connection, once; only the first reason counts. The caller holds p.mu.
+func (p *connPool) closeLocked(c *upstreamConn, reason closeReason) {
 	if c.closed {
 		return
 	}
-	c.closed = true
+	c.closed, c.closeReason = true, reason
 	if c.idleElement != nil {
 		p.removeIdle(c)
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -9,7 +9,7 @@
 //   - ingress.go, request.go, headers.go, response.go, requestmetrics.go: requests from clients and their responses
 //   - clientlistener.go, clientconn.go, accesscontrol.go, readahead.go: client connections
 //   - requestbody.go, responsestream.go: bodies that are too large to be buffered
-//   - connpool.go, upstreamconn.go, attempt.go: connections to servers and attempts on them
+//   - connpool.go, closereason.go, upstreamconn.go, attempt.go: connections to servers and attempts on them
 //   - admin.go: operators' calls
 //   - handover.go, peerprocess.go: hot restart
 package node
@@ -107,6 +107,7 @@
 	available := cfg.Sockets - cfg.reservedDescriptors()
 	n.maxClientConns = available * clientDescriptorShare / descriptorShares
 	n.pool = newConnPool(n.clock, cfg, available-n.maxClientConns, n.engine.AttemptEnded, n.engine.PassResponse)
+	n.pool.count = func(c metrics.Counter) { n.engine.Metrics.Count(metrics.Tags(0), c) }
 	n.discovery = discovery.New(discovery.Config{Addr: cfg.Discovery, Polled: cfg.Settings.PollDiscovery,
 		MaxPollInterval: cfg.Settings.MaxPollInterval, Pollers: cfg.Settings.Replicas, Version: cfg.BootstrapList.Version},
 		logger, n.applyDiscoveryUpdate)
--- a/internal/node/upstreamconn.go
+++ b/internal/node/upstreamconn.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"os"
+	"syscall"
 	"time"
 
 	"hookwalk.example/hookwalk/internal/engine"
@@ -22,15 +23,18 @@
 	maxStreamedResponse = 4 * maxStreamedBody                   // of a response that is streamed
 )
 
-// errMalformedResponse says that a server sent a response that is too long, or whose end can't be trusted, or bytes that
-// nobody asked for.
-var errMalformedResponse = errors.New("response too long or malformed")
+// Why there is no response to read.
+var (
+	errMalformedResponse = errors.New("response too long or malformed")         // or its end can't be trusted
+	errUnasked           = errors.New("the server sent bytes nobody asked for") // on a connection without a request
+)
 
 // upstreamConn is a connection to a server. Its states are those of connPool.
 //
 // Its readLoop always reads, also while it is idle, so that a close by the server is seen before the next use.
 type upstreamConn struct {
 	net.Conn
+	number       uint64 // of the pool's connections, from 1; for the log
 	pool         *connPool
 	target       *engine.Target
 	bytesAllowed int // that may still come before the response is too long; readLoop's own
@@ -47,6 +51,7 @@
 	requestSent bool          // a request is on its way
 	deadline    time.Time     // of what it now waits for
 	closed      bool
+	closeReason closeReason
 }
 
 // upstreamResponse is what came back on a connection: a response, or the reason that there is none.
@@ -70,7 +75,7 @@
 		if err == nil {
 			response = c.readResponse()
 			if response.err != nil {
-				c.pool.close(c)
+				c.pool.close(c, c.reasonOf(response.err))
 			}
 		}
 		c.responses <- response
@@ -91,12 +96,12 @@
 		c.pool.mu.Lock()
 		idle = c.idleElement != nil
 		if err == nil && !c.requestSent {
-			err = errMalformedResponse
+			err = errUnasked
 		}
 		// The idle timeout may run out just as an attempt takes the connection, which has set a later deadline.
 		metOldDeadline := !idle && errors.Is(err, os.ErrDeadlineExceeded) && time.Now().Before(c.deadline)
 		if !metOldDeadline && (idle || err != nil) {
-			c.pool.closeLocked(c)
+			c.pool.closeLocked(c, c.reasonOf(err))
 		}
 		c.pool.mu.Unlock()
 		if !metOldDeadline {
@@ -105,6 +110,21 @@
 	}
 }
 
+// reasonOf is why a connection is closed whose reading failed with an error.
+func (c *upstreamConn) reasonOf(err error) closeReason {
+	switch {
+	case errors.Is(err, errUnasked):
+		return closedForUnasked
+	case errors.Is(err, os.ErrDeadlineExceeded) && c.uses > 0 && !c.requestSent:
+		return closedForIdleTime
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return closedAtDeadline
+	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), errors.As(err, new(syscall.Errno)):
+		return closedByServer
+	}
+	return closedForResponse
+}
+
 // Read bounds what one response may bring: some servers send without end.
 func (c *upstreamConn) Read(b []byte) (int, error) {
 	if c.bytesAllowed <= 0 {
