A response ends its request: bytes behind it are no response to the next one

Callers could be given a server's second answer that came between the reading of the first and the release of its connection, or behind a response that was streamed to its client. Cause: readLoop went on to read with requestSent still set until the attempt released the connection, so that what it read was kept in responses for the next request; and bytes left in the buffer behind a stream were not looked for. Now readLoop marks the request as ended before it hands on the response, and a connection with bytes behind a stream is closed. TestBytesBetweenResponseAndReleaseAreNoResponse and TestBytesBehindAStreamedResponse failed before ('"stray" waits for the next request'), and pass -count=5 with -race.

--- a/internal/node/attempt.go
+++ b/internal/node/attempt.go
@@ -220,7 +220,11 @@
 
 // finishConnection makes the connection idle behind a response, or closes it and returns why.
 func (a *attemptRun) finishConnection(response *upstreamResponse) closeReason {
-	if response.head.Close {
+	switch {
+	case response.unaskedBytes:
+		a.pool.close(a.conn, closedForUnasked)
+		return closedForUnasked
+	case response.head.Close:
 		a.pool.close(a.conn, closedForResponse)
 		return closedForResponse
 	}
@@ -253,6 +257,7 @@
 	if end.outcome != balancer.Success {
 		a.pool.close(a.conn, closedForStream)
 	}
+	response.unaskedBytes = a.conn.reader.Buffered() > 0
 	close(stream.released)
 	result.Outcome, result.Ground, result.Err = end.outcome, engine.GroundStreamFinished, end.err
 	if end.outcome != balancer.Success {
--- a/internal/node/connpool.go
+++ b/internal/node/connpool.go
@@ -194,6 +194,14 @@
 	return c.requestSent
 }
 
+// endRequest notes that the response to a connection's request has begun, and as much of it been read as is buffered. Its
+// readLoop calls it before it hands on the response: what comes from then on belongs to no request.
+func (p *connPool) endRequest(c *upstreamConn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	c.requestSent = false
+}
+
 // release makes a connection idle, for the next attempt to the same target, or closes it and returns why.
 func (p *connPool) release(c *upstreamConn) closeReason {
 	p.mu.Lock()
@@ -205,7 +213,6 @@
 		p.closeLocked(c, closedForRetiredServer)
 		return c.closeReason
 	}
-	c.requestSent = false
 	c.releasedAt = p.clock.Now()
 	c.deadline = time.Now().Add(p.idleTimeout)
 	c.SetDeadline(c.deadline)
--- /dev/null
+++ b/internal/node/connreuse_test.go
@@ -0,0 +1,72 @@
+package node
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"hookwalk.example/hookwalk/balancer"
+	"hookwalk.example/hookwalk/internal/engine"
+)
+
+// again is another attempt of the same request at the same target.
+func again(att *engine.Attempt) *engine.Attempt {
+	return &engine.Attempt{Call: att.Call, Target: att.Target, Deadline: att.Deadline}
+}
+
+// Bytes that come between a response and the release of its connection once were kept as the response to the next request.
+func TestBytesBetweenResponseAndReleaseAreNoResponse(t *testing.T) {
+	conns := make(chan net.Conn, 1)
+	b := newBackend(t, func(_ int, c net.Conn, _ *http.Request) bool {
+		conns <- c
+		return respond(c, "200 OK", "done")
+	})
+	p := testPool(t)
+	att := testAttempt(p, b.addr(), time.Minute)
+	c, _, err := p.acquireOrDial(att)
+	if err != nil || !p.markRequestSent(c) {
+		t.Fatal(err, "no connection")
+	}
+	if _, err := c.Write(encodeRequest(att.Call.Payload.(*clientRequest), time.Minute)); err != nil {
+		t.Fatal(err)
+	}
+	if response := <-c.responses; response.err != nil || string(response.body) != "done" {
+		t.Fatalf("got %q, %v", response.body, response.err)
+	}
+	respond(<-conns, "200 OK", "stray") // the attempt has its response, and has not released the connection
+	select {
+	case response := <-c.responses:
+		if response.err == nil {
+			t.Errorf("%q waits for the next request", response.body)
+		}
+	case <-time.After(10 * time.Second):
+		t.Error("the bytes were not seen")
+	}
+	p.release(c)
+	if p.mu.Lock(); len(p.idleByTarget[att.Target]) != 0 {
+		t.Error("the connection would be used again")
+	}
+	p.mu.Unlock()
+}
+
+// Bytes behind a response that was streamed are seen before the connection carries another request.
+func TestBytesBehindAStreamedResponse(t *testing.T) {
+	b := newBackend(t, func(n int, c net.Conn, _ *http.Request) bool {
+		if n > 1 {
+			return respond(c, "200 OK", "done")
+		}
+		io.WriteString(c, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n61a80\r\n"+string(make([]byte, 400_000)))
+		io.WriteString(c, "\r\n0\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nstray")
+		return true
+	})
+	p := testPool(t)
+	att := testAttempt(p, b.addr(), time.Minute)
+	if r := p.runAttempt(att); r.Outcome != balancer.Success {
+		t.Fatalf("ended %v", r.Outcome)
+	}
+	if r := p.runAttempt(again(att)); r.Outcome != balancer.Success || responseBody(r) != "done" {
+		t.Errorf("ended %v", r.Outcome)
+	}
+}
--- a/internal/node/upstreamconn.go
+++ b/internal/node/upstreamconn.go
@@ -48,7 +48,7 @@
 
 	// Guarded by pool.mu.
 	idleElement *list.Element // in pool.idle; nil: in use
-	requestSent bool          // a request is on its way
+	requestSent bool          // a request is on its way, and its response has not been read
 	deadline    time.Time     // of what it now waits for
 	closed      bool
 	closeReason closeReason
@@ -60,6 +60,8 @@
 	body   []byte          // all of the body, or its beginning
 	stream *responseStream // the rest of a body that is not buffered; nil: body is all of it
 	err    error
+
+	unaskedBytes bool // more came behind it in the same read: the connection can't be used again
 }
 
 // readLoop reads responses, hands each to the attempt that waits for it, and ends with the connection. It closes a
@@ -77,6 +79,7 @@
 			if response.err != nil {
 				c.pool.close(c, c.reasonOf(response.err))
 			}
+			c.pool.endRequest(c)
 		}
 		c.responses <- response
 		if response.stream != nil {
@@ -166,9 +169,9 @@
 		c.bytesAllowed = maxStreamedResponse
 		return &upstreamResponse{head: head, body: body, stream: newResponseStream(c, head.Body)}
 	}
-	// Bytes that nobody asked for would pass as the response to the next request.
-	head.Close = head.Close || c.reader.Buffered() > 0
-	return &upstreamResponse{head: head, body: body, err: err}
+	unasked := c.reader.Buffered() > 0
+	head.Close = head.Close || unasked
+	return &upstreamResponse{head: head, body: body, err: err, unaskedBytes: unasked}
 }
 
 // beginLargeResponse is a response that is streamed from its first bytes, which are read into buf.
