A connection to a server is looked at right before the request is written

A request could be written to a connection on which bytes or its end had already come: readLoop had not come to run, or had taken the bytes and waited for the pool's lock, while the attempt marked its request as sent. Now readLoop leaves the first byte with the system until it holds the lock, and markRequestSent looks at the socket (MSG_PEEK) under the same lock: bytes, an end or a reset there, and nothing is written; the attempt takes another connection. This holds for a node that is held up between the two as well. TestConnectionIsLookedAtBeforeTheRequest fails without the look in all three cases ('a request would be written').

--- a/internal/node/attempt.go
+++ b/internal/node/attempt.go
@@ -18,7 +18,7 @@
 
 // Why an attempt has no response, for the log. The outcome beside them says what may have run.
 var (
-	errClosedBeforeRequest = errors.New("the server closed the connection before the request was sent")
+	errClosedBeforeRequest = errors.New("the server closed the connection before the request was sent, or sent bytes nobody asked for")
 	errResponseTimeout     = errors.New("no response before the deadline")
 )
 
--- a/internal/node/connpool.go
+++ b/internal/node/connpool.go
@@ -7,6 +7,7 @@
 	"net"
 	"slices"
 	"sync"
+	"syscall"
 	"time"
 
 	"hookwalk.example/hookwalk/internal/engine"
@@ -139,7 +140,8 @@
 	if err != nil {
 		return nil, false, err
 	}
-	return p.addConn(nc, att.Target, deadline), true, nil
+	c, err = p.addConn(nc, att.Target, deadline)
+	return c, true, err
 }
 
 // acquireIdle takes the idle connection to a target that was used last: the least likely to be closed by its server just
@@ -169,29 +171,52 @@
 	return p.dialer, nil
 }
 
-// addConn adds a connection that has come up, in use, and starts its readLoop. The caller holds p.mu.
-func (p *connPool) addConn(nc net.Conn, target *engine.Target, deadline time.Time) *upstreamConn {
+// addConn adds a connection that has come up, in use, and starts its readLoop. The error is the system's, which has closed
+// the connection. The caller holds p.mu.
+func (p *connPool) addConn(nc net.Conn, target *engine.Target, deadline time.Time) (*upstreamConn, error) {
+	raw, err := nc.(syscall.Conn).SyscallConn()
+	if err != nil {
+		nc.Close()
+		return nil, err
+	}
 	now := p.clock.Now()
 	p.lastNumber++
-	c := &upstreamConn{Conn: nc, number: p.lastNumber, pool: p, target: target, responses: make(chan *upstreamResponse, 1),
-		deadline: deadline, connectedAt: now, releasedAt: now}
+	c := &upstreamConn{Conn: nc, raw: raw, number: p.lastNumber, pool: p, target: target,
+		responses: make(chan *upstreamResponse, 1), deadline: deadline, connectedAt: now, releasedAt: now}
 	c.reader = bufio.NewReaderSize(c, upstreamReadBuffer)
 	p.conns[c] = true
 	nc.SetDeadline(deadline)
 	p.goroutines.Go(c.readLoop)
 	p.count(metrics.ConnectionsMade)
-	return c
+	return c, nil
 }
 
-// markRequestSent notes that a request is about to be written. It returns false if the connection has broken, or brought
-// bytes that nobody asked for, since it was acquired: then nothing must be written.
+// markRequestSent notes that a request is about to be written. It looks at the connection once more, and returns false if it
+// has broken, or brought bytes that nobody asked for: then nothing must be written. A node may have been held up, and the
+// readLoop not have come to run, since they came.
 func (p *connPool) markRequestSent(c *upstreamConn) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	c.requestSent = !c.closed
+	return p.markRequestSentLocked(c)
+}
+
+// markRequestSentLocked is markRequestSent for those who hold p.mu.
+func (p *connPool) markRequestSentLocked(c *upstreamConn) bool {
+	if c.closed {
+		return false
+	}
+	switch err := c.look(); {
+	case err == nil:
+		p.closeLocked(c, closedForUnasked)
+		return false
+	case !errors.Is(err, errNothingToRead):
+		p.closeLocked(c, closedByServer)
+		return false
+	}
+	c.requestSent = true
 	c.uses++
 	c.idleBefore = p.clock.Now() - c.releasedAt
-	return c.requestSent
+	return true
 }
 
 // endRequest notes that the response to a connection's request has begun, and as much of it been read as is buffered. Its
--- a/internal/node/connreuse_test.go
+++ b/internal/node/connreuse_test.go
@@ -11,6 +11,17 @@
 	"hookwalk.example/hookwalk/internal/engine"
 )
 
+// usedConn returns an idle connection that has carried one request to a server.
+func usedConn(t *testing.T, p *connPool, att *engine.Attempt) *upstreamConn {
+	t.Helper()
+	if r := p.runAttempt(att); r.Outcome != balancer.Success {
+		t.Fatalf("ended %v", r.Outcome)
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return newest(p.idleByTarget[att.Target])
+}
+
 // again is another attempt of the same request at the same target.
 func again(att *engine.Attempt) *engine.Attempt {
 	return &engine.Attempt{Call: att.Call, Target: att.Target, Deadline: att.Deadline}
@@ -70,3 +81,35 @@
 		t.Errorf("ended %v", r.Outcome)
 	}
 }
+
+// A connection that was taken in the instant in which bytes or its end came once was written to: the goroutine that reads
+// had not come to run yet.
+func TestConnectionIsLookedAtBeforeTheRequest(t *testing.T) {
+	for name, change := range map[string]func(net.Conn){
+		"bytes":  func(c net.Conn) { respond(c, "200 OK", "stray") },
+		"closed": func(c net.Conn) { c.Close() },
+		"reset":  func(c net.Conn) { resetConn(c.(*net.TCPConn)) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			conns := make(chan net.Conn, 1)
+			b := newBackend(t, func(_ int, c net.Conn, _ *http.Request) bool {
+				conns <- c
+				return respond(c, "200 OK", "done")
+			})
+			p := testPool(t)
+			att := testAttempt(p, b.addr(), time.Minute)
+			usedConn(t, p, att)
+			c, fresh, err := p.acquireOrDial(again(att))
+			if err != nil || fresh {
+				t.Fatalf("fresh %v, %v", fresh, err)
+			}
+			p.mu.Lock() // the reader comes to run, and can't do anything about what it sees
+			defer p.mu.Unlock()
+			change(<-conns)
+			eventually(t, "it has come", func() bool { return c.look() != errNothingToRead })
+			if p.markRequestSentLocked(c) {
+				t.Error("a request would be written")
+			}
+		})
+	}
+}
--- a/internal/node/upstreamconn.go
+++ b/internal/node/upstreamconn.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"container/list"
 	"errors"
 	"io"
@@ -11,6 +12,8 @@
 	"syscall"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"hookwalk.example/hookwalk/internal/engine"
 )
 
@@ -27,6 +30,7 @@
 var (
 	errMalformedResponse = errors.New("response too long or malformed")         // or its end can't be trusted
 	errUnasked           = errors.New("the server sent bytes nobody asked for") // on a connection without a request
+	errNothingToRead     = errors.New("nothing to read yet")                    // the connection is open and silent
 )
 
 // upstreamConn is a connection to a server. Its states are those of connPool.
@@ -34,6 +38,7 @@
 // Its readLoop always reads, also while it is idle, so that a close by the server is seen before the next use.
 type upstreamConn struct {
 	net.Conn
+	raw          syscall.RawConn
 	number       uint64 // of the pool's connections, from 1; for the log
 	pool         *connPool
 	target       *engine.Target
@@ -93,17 +98,21 @@
 
 // awaitResponse waits for the first byte of a response, or for the end of the connection. It closes the connection if
 // there is no response to read, and reports whether it was idle then: no attempt waits for a result.
+//
+// The byte is left with the system until it is known whether a request is out, so that markRequestSent sees it too.
 func (c *upstreamConn) awaitResponse() (idle bool, err error) {
 	for {
-		_, err = c.reader.Peek(1)
+		err = c.waitReadable()
 		c.pool.mu.Lock()
 		idle = c.idleElement != nil
-		if err == nil && !c.requestSent {
-			err = errUnasked
-		}
 		// The idle timeout may run out just as an attempt takes the connection, which has set a later deadline.
 		metOldDeadline := !idle && errors.Is(err, os.ErrDeadlineExceeded) && time.Now().Before(c.deadline)
-		if !metOldDeadline && (idle || err != nil) {
+		switch {
+		case metOldDeadline:
+		case err == nil && !c.requestSent:
+			err = errUnasked
+			c.pool.closeLocked(c, closedForUnasked)
+		case err != nil:
 			c.pool.closeLocked(c, c.reasonOf(err))
 		}
 		c.pool.mu.Unlock()
@@ -116,8 +125,6 @@
 // reasonOf is why a connection is closed whose reading failed with an error.
 func (c *upstreamConn) reasonOf(err error) closeReason {
 	switch {
-	case errors.Is(err, errUnasked):
-		return closedForUnasked
 	case errors.Is(err, os.ErrDeadlineExceeded) && c.uses > 0 && !c.requestSent:
 		return closedForIdleTime
 	case errors.Is(err, os.ErrDeadlineExceeded):
@@ -128,6 +135,42 @@
 	return closedForResponse
 }
 
+// waitReadable waits until there is something to read, and leaves it there. The error is io.EOF if that is the end of the
+// connection, os.ErrDeadlineExceeded, or the system's.
+func (c *upstreamConn) waitReadable() (err error) {
+	rawErr := c.raw.Read(func(fd uintptr) bool {
+		err = peek(fd)
+		return !errors.Is(err, errNothingToRead)
+	})
+	return cmp.Or(rawErr, err)
+}
+
+// look says what there is to read, without waiting: nil for bytes, errNothingToRead, io.EOF for the end of the connection,
+// or the system's error.
+func (c *upstreamConn) look() (err error) {
+	controlErr := c.raw.Control(func(fd uintptr) { err = peek(fd) })
+	return cmp.Or(controlErr, err)
+}
+
+// peek is look at a descriptor.
+func peek(fd uintptr) error {
+	var first [1]byte
+	for {
+		n, _, err := unix.Recvfrom(int(fd), first[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		switch {
+		case errors.Is(err, unix.EINTR):
+		case errors.Is(err, unix.EAGAIN):
+			return errNothingToRead
+		case err != nil:
+			return err
+		case n == 0:
+			return io.EOF
+		default:
+			return nil
+		}
+	}
+}
+
 // Read bounds what one response may bring: some servers send without end.
 func (c *upstreamConn) Read(b []byte) (int, error) {
 	if c.bytesAllowed <= 0 {
