A connection to a server rests after a response before it carries the next request

Callers were given the second answer of the request before on their connection, and those behind them the answer of the one before them, and so on: a connection went back to the pool in the instant of its answer, and the one used last was taken first, so that a second answer 0.3 ms late or more met a request on its way. Those that have rested for 50 ms go first, the newest of them, which is the least likely to be closed by its server. If none has rested, one attempt a server waits for the rest, for a quarter of its time at most; others connect. A streamed request, whose response may come before its last byte, takes proven connections only.

--- a/internal/node/connpool.go
+++ b/internal/node/connpool.go
@@ -62,15 +62,18 @@
 	dialing      int                                // connections that are coming up
 	idle         *list.List                         // of *upstreamConn, the one that has been idle longest first
 	idleByTarget map[*engine.Target][]*upstreamConn // the one that has been idle longest first
-	lastNumber   uint64                             // of a connection
+	histories    map[*engine.Target]*targetHistory
+	lastNumber   uint64 // of a connection
 }
 
 func newConnPool(clock engine.Clock, cfg Config, maxConns int, attemptEnded func(engine.Result),
 	passResponse func(*engine.Attempt, any) bool) *connPool {
 	p := &connPool{clock: clock, dialer: net.Dialer{KeepAlive: -1},
 		bufferLimit: bufferLimit(cfg.MemoryMB, responseMemoryDivisor, maxConns), maxConns: maxConns, fullMaxConns: maxConns,
-		attemptEnded: attemptEnded, passResponse: passResponse, count: func(metrics.Counter) {},
-		conns: map[*upstreamConn]bool{}, idle: list.New(), idleByTarget: map[*engine.Target][]*upstreamConn{}}
+		attemptEnded: attemptEnded, passResponse: passResponse,
+		count: func(metrics.Counter) {},
+		conns: map[*upstreamConn]bool{}, idle: list.New(), idleByTarget: map[*engine.Target][]*upstreamConn{},
+		histories: map[*engine.Target]*targetHistory{}}
 	p.applyConfig(cfg)
 	return p
 }
@@ -105,6 +108,7 @@
 		p.closeLocked(newest(p.idleByTarget[target]), closedForRetiredServer)
 	}
 	delete(p.idleByTarget, target)
+	delete(p.histories, target)
 }
 
 // closeAll closes all connections and waits until every attempt has ended. Those that are still out belong to clients
@@ -118,13 +122,14 @@
 	p.goroutines.Wait()
 }
 
-// acquireOrDial returns the target's idle connection that was used last, else a new one. It returns errNoDescriptor if there
-// may be no further connection, else the error of connecting.
+// acquireOrDial returns an idle connection to the target that has rested (acquireIdle), else a new one. It returns
+// errNoDescriptor if there may be no further connection, else the error of connecting.
 func (p *connPool) acquireOrDial(att *engine.Attempt) (c *upstreamConn, fresh bool, err error) {
 	deadline := p.clock.ToTime(att.Deadline)
 	p.mu.Lock()
-	if c := p.acquireIdle(att.Target, deadline); c != nil {
+	if c, wait := p.acquireIdle(att, deadline); c != nil {
 		p.mu.Unlock()
+		p.waitUntilRested(c, wait)
 		return c, false, nil
 	}
 	dialer, err := p.reserveDial()
@@ -144,20 +149,6 @@
 	return c, true, err
 }
 
-// acquireIdle takes the idle connection to a target that was used last: the least likely to be closed by its server just
-// now. nil: there is none. One that breaks from here on is noticed by markRequestSent. The caller holds p.mu.
-func (p *connPool) acquireIdle(target *engine.Target, deadline time.Time) *upstreamConn {
-	idle := p.idleByTarget[target]
-	if len(idle) == 0 {
-		return nil
-	}
-	c := newest(idle)
-	p.removeIdle(c)
-	c.deadline = deadline
-	c.SetDeadline(deadline)
-	return c
-}
-
 // reserveDial reserves a place for a connection that is to come up, and returns the dialer for it. If there is none, the
 // connections that have been idle longest make room, whatever their target. The caller holds p.mu.
 func (p *connPool) reserveDial() (net.Dialer, error) {
@@ -225,20 +216,24 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	c.requestSent = false
+	c.needsRest = true
 }
 
 // release makes a connection idle, for the next attempt to the same target, or closes it and returns why.
 func (p *connPool) release(c *upstreamConn) closeReason {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if c.closed {
+	switch {
+	case c.closed:
 		return c.closeReason
-	}
-	if c.target.Stopped() {
+	case c.target.Stopped():
 		p.closeLocked(c, closedForRetiredServer)
 		return c.closeReason
 	}
-	c.releasedAt = p.clock.Now()
+	if c.needsRest {
+		c.needsRest = false
+		p.beginRest(c)
+	}
 	c.deadline = time.Now().Add(p.idleTimeout)
 	c.SetDeadline(c.deadline)
 	c.idleElement = p.idle.PushBack(c)
--- a/internal/node/connreuse_test.go
+++ b/internal/node/connreuse_test.go
@@ -113,3 +113,72 @@
 		})
 	}
 }
+
+// A connection that is used again in the instant of its response carries the next request before anybody can know whether
+// something stands behind that response: it has to rest, and one that has rested for long goes first.
+func TestChooseIdleConnection(t *testing.T) {
+	const now = time.Second
+	idle := func(releasedAt ...time.Duration) (conns []*upstreamConn) {
+		for _, at := range releasedAt {
+			conns = append(conns, &upstreamConn{reusableAt: at + minRest, provenAt: at + provenRest})
+		}
+		return conns
+	}
+	for name, c := range map[string]struct {
+		idle []*upstreamConn
+		want int
+	}{
+		"the newest that is proven":    {idle(now-3*provenRest, now-2*provenRest, now-minRest), 1},
+		"just proven":                  {idle(now-2*provenRest, now-provenRest), 1},
+		"none proven: the first ready": {idle(now-provenRest/2, now-minRest, now), 0},
+		"none rested: the first ready": {idle(now-2, now-1), 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			if got := chooseIdle(c.idle, now); got != c.idle[c.want] {
+				t.Errorf("took another one than %d", c.want)
+			}
+		})
+	}
+}
+
+// An attempt waits for the rest of a connection where that is short: alone, and with time to spare. Otherwise it makes a
+// connection of its own; so does a streamed request, whose response may come before its last byte.
+func TestWaitForRest(t *testing.T) {
+	for name, c := range map[string]struct {
+		rest     time.Duration // that is left
+		proof    time.Duration // until the connection is proven
+		budget   time.Duration
+		streamed bool
+		waiting  bool // another attempt waits
+		taken    bool
+	}{
+		"proven":                   {0, 0, time.Minute, false, false, true},
+		"proven, another waits":    {0, 0, time.Minute, false, true, true},
+		"proven, streamed":         {0, 0, time.Minute, true, false, true},
+		"rested":                   {0, time.Second, time.Minute, false, false, true},
+		"rested, streamed":         {0, time.Second, time.Minute, true, false, false},
+		"resting":                  {minRest / 2, time.Second, time.Minute, false, false, true},
+		"resting, another waits":   {minRest / 2, time.Second, time.Minute, false, true, false},
+		"resting, little time":     {minRest / 2, time.Second, minRest, false, false, false},
+		"resting for long":         {time.Second, time.Second, time.Minute, false, false, false},
+		"resting, little to spare": {minRest / 2, time.Second, 3 * minRest, false, false, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := testPool(t)
+			att := testAttempt(p, "127.0.0.1:1", c.budget)
+			att.Call.Request.StreamedBody = c.streamed
+			p.historyOf(att.Target).waiting = c.waiting
+			client, server := net.Pipe()
+			defer server.Close()
+			now := p.clock.Now()
+			conn := &upstreamConn{Conn: client, pool: p, target: att.Target, reusableAt: now + c.rest, provenAt: now + c.proof}
+			p.conns[conn] = true
+			conn.idleElement = p.idle.PushBack(conn)
+			p.idleByTarget[att.Target] = []*upstreamConn{conn}
+			got, wait := p.acquireIdle(att, time.Now().Add(time.Minute))
+			if (got != nil) != c.taken || wait > c.rest {
+				t.Errorf("taken %v with a wait of %v, want %v and %v at most", got != nil, wait, c.taken, c.rest)
+			}
+		})
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -9,7 +9,7 @@
 //   - ingress.go, request.go, headers.go, response.go, requestmetrics.go: requests from clients and their responses
 //   - clientlistener.go, clientconn.go, accesscontrol.go, readahead.go: client connections
 //   - requestbody.go, responsestream.go: bodies that are too large to be buffered
-//   - connpool.go, closereason.go, upstreamconn.go, attempt.go: connections to servers and attempts on them
+//   - connpool.go, connreuse.go, closereason.go, upstreamconn.go, attempt.go: connections to servers and attempts on them
 //   - admin.go: operators' calls
 //   - handover.go, peerprocess.go: hot restart
 package node
--- a/internal/node/upstreamconn.go
+++ b/internal/node/upstreamconn.go
@@ -54,9 +54,14 @@
 	// Guarded by pool.mu.
 	idleElement *list.Element // in pool.idle; nil: in use
 	requestSent bool          // a request is on its way, and its response has not been read
+	needsRest   bool          // a response has come since it was idle last
 	deadline    time.Time     // of what it now waits for
 	closed      bool
 	closeReason closeReason
+
+	// Guarded by pool.mu; clock times.
+	reusableAt time.Duration // when it has rested after the last response
+	provenAt   time.Duration // when it counts as proven
 }
 
 // upstreamResponse is what came back on a connection: a response, or the reason that there is none.
