A server that sends what nobody asked for gets one request on each connection for 30 s

Callers were given second answers that come later than a connection rests, again and again from the same server: bytes that nobody asked for closed the connection that they came on, and no other. They say as much of the server's other connections: the idle ones are closed, those in use carry no further request, and new ones carry one each for 30 s after the last such bytes, so nothing that comes late can be another request's. A marked rejection on a connection that had been used before the suspicion is no proof that this request did not run: its outcome is a failure, not 'overloaded'. Counted: unasked_responses, connections_given_up, suspicions; logged once a suspicion with server, connection, use and time since its answer. TestServerUnderSuspicionGetsOneRequestOnAConnection and TestRejectionUnderSuspicionIsNoProof are new.

--- a/internal/engine/attempt.go
+++ b/internal/engine/attempt.go
@@ -61,6 +61,7 @@
 const (
 	GroundResponse       Ground = "response"               // to this request, on a connection without anything else on its way
 	GroundRejection      Ground = "marked rejection"       // such a response that says that the request did not run
+	GroundDoubt          Ground = "rejection in doubt"     // it may be the response to another request
 	GroundOver           Ground = "nothing written: over"  // the call is over, its server gets nothing new, or the list has expired
 	GroundNoDescriptor   Ground = "no descriptor"          // nothing was written
 	GroundBodyUsed       Ground = "body not complete"      // at the client's side; the last byte was not written
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -23,21 +23,24 @@
 
 // The counters; docs/features.md has them by their names.
 const (
-	Requests        Counter = iota // all that were read, also those that were not accepted
-	Served                         // answered 200
-	Rejected                       // answered 429 or 503
-	NotAccepted                    // answered another 4xx
-	Failed                         // answered anything else
-	ClientGone                     // closed or canceled by the client before an answer
-	FaultInjected                  // with an injected fault
-	Violations                     // of an invariant; without tags
-	RejectedExpired                // of the rejected: while the endpoint list had expired
-	ConnectionsMade                // to servers; without tags
-	counterCount                   // how many there are
+	Requests           Counter = iota // all that were read, also those that were not accepted
+	Served                            // answered 200
+	Rejected                          // answered 429 or 503
+	NotAccepted                       // answered another 4xx
+	Failed                            // answered anything else
+	ClientGone                        // closed or canceled by the client before an answer
+	FaultInjected                     // with an injected fault
+	Violations                        // of an invariant; without tags
+	RejectedExpired                   // of the rejected: while the endpoint list had expired
+	ConnectionsMade                   // to servers; without tags, as those below
+	UnaskedResponses                  // bytes of servers that nobody asked for
+	ConnectionsGivenUp                // to servers, for such bytes on them or on another connection to the same server
+	Suspicions                        // servers that came under suspicion for such bytes
+	counterCount                      // how many there are
 )
 
 var counterNames = [counterCount]string{"requests", "served", "refused", "turned_away", "failed", "left", "drill.applied",
-	"invariant.violations", "refused.list_expired", "server_connections"}
+	"invariant.violations", "refused.list_expired", "server_connections", "unasked_responses", "connections_given_up", "suspicions"}
 
 // Gauge is a metric that rises and falls.
 type Gauge int
--- a/internal/node/attempt.go
+++ b/internal/node/attempt.go
@@ -222,7 +222,7 @@
 func (a *attemptRun) finishConnection(response *upstreamResponse) closeReason {
 	switch {
 	case response.unaskedBytes:
-		a.pool.close(a.conn, closedForUnasked)
+		a.pool.closeUnasked(a.conn)
 		return closedForUnasked
 	case response.head.Close:
 		a.pool.close(a.conn, closedForResponse)
@@ -231,11 +231,15 @@
 	return a.pool.release(a.conn)
 }
 
-// outcomeOf is the outcome of an attempt that a response has ended.
+// outcomeOf is the outcome of an attempt that a response has ended. A rejection on a connection that may have another
+// request's response on it does not say that this one did not run.
 func (a *attemptRun) outcomeOf(response *upstreamResponse) (balancer.Outcome, engine.Ground) {
 	outcome := responseOutcome(response.head)
-	if outcome != balancer.Overloaded {
+	switch {
+	case outcome != balancer.Overloaded:
 		return outcome, engine.GroundResponse
+	case a.conn.uses > 1 && a.pool.isSuspect(a.conn.target):
+		return balancer.Failure, engine.GroundDoubt
 	}
 	return outcome, engine.GroundRejection
 }
--- a/internal/node/closereason.go
+++ b/internal/node/closereason.go
@@ -12,6 +12,7 @@
 	closedForRoom          closeReason = "room"                 // another connection needed its descriptor
 	closedForRetiredServer closeReason = "server retired"       // its server gets nothing new
 	closedForUnasked       closeReason = "unasked bytes"        // the server sent what nobody asked for
+	closedForSuspicion     closeReason = "suspicion"            // the server did so on another connection
 	closedForResponse      closeReason = "response"             // the response ends the connection, or its end can't be trusted
 	closedForRequest       closeReason = "request not sent"     // the request could not be written whole
 	closedForStream        closeReason = "stream not passed on" // the client, or the server, broke off a streamed response
--- a/internal/node/connpool.go
+++ b/internal/node/connpool.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"container/list"
 	"errors"
+	"log/slog"
 	"net"
 	"slices"
 	"sync"
@@ -52,6 +53,7 @@
 	passResponse func(*engine.Attempt, any) bool // takes a response that is streamed; false: nobody waits for it
 	goroutines   sync.WaitGroup                  // attempts and readLoops
 
+	log   *slog.Logger
 	count func(metrics.Counter)
 
 	mu           sync.Mutex
@@ -71,7 +73,7 @@
 	p := &connPool{clock: clock, dialer: net.Dialer{KeepAlive: -1},
 		bufferLimit: bufferLimit(cfg.MemoryMB, responseMemoryDivisor, maxConns), maxConns: maxConns, fullMaxConns: maxConns,
 		attemptEnded: attemptEnded, passResponse: passResponse,
-		count: func(metrics.Counter) {},
+		log: slog.New(slog.DiscardHandler), count: func(metrics.Counter) {},
 		conns: map[*upstreamConn]bool{}, idle: list.New(), idleByTarget: map[*engine.Target][]*upstreamConn{},
 		histories: map[*engine.Target]*targetHistory{}}
 	p.applyConfig(cfg)
@@ -198,7 +200,7 @@
 	}
 	switch err := c.look(); {
 	case err == nil:
-		p.closeLocked(c, closedForUnasked)
+		p.closeUnaskedLocked(c)
 		return false
 	case !errors.Is(err, errNothingToRead):
 		p.closeLocked(c, closedByServer)
@@ -219,7 +221,8 @@
 	c.needsRest = true
 }
 
-// release makes a connection idle, for the next attempt to the same target, or closes it and returns why.
+// release makes a connection idle, for the next attempt to the same target, or closes it and returns why. One whose server
+// is under suspicion has carried its only request.
 func (p *connPool) release(c *upstreamConn) closeReason {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -229,6 +232,10 @@
 	case c.target.Stopped():
 		p.closeLocked(c, closedForRetiredServer)
 		return c.closeReason
+	case p.suspects(c.target):
+		p.closeLocked(c, closedForSuspicion)
+		p.count(metrics.ConnectionsGivenUp)
+		return c.closeReason
 	}
 	if c.needsRest {
 		c.needsRest = false
--- a/internal/node/connreuse.go
+++ b/internal/node/connreuse.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"hookwalk.example/hookwalk/internal/engine"
+	"hookwalk.example/hookwalk/internal/metrics"
 )
 
 // Nothing in an HTTP/1.1 response names its request. It belongs to the request that is out on its connection, if nothing
@@ -18,13 +19,17 @@
 	// provenRest is the rest after which a connection counts as proven. Proven ones are taken first.
 	provenRest = 50 * time.Millisecond
 
+	// suspicionTime is how long a server that sent what nobody asked for gets only one request on each connection.
+	suspicionTime = 30 * time.Second
+
 	// restBudgetDivisor is the part of an attempt's time that it may wait for a connection to have rested.
 	restBudgetDivisor = 4
 )
 
 // targetHistory is what the pool keeps of a server, until the server gets nothing new. Guarded by connPool.mu.
 type targetHistory struct {
-	waiting bool // an attempt waits for a connection that rests
+	suspectedUntil time.Duration // clock time
+	waiting        bool          // an attempt waits for a connection that rests
 }
 
 // historyOf returns the history of a target. That of one which gets nothing new is not kept. The caller holds p.mu.
@@ -90,3 +95,43 @@
 	c.releasedAt = p.clock.Now()
 	c.reusableAt, c.provenAt = c.releasedAt+minRest, c.releasedAt+provenRest
 }
+
+// suspects reports whether a target has lately sent what nobody asked for. The caller holds p.mu.
+func (p *connPool) suspects(target *engine.Target) bool {
+	return p.clock.Now() < p.historyOf(target).suspectedUntil
+}
+
+// isSuspect is suspects for those who don't hold p.mu.
+func (p *connPool) isSuspect(target *engine.Target) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.suspects(target)
+}
+
+// closeUnasked closes a connection on which a server sent what nobody asked for, and the idle ones to that server: what is
+// on its way on them can't be known.
+func (p *connPool) closeUnasked(c *upstreamConn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.closeUnaskedLocked(c)
+}
+
+// closeUnaskedLocked is closeUnasked for those who hold p.mu.
+func (p *connPool) closeUnaskedLocked(c *upstreamConn) {
+	if c.closed {
+		return
+	}
+	p.closeLocked(c, closedForUnasked)
+	p.count(metrics.UnaskedResponses)
+	p.count(metrics.ConnectionsGivenUp)
+	if !p.suspects(c.target) {
+		p.count(metrics.Suspicions)
+		p.log.Warn("server under suspicion: it sent bytes that nobody asked for", "server", c.target.ID, "connection", c.number,
+			"connection_uses", c.uses, "after_answer", p.clock.Now()-c.releasedAt, "for", suspicionTime)
+	}
+	p.historyOf(c.target).suspectedUntil = p.clock.Now() + suspicionTime
+	for idle := p.idleByTarget[c.target]; len(idle) > 0; idle = p.idleByTarget[c.target] {
+		p.closeLocked(newest(idle), closedForSuspicion)
+		p.count(metrics.ConnectionsGivenUp)
+	}
+}
--- a/internal/node/connreuse_test.go
+++ b/internal/node/connreuse_test.go
@@ -62,26 +62,6 @@
 	p.mu.Unlock()
 }
 
-// Bytes behind a response that was streamed are seen before the connection carries another request.
-func TestBytesBehindAStreamedResponse(t *testing.T) {
-	b := newBackend(t, func(n int, c net.Conn, _ *http.Request) bool {
-		if n > 1 {
-			return respond(c, "200 OK", "done")
-		}
-		io.WriteString(c, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n61a80\r\n"+string(make([]byte, 400_000)))
-		io.WriteString(c, "\r\n0\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nstray")
-		return true
-	})
-	p := testPool(t)
-	att := testAttempt(p, b.addr(), time.Minute)
-	if r := p.runAttempt(att); r.Outcome != balancer.Success {
-		t.Fatalf("ended %v", r.Outcome)
-	}
-	if r := p.runAttempt(again(att)); r.Outcome != balancer.Success || responseBody(r) != "done" {
-		t.Errorf("ended %v", r.Outcome)
-	}
-}
-
 // A connection that was taken in the instant in which bytes or its end came once was written to: the goroutine that reads
 // had not come to run yet.
 func TestConnectionIsLookedAtBeforeTheRequest(t *testing.T) {
@@ -182,3 +162,107 @@
 		})
 	}
 }
+
+// A server that has once sent what nobody asked for may have done so on its other connections too: they are closed, and each
+// new one carries one request, until the suspicion is over.
+func TestServerUnderSuspicionGetsOneRequestOnAConnection(t *testing.T) {
+	conns := make(chan net.Conn, 8)
+	held := make(chan struct{})
+	b := newBackend(t, func(n int, c net.Conn, _ *http.Request) bool {
+		conns <- c
+		if n == 2 {
+			close(held)
+		}
+		if n == 1 {
+			<-held // so that the second request needs another connection
+		}
+		return respond(c, "200 OK", "done")
+	})
+	p := testPool(t)
+	att := testAttempt(p, b.addr(), time.Minute)
+	first := make(chan engine.Result)
+	go func() { first <- p.runAttempt(att) }()
+	eventually(t, "the first request is out", func() bool { return b.requests() == 1 })
+	if r := p.runAttempt(again(att)); r.Outcome != balancer.Success {
+		t.Fatalf("ended %v", r.Outcome)
+	}
+	if r := <-first; r.Outcome != balancer.Success {
+		t.Fatalf("ended %v", r.Outcome)
+	}
+	respond(<-conns, "200 OK", "stray")
+	open := func() int {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		return len(p.conns)
+	}
+	eventually(t, "both connections are closed", func() bool { return open() == 0 })
+	for range 2 {
+		if r := p.runAttempt(again(att)); r.Outcome != balancer.Success || r.ClosedBy != string(closedForSuspicion) {
+			t.Errorf("ended %v, closed by %q", r.Outcome, r.ClosedBy)
+		}
+	}
+	if n := b.accepted(); n != 4 {
+		t.Errorf("%d connections for four requests", n)
+	}
+	p.mu.Lock()
+	p.historyOf(att.Target).suspectedUntil = p.clock.Now() // the time is over
+	p.mu.Unlock()
+	for range 2 {
+		if r := p.runAttempt(again(att)); r.Outcome != balancer.Success || r.ClosedBy != "" {
+			t.Errorf("ended %v, closed by %q", r.Outcome, r.ClosedBy)
+		}
+	}
+	if n := b.accepted(); n != 5 {
+		t.Errorf("%d connections, want 5", n)
+	}
+}
+
+// A marked rejection says that a request did not run. On a connection that had been used before its server came under
+// suspicion it may be that of the request before, and this one would run twice.
+func TestRejectionUnderSuspicionIsNoProof(t *testing.T) {
+	release := make(chan struct{})
+	b := newBackend(t, func(n int, c net.Conn, _ *http.Request) bool {
+		if n == 1 {
+			return respond(c, "200 OK", "done")
+		}
+		<-release
+		return respond(c, "503 Service Unavailable", "", "X-Rejected: 1")
+	})
+	p := testPool(t)
+	att := testAttempt(p, b.addr(), time.Minute)
+	usedConn(t, p, att)
+	ended := make(chan engine.Result)
+	go func() { ended <- p.runAttempt(again(att)) }()
+	eventually(t, "the second request is out", func() bool { return b.requests() == 2 })
+	p.mu.Lock()
+	p.historyOf(att.Target).suspectedUntil = p.clock.Now() + suspicionTime
+	p.mu.Unlock()
+	close(release)
+	if r := <-ended; r.Outcome != balancer.Failure || r.Ground != engine.GroundDoubt {
+		t.Errorf("ended %v (%s), want Failure", r.Outcome, r.Ground)
+	}
+	// On a new connection nothing else can have been on its way.
+	if r := p.runAttempt(again(att)); r.Outcome != balancer.Overloaded {
+		t.Errorf("ended %v, want Overloaded", r.Outcome)
+	}
+}
+
+// Bytes behind a response that was streamed are seen before the connection carries another request.
+func TestBytesBehindAStreamedResponse(t *testing.T) {
+	b := newBackend(t, func(n int, c net.Conn, _ *http.Request) bool {
+		if n > 1 {
+			return respond(c, "200 OK", "done")
+		}
+		io.WriteString(c, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n61a80\r\n"+string(make([]byte, 400_000)))
+		io.WriteString(c, "\r\n0\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nstray")
+		return true
+	})
+	p := testPool(t)
+	att := testAttempt(p, b.addr(), time.Minute)
+	if r := p.runAttempt(att); r.Outcome != balancer.Success {
+		t.Fatalf("ended %v", r.Outcome)
+	}
+	if r := p.runAttempt(again(att)); r.Outcome != balancer.Success || responseBody(r) != "done" {
+		t.Errorf("ended %v", r.Outcome)
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -107,6 +107,7 @@
 	available := cfg.Sockets - cfg.reservedDescriptors()
 	n.maxClientConns = available * clientDescriptorShare / descriptorShares
 	n.pool = newConnPool(n.clock, cfg, available-n.maxClientConns, n.engine.AttemptEnded, n.engine.PassResponse)
+	n.pool.log = logger
 	n.pool.count = func(c metrics.Counter) { n.engine.Metrics.Count(metrics.Tags(0), c) }
 	n.discovery = discovery.New(discovery.Config{Addr: cfg.Discovery, Polled: cfg.Settings.PollDiscovery,
 		MaxPollInterval: cfg.Settings.MaxPollInterval, Pollers: cfg.Settings.Replicas, Version: cfg.BootstrapList.Version},
--- a/internal/node/upstreamconn.go
+++ b/internal/node/upstreamconn.go
@@ -116,7 +116,7 @@
 		case metOldDeadline:
 		case err == nil && !c.requestSent:
 			err = errUnasked
-			c.pool.closeLocked(c, closedForUnasked)
+			c.pool.closeUnaskedLocked(c)
 		case err != nil:
 			c.pool.closeLocked(c, c.reasonOf(err))
 		}
