--- a/internal/node/connpool.go
+++ b/internal/node/connpool.go
@@ -206,9 +206,11 @@
 		p.closeLocked(c, closedByServer)
 		return false
 	}
+	now := p.clock.Now()
 	c.requestSent = true
 	c.uses++
-	c.idleBefore = p.clock.Now() - c.releasedAt
+	c.idleBefore = now - c.releasedAt
+	c.sentAt = now
 	return true
 }
 
--- a/internal/node/connreuse.go
+++ b/internal/node/connreuse.go
@@ -22,12 +22,27 @@
 	// suspicionTime is how long a server that sent what nobody asked for gets only one request on each connection.
 	suspicionTime = 30 * time.Second
 
+	// earlyMargin is by how much less than the mean time of its server a response has to take to count as early.
+	earlyMargin = 5 * time.Millisecond
+
+	// earlyRestFactor times that mean time, from its request on, is the rest of a connection after an early response.
+	earlyRestFactor = 3
+
+	// minEarlyRest and maxEarlyRest bound the rest after an early response. The mean of a server that has answered only a
+	// few requests is that of its fastest responses.
+	minEarlyRest = 250 * time.Millisecond
+	maxEarlyRest = time.Second
+
 	// restBudgetDivisor is the part of an attempt's time that it may wait for a connection to have rested.
 	restBudgetDivisor = 4
+
+	// meanWeight is the weight of a new response in the mean time of a server.
+	meanWeight = 0.1
 )
 
 // targetHistory is what the pool keeps of a server, until the server gets nothing new. Guarded by connPool.mu.
 type targetHistory struct {
+	meanTime       time.Duration // from a request to its response; 0: none has come
 	suspectedUntil time.Duration // clock time
 	waiting        bool          // an attempt waits for a connection that rests
 }
@@ -44,6 +59,15 @@
 	return h
 }
 
+// addTime takes up how long a response took.
+func (h *targetHistory) addTime(took time.Duration) {
+	if h.meanTime == 0 {
+		h.meanTime = took
+		return
+	}
+	h.meanTime += time.Duration(meanWeight * float64(took-h.meanTime))
+}
+
 // acquireIdle takes an idle connection to the attempt's target, and returns how long it still has to rest. It returns nil
 // if there is none, or none that has rested soon enough. One that breaks from here on is noticed by markRequestSent. The
 // caller holds p.mu.
@@ -89,11 +113,22 @@
 	p.historyOf(c.target).waiting = false
 }
 
-// beginRest notes that the response to a connection's request has come, and sets when the connection may be used again. The
-// caller holds p.mu.
+// beginRest notes that the response to a connection's request has come, and sets when the connection may be used again.
+//
+// A response that came early, and soon behind the one before, may be a second one to the request before. The true one is
+// still to come then, and the connection rests for as long as that may take. The caller holds p.mu.
 func (p *connPool) beginRest(c *upstreamConn) {
-	c.releasedAt = p.clock.Now()
-	c.reusableAt, c.provenAt = c.releasedAt+minRest, c.releasedAt+provenRest
+	now := p.clock.Now()
+	history, took := p.historyOf(c.target), now-c.sentAt
+	soon := c.uses > 1 && now < c.releasedAt+provenRest
+	c.releasedAt = now
+	if soon && took+earlyMargin < history.meanTime {
+		c.reusableAt = max(now+minRest, c.sentAt+min(max(earlyRestFactor*history.meanTime, minEarlyRest), maxEarlyRest))
+		c.provenAt = max(now+provenRest, c.reusableAt)
+		return
+	}
+	history.addTime(took)
+	c.reusableAt, c.provenAt = now+minRest, now+provenRest
 }
 
 // suspects reports whether a target has lately sent what nobody asked for. The caller holds p.mu.
--- a/internal/node/connreuse_test.go
+++ b/internal/node/connreuse_test.go
@@ -247,6 +247,43 @@
 	}
 }
 
+// A response that came early and soon behind another may be a second one to the request before. The true one is still to
+// come: used again before that, the connection would pass it to the next request, and so on.
+func TestConnectionRestsAfterAnEarlyResponse(t *testing.T) {
+	const mean = 100 * time.Millisecond
+	for name, c := range map[string]struct {
+		took  time.Duration // since the request
+		since time.Duration // the response before
+		mean  time.Duration
+		uses  int
+		rests time.Duration // at least, from the request on
+	}{
+		"usual":                   {mean, mean + minRest, mean, 2, mean + minRest},
+		"early and soon":          {10 * time.Millisecond, provenRest - minRest, mean, 2, earlyRestFactor * mean},
+		"early, not so soon":      {10 * time.Millisecond, provenRest, mean, 2, 10*time.Millisecond + minRest},
+		"early of a slow server":  {10 * time.Millisecond, provenRest - minRest, time.Minute, 2, maxEarlyRest},
+		"early by little":         {time.Millisecond, provenRest - minRest, earlyMargin, 2, time.Millisecond + minRest},
+		"the first on its server": {10 * time.Millisecond, provenRest - minRest, 0, 2, 10*time.Millisecond + minRest},
+		"the first on it":         {10 * time.Millisecond, provenRest - minRest, mean, 1, 10*time.Millisecond + minRest},
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := testPool(t)
+			target := &engine.Target{}
+			p.historyOf(target).meanTime = c.mean
+			now := p.clock.Now()
+			sentAt := now - c.took
+			conn := &upstreamConn{target: target, uses: c.uses, sentAt: sentAt, releasedAt: now - c.since}
+			p.beginRest(conn)
+			if rests := conn.reusableAt - sentAt; rests < c.rests || rests > c.rests+minRest {
+				t.Errorf("rests for %v, want %v", rests, c.rests)
+			}
+			if conn.provenAt < conn.reusableAt {
+				t.Error("it counts as proven before it has rested")
+			}
+		})
+	}
+}
+
 // Bytes behind a response that was streamed are seen before the connection carries another request.
 func TestBytesBehindAStreamedResponse(t *testing.T) {
 	b := newBackend(t, func(n int, c net.Conn, _ *http.Request) bool {
--- a/internal/node/upstreamconn.go
+++ b/internal/node/upstreamconn.go
@@ -60,6 +60,7 @@
 	closeReason closeReason
 
 	// Guarded by pool.mu; clock times.
+	sentAt     time.Duration // of the last request
 	reusableAt time.Duration // when it has rested after the last response
 	provenAt   time.Duration // when it counts as proven
 }
