Soak: servers answer twice, a judge asks whose an answer is, bursts use connections again

No rig of the project played a server that answers twice, and none asked whose answer a body is: a node that hands on second answers passed every soak. TestSoakFindsFaults finds a stand-in that answers for others; TestAnswerFaults holds the drawing.

--- a/cmd/hookwalk/soakfaulty_test.go
+++ b/cmd/hookwalk/soakfaulty_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"net"
 	"net/http"
 	"os"
@@ -16,8 +17,11 @@
 	"hookwalk.example/hookwalk/internal/lab/soak"
 )
 
-// Faults of a stand-in for a node, which TestSoakFindsFaults plays. It answers every request with a rejection.
+// Faults of a stand-in for a node, which TestSoakFindsFaults plays. It answers every request with a rejection, but for
+// answersForOthers.
 const (
+	answersForOthers = "other" // it answers with what a server would answer to another request, and ends as closesAfterTerm does
+
 	closesAfterTerm = "close" // after SIGTERM it reads a request, closes its connection, and exits
 	hangsAfterTerm  = "hang"  // after SIGTERM it answers nothing more, and goes on until it is killed
 )
@@ -43,6 +47,8 @@
 	go http.Serve(listener, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch {
 		case r.URL.Path == "/ready":
+		case fault == answersForOthers && !terminated.Load():
+			fmt.Fprint(w, "ok r-0")
 		case !terminated.Load():
 			w.Header().Set("Retry-After", "1")
 			w.WriteHeader(http.StatusServiceUnavailable)
@@ -59,18 +65,18 @@
 			continue
 		}
 		terminated.Store(true)
-		if fault == closesAfterTerm {
+		if fault != hangsAfterTerm {
 			<-time.After(time.Second) // in which requests come
 			return
 		}
 	}
 }
 
-// A soak that excuses too much passes whatever its nodes do: one that loses what it has read after SIGTERM, and one that does
-// not end and is killed on what it has read, are found.
+// A soak that excuses too much passes whatever its nodes do: one that loses what it has read after SIGTERM, one that does
+// not end and is killed on what it has read, and one that gives a caller another one's answer are found.
 func TestSoakFindsFaults(t *testing.T) {
 	const seed, nodes, length = 1, 4, 16 * time.Second // its plan has three restarts
-	for _, fault := range []string{closesAfterTerm, hangsAfterTerm} {
+	for fault, violation := range map[string]string{closesAfterTerm: "has no answer", hangsAfterTerm: "has no answer", answersForOthers: "no server wrote for it"} {
 		t.Run(fault, func(t *testing.T) {
 			result, err := soak.Run(t.Context(), soak.DrawPlan(seed, nodes, length), func(config string) *exec.Cmd {
 				c := exec.Command(os.Args[0])
@@ -81,8 +87,8 @@
 				t.Fatal(err)
 			}
 			lost := 0
-			for _, violation := range result.Violations() {
-				if strings.HasPrefix(violation, "lost: ") && strings.Contains(violation, "has no answer") {
+			for _, found := range result.Violations() {
+				if strings.HasPrefix(found, "lost: ") && strings.Contains(found, violation) {
 					lost++
 				}
 			}
--- /dev/null
+++ b/internal/lab/soak/answers.go
@@ -0,0 +1,141 @@
+package soak
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+)
+
+const (
+	endlessInterval = 50 * time.Millisecond // between two pieces of an endless answer
+	endlessTime     = 10 * time.Second      // after which even that ends: longer than any deadline
+)
+
+// answerBody is what a server answers to a request. The judge compares it with what the client was given.
+func answerBody(id string) string { return "ok " + id }
+
+// answer writes the answer to a request as the active faults have it.
+func (s *server) answer(w http.ResponseWriter, r *http.Request, id string) {
+	conn := clockConnOf(r)
+	if f, hit := s.faults.hits(AnswerSecond); hit {
+		conn.writeBehind(f.Wait, answerText(http.StatusOK, "second "+id))
+	}
+	if f, hit := s.faults.hits(AnswerSecondRejected); hit {
+		conn.writeBehind(f.Wait, answerText(http.StatusServiceUnavailable, ""))
+	}
+	if _, hit := s.faults.hits(AnswerClose); hit {
+		conn.closeBehind()
+	}
+	switch body := answerBody(id); {
+	case s.hits(AnswerNoLength):
+		writeWithoutLength(w, body)
+	case s.hits(AnswerEndless):
+		writeEndlessly(w, body)
+	case s.hits(AnswerShort):
+		w.Header().Set("Content-Length", fmt.Sprint(2*len(body)))
+		io.WriteString(w, body)
+		panic(http.ErrAbortHandler)
+	case s.hits(AnswerPieces):
+		writeInPieces(w, body)
+	default:
+		io.WriteString(w, body)
+	}
+}
+
+// hits reports whether a fault affects what comes now.
+func (s *server) hits(kind Kind) bool {
+	_, hit := s.faults.hits(kind)
+	return hit
+}
+
+// answerText is a whole answer as it is on the wire. A 503 is marked as a rejection.
+func answerText(status int, body string) string {
+	rejected := ""
+	if status == http.StatusServiceUnavailable {
+		rejected = "X-Rejected: 1\r\n"
+	}
+	return fmt.Sprintf("HTTP/1.1 %d %s\r\n%sContent-Length: %d\r\n\r\n%s", status, http.StatusText(status), rejected, len(body), body)
+}
+
+// writeWithoutLength writes an answer that ends with its connection.
+func writeWithoutLength(w http.ResponseWriter, body string) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return // the connection has ended
+	}
+	defer conn.Close()
+	io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\n"+body)
+}
+
+// writeEndlessly writes an answer without an end.
+func writeEndlessly(w http.ResponseWriter, body string) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	defer conn.Close()
+	_, err = io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\n"+body)
+	for end := time.Now().Add(endlessTime); err == nil && time.Now().Before(end); {
+		<-time.After(endlessInterval)
+		_, err = io.WriteString(conn, ".")
+	}
+}
+
+// writeInPieces writes an answer byte by byte.
+func writeInPieces(w http.ResponseWriter, body string) {
+	w.Header().Set("Content-Length", fmt.Sprint(len(body)))
+	for i := range body {
+		io.WriteString(w, body[i:i+1])
+		http.NewResponseController(w).Flush()
+	}
+}
+
+// behind is what a connection does once the answer that is being written is out.
+type behind struct {
+	mu     sync.Mutex
+	text   string
+	wait   time.Duration
+	closes bool
+}
+
+// writeBehind has a text written behind the next answer, so long after it.
+func (c *clockConn) writeBehind(wait time.Duration, text string) {
+	c.behind.mu.Lock()
+	defer c.behind.mu.Unlock()
+	c.behind.text, c.behind.wait = text, wait
+}
+
+// closeBehind has the connection closed behind the next answer.
+func (c *clockConn) closeBehind() {
+	c.behind.mu.Lock()
+	defer c.behind.mu.Unlock()
+	c.behind.closes = true
+}
+
+// Write writes what an answer consists of. A small answer is one Write, and what comes behind it follows.
+func (c *clockConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.behind.mu.Lock()
+	defer c.behind.mu.Unlock()
+	if text := c.behind.text; text != "" {
+		c.behind.text = ""
+		c.writeAfter(c.behind.wait, text)
+	}
+	if c.behind.closes {
+		c.Conn.Close()
+	}
+	return n, err
+}
+
+// writeAfter writes a text after a wait, in one piece.
+func (c *clockConn) writeAfter(wait time.Duration, text string) {
+	write := func(conn net.Conn) { io.WriteString(conn, text) }
+	if wait == 0 {
+		write(c.Conn)
+		return
+	}
+	time.AfterFunc(wait, func() { write(c.Conn) })
+}
--- a/internal/lab/soak/clientconn.go
+++ b/internal/lab/soak/clientconn.go
@@ -24,6 +24,9 @@
 	// leaves between the two steps of a close.
 	resetWait = 1200 * time.Millisecond
 
+	// maxAnswer is how much of an answer is read, in bytes: more than any server writes.
+	maxAnswer = 1 << 20
+
 	// resetInterval is the time between two looks for a reset.
 	resetInterval = 20 * time.Millisecond
 
@@ -60,17 +63,18 @@
 	return nil
 }
 
-// receive reads the response to a request, to its end.
-func (c *clientConn) receive(r *http.Request) (*http.Response, error) {
-	response, err := http.ReadResponse(c.responses, r)
+// receive reads the response to a request and its body, to its end.
+func (c *clientConn) receive(r *http.Request) (response *http.Response, body string, err error) {
+	response, err = http.ReadResponse(c.responses, r)
 	if err != nil {
-		return nil, err
+		return nil, "", err
 	}
 	defer response.Body.Close()
-	if _, err := io.Copy(io.Discard, response.Body); err != nil {
-		return nil, err
+	text, err := io.ReadAll(io.LimitReader(response.Body, maxAnswer))
+	if err != nil {
+		return nil, "", err
 	}
-	return response, nil
+	return response, string(text), nil
 }
 
 // isOpen reports whether the node has not ended the connection, as far as its client can see.
--- a/internal/lab/soak/clients.go
+++ b/internal/lab/soak/clients.go
@@ -6,7 +6,9 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"strconv"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -25,6 +27,8 @@
 const (
 	requestBudget = 2 * time.Second // until a request's deadline; the longest deadline of the nodes' settings
 	answerGrace   = 2 * time.Second // that a client waits on after the deadline, so that a late answer is seen as such
+
+	burstRetryInterval = 50 * time.Millisecond // between a request of a burst that was not served and the next
 )
 
 // clients send requests to the nodes at a steady rate, each to one drawn node.
@@ -34,6 +38,8 @@
 	faults   activeFaults
 	pools    []connPool // by node
 	inFlight sync.WaitGroup
+
+	lastNumber atomic.Int64 // of a request
 }
 
 // newClients are clients of some nodes; nothing is sent before run.
@@ -46,10 +52,10 @@
 	tick := time.NewTicker(time.Second / time.Duration(rate))
 	defer tick.Stop()
 	defer c.close()
-	for number := 0; ; number++ {
+	for {
 		select {
 		case <-tick.C:
-			c.inFlight.Go(func() { c.send(number) })
+			c.inFlight.Go(func() { c.send(c.nodes[rand.IntN(len(c.nodes))]) })
 		case <-ctx.Done():
 			return
 		}
@@ -64,10 +70,22 @@
 	}
 }
 
-// send makes one request and records what became of it.
-func (c *clients) send(number int) {
-	n := c.nodes[rand.IntN(len(c.nodes))]
-	request := &Request{ID: fmt.Sprintf("r-%d", number), Node: n.index, NonIdempotent: rand.Float64() < nonIdempotentRatio}
+// sendInTurn sends one request after another to a node until ctx ends. A node that is down is tried again after a while.
+func (c *clients) sendInTurn(ctx context.Context, n *node) {
+	for ctx.Err() == nil {
+		if c.send(n) {
+			continue
+		}
+		select {
+		case <-time.After(burstRetryInterval):
+		case <-ctx.Done():
+		}
+	}
+}
+
+// send makes one request to a node, records what became of it, and reports whether it was served.
+func (c *clients) send(n *node) (served bool) {
+	request := &Request{ID: fmt.Sprintf("r-%d", c.lastNumber.Add(1)), Node: n.index, NonIdempotent: rand.Float64() < nonIdempotentRatio}
 	ownConnection := rand.Float64() < newConnectionRatio
 	_, cancels := c.faults.hits(ClientCancel)
 	request.At = c.recorder.now()
@@ -76,15 +94,15 @@
 	giveUp := time.Now().Add(requestBudget + answerGrace)
 	conn, err := c.connect(request, ownConnection, giveUp)
 	if err != nil {
-		c.recordEnd(request, nil, err)
-		return
+		c.recordEnd(request, nil, "", err)
+		return false
 	}
 	conn.SetDeadline(giveUp)
 	if cancels {
 		c.cancelSoon(request, conn)
 	}
-	response, err := c.exchange(conn, request)
-	c.recordEnd(request, response, err)
+	response, body, err := c.exchange(conn, request)
+	c.recordEnd(request, response, body, err)
 	switch {
 	case err != nil:
 		unread := conn.wasReset(err)
@@ -95,6 +113,7 @@
 	default:
 		c.pools[n.index].put(conn)
 	}
+	return err == nil && response.StatusCode == http.StatusOK
 }
 
 // connect returns the connection for a request: a kept one that is open, or a new one if there is none, or the request is to
@@ -109,17 +128,17 @@
 	return dialNode(c.nodes[request.Node].listen, deadline)
 }
 
-// exchange sends a request and reads its response to its end.
-func (c *clients) exchange(conn *clientConn, request *Request) (*http.Response, error) {
+// exchange sends a request and reads its response and the body to its end.
+func (c *clients) exchange(conn *clientConn, request *Request) (response *http.Response, body string, err error) {
 	r := newHTTPRequest(request, c.nodes[request.Node])
 	if err := conn.send(r, func() { c.noteWritten(request) }); err != nil {
-		return nil, err
+		return nil, "", err
 	}
 	return conn.receive(r)
 }
 
 // recordEnd records how a request ended, by its response or an error.
-func (c *clients) recordEnd(request *Request, response *http.Response, err error) {
+func (c *clients) recordEnd(request *Request, response *http.Response, body string, err error) {
 	c.recorder.record(func(*Observations) {
 		request.Finished = c.recorder.now()
 		if err != nil {
@@ -127,6 +146,9 @@
 			return
 		}
 		request.Status, request.RetryAfter = response.StatusCode, response.Header.Get("Retry-After") != ""
+		if response.StatusCode == http.StatusOK && body != answerBody(request.ID) {
+			request.WrongBody = strconv.Quote(body)
+		}
 	})
 }
 
--- a/internal/lab/soak/clockconn.go
+++ b/internal/lab/soak/clockconn.go
@@ -29,6 +29,7 @@
 	net.Conn
 	recorder *recorder
 	lastRead atomic.Int64
+	behind   behind
 }
 
 func (c *clockConn) Read(b []byte) (int, error) {
@@ -49,5 +50,8 @@
 
 // lastRead is when bytes of a request were read last. Until its body is read, these are of its head.
 func lastRead(r *http.Request) time.Duration {
-	return time.Duration(r.Context().Value(clockConnKey{}).(*clockConn).lastRead.Load())
+	return time.Duration(clockConnOf(r).lastRead.Load())
 }
+
+// clockConnOf is the connection that a request came on.
+func clockConnOf(r *http.Request) *clockConn { return r.Context().Value(clockConnKey{}).(*clockConn) }
--- a/internal/lab/soak/observations.go
+++ b/internal/lab/soak/observations.go
@@ -86,6 +86,7 @@
 	Finished          time.Duration // when it had its answer, or knew that there is none
 	Status            int           // 0: none
 	RetryAfter        bool          // the answer says when to come back
+	WrongBody         string        // of a 200 that no server wrote for this request; "": none
 	Err               string
 	NewConnection     bool // it was the first one on its connection
 	ConnectionRefused bool // no connection came up
--- a/internal/lab/soak/plan.go
+++ b/internal/lab/soak/plan.go
@@ -68,6 +68,8 @@
 	Rate    int           // requests a second, of all clients
 	Length  time.Duration // from the begin of the run to the last request; a plan that is shifted gets longer
 	Faults  []Fault       // by their begin
+	Answers []Fault       // of servers' answers
+	Bursts  []Burst
 	Series  []SignalSeries
 	Crowds  []Crowd
 }
@@ -77,6 +79,12 @@
 	for _, f := range p.Faults {
 		lines = append(lines, f.String())
 	}
+	for _, f := range p.Answers {
+		lines = append(lines, f.String())
+	}
+	for _, b := range p.Bursts {
+		lines = append(lines, b.String())
+	}
 	for _, s := range p.Series {
 		lines = append(lines, s.String())
 	}
@@ -135,12 +143,18 @@
 
 // shifted is the plan with its times counted from an earlier moment.
 func (p Plan) shifted(begin time.Duration) Plan {
-	p.Faults = slices.Clone(p.Faults)
-	for i := range p.Faults {
-		p.Faults[i].From += begin
-		p.Faults[i].To += begin
+	p.Faults, p.Answers = slices.Clone(p.Faults), slices.Clone(p.Answers)
+	for _, faults := range [][]Fault{p.Faults, p.Answers} {
+		for i := range faults {
+			faults[i].From += begin
+			faults[i].To += begin
+		}
+	}
+	p.Series, p.Crowds, p.Bursts = slices.Clone(p.Series), slices.Clone(p.Crowds), slices.Clone(p.Bursts)
+	for i := range p.Bursts {
+		p.Bursts[i].From += begin
+		p.Bursts[i].To += begin
 	}
-	p.Series, p.Crowds = slices.Clone(p.Series), slices.Clone(p.Crowds)
 	for i := range p.Series {
 		p.Series[i].From += begin
 	}
@@ -164,6 +178,7 @@
 	}
 	p.Faults = append(p.Faults, drawStaleListFaults(rng, p)...)
 	slices.SortStableFunc(p.Faults, func(a, b Fault) int { return cmp.Compare(a.From, b.From) })
+	p.Answers, p.Bursts = drawAnswerFaults(seed, p)
 	p.Series, p.Crowds = drawSignals(seed, p)
 	return p
 }
--- a/internal/lab/soak/plan_test.go
+++ b/internal/lab/soak/plan_test.go
@@ -83,6 +83,44 @@
 	}
 }
 
+// A plan without second answers passes a node that hands them on; one whose faults last into the recovery hides whether
+// nodes recover. Kept seeds go on standing for their faults of answers.
+func TestAnswerFaults(t *testing.T) {
+	const want = "60c69ac69cde86af421c6a34408f19a9ccd847cbe51513c1a71eb9d4e794ae42"
+	digest, seen := sha256.New(), map[Kind]bool{}
+	for seed := range uint64(300) {
+		p := DrawPlan(seed, 24, 20*second)
+		fmt.Fprintln(digest, p.Answers, p.Bursts)
+		second := 0
+		for _, f := range p.Answers {
+			seen[f.Kind] = true
+			if f.Kind == AnswerSecond || f.Kind == AnswerSecondRejected {
+				second++
+			}
+			if f.From < firstFault || f.To > p.Length-recoveryTime || f.To-f.From < minAnswerFaultTime || f.Target >= p.Servers ||
+				f.Wait > maxSecondWait || f.Share < minAnswerShare || f.Share > maxAnswerShare {
+				t.Errorf("seed %d: %v", seed, f)
+			}
+		}
+		for _, b := range p.Bursts {
+			if b.From < firstFault || b.To > p.Length-recoveryTime || b.Node >= p.Nodes {
+				t.Errorf("seed %d: %v", seed, b)
+			}
+		}
+		if second < secondAnswerFaults || len(p.Bursts) != secondAnswerFaults {
+			t.Errorf("seed %d has %d faults that are second answers", seed, second)
+		}
+	}
+	for _, kind := range answerKinds {
+		if !seen[kind] {
+			t.Errorf("no plan has %s", kind)
+		}
+	}
+	if got := hex.EncodeToString(digest.Sum(nil)); got != want {
+		t.Errorf("digest of the faults of answers is %s, want %s", got, want)
+	}
+}
+
 // Kept seeds go on standing for their series and crowds too, as for their faults.
 func TestSeedKeepsItsSignals(t *testing.T) {
 	const want = "b566a3d3a3b2db7fe5d69f1607effbc256005540cf4aba80b30d0ecfb4dc4132"
--- a/internal/lab/soak/requestend.go
+++ b/internal/lab/soak/requestend.go
@@ -68,6 +68,8 @@
 // answerFault says what is wrong with an answer, "" if nothing is.
 func answerFault(r *Request) string {
 	switch {
+	case r.WrongBody != "":
+		return fmt.Sprintf("it was answered with %s, which no server wrote for it", r.WrongBody)
 	case r.Finished > r.Deadline+invariants.AnswerSlack+clockTolerance:
 		return fmt.Sprintf("its answer came %v after its deadline", r.Finished-r.Deadline)
 	case r.Status == http.StatusServiceUnavailable && !r.RetryAfter:
--- a/internal/lab/soak/run.go
+++ b/internal/lab/soak/run.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"os"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -104,7 +105,7 @@
 	ctx, cancel := context.WithTimeout(ctx, r.plan.Length-r.recorder.now())
 	defer cancel()
 	var injecting sync.WaitGroup
-	for _, f := range r.plan.Faults {
+	for _, f := range slices.Concat(r.plan.Faults, r.plan.Answers) {
 		injecting.Go(func() {
 			if r.waitUntil(ctx, f.From) {
 				r.inject(ctx, f)
@@ -125,6 +126,13 @@
 			}
 		})
 	}
+	for _, b := range r.plan.Bursts {
+		injecting.Go(func() {
+			if r.waitUntil(ctx, b.From) {
+				r.playBurst(ctx, b)
+			}
+		})
+	}
 	r.clients.run(ctx, r.plan.Rate)
 	injecting.Wait()
 	r.mu.Lock()
@@ -168,7 +176,8 @@
 		r.moveDiscovery(ctx, f)
 	case ServerDrain:
 		r.discovery.drain(f.Target)
-	case ServerHang, ServerReset, ServerReject, ServerError:
+	case ServerHang, ServerReset, ServerReject, ServerError, AnswerSecond, AnswerSecondRejected, AnswerClose, AnswerPieces,
+		AnswerNoLength, AnswerShort, AnswerEndless:
 		r.activate(ctx, &r.servers[f.Target].faults, f)
 	case NodePause:
 		r.nodes[f.Target].pause(f.Wait)
@@ -212,6 +221,17 @@
 	})
 }
 
+// playBurst has clients send to a node until the burst is over.
+func (r *run) playBurst(ctx context.Context, b Burst) {
+	ctx, cancel := context.WithTimeout(ctx, b.To-r.recorder.now())
+	defer cancel()
+	var sending sync.WaitGroup
+	for range b.Clients {
+		sending.Go(func() { r.clients.sendInTurn(ctx, r.nodes[b.Node]) })
+	}
+	sending.Wait()
+}
+
 // activate has a fault in force at a stand-in until it is over.
 func (r *run) activate(ctx context.Context, at *activeFaults, f Fault) {
 	at.begin(f)
--- a/internal/lab/soak/servers.go
+++ b/internal/lab/soak/servers.go
@@ -1,7 +1,6 @@
 package soak
 
 import (
-	"fmt"
 	"io"
 	"math/rand/v2"
 	"net"
@@ -65,7 +64,7 @@
 		w.WriteHeader(http.StatusInternalServerError)
 		return
 	}
-	fmt.Fprintf(w, "ok %s", attempt.ID)
+	s.answer(w, r, attempt.ID)
 }
 
 // newAttempt is what a request says of itself. The node that sends it is named by a header that its client set.
--- a/internal/lab/soak/violations_test.go
+++ b/internal/lab/soak/violations_test.go
@@ -66,6 +66,7 @@
 		"a restart without an end":       {Observations{Incarnations: []Incarnation{{Terminated: second, Killed: 5 * second, Exited: 5 * second}}}, "restart"},
 		"rejected without Retry-After":   {Observations{Requests: requests(func(a *Request) { a.Status = 503 })}, "lost"},
 		"sent after the client was gone": {Observations{Requests: requests(func(a *Request) { a.ClientGone = 10 * second }), Attempts: []*Attempt{attempt(10300*time.Millisecond, unchanged)}}, "lost"},
+		"another one's answer":           {Observations{Requests: requests(func(a *Request) { a.WrongBody = `"ok r-7"` })}, "lost"},
 		"too large a budget":             {Observations{Requests: answered, Attempts: []*Attempt{attempt(10*second, func(a *Attempt) { a.Budget = 2300 * time.Millisecond })}}, "budget"},
 		"a broken invariant of a node":   {Observations{Complaints: []string{"n1: invariant broken"}}, "n1"},
 	} {
