A server's mean time ends with the first byte of a response that is streamed

Found on reading the change again; the time now runs from the request's last byte until the response has been read as far as it is buffered. Cases in TestConnectionRestsAfterAnEarlyResponse.

--- a/internal/node/attempt.go
+++ b/internal/node/attempt.go
@@ -173,6 +173,7 @@
 	a.pool.mu.Lock()
 	defer a.pool.mu.Unlock()
 	a.conn.deadline = time.Now().Add(a.att.Timeout)
+	a.conn.sentAt = a.pool.clock.Now()
 	return a.conn.SetDeadline(a.conn.deadline)
 }
 
--- a/internal/node/connpool.go
+++ b/internal/node/connpool.go
@@ -221,6 +221,7 @@
 	defer p.mu.Unlock()
 	c.requestSent = false
 	c.needsRest = true
+	c.answeredAt = p.clock.Now()
 }
 
 // release makes a connection idle, for the next attempt to the same target, or closes it and returns why. One whose server
--- a/internal/node/connreuse.go
+++ b/internal/node/connreuse.go
@@ -42,7 +42,7 @@
 
 // targetHistory is what the pool keeps of a server, until the server gets nothing new. Guarded by connPool.mu.
 type targetHistory struct {
-	meanTime       time.Duration // from a request to its response; 0: none has come
+	meanTime       time.Duration // from a request's last byte to its response, or to the first of one that is streamed; 0: none has come
 	suspectedUntil time.Duration // clock time
 	waiting        bool          // an attempt waits for a connection that rests
 }
@@ -119,8 +119,8 @@
 // still to come then, and the connection rests for as long as that may take. The caller holds p.mu.
 func (p *connPool) beginRest(c *upstreamConn) {
 	now := p.clock.Now()
-	history, took := p.historyOf(c.target), now-c.sentAt
-	soon := c.uses > 1 && now < c.releasedAt+provenRest
+	history, took := p.historyOf(c.target), c.answeredAt-c.sentAt
+	soon := c.uses > 1 && c.answeredAt < c.releasedAt+provenRest
 	c.releasedAt = now
 	if soon && took+earlyMargin < history.meanTime {
 		c.reusableAt = max(now+minRest, c.sentAt+min(max(earlyRestFactor*history.meanTime, minEarlyRest), maxEarlyRest))
--- a/internal/node/connreuse_test.go
+++ b/internal/node/connreuse_test.go
@@ -252,27 +252,30 @@
 func TestConnectionRestsAfterAnEarlyResponse(t *testing.T) {
 	const mean = 100 * time.Millisecond
 	for name, c := range map[string]struct {
-		took  time.Duration // since the request
+		took  time.Duration // from the request to the response
+		lasts time.Duration // how long the response is streamed
 		since time.Duration // the response before
 		mean  time.Duration
 		uses  int
 		rests time.Duration // at least, from the request on
 	}{
-		"usual":                   {mean, mean + minRest, mean, 2, mean + minRest},
-		"early and soon":          {10 * time.Millisecond, provenRest - minRest, mean, 2, earlyRestFactor * mean},
-		"early, not so soon":      {10 * time.Millisecond, provenRest, mean, 2, 10*time.Millisecond + minRest},
-		"early of a slow server":  {10 * time.Millisecond, provenRest - minRest, time.Minute, 2, maxEarlyRest},
-		"early by little":         {time.Millisecond, provenRest - minRest, earlyMargin, 2, time.Millisecond + minRest},
-		"the first on its server": {10 * time.Millisecond, provenRest - minRest, 0, 2, 10*time.Millisecond + minRest},
-		"the first on it":         {10 * time.Millisecond, provenRest - minRest, mean, 1, 10*time.Millisecond + minRest},
+		"usual":                   {mean, 0, mean + minRest, mean, 2, mean + minRest},
+		"early and soon":          {10 * time.Millisecond, 0, provenRest - minRest, mean, 2, earlyRestFactor * mean},
+		"early, not so soon":      {10 * time.Millisecond, 0, provenRest, mean, 2, 10*time.Millisecond + minRest},
+		"early of a slow server":  {10 * time.Millisecond, 0, provenRest - minRest, time.Minute, 2, maxEarlyRest},
+		"early, then streamed":    {10 * time.Millisecond, 5 * time.Second, provenRest - minRest, mean, 2, 5*time.Second + 10*time.Millisecond + minRest},
+		"early by little":         {time.Millisecond, 0, provenRest - minRest, earlyMargin, 2, time.Millisecond + minRest},
+		"the first on its server": {10 * time.Millisecond, 0, provenRest - minRest, 0, 2, 10*time.Millisecond + minRest},
+		"the first on it":         {10 * time.Millisecond, 0, provenRest - minRest, mean, 1, 10*time.Millisecond + minRest},
 	} {
 		t.Run(name, func(t *testing.T) {
 			p := testPool(t)
 			target := &engine.Target{}
 			p.historyOf(target).meanTime = c.mean
 			now := p.clock.Now()
-			sentAt := now - c.took
-			conn := &upstreamConn{target: target, uses: c.uses, sentAt: sentAt, releasedAt: now - c.since}
+			sentAt := now - c.lasts - c.took
+			conn := &upstreamConn{target: target, uses: c.uses, sentAt: sentAt, answeredAt: sentAt + c.took,
+				releasedAt: sentAt + c.took - c.since}
 			p.beginRest(conn)
 			if rests := conn.reusableAt - sentAt; rests < c.rests || rests > c.rests+minRest {
 				t.Errorf("rests for %v, want %v", rests, c.rests)
--- a/internal/node/upstreamconn.go
+++ b/internal/node/upstreamconn.go
@@ -60,7 +60,8 @@
 	closeReason closeReason
 
 	// Guarded by pool.mu; clock times.
-	sentAt     time.Duration // of the last request
+	sentAt     time.Duration // of the last request; of one that is streamed, of its last byte
+	answeredAt time.Duration // when its response had been read, as far as it is buffered
 	reusableAt time.Duration // when it has rested after the last response
 	provenAt   time.Duration // when it counts as proven
 }
