Bytes in one piece with a response put no server under suspicion; names of the reuse rules

What comes in the same read as a response is at hand and is closed with its connection; it says nothing of other connections, but put the server under suspicion for 30 s. Now only bytes that come by themselves do. TestBytesWithAResponseAreNoReasonForSuspicion is new.

--- a/internal/node/connpool.go
+++ b/internal/node/connpool.go
@@ -124,14 +124,14 @@
 	p.goroutines.Wait()
 }
 
-// acquireOrDial returns an idle connection to the target that has rested (acquireIdle), else a new one. It returns
+// acquireOrDial returns an idle connection to the target that may be reused (acquireIdle), else a new one. It returns
 // errNoDescriptor if there may be no further connection, else the error of connecting.
 func (p *connPool) acquireOrDial(att *engine.Attempt) (c *upstreamConn, fresh bool, err error) {
 	deadline := p.clock.ToTime(att.Deadline)
 	p.mu.Lock()
 	if c, wait := p.acquireIdle(att, deadline); c != nil {
 		p.mu.Unlock()
-		p.waitUntilRested(c, wait)
+		p.waitForReuse(c, wait)
 		return c, false, nil
 	}
 	dialer, err := p.reserveDial()
@@ -200,7 +200,7 @@
 	}
 	switch err := c.look(); {
 	case err == nil:
-		p.closeUnaskedLocked(c)
+		p.suspectServer(c)
 		return false
 	case !errors.Is(err, errNothingToRead):
 		p.closeLocked(c, closedByServer)
@@ -220,7 +220,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	c.requestSent = false
-	c.needsRest = true
+	c.hasAnswered = true
 	c.answeredAt = p.clock.Now()
 }
 
@@ -240,9 +240,9 @@
 		p.count(metrics.ConnectionsGivenUp)
 		return c.closeReason
 	}
-	if c.needsRest {
-		c.needsRest = false
-		p.beginRest(c)
+	if c.hasAnswered {
+		c.hasAnswered = false
+		p.scheduleReuse(c)
 	}
 	c.deadline = time.Now().Add(p.idleTimeout)
 	c.SetDeadline(c.deadline)
--- a/internal/node/connreuse.go
+++ b/internal/node/connreuse.go
@@ -10,14 +10,15 @@
 
 // Nothing in an HTTP/1.1 response names its request. It belongs to the request that is out on its connection, if nothing
 // else was on its way there: a server that writes a second response breaks that, and each response behind it is taken for
-// the next request's. So a connection rests after a response, and is looked at right before it is written to; what came
-// meanwhile nobody asked for.
+// the next request's. So a connection stays idle for a while after a response, and is looked at right before it is written
+// to; what came meanwhile is unsolicited.
 const (
-	// minRest is how long a connection rests after a response at least. A second response comes within some milliseconds.
-	minRest = 20 * time.Millisecond
+	// minReuseDelay is from a response to the next request on its connection, at least. A second response comes within some
+	// milliseconds.
+	minReuseDelay = 20 * time.Millisecond
 
-	// provenRest is the rest after which a connection counts as proven. Proven ones are taken first.
-	provenRest = 50 * time.Millisecond
+	// provenIdleTime is how long a connection is idle until it counts as proven. Proven ones are taken first.
+	provenIdleTime = 50 * time.Millisecond
 
 	// suspicionTime is how long a server that sent what nobody asked for gets only one request on each connection.
 	suspicionTime = 30 * time.Second
@@ -25,16 +26,16 @@
 	// earlyMargin is by how much less than the mean time of its server a response has to take to count as early.
 	earlyMargin = 5 * time.Millisecond
 
-	// earlyRestFactor times that mean time, from its request on, is the rest of a connection after an early response.
-	earlyRestFactor = 3
+	// earlyReuseFactor times that mean time, from its request on, is when a connection is reused after an early response.
+	earlyReuseFactor = 3
 
-	// minEarlyRest and maxEarlyRest bound the rest after an early response. The mean of a server that has answered only a
-	// few requests is that of its fastest responses.
-	minEarlyRest = 250 * time.Millisecond
-	maxEarlyRest = time.Second
+	// minEarlyReuseDelay and maxEarlyReuseDelay bound that time. The mean of a server that has answered only a few requests is
+	// that of its fastest responses.
+	minEarlyReuseDelay = 250 * time.Millisecond
+	maxEarlyReuseDelay = time.Second
 
-	// restBudgetDivisor is the part of an attempt's time that it may wait for a connection to have rested.
-	restBudgetDivisor = 4
+	// reuseWaitDivisor sets how long an attempt may wait until a connection may be reused, as a part of its time.
+	reuseWaitDivisor = 4
 
 	// meanWeight is the weight of a new response in the mean time of a server.
 	meanWeight = 0.1
@@ -44,7 +45,7 @@
 type targetHistory struct {
 	meanTime       time.Duration // from a request's last byte to its response, or to the first of one that is streamed; 0: none has come
 	suspectedUntil time.Duration // clock time
-	waiting        bool          // an attempt waits for a connection that rests
+	waiting        bool          // an attempt waits until a connection may be reused
 }
 
 // historyOf returns the history of a target. That of one which gets nothing new is not kept. The caller holds p.mu.
@@ -68,8 +69,8 @@
 	h.meanTime += time.Duration(meanWeight * float64(took-h.meanTime))
 }
 
-// acquireIdle takes an idle connection to the attempt's target, and returns how long it still has to rest. It returns nil
-// if there is none, or none that has rested soon enough. One that breaks from here on is noticed by markRequestSent. The
+// acquireIdle takes an idle connection to the attempt's target, and returns how long until it may be reused. It returns nil
+// if there is none, or that would be too long. One that breaks from here on is noticed by markRequestSent. The
 // caller holds p.mu.
 func (p *connPool) acquireIdle(att *engine.Attempt, deadline time.Time) (c *upstreamConn, wait time.Duration) {
 	idle := p.idleByTarget[att.Target]
@@ -80,7 +81,7 @@
 	if c = chooseIdle(idle, now); now < c.provenAt {
 		history := p.historyOf(att.Target)
 		wait = max(c.reusableAt-now, 0)
-		if att.Call.Request.StreamedBody || wait > 0 && (history.waiting || wait > minRest || wait > (att.Deadline-now)/restBudgetDivisor) {
+		if att.Call.Request.StreamedBody || wait > 0 && (history.waiting || wait > minReuseDelay || wait > (att.Deadline-now)/reuseWaitDivisor) {
 			return nil, 0
 		}
 		history.waiting = history.waiting || wait > 0
@@ -102,8 +103,8 @@
 	return slices.MinFunc(idle, func(a, b *upstreamConn) int { return int(a.reusableAt - b.reusableAt) })
 }
 
-// waitUntilRested waits for a connection of acquireIdle.
-func (p *connPool) waitUntilRested(c *upstreamConn, wait time.Duration) {
+// waitForReuse waits for a connection of acquireIdle.
+func (p *connPool) waitForReuse(c *upstreamConn, wait time.Duration) {
 	if wait == 0 {
 		return
 	}
@@ -113,22 +114,22 @@
 	p.historyOf(c.target).waiting = false
 }
 
-// beginRest notes that the response to a connection's request has come, and sets when the connection may be used again.
+// scheduleReuse notes that the response to a connection's request has come, and sets when the connection may be reused.
 //
 // A response that came early, and soon behind the one before, may be a second one to the request before. The true one is
-// still to come then, and the connection rests for as long as that may take. The caller holds p.mu.
-func (p *connPool) beginRest(c *upstreamConn) {
+// still to come then, and the connection is not reused for as long as that may take. The caller holds p.mu.
+func (p *connPool) scheduleReuse(c *upstreamConn) {
 	now := p.clock.Now()
 	history, took := p.historyOf(c.target), c.answeredAt-c.sentAt
-	soon := c.uses > 1 && c.answeredAt < c.releasedAt+provenRest
+	soon := c.uses > 1 && c.answeredAt < c.releasedAt+provenIdleTime
 	c.releasedAt = now
 	if soon && took+earlyMargin < history.meanTime {
-		c.reusableAt = max(now+minRest, c.sentAt+min(max(earlyRestFactor*history.meanTime, minEarlyRest), maxEarlyRest))
-		c.provenAt = max(now+provenRest, c.reusableAt)
+		c.reusableAt = max(now+minReuseDelay, c.sentAt+min(max(earlyReuseFactor*history.meanTime, minEarlyReuseDelay), maxEarlyReuseDelay))
+		c.provenAt = max(now+provenIdleTime, c.reusableAt)
 		return
 	}
 	history.addTime(took)
-	c.reusableAt, c.provenAt = now+minRest, now+provenRest
+	c.reusableAt, c.provenAt = now+minReuseDelay, now+provenIdleTime
 }
 
 // suspects reports whether a target has lately sent what nobody asked for. The caller holds p.mu.
@@ -143,22 +144,28 @@
 	return p.suspects(target)
 }
 
-// closeUnasked closes a connection on which a server sent what nobody asked for, and the idle ones to that server: what is
-// on its way on them can't be known.
+// closeUnasked closes a connection on which more than the response has come in one piece with it. That says nothing of the
+// server's other connections: all that there was is at hand.
 func (p *connPool) closeUnasked(c *upstreamConn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.closeUnaskedLocked(c)
+	p.noteUnasked(c)
 }
 
-// closeUnaskedLocked is closeUnasked for those who hold p.mu.
-func (p *connPool) closeUnaskedLocked(c *upstreamConn) {
-	if c.closed {
-		return
-	}
+// noteUnasked closes a connection for bytes that nobody asked for, and counts them. The caller holds p.mu.
+func (p *connPool) noteUnasked(c *upstreamConn) {
 	p.closeLocked(c, closedForUnasked)
 	p.count(metrics.UnaskedResponses)
 	p.count(metrics.ConnectionsGivenUp)
+}
+
+// suspectServer closes a connection on which bytes that nobody asked for have come by themselves, and the idle ones to its
+// server: what is on its way on them can't be known. The caller holds p.mu.
+func (p *connPool) suspectServer(c *upstreamConn) {
+	if c.closed {
+		return
+	}
+	p.noteUnasked(c)
 	if !p.suspects(c.target) {
 		p.count(metrics.Suspicions)
 		p.log.Warn("server under suspicion: it sent bytes that nobody asked for", "server", c.target.ID, "connection", c.number,
--- a/internal/node/connreuse_test.go
+++ b/internal/node/connreuse_test.go
@@ -95,12 +95,12 @@
 }
 
 // A connection that is used again in the instant of its response carries the next request before anybody can know whether
-// something stands behind that response: it has to rest, and one that has rested for long goes first.
+// something stands behind that response: it has to stay idle for a while, and one that has been idle for long goes first.
 func TestChooseIdleConnection(t *testing.T) {
 	const now = time.Second
 	idle := func(releasedAt ...time.Duration) (conns []*upstreamConn) {
 		for _, at := range releasedAt {
-			conns = append(conns, &upstreamConn{reusableAt: at + minRest, provenAt: at + provenRest})
+			conns = append(conns, &upstreamConn{reusableAt: at + minReuseDelay, provenAt: at + provenIdleTime})
 		}
 		return conns
 	}
@@ -108,10 +108,10 @@
 		idle []*upstreamConn
 		want int
 	}{
-		"the newest that is proven":    {idle(now-3*provenRest, now-2*provenRest, now-minRest), 1},
-		"just proven":                  {idle(now-2*provenRest, now-provenRest), 1},
-		"none proven: the first ready": {idle(now-provenRest/2, now-minRest, now), 0},
-		"none rested: the first ready": {idle(now-2, now-1), 0},
+		"the newest that is proven":    {idle(now-3*provenIdleTime, now-2*provenIdleTime, now-minReuseDelay), 1},
+		"just proven":                  {idle(now-2*provenIdleTime, now-provenIdleTime), 1},
+		"none proven: the first ready": {idle(now-provenIdleTime/2, now-minReuseDelay, now), 0},
+		"none may be reused yet":       {idle(now-2, now-1), 0},
 	} {
 		t.Run(name, func(t *testing.T) {
 			if got := chooseIdle(c.idle, now); got != c.idle[c.want] {
@@ -121,11 +121,11 @@
 	}
 }
 
-// An attempt waits for the rest of a connection where that is short: alone, and with time to spare. Otherwise it makes a
+// An attempt waits until a connection may be reused where that is short: alone, and with time to spare. Otherwise it makes a
 // connection of its own; so does a streamed request, whose response may come before its last byte.
-func TestWaitForRest(t *testing.T) {
+func TestWaitForReuse(t *testing.T) {
 	for name, c := range map[string]struct {
-		rest     time.Duration // that is left
+		delay    time.Duration // until it may be reused
 		proof    time.Duration // until the connection is proven
 		budget   time.Duration
 		streamed bool
@@ -135,13 +135,13 @@
 		"proven":                   {0, 0, time.Minute, false, false, true},
 		"proven, another waits":    {0, 0, time.Minute, false, true, true},
 		"proven, streamed":         {0, 0, time.Minute, true, false, true},
-		"rested":                   {0, time.Second, time.Minute, false, false, true},
-		"rested, streamed":         {0, time.Second, time.Minute, true, false, false},
-		"resting":                  {minRest / 2, time.Second, time.Minute, false, false, true},
-		"resting, another waits":   {minRest / 2, time.Second, time.Minute, false, true, false},
-		"resting, little time":     {minRest / 2, time.Second, minRest, false, false, false},
-		"resting for long":         {time.Second, time.Second, time.Minute, false, false, false},
-		"resting, little to spare": {minRest / 2, time.Second, 3 * minRest, false, false, true},
+		"reusable":                 {0, time.Second, time.Minute, false, false, true},
+		"reusable, streamed":       {0, time.Second, time.Minute, true, false, false},
+		"too new":                  {minReuseDelay / 2, time.Second, time.Minute, false, false, true},
+		"too new, another waits":   {minReuseDelay / 2, time.Second, time.Minute, false, true, false},
+		"too new, little time":     {minReuseDelay / 2, time.Second, minReuseDelay, false, false, false},
+		"too new by much":          {time.Second, time.Second, time.Minute, false, false, false},
+		"too new, little to spare": {minReuseDelay / 2, time.Second, 3 * minReuseDelay, false, false, true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			p := testPool(t)
@@ -151,13 +151,13 @@
 			client, server := net.Pipe()
 			defer server.Close()
 			now := p.clock.Now()
-			conn := &upstreamConn{Conn: client, pool: p, target: att.Target, reusableAt: now + c.rest, provenAt: now + c.proof}
+			conn := &upstreamConn{Conn: client, pool: p, target: att.Target, reusableAt: now + c.delay, provenAt: now + c.proof}
 			p.conns[conn] = true
 			conn.idleElement = p.idle.PushBack(conn)
 			p.idleByTarget[att.Target] = []*upstreamConn{conn}
 			got, wait := p.acquireIdle(att, time.Now().Add(time.Minute))
-			if (got != nil) != c.taken || wait > c.rest {
-				t.Errorf("taken %v with a wait of %v, want %v and %v at most", got != nil, wait, c.taken, c.rest)
+			if (got != nil) != c.taken || wait > c.delay {
+				t.Errorf("taken %v with a wait of %v, want %v and %v at most", got != nil, wait, c.taken, c.delay)
 			}
 		})
 	}
@@ -217,6 +217,29 @@
 	}
 }
 
+// Bytes in one piece with a response close its connection, and no other: servers that give a wrong length are no reason to
+// connect for each request.
+func TestBytesWithAResponseAreNoReasonForSuspicion(t *testing.T) {
+	b := newBackend(t, func(n int, c net.Conn, _ *http.Request) bool {
+		if n == 1 {
+			_, err := io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nlonger")
+			return err == nil
+		}
+		return respond(c, "200 OK", "done")
+	})
+	p := testPool(t)
+	att := testAttempt(p, b.addr(), time.Minute)
+	for _, closed := range []closeReason{closedForUnasked, notClosed, notClosed} {
+		if r := p.runAttempt(att); r.Outcome != balancer.Success || r.ClosedBy != string(closed) {
+			t.Errorf("ended %v, closed by %q, want %q", r.Outcome, r.ClosedBy, closed)
+		}
+		att = again(att)
+	}
+	if n := b.accepted(); n != 2 {
+		t.Errorf("%d connections for three requests, want 2", n)
+	}
+}
+
 // A marked rejection says that a request did not run. On a connection that had been used before its server came under
 // suspicion it may be that of the request before, and this one would run twice.
 func TestRejectionUnderSuspicionIsNoProof(t *testing.T) {
@@ -249,7 +272,7 @@
 
 // A response that came early and soon behind another may be a second one to the request before. The true one is still to
 // come: used again before that, the connection would pass it to the next request, and so on.
-func TestConnectionRestsAfterAnEarlyResponse(t *testing.T) {
+func TestReuseIsDelayedAfterAnEarlyResponse(t *testing.T) {
 	const mean = 100 * time.Millisecond
 	for name, c := range map[string]struct {
 		took  time.Duration // from the request to the response
@@ -257,16 +280,16 @@
 		since time.Duration // the response before
 		mean  time.Duration
 		uses  int
-		rests time.Duration // at least, from the request on
+		delay time.Duration // until it may be reused, at least, from the request on
 	}{
-		"usual":                   {mean, 0, mean + minRest, mean, 2, mean + minRest},
-		"early and soon":          {10 * time.Millisecond, 0, provenRest - minRest, mean, 2, earlyRestFactor * mean},
-		"early, not so soon":      {10 * time.Millisecond, 0, provenRest, mean, 2, 10*time.Millisecond + minRest},
-		"early of a slow server":  {10 * time.Millisecond, 0, provenRest - minRest, time.Minute, 2, maxEarlyRest},
-		"early, then streamed":    {10 * time.Millisecond, 5 * time.Second, provenRest - minRest, mean, 2, 5*time.Second + 10*time.Millisecond + minRest},
-		"early by little":         {time.Millisecond, 0, provenRest - minRest, earlyMargin, 2, time.Millisecond + minRest},
-		"the first on its server": {10 * time.Millisecond, 0, provenRest - minRest, 0, 2, 10*time.Millisecond + minRest},
-		"the first on it":         {10 * time.Millisecond, 0, provenRest - minRest, mean, 1, 10*time.Millisecond + minRest},
+		"usual":                   {mean, 0, mean + minReuseDelay, mean, 2, mean + minReuseDelay},
+		"early and soon":          {10 * time.Millisecond, 0, provenIdleTime - minReuseDelay, mean, 2, earlyReuseFactor * mean},
+		"early, not so soon":      {10 * time.Millisecond, 0, provenIdleTime, mean, 2, 10*time.Millisecond + minReuseDelay},
+		"early of a slow server":  {10 * time.Millisecond, 0, provenIdleTime - minReuseDelay, time.Minute, 2, maxEarlyReuseDelay},
+		"early, then streamed":    {10 * time.Millisecond, 5 * time.Second, provenIdleTime - minReuseDelay, mean, 2, 5*time.Second + 10*time.Millisecond + minReuseDelay},
+		"early by little":         {time.Millisecond, 0, provenIdleTime - minReuseDelay, earlyMargin, 2, time.Millisecond + minReuseDelay},
+		"the first on its server": {10 * time.Millisecond, 0, provenIdleTime - minReuseDelay, 0, 2, 10*time.Millisecond + minReuseDelay},
+		"the first on it":         {10 * time.Millisecond, 0, provenIdleTime - minReuseDelay, mean, 1, 10*time.Millisecond + minReuseDelay},
 	} {
 		t.Run(name, func(t *testing.T) {
 			p := testPool(t)
@@ -276,12 +299,12 @@
 			sentAt := now - c.lasts - c.took
 			conn := &upstreamConn{target: target, uses: c.uses, sentAt: sentAt, answeredAt: sentAt + c.took,
 				releasedAt: sentAt + c.took - c.since}
-			p.beginRest(conn)
-			if rests := conn.reusableAt - sentAt; rests < c.rests || rests > c.rests+minRest {
-				t.Errorf("rests for %v, want %v", rests, c.rests)
+			p.scheduleReuse(conn)
+			if delay := conn.reusableAt - sentAt; delay < c.delay || delay > c.delay+minReuseDelay {
+				t.Errorf("may be reused after %v, want %v", delay, c.delay)
 			}
 			if conn.provenAt < conn.reusableAt {
-				t.Error("it counts as proven before it has rested")
+				t.Error("it counts as proven before it may be reused")
 			}
 		})
 	}
--- a/internal/node/upstreamconn.go
+++ b/internal/node/upstreamconn.go
@@ -54,7 +54,7 @@
 	// Guarded by pool.mu.
 	idleElement *list.Element // in pool.idle; nil: in use
 	requestSent bool          // a request is on its way, and its response has not been read
-	needsRest   bool          // a response has come since it was idle last
+	hasAnswered bool          // a response has come since it was idle last
 	deadline    time.Time     // of what it now waits for
 	closed      bool
 	closeReason closeReason
@@ -62,7 +62,7 @@
 	// Guarded by pool.mu; clock times.
 	sentAt     time.Duration // of the last request; of one that is streamed, of its last byte
 	answeredAt time.Duration // when its response had been read, as far as it is buffered
-	reusableAt time.Duration // when it has rested after the last response
+	reusableAt time.Duration // when it may carry the next request
 	provenAt   time.Duration // when it counts as proven
 }
 
@@ -118,7 +118,7 @@
 		case metOldDeadline:
 		case err == nil && !c.requestSent:
 			err = errUnasked
-			c.pool.closeUnaskedLocked(c)
+			c.pool.suspectServer(c)
 		case err != nil:
 			c.pool.closeLocked(c, c.reasonOf(err))
 		}
