--- a/cmd/hookwalk/secondanswer_test.go
+++ b/cmd/hookwalk/secondanswer_test.go
@@ -24,7 +24,7 @@
 	secondAnswerShare    = 0.05                   // of the answers are followed by a second one
 	minWork              = 10 * time.Millisecond  // of a request; drawn uniformly up to maxWork
 	maxWork              = 150 * time.Millisecond // see minWork
-	someMilliseconds     = 6 * time.Millisecond   // a second answer up to so late reaches nobody
+	harmlessDelay        = 6 * time.Millisecond   // a second answer up to so late reaches nobody
 )
 
 // A second answer of a server on a kept connection once passed as the answer to the next request there, and each answer
@@ -242,7 +242,7 @@
 	if p.served == 0 || p.secondAnswers == 0 {
 		t.Errorf("%d served, %d second answers: the play shows nothing", p.served, p.secondAnswers)
 	}
-	if p.delay > someMilliseconds {
+	if p.delay > harmlessDelay {
 		return
 	}
 	if len(p.ofSecond) > 0 {
