--- a/cmd/hookwalk/main_test.go
+++ b/cmd/hookwalk/main_test.go
@@ -535,7 +535,7 @@
 	if code, _, warned := replayed("a.hwc", string(file[:len(file)-1])); code != 0 || !strings.Contains(warned, "truncated record skipped") {
 		t.Errorf("a truncated file: exit %d, %q", code, warned)
 	}
-	other := strings.Replace(string(file), `"version":"4"`, `"version":"0"`, 1)
+	other := strings.Replace(string(file), `"version":"5"`, `"version":"0"`, 1)
 	if code, _, warned := replayed("a.hwc", other); code != 2 || strings.Count(warned, "\n") != 1 || !strings.Contains(warned, `version "0"`) {
 		t.Errorf("another version: exit %d, %q", code, warned)
 	}
