Comments of three constants of the connections to servers

The table of names found three constants of internal/node without a comment: notClosed, closedForShutdown, maxEarlyReuseDelay. Comments alone change; vet and staticcheck of the package are clean, its reuse tests pass.

--- a/internal/node/closereason.go
+++ b/internal/node/closereason.go
@@ -5,7 +5,7 @@
 
 // The reasons. All but closedByServer are the node's own.
 const (
-	notClosed              closeReason = ""
+	notClosed              closeReason = ""                     // it is open
 	closedByServer         closeReason = "server"               // it ended or reset the connection
 	closedAtDeadline       closeReason = "deadline"             // of the attempt
 	closedForIdleTime      closeReason = "idle"                 // the connection was idle for idleTimeout
@@ -16,5 +16,5 @@
 	closedForResponse      closeReason = "response"             // the response ends the connection, or its end can't be trusted
 	closedForRequest       closeReason = "request not sent"     // the request could not be written whole
 	closedForStream        closeReason = "stream not passed on" // the client, or the server, broke off a streamed response
-	closedForShutdown      closeReason = "shutdown"
+	closedForShutdown      closeReason = "shutdown"             // the process ends
 )
--- a/internal/node/connreuse.go
+++ b/internal/node/connreuse.go
@@ -32,7 +32,7 @@
 	// minEarlyReuseDelay and maxEarlyReuseDelay bound that time. The mean of a server that has answered only a few requests is
 	// that of its fastest responses.
 	minEarlyReuseDelay = 250 * time.Millisecond
-	maxEarlyReuseDelay = time.Second
+	maxEarlyReuseDelay = time.Second // see minEarlyReuseDelay
 
 	// reuseWaitDivisor sets how long an attempt may wait until a connection may be reused, as a part of its time.
 	reuseWaitDivisor = 4
