A write of the state file after a kill leaves no third name

Callers saw nothing; a node that is killed in a write keeps one more name of its state file until the write after the next.

Cause: keepPrevious links the present file as PATH.before.new and renames that to PATH.before. A process killed after this rename and before the new file takes its place leaves PATH and PATH.before as two names of one file. The next Write then renames one name of a file to another name of the same file, for which rename(2) does nothing and says that it succeeded: PATH.before.new stays.

Change: the third name is removed after the rename, whatever it did, and with the other leftovers before a write.

--- a/internal/state/state_test.go
+++ b/internal/state/state_test.go
@@ -86,6 +86,26 @@
 	}
 }
 
+// A node is killed after the present file got its second name and before the new one took its place, so that both names are
+// of one file. The next Write leaves nothing beside the file and the previous one: renaming one name of a file to another
+// name of it does nothing, and leaves both.
+func TestWriteAfterAKillBetweenItsRenames(t *testing.T) {
+	dir := t.TempDir()
+	path := filepath.Join(dir, "s")
+	if err := errors.Join(Write(path, "me", body(0)), os.Link(path, previousPath(path)), Write(path, "me", body(1))); err != nil {
+		t.Fatal(err)
+	}
+	if list, err := os.ReadDir(dir); err != nil || len(list) != 2 {
+		t.Errorf("left: %v, %v", list, err)
+	}
+	if err := os.Remove(path); err != nil {
+		t.Fatal(err)
+	}
+	if got := Read(path, "me"); number(t, got.Body) != 0 || !got.Previous {
+		t.Errorf("previous file: %.40s, errors %v", got.Body, got.Errors)
+	}
+}
+
 // put makes a file of this node that is good but for the change.
 func put(path string, change func(*file)) error {
 	f := file{Version: Version, Owner: "me", Body: body(1)}
--- a/internal/state/write.go
+++ b/internal/state/write.go
@@ -80,14 +80,17 @@
 	if _, err := loadOwned(path, owner); err != nil {
 		return nil
 	}
-	link := previousPath(path) + ".new"
-	os.Remove(link) // of a process that was killed here
+	link := linkPath(path)
 	if err := os.Link(path, link); err != nil {
 		return err
 	}
+	defer os.Remove(link) // rename(2) leaves it if the previous file is the present one already
 	return os.Rename(link, previousPath(path))
 }
 
+// linkPath is the name that the present file has until it is renamed to previousPath.
+func linkPath(path string) string { return previousPath(path) + ".new" }
+
 // syncFolder puts the names of a folder's files on disk: without it a loss of power may bring the old file back after the
 // caller was told that the new one is there.
 func syncFolder(dir string) error {
@@ -99,9 +102,10 @@
 	return folder.Sync()
 }
 
-// removeLeftovers removes the temporary files of processes that were killed as they wrote: a process that is killed again
-// and again would fill the disk.
+// removeLeftovers removes the temporary files and names of processes that were killed as they wrote: a process that is
+// killed again and again would fill the disk.
 func removeLeftovers(path string) {
+	os.Remove(linkPath(path))
 	dir, prefix := filepath.Dir(path), "."+filepath.Base(path)
 	entries, err := os.ReadDir(dir) // not filepath.Glob, which takes a [ in the path for a pattern
 	if err != nil {
