Under suspicion a connection rests for a second and is not spent on one request

Cause: under suspicion each connection carried one request, for 30 s, and the idle ones were closed. What guards the next request is the time for which a connection was idle and silent before it, which one request a connection stretches without end.

Change: under suspicion connections, those that are idle at that moment too, are reused after a second of idle time at the earliest (20 ms otherwise); one that an attempt has taken just before and not written to is closed. A marked rejection proves that nothing ran where the connection had been idle for that second, or is new.

Tests: TestServerUnderSuspicionGetsOneRequestOnAConnection said the old rule; in its place are TestReuseIsDelayedUnderSuspicion, which counts the connections at each step, TestLateSecondAnswerUnderSuspicion and TestSuspicionBetweenAcquireAndWrite, a case that the old rule let through. TestRejectionUnderSuspicionIsNoProof has a further case.

--- a/internal/node/attempt.go
+++ b/internal/node/attempt.go
@@ -239,7 +239,7 @@
 	switch {
 	case outcome != balancer.Overloaded:
 		return outcome, engine.GroundResponse
-	case a.conn.uses > 1 && a.pool.isSuspect(a.conn.target):
+	case a.conn.uses > 1 && a.conn.idleBefore < suspectReuseDelay && a.pool.isSuspect(a.conn.target):
 		return balancer.Failure, engine.GroundDoubt
 	}
 	return outcome, engine.GroundRejection
--- a/internal/node/connpool.go
+++ b/internal/node/connpool.go
@@ -206,6 +206,11 @@
 		p.closeLocked(c, closedByServer)
 		return false
 	}
+	if p.reusedTooSoon(c) {
+		p.closeLocked(c, closedForSuspicion)
+		p.count(metrics.ConnectionsGivenUp)
+		return false
+	}
 	now := p.clock.Now()
 	c.requestSent = true
 	c.uses++
@@ -224,8 +229,7 @@
 	c.answeredAt = p.clock.Now()
 }
 
-// release makes a connection idle, for the next attempt to the same target, or closes it and returns why. One whose server
-// is under suspicion has carried its only request.
+// release makes a connection idle, for the next attempt to the same target, or closes it and returns why.
 func (p *connPool) release(c *upstreamConn) closeReason {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -235,10 +239,6 @@
 	case c.target.Stopped():
 		p.closeLocked(c, closedForRetiredServer)
 		return c.closeReason
-	case p.suspects(c.target):
-		p.closeLocked(c, closedForSuspicion)
-		p.count(metrics.ConnectionsGivenUp)
-		return c.closeReason
 	}
 	if c.hasAnswered {
 		c.hasAnswered = false
--- a/internal/node/connreuse.go
+++ b/internal/node/connreuse.go
@@ -20,9 +20,12 @@
 	// provenIdleTime is how long a connection is idle until it counts as proven. Proven ones are taken first.
 	provenIdleTime = 50 * time.Millisecond
 
-	// suspicionTime is how long a server that sent what nobody asked for gets only one request on each connection.
+	// suspicionTime is how long the connections to a server that sent what nobody asked for have suspectReuseDelay.
 	suspicionTime = 30 * time.Second
 
+	// suspectReuseDelay is minReuseDelay for a server under suspicion.
+	suspectReuseDelay = time.Second
+
 	// earlyMargin is by how much less than the mean time of its server a response has to take to count as early.
 	earlyMargin = 5 * time.Millisecond
 
@@ -122,14 +125,21 @@
 	now := p.clock.Now()
 	history, took := p.historyOf(c.target), c.answeredAt-c.sentAt
 	soon := c.uses > 1 && c.answeredAt < c.releasedAt+provenIdleTime
-	c.releasedAt = now
+	c.releasedAt, c.reusableAt, c.provenAt = now, now+minReuseDelay, now+provenIdleTime
+	if p.suspects(c.target) {
+		c.postponeReuse(now + suspectReuseDelay)
+	}
 	if soon && took+earlyMargin < history.meanTime {
-		c.reusableAt = max(now+minReuseDelay, c.sentAt+min(max(earlyReuseFactor*history.meanTime, minEarlyReuseDelay), maxEarlyReuseDelay))
-		c.provenAt = max(now+provenIdleTime, c.reusableAt)
+		c.postponeReuse(c.sentAt + min(max(earlyReuseFactor*history.meanTime, minEarlyReuseDelay), maxEarlyReuseDelay))
 		return
 	}
 	history.addTime(took)
-	c.reusableAt, c.provenAt = now+minReuseDelay, now+provenIdleTime
+}
+
+// postponeReuse sets the earliest time at which a connection may be reused.
+func (c *upstreamConn) postponeReuse(until time.Duration) {
+	c.reusableAt = max(c.reusableAt, until)
+	c.provenAt = max(c.provenAt, c.reusableAt)
 }
 
 // suspects reports whether a target has lately sent what nobody asked for. The caller holds p.mu.
@@ -159,8 +169,9 @@
 	p.count(metrics.ConnectionsGivenUp)
 }
 
-// suspectServer closes a connection on which bytes that nobody asked for have come by themselves, and the idle ones to its
-// server: what is on its way on them can't be known. The caller holds p.mu.
+// suspectServer closes a connection on which bytes that nobody asked for have come by themselves, and puts its server under
+// suspicion: its other connections may bring such bytes too, and are not reused until these would have come. The caller
+// holds p.mu.
 func (p *connPool) suspectServer(c *upstreamConn) {
 	if c.closed {
 		return
@@ -172,8 +183,13 @@
 			"connection_uses", c.uses, "after_answer", p.clock.Now()-c.releasedAt, "for", suspicionTime)
 	}
 	p.historyOf(c.target).suspectedUntil = p.clock.Now() + suspicionTime
-	for idle := p.idleByTarget[c.target]; len(idle) > 0; idle = p.idleByTarget[c.target] {
-		p.closeLocked(newest(idle), closedForSuspicion)
-		p.count(metrics.ConnectionsGivenUp)
+	for _, idle := range p.idleByTarget[c.target] {
+		idle.postponeReuse(idle.releasedAt + suspectReuseDelay)
 	}
 }
+
+// reusedTooSoon reports whether an attempt took a connection just before its server came under suspicion. The caller holds
+// p.mu.
+func (p *connPool) reusedTooSoon(c *upstreamConn) bool {
+	return c.uses > 0 && p.suspects(c.target) && p.clock.Now() < c.releasedAt+suspectReuseDelay
+}
