--- a/internal/node/connreuse.go
+++ b/internal/node/connreuse.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"hookwalk.example/hookwalk/internal/engine"
-	"hookwalk.example/hookwalk/internal/metrics"
 )
 
 // Nothing in an HTTP/1.1 response names its request. It belongs to the request that is out on its connection, if nothing
@@ -20,12 +19,6 @@
 	// provenIdleTime is how long a connection is idle until it counts as proven. Proven ones are taken first.
 	provenIdleTime = 50 * time.Millisecond
 
-	// suspicionTime is how long the connections to a server that sent what nobody asked for have suspectReuseDelay.
-	suspicionTime = 30 * time.Second
-
-	// suspectReuseDelay is minReuseDelay for a server under suspicion.
-	suspectReuseDelay = time.Second
-
 	// earlyMargin is by how much less than the mean time of its server a response has to take to count as early.
 	earlyMargin = 5 * time.Millisecond
 
@@ -141,55 +134,3 @@
 	c.reusableAt = max(c.reusableAt, until)
 	c.provenAt = max(c.provenAt, c.reusableAt)
 }
-
-// suspects reports whether a target has lately sent what nobody asked for. The caller holds p.mu.
-func (p *connPool) suspects(target *engine.Target) bool {
-	return p.clock.Now() < p.historyOf(target).suspectedUntil
-}
-
-// isSuspect is suspects for those who don't hold p.mu.
-func (p *connPool) isSuspect(target *engine.Target) bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.suspects(target)
-}
-
-// closeUnasked closes a connection on which more than the response has come in one piece with it. That says nothing of the
-// server's other connections: all that there was is at hand.
-func (p *connPool) closeUnasked(c *upstreamConn) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.noteUnasked(c)
-}
-
-// noteUnasked closes a connection for bytes that nobody asked for, and counts them. The caller holds p.mu.
-func (p *connPool) noteUnasked(c *upstreamConn) {
-	p.closeLocked(c, closedForUnasked)
-	p.count(metrics.UnaskedResponses)
-	p.count(metrics.ConnectionsGivenUp)
-}
-
-// suspectServer closes a connection on which bytes that nobody asked for have come by themselves, and puts its server under
-// suspicion: its other connections may bring such bytes too, and are not reused until these would have come. The caller
-// holds p.mu.
-func (p *connPool) suspectServer(c *upstreamConn) {
-	if c.closed {
-		return
-	}
-	p.noteUnasked(c)
-	if !p.suspects(c.target) {
-		p.count(metrics.Suspicions)
-		p.log.Warn("server under suspicion: it sent bytes that nobody asked for", "server", c.target.ID, "connection", c.number,
-			"connection_uses", c.uses, "after_answer", p.clock.Now()-c.releasedAt, "for", suspicionTime)
-	}
-	p.historyOf(c.target).suspectedUntil = p.clock.Now() + suspicionTime
-	for _, idle := range p.idleByTarget[c.target] {
-		idle.postponeReuse(idle.releasedAt + suspectReuseDelay)
-	}
-}
-
-// reusedTooSoon reports whether an attempt took a connection just before its server came under suspicion. The caller holds
-// p.mu.
-func (p *connPool) reusedTooSoon(c *upstreamConn) bool {
-	return c.uses > 0 && p.suspects(c.target) && p.clock.Now() < c.releasedAt+suspectReuseDelay
-}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -9,9 +9,9 @@
 //   - ingress.go, request.go, headers.go, response.go, requestmetrics.go: requests from clients and their responses
 //   - clientlistener.go, clientconn.go, accesscontrol.go, readahead.go: client connections
 //   - requestbody.go, responsestream.go: bodies that are too large to be buffered
-//   - connpool.go, connreuse.go, closereason.go, upstreamconn.go, attempt.go: connections to servers and attempts on them
+//   - connpool.go, connreuse.go, suspicion.go, closereason.go, upstreamconn.go, attempt.go: connections to servers and attempts on them
 //   - admin.go: operators' calls
-//   - handover.go, peerprocess.go: hot restart
+//   - handover.go, otherprocess.go: hot restart
 package node
 
 import (
