Calls to controllers have a connection each: no answer is taken for another call's

An operator could be told of a version that another call had published.

Cause: http.Transport takes what comes on a kept connection for the answer to whatever request is out; it looks for stray bytes only while the connection is idle.

Change: DisableKeepAlives in both, as discovery's calls have; the constants and the Close of idle connections go. A reading every 300 ms to each of a few controllers, and an operator's call, are too few for the price of connecting to matter.

Tests: TestEachCallHasAConnectionOfItsOwn (3 calls on 1 connection before) and TestEachReadingHasAConnectionOfItsOwn (3 readings on 1) failed before, pass 20 times with -race.

--- a/cmd/hookwalk/config.go
+++ b/cmd/hookwalk/config.go
@@ -58,7 +58,6 @@
 	ctx, cancel := context.WithTimeout(context.Background(), publishTimeout)
 	defer cancel()
 	client := configclient.New(c.Controllers)
-	defer client.Close()
 	reply, err := client.Publish(ctx, request)
 	if err != nil {
 		return publishFailure(err, c.File, request.ID)
@@ -117,7 +116,6 @@
 	ctx, cancel := context.WithTimeout(context.Background(), statusTimeout)
 	defer cancel()
 	client := configclient.New(c.Controllers)
-	defer client.Close()
 	statuses := client.Status(ctx)
 	report := newStatusReport(statuses)
 	if err := report.print(s.stdout, c.JSON); err != nil {
--- a/internal/configclient/client.go
+++ b/internal/configclient/client.go
@@ -20,8 +20,6 @@
 const (
 	// dialTimeout is how long a connection to a controller may take.
 	dialTimeout = 500 * time.Millisecond
-	// idleConnectionTimeout is how long a connection stays open for the next request.
-	idleConnectionTimeout = 10 * time.Second
 	// maxReplyBytes bounds a response: the status of thousands of nodes, each with a reason for a rejection.
 	maxReplyBytes = 64 << 20
 )
@@ -32,20 +30,14 @@
 	http      *http.Client
 }
 
-// New makes a client of the controllers at some addresses (HOST:PORT). One address is enough to find the others.
+// New makes a client of the controllers at some addresses (HOST:PORT). One address is enough to find the others. Each call
+// has a connection of its own, so that what comes back on it is the answer to that call.
 func New(addresses []string) *Client {
 	dialer := &net.Dialer{Timeout: dialTimeout}
-	transport := &http.Transport{
-		DialContext:         dialer.DialContext,
-		MaxIdleConnsPerHost: 1,
-		IdleConnTimeout:     idleConnectionTimeout,
-	}
+	transport := &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true}
 	return &Client{addresses: addresses, http: &http.Client{Transport: transport}}
 }
 
-// Close closes idle connections.
-func (c *Client) Close() { c.http.CloseIdleConnections() }
-
 // NewID draws the ID (idempotency key) of a publish request.
 func NewID() string { return rand.Text() }
 
--- a/internal/configclient/client_test.go
+++ b/internal/configclient/client_test.go
@@ -51,7 +51,6 @@
 	ctx, cancel := context.WithTimeout(t.Context(), limit)
 	defer cancel()
 	client := New(addresses)
-	defer client.Close()
 	return client.Publish(ctx, configapi.PublishRequest{ID: NewID(), Document: json.RawMessage(`{}`)})
 }
 
@@ -69,6 +68,26 @@
 	}
 }
 
+// A controller that answers a call twice must not have its second answer taken for that to the next call.
+func TestEachCallHasAConnectionOfItsOwn(t *testing.T) {
+	connections := map[string]bool{}
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		connections[r.RemoteAddr] = true
+		_ = json.NewEncoder(w).Encode(configapi.PublishReply{Cluster: "c", Version: 1})
+	}))
+	defer server.Close()
+	client := New([]string{strings.TrimPrefix(server.URL, "http://")})
+	const calls = 3
+	for range calls {
+		if _, err := client.Publish(t.Context(), configapi.PublishRequest{ID: NewID(), Document: json.RawMessage(`{}`)}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if len(connections) != calls {
+		t.Errorf("%d calls on %d connections", calls, len(connections))
+	}
+}
+
 // There is no quorum for a moment, or the connection breaks. The request is retried with the same ID.
 func TestPublishRetries(t *testing.T) {
 	for name, first := range map[string]answer{
@@ -177,7 +196,6 @@
 	second := serve(configapi.ControllerStatus{Name: "c2"})
 	first := serve(configapi.ControllerStatus{Name: "c1", Controllers: []configapi.ControllerAddress{{Address: second}, {Address: "127.0.0.1:1"}}})
 	client := New([]string{first})
-	defer client.Close()
 	got := client.Status(t.Context())
 	if len(got.Answers) != 2 || got.Answers[1].Name != "c2" || len(got.Unreachable) != 1 || got.Unreachable[0].Address != "127.0.0.1:1" {
 		t.Errorf("%+v", got)
--- a/internal/controller/cluster_test.go
+++ b/internal/controller/cluster_test.go
@@ -61,7 +61,6 @@
 	tc.disableRaft(leader)
 	tc.waitFor("the leader that is cut off says so", func() bool { return !tc.running[leader].views.load().hasLeaderContact })
 	alone := configclient.New([]string{tc.configOf(leader).Self.Listen})
-	defer alone.Close()
 	ctx, cancel := context.WithTimeout(t.Context(), time.Second)
 	defer cancel()
 	_, err := alone.Publish(ctx, publishRequest("press"))
--- a/internal/controller/clusterharness_test.go
+++ b/internal/controller/clusterharness_test.go
@@ -137,9 +137,7 @@
 	for name := range tc.running {
 		addresses = append(addresses, tc.configOf(name).Self.Listen)
 	}
-	client := configclient.New(addresses)
-	tc.t.Cleanup(client.Close)
-	return client
+	return configclient.New(addresses)
 }
 
 func publishRequest(service string) configapi.PublishRequest {
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -166,7 +166,6 @@
 	if err := c.disk.close(); err != nil {
 		c.log.Warn("closing the log failed", "err", err)
 	}
-	c.reports.client.CloseIdleConnections()
 	c.log.Info("stopped")
 }
 
--- a/internal/controller/controllerreports.go
+++ b/internal/controller/controllerreports.go
@@ -28,12 +28,8 @@
 	// maxReportBytes bounds one report.
 	maxReportBytes = 64 << 10
 
-	// maxIdleReportConnections is how many idle connections stay open to each other controller.
-	maxIdleReportConnections = 2
 	// maxReportConnections is how many connections are open to each: polls may overlap after a time-out.
 	maxReportConnections = 4
-	// idleReportConnectionTimeout is how long an idle connection stays open, as after a change of the settings.
-	idleReportConnectionTimeout = 30 * time.Second
 )
 
 // memberReport is a controller's response to GET /v1/load: what nodes need to know, and what the other controllers
@@ -81,12 +77,13 @@
 // isValid reports whether the report still counts.
 func (r timedReport) isValid(now time.Time) bool { return now.Sub(r.receivedAt) < reportValidity }
 
+// newControllerReports returns the reports of controllers that have not been read yet. Each reading has a connection of its
+// own, so that what comes back on it is the answer to that reading.
 func newControllerReports(config Config) *controllerReports {
 	transport := &http.Transport{
-		MaxIdleConnsPerHost: maxIdleReportConnections,
-		MaxConnsPerHost:     maxReportConnections,
-		IdleConnTimeout:     idleReportConnectionTimeout,
-		DisableCompression:  true,
+		MaxConnsPerHost:    maxReportConnections,
+		DisableKeepAlives:  true,
+		DisableCompression: true,
 	}
 	return &controllerReports{config: config, client: &http.Client{Transport: transport}, reports: map[string]timedReport{}}
 }
--- a/internal/controller/controllerreports_test.go
+++ b/internal/controller/controllerreports_test.go
@@ -1,7 +1,11 @@
 package controller
 
 import (
+	"encoding/json"
 	"errors"
+	"net/http"
+	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
@@ -32,3 +36,24 @@
 		t.Errorf("without any reading: %+v", loads)
 	}
 }
+
+// A controller that answers a reading twice must not have its second answer taken for that to the next one.
+func TestEachReadingHasAConnectionOfItsOwn(t *testing.T) {
+	connections := map[string]bool{}
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		connections[r.RemoteAddr] = true
+		_ = json.NewEncoder(w).Encode(memberReport{Phase: phaseMember, Load: configapi.Load{Name: "c2"}})
+	}))
+	defer server.Close()
+	p := newControllerReports(configOf("c1", "c2"))
+	other := Member{Name: "c2", Dial: strings.TrimPrefix(server.URL, "http://")}
+	const readings = 3
+	for range readings {
+		if _, err := p.fetch(t.Context(), other, "s1"); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if len(connections) != readings {
+		t.Errorf("%d readings on %d connections", readings, len(connections))
+	}
+}
