--- a/cmd/hookwalk/soak_test.go
+++ b/cmd/hookwalk/soak_test.go
@@ -36,13 +36,23 @@
 func TestSoak(t *testing.T) {
 	for i := range *soakSeeds {
 		seed := *soakSeed + uint64(i)
-		t.Run(fmt.Sprintf("seed_%d", seed), func(t *testing.T) { playSoak(t, seed) })
+		t.Run(fmt.Sprintf("seed_%d", seed), func(t *testing.T) { playSoak(t, seed, *soakNodes) })
 	}
 }
 
+// A server begins to drain in an outage of discovery. Discovery is back for 1.5 s, slowly, and down again: nodes whose polls
+// all met the outages go on sending to that server later than 6 s after discovery could be reached.
+func TestDrainBetweenOutages(t *testing.T) {
+	const (
+		seed  = 1041
+		nodes = 24
+	)
+	playSoak(t, seed, nodes)
+}
+
 // playSoak plays the plan of one seed and reports the rules that it broke.
-func playSoak(t *testing.T, seed uint64) {
-	result, err := soak.Run(t.Context(), soak.DrawPlan(seed, *soakNodes, *soakLength), testBinaryAsNode)
+func playSoak(t *testing.T, seed uint64, nodes int) {
+	result, err := soak.Run(t.Context(), soak.DrawPlan(seed, nodes, *soakLength), testBinaryAsNode)
 	if err != nil {
 		t.Fatal(err)
 	}
