Count the responses after which a connection is put aside as early

Now hookwalk.early_responses counts it. The table of TestReuseIsDelayedAfterAnEarlyResponse checks the counter in each case.

--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -36,11 +36,13 @@
 	UnaskedResponses                  // bytes of servers that nobody asked for
 	ConnectionsGivenUp                // to servers, for such bytes on them or on another connection to the same server
 	Suspicions                        // servers that came under suspicion for such bytes
+	EarlyResponses                    // of servers, so early and soon behind another that their connections are not reused for a while
 	counterCount                      // how many there are
 )
 
 var counterNames = [counterCount]string{"requests", "served", "refused", "turned_away", "failed", "left", "drill.applied",
-	"invariant.violations", "refused.list_expired", "server_connections", "unasked_responses", "connections_given_up", "suspicions"}
+	"invariant.violations", "refused.list_expired", "server_connections", "unasked_responses", "connections_given_up", "suspicions",
+	"early_responses"}
 
 // Gauge is a metric that rises and falls.
 type Gauge int
--- a/internal/node/connreuse.go
+++ b/internal/node/connreuse.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"hookwalk.example/hookwalk/internal/engine"
+	"hookwalk.example/hookwalk/internal/metrics"
 )
 
 // Nothing in an HTTP/1.1 response names its request. It belongs to the request that is out on its connection, if nothing
@@ -123,6 +124,7 @@
 		c.postponeReuse(now + suspectReuseDelay)
 	}
 	if soon && took+earlyMargin < history.meanTime {
+		p.count(metrics.EarlyResponses)
 		c.postponeReuse(c.sentAt + min(max(earlyReuseFactor*history.meanTime, minEarlyReuseDelay), maxEarlyReuseDelay))
 		return
 	}
--- a/internal/node/connreuse_test.go
+++ b/internal/node/connreuse_test.go
@@ -9,6 +9,7 @@
 
 	"hookwalk.example/hookwalk/balancer"
 	"hookwalk.example/hookwalk/internal/engine"
+	"hookwalk.example/hookwalk/internal/metrics"
 )
 
 // usedConn returns an idle connection that has carried one request to a server.
@@ -174,18 +175,25 @@
 		mean  time.Duration
 		uses  int
 		delay time.Duration // until it may be reused, at least, from the request on
+		early int           // responses counted as early
 	}{
-		"usual":                   {mean, 0, mean + minReuseDelay, mean, 2, mean + minReuseDelay},
-		"early and soon":          {10 * time.Millisecond, 0, provenIdleTime - minReuseDelay, mean, 2, earlyReuseFactor * mean},
-		"early, not so soon":      {10 * time.Millisecond, 0, provenIdleTime, mean, 2, 10*time.Millisecond + minReuseDelay},
-		"early of a slow server":  {10 * time.Millisecond, 0, provenIdleTime - minReuseDelay, time.Minute, 2, maxEarlyReuseDelay},
-		"early, then streamed":    {10 * time.Millisecond, 5 * time.Second, provenIdleTime - minReuseDelay, mean, 2, 5*time.Second + 10*time.Millisecond + minReuseDelay},
-		"early by little":         {time.Millisecond, 0, provenIdleTime - minReuseDelay, earlyMargin, 2, time.Millisecond + minReuseDelay},
-		"the first on its server": {10 * time.Millisecond, 0, provenIdleTime - minReuseDelay, 0, 2, 10*time.Millisecond + minReuseDelay},
-		"the first on it":         {10 * time.Millisecond, 0, provenIdleTime - minReuseDelay, mean, 1, 10*time.Millisecond + minReuseDelay},
+		"usual":                   {mean, 0, mean + minReuseDelay, mean, 2, mean + minReuseDelay, 0},
+		"early and soon":          {10 * time.Millisecond, 0, provenIdleTime - minReuseDelay, mean, 2, earlyReuseFactor * mean, 1},
+		"early, not so soon":      {10 * time.Millisecond, 0, provenIdleTime, mean, 2, 10*time.Millisecond + minReuseDelay, 0},
+		"early of a slow server":  {10 * time.Millisecond, 0, provenIdleTime - minReuseDelay, time.Minute, 2, maxEarlyReuseDelay, 1},
+		"early, then streamed":    {10 * time.Millisecond, 5 * time.Second, provenIdleTime - minReuseDelay, mean, 2, 5*time.Second + 10*time.Millisecond + minReuseDelay, 1},
+		"early by little":         {time.Millisecond, 0, provenIdleTime - minReuseDelay, earlyMargin, 2, time.Millisecond + minReuseDelay, 0},
+		"the first on its server": {10 * time.Millisecond, 0, provenIdleTime - minReuseDelay, 0, 2, 10*time.Millisecond + minReuseDelay, 0},
+		"the first on it":         {10 * time.Millisecond, 0, provenIdleTime - minReuseDelay, mean, 1, 10*time.Millisecond + minReuseDelay, 0},
 	} {
 		t.Run(name, func(t *testing.T) {
 			p := testPool(t)
+			early := 0
+			p.count = func(counter metrics.Counter) {
+				if counter == metrics.EarlyResponses {
+					early++
+				}
+			}
 			target := &engine.Target{}
 			p.historyOf(target).meanTime = c.mean
 			now := p.clock.Now()
@@ -199,6 +207,9 @@
 			if conn.provenAt < conn.reusableAt {
 				t.Error("it counts as proven before it may be reused")
 			}
+			if early != c.early {
+				t.Errorf("%d early responses counted, want %d", early, c.early)
+			}
 		})
 	}
 }
