--- a/cmd/hookwalk/soak.go
+++ b/cmd/hookwalk/soak.go
@@ -9,6 +9,7 @@
 	"os"
 	"os/exec"
 	"os/signal"
+	"path/filepath"
 	"syscall"
 	"time"
 
@@ -21,6 +22,7 @@
 	Nodes   int           `default:"24" help:"Nodes of each play, a process each."`
 	Length  time.Duration `default:"20s" help:"Of each play."`
 	Program string        `placeholder:"PATH" help:"Another build of hookwalk to play."`
+	Logs    string        `placeholder:"DIR" help:"Keep the nodes' logs in folders by seed."`
 
 	Regressions bool `help:"Also play the seeds that once broke a rule, each with the nodes that it had."`
 }
@@ -45,7 +47,7 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
-	play := soakPlay{out: streams.stdout, program: program}
+	play := soakPlay{out: streams.stdout, program: program, logs: c.Logs}
 	for _, plan := range c.plans() {
 		if err := play.run(ctx, plan); err != nil {
 			return fmt.Errorf("lab: %w", err)
@@ -75,6 +77,7 @@
 type soakPlay struct {
 	out     io.Writer
 	program string
+	logs    string // the folder for the nodes' logs; empty: they are not kept
 	sum     soak.Totals
 	played  int
 	broken  int // plans that broke a rule
@@ -82,11 +85,15 @@
 
 // run plays one plan and prints what was seen and what was broken.
 func (p *soakPlay) run(ctx context.Context, plan soak.Plan) error {
+	logFolder, err := p.logFolder(plan.Seed)
+	if err != nil {
+		return err
+	}
 	result, err := soak.Run(ctx, plan, func(config string) *exec.Cmd {
 		node := exec.Command(p.program, "run")
 		node.Env = append(os.Environ(), "ROUTER_CONFIG="+config)
 		return node
-	})
+	}, logFolder)
 	if err == nil {
 		err = ctx.Err()
 	}
@@ -109,3 +116,12 @@
 	}
 	return nil
 }
+
+// logFolder makes the folder for the logs of a seed's play, and returns "" if none are kept.
+func (p *soakPlay) logFolder(seed uint64) (string, error) {
+	if p.logs == "" {
+		return "", nil
+	}
+	folder := filepath.Join(p.logs, fmt.Sprintf("seed-%d", seed))
+	return folder, os.MkdirAll(folder, 0o700)
+}
--- a/cmd/hookwalk/soak_test.go
+++ b/cmd/hookwalk/soak_test.go
@@ -52,7 +52,7 @@
 
 // playSoak plays the plan of one seed and reports the rules that it broke.
 func playSoak(t *testing.T, seed uint64, nodes int) {
-	result, err := soak.Run(t.Context(), soak.DrawPlan(seed, nodes, *soakLength), testBinaryAsNode)
+	result, err := soak.Run(t.Context(), soak.DrawPlan(seed, nodes, *soakLength), testBinaryAsNode, "")
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/cmd/hookwalk/soakfaulty_test.go
+++ b/cmd/hookwalk/soakfaulty_test.go
@@ -82,7 +82,7 @@
 				c := exec.Command(os.Args[0])
 				c.Env = append(os.Environ(), faultyNodeEnv+"="+fault, "ROUTER_CONFIG="+config)
 				return c
-			})
+			}, "")
 			if err != nil {
 				t.Fatal(err)
 			}
--- a/internal/lab/soak/nodes.go
+++ b/internal/lab/soak/nodes.go
@@ -53,6 +53,7 @@
 	discovery *discovery
 	config    string // its configuration file
 	listen    string
+	log       *os.File // of all incarnations; nil: it is not kept
 
 	mu               sync.Mutex // an incarnation begins and ends under it
 	discoveryAddress string
@@ -154,9 +155,13 @@
 	lines := bufio.NewScanner(stderr)
 	lines.Buffer(nil, maxLogLine)
 	for lines.Scan() {
-		if line := lines.Text(); isComplaint(line) {
+		line := lines.Text()
+		if isComplaint(line) {
 			n.complain(line)
 		}
+		if n.log != nil {
+			fmt.Fprintln(n.log, line)
+		}
 	}
 	err := p.command.Wait()
 	n.mu.Lock()
--- a/internal/lab/soak/run.go
+++ b/internal/lab/soak/run.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"os"
+	"path/filepath"
 	"slices"
 	"sync"
 	"syscall"
@@ -17,14 +18,14 @@
 }
 
 // Run runs a plan with real nodes. The error says why it could not be run to its end; broken rules are no error (see
-// Result.Violations).
-func Run(ctx context.Context, p Plan, program Program) (*Result, error) {
+// Result.Violations). The nodes' logs are kept in logFolder, which exists, as n0.log and so on; empty: they are not kept.
+func Run(ctx context.Context, p Plan, program Program, logFolder string) (*Result, error) {
 	folder, err := os.MkdirTemp("", "hookwalk-soak")
 	if err != nil {
 		return nil, err
 	}
 	defer os.RemoveAll(folder)
-	r := &run{plan: p, recorder: &recorder{started: time.Now()}}
+	r := &run{plan: p, recorder: &recorder{started: time.Now()}, logFolder: logFolder}
 	defer r.close()
 	if err := r.start(program, folder); err != nil {
 		return nil, fmt.Errorf("soak: seed %d could not be played: %w", p.Seed, err)
@@ -39,6 +40,7 @@
 type run struct {
 	plan      Plan
 	recorder  *recorder
+	logFolder string // where the nodes' logs are kept; empty: they are not
 	servers   []*server
 	discovery *discovery
 	nodes     []*node
@@ -63,6 +65,11 @@
 		if err != nil {
 			return err
 		}
+		if r.logFolder != "" {
+			if n.log, err = os.Create(filepath.Join(r.logFolder, fmt.Sprintf("n%d.log", i))); err != nil {
+				return err
+			}
+		}
 		r.nodes = append(r.nodes, n)
 	}
 	r.clients = newClients(r.recorder, r.nodes)
@@ -88,7 +95,10 @@
 func (r *run) close() {
 	var stopping sync.WaitGroup
 	for _, n := range r.nodes {
-		stopping.Go(func() { n.kill() })
+		stopping.Go(func() {
+			n.kill()
+			n.log.Close() // one that is not kept has nothing to close
+		})
 	}
 	stopping.Wait()
 	if r.discovery != nil {
