Soak: discovery handles held calls as it is back, and resets waiting ones as it goes down

The stand-in decided once, as a call arrived, what became of it. A call that it held in an outage was rejected after 2 s although discovery was back by then, and one that waited for its turn was handled in the middle of an outage.

Now a held call goes on as the outage ends, and as one begins waiting calls are reset, as watches are.

The node's own fault, that a reset in an outage changes nothing, is not mended by this and depends on when a poll begins.

--- a/internal/lab/soak/discovery.go
+++ b/internal/lab/soak/discovery.go
@@ -12,7 +12,8 @@
 )
 
 const (
-	// maxQueueTime is how long a call waits for its turn at most; one that would wait for longer is rejected.
+	// maxQueueTime is how long a call waits for its turn, or for an outage to end, at most; one that would wait for longer
+	// is rejected.
 	maxQueueTime = 2 * time.Second
 	// oldAddressTime is how long an address that is no longer named keeps the connections that it has.
 	oldAddressTime = 1500 * time.Millisecond
@@ -39,7 +40,8 @@
 	watchesReset chan struct{}     // closed: open watches are reset
 	queueFree    time.Time         // when an overloaded discovery has handled the calls so far
 	refusing     bool              // an outage: connections are refused
-	holding      bool              // an outage: connections come up, and calls are rejected after a wait
+	holding      bool              // an outage: connections come up, and calls wait for its end
+	holdChanged  chan struct{}     // closed as holding changes
 	endpoints    map[int]*endpoint // by node
 }
 
@@ -69,7 +71,7 @@
 // newDiscovery lists some servers as version 1. It serves nobody before openAddress.
 func newDiscovery(recorder *recorder, servers []*server) *discovery {
 	d := &discovery{recorder: recorder, version: 1, updated: make(chan struct{}), stalled: make(chan struct{}),
-		watchesReset: make(chan struct{}), endpoints: map[int]*endpoint{}}
+		watchesReset: make(chan struct{}), holdChanged: make(chan struct{}), endpoints: map[int]*endpoint{}}
 	for _, s := range servers {
 		d.hosts = append(d.hosts, listedServer{Host: "s-" + strconv.Itoa(s.index), Dial: s.addr, Site: "a", Class: "m", Health: inService})
 		d.changed = append(d.changed, d.version)
@@ -150,6 +152,11 @@
 func (d *discovery) closeAndRenew(signal *chan struct{}) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	renew(signal)
+}
+
+// renew closes a channel, for all that wait on it, and puts a new one in its place. The caller holds the lock.
+func renew(signal *chan struct{}) {
 	close(*signal)
 	*signal = make(chan struct{})
 }
@@ -170,39 +177,66 @@
 	d.watch(w, r, node, from)
 }
 
-// awaitTurn has a call wait as the faults have it. It returns false if the call has its answer, or if its client is gone.
+// awaitTurn has a call wait as the faults have it. It returns false if the call has its answer, or if its client is gone. A
+// call that waits for its turn as an outage begins is reset, as watches are.
 func (d *discovery) awaitTurn(w http.ResponseWriter, r *http.Request) bool {
+	outageBegins, back := d.awaitReturn(r)
+	if !back {
+		reject(w)
+		return false
+	}
 	wait, rejected := d.queueTime()
 	select {
 	case <-time.After(wait):
+	case <-outageBegins:
+		panic(http.ErrAbortHandler)
 	case <-r.Context().Done():
 		return false
 	}
 	if rejected {
-		http.Error(w, "too busy", http.StatusServiceUnavailable)
+		reject(w)
 	}
 	return !rejected
 }
 
+// reject answers a call that has waited in vain.
+func reject(w http.ResponseWriter) { http.Error(w, "too busy", http.StatusServiceUnavailable) }
+
+// awaitReturn holds a call while an outage holds calls. It returns false if the call has waited for maxQueueTime, or its
+// client is gone; else a channel that is closed as the next such outage begins.
+func (d *discovery) awaitReturn(r *http.Request) (outageBegins <-chan struct{}, back bool) {
+	timeout := time.After(maxQueueTime)
+	for {
+		d.mu.Lock()
+		holding, changed := d.holding, d.holdChanged
+		d.mu.Unlock()
+		if !holding {
+			return changed, true
+		}
+		select {
+		case <-changed:
+		case <-timeout:
+			return nil, false
+		case <-r.Context().Done():
+			return nil, false
+		}
+	}
+}
+
 // queueTime is how long a call that arrives now waits, and whether it is rejected after that.
 func (d *discovery) queueTime() (wait time.Duration, rejected bool) {
 	if f, slow := d.faults.find(DiscoverySlow); slow {
 		wait = f.Wait
 	}
-	if f, overloaded := d.faults.find(DiscoveryOverload); overloaded {
-		var queued time.Duration
-		if queued, rejected = d.enqueue(f.Wait); rejected {
-			wait = 0
-		} else {
-			wait += queued
-		}
+	f, overloaded := d.faults.find(DiscoveryOverload)
+	if !overloaded {
+		return wait, false
 	}
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if d.holding {
-		return maxQueueTime, true
+	queued, rejected := d.enqueue(f.Wait)
+	if rejected {
+		return 0, true
 	}
-	return wait, rejected
+	return wait + queued, false
 }
 
 // enqueue puts a call that takes a service time behind the calls so far, and returns when it is handled from now on; a
@@ -285,9 +319,9 @@
 	return append(text, '\n'), d.version, d.updated
 }
 
-// setOutage begins an outage, at which watches are reset, or ends it. With holdCalls connections come up and calls are
-// rejected after a wait, else connections are refused. Of two outages that overlap the first one counts, and either
-// outage's end of the same form ends it.
+// setOutage begins an outage, at which watches and waiting calls are reset, or ends it. With holdCalls connections come up
+// and calls wait for its end, and are rejected after maxQueueTime; else connections are refused. Of two outages that overlap
+// the first one counts, and either outage's end of the same form ends it.
 func (d *discovery) setOutage(begin, holdCalls bool) error {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -296,10 +330,7 @@
 	}
 	now := d.recorder.now()
 	if holdCalls {
-		if d.holding = begin; begin {
-			close(d.watchesReset)
-			d.watchesReset = make(chan struct{})
-		}
+		d.setHolding(begin)
 	} else if err := d.setRefusing(begin); err != nil {
 		return err
 	}
@@ -307,6 +338,15 @@
 	return nil
 }
 
+// setHolding has calls wait, and resets watches, or has calls go on. The caller holds the lock.
+func (d *discovery) setHolding(holding bool) {
+	d.holding = holding
+	renew(&d.holdChanged)
+	if holding {
+		renew(&d.watchesReset)
+	}
+}
+
 // setRefusing closes all addresses, or opens them again. The caller holds the lock.
 func (d *discovery) setRefusing(refusing bool) error {
 	d.refusing = refusing
