Test: a discovery that is back for a second between two outages

The plan of this test has the second outage sooner, so that the rejection comes before the lease ends.

--- a/cmd/hookwalk/soak_test.go
+++ b/cmd/hookwalk/soak_test.go
@@ -36,7 +36,7 @@
 func TestSoak(t *testing.T) {
 	for i := range *soakSeeds {
 		seed := *soakSeed + uint64(i)
-		t.Run(fmt.Sprintf("seed_%d", seed), func(t *testing.T) { playSoak(t, seed, *soakNodes) })
+		t.Run(fmt.Sprintf("seed_%d", seed), func(t *testing.T) { playSoak(t, soak.DrawPlan(seed, *soakNodes, *soakLength)) })
 	}
 }
 
@@ -47,12 +47,23 @@
 		seed  = 1041
 		nodes = 24
 	)
-	playSoak(t, seed, nodes)
+	playSoak(t, soak.DrawPlan(seed, nodes, *soakLength))
 }
 
-// playSoak plays the plan of one seed and reports the rules that it broke.
-func playSoak(t *testing.T, seed uint64, nodes int) {
-	result, err := soak.Run(t.Context(), soak.DrawPlan(seed, nodes, *soakLength), testBinaryAsNode, "")
+// Discovery is back for a second between two outages, in which it resets the calls that it has. Nodes once took both for one
+// outage: the next call that was rejected renewed their lease, and they sent to a server that drains.
+func TestResetInAnOutageEndsItsRenewals(t *testing.T) {
+	playSoak(t, soak.Plan{Nodes: 16, Servers: 8, Rate: 160, Length: 18 * time.Second, Faults: []soak.Fault{
+		{Kind: soak.DiscoveryOutage, From: 2 * time.Second, To: 6600 * time.Millisecond, HoldCalls: true},
+		{Kind: soak.DiscoverySlow, From: 6500 * time.Millisecond, To: 12500 * time.Millisecond, Wait: 5 * time.Second},
+		{Kind: soak.ServerDrain, From: 6550 * time.Millisecond, To: 6550 * time.Millisecond, Target: 1},
+		{Kind: soak.DiscoveryOutage, From: 7600 * time.Millisecond, To: 13 * time.Second, HoldCalls: true},
+	}})
+}
+
+// playSoak plays a plan and reports the rules that it broke.
+func playSoak(t *testing.T, plan soak.Plan) {
+	result, err := soak.Run(t.Context(), plan, testBinaryAsNode, "")
 	if err != nil {
 		t.Fatal(err)
 	}
