Lease: a discovery that was back between two outages ends the renewals

Cause: while discovery is down behind a proxy each poll that is rejected after a wait renews the lease. Whether a change may predate the outage was asked only as discovery became unavailable. What shows that it was back since went unheard: a poll that is reset in place of a rejection, and a poll that still waits while one opened later is rejected. So two outages counted as one.

Now a reset ends downBehindProxy, and a rejection beside an older poll asks again; in both cases the lease keeps the end that it had (changeMayPredateOutage).

--- a/internal/endpointlease/availability.go
+++ b/internal/endpointlease/availability.go
@@ -32,7 +32,7 @@
 	// unreachable: the last connection was refused or did not come up. Set by Unreachable; ended by Connected.
 	unreachable
 	// downBehindProxy: the watch has ended, and polls are rejected after a wait, as by a proxy that can't reach discovery.
-	// Set by PollRejected.
+	// Set by PollRejected; ended by StreamFailed, of a poll that was reset instead.
 	downBehindProxy
 	// unresponsive: connections come up and nothing has come on any for slowPeriod and more. Set by AdvanceLease.
 	unresponsive
@@ -81,7 +81,7 @@
 // may have had a change before the outage: then the lease keeps the end that it had.
 func (t *Tracker) noteUnavailable(how availability, id int) {
 	s, _ := t.find(id)
-	if t.availability == available {
+	if t.availability == available || t.mayHaveReturned(id) {
 		outageBegan := s.openedAt
 		if t.Pushed { // its watch ended as it went down
 			outageBegan = min(outageBegan, t.lastWatchEndedAt)
@@ -106,10 +106,19 @@
 //
 // The three cases: discovery was reached since the list was confirmed and has sent no list since; another poll has reached
 // it and still waits; or the lease had ended before the outage began.
+//
+// What looks like one outage may be two: see mayHaveReturned and StreamFailed.
 func (t *Tracker) changeMayPredateOutage(id int, outageBegan, expires time.Duration) bool {
 	return t.reachedSinceConfirmed || t.otherPollConnected(id) || expires <= outageBegan
 }
 
+// mayHaveReturned says whether discovery may have been back since polls were rejected after a wait: a poll that is older than
+// the one that was rejected now still waits, so that something other than the proxy may have it.
+func (t *Tracker) mayHaveReturned(id int) bool {
+	return t.availability == downBehindProxy &&
+		slices.ContainsFunc(t.streams, func(s stream) bool { return s.id < id && !s.isWatch() && s.connected })
+}
+
 // otherPollConnected says whether a poll beside this one has reached discovery and waits for a list.
 func (t *Tracker) otherPollConnected(id int) bool {
 	return slices.ContainsFunc(t.streams, func(s stream) bool { return s.id != id && !s.isWatch() && s.connected })
--- a/internal/endpointlease/availability_test.go
+++ b/internal/endpointlease/availability_test.go
@@ -136,3 +136,44 @@
 		},
 	})
 }
+
+// A discovery that was down behind a proxy may have been back for a moment, with a change that it could not send: what comes
+// instead of a rejection, or stays open beside one, shows it. The next rejection renews no lease then.
+func TestReturnBetweenOutagesRenewsNoLease(t *testing.T) {
+	checkHistories(t, map[string]history{
+		"a poll is reset": {
+			options: polled,
+			events: func(tracker *Tracker) {
+				watchEndsThenRejectedLate(tracker, 0, 3*s)
+				tracker.StreamOpened(5500*ms, 0)
+				tracker.Connected(3)
+				tracker.StreamFailed(3)
+				tracker.StreamEnded(3, 6*s)
+				rejectPoll(tracker, 6*s, 8*s)
+			},
+			at: 8 * s, wakeAt: 8*s + watchEndBackoff*8/10, expires: 9 * s, state: Aging,
+		},
+		"a poll that was opened before still waits": {
+			options: polled,
+			events: func(tracker *Tracker) {
+				watchEndsThenRejectedLate(tracker, 0, 3*s)
+				tracker.StreamOpened(5500*ms, 0)
+				tracker.Connected(3)
+				rejectPoll(tracker, 6*s, 8*s)
+			},
+			at: 8 * s, wakeAt: 8*s + watchEndBackoff*4/10, expires: 9 * s, state: Aging,
+		},
+		"a poll that was opened later waits": {
+			options: polled,
+			events: func(tracker *Tracker) {
+				watchEndsThenRejectedLate(tracker, 0, 3*s)
+				tracker.StreamOpened(5500*ms, 0)
+				tracker.Connected(3)
+				tracker.Connected(tracker.StreamOpened(7*s, 0))
+				tracker.PollRejected(3, 7600*ms)
+				tracker.StreamEnded(3, 7600*ms)
+			},
+			at: 8 * s, wakeAt: 9500 * ms, expires: 11500 * ms, state: Aging,
+		},
+	})
+}
--- a/internal/endpointlease/events.go
+++ b/internal/endpointlease/events.go
@@ -58,10 +58,17 @@
 }
 
 // StreamFailed notes, before StreamEnded, that a stream was reset or has ended. If the connection of a poll had come up
-// and no list came, discovery may have had a change that it could not send: see noteUnavailable.
+// and no list came, discovery may have had a change that it could not send: see noteUnavailable. A proxy before a discovery
+// that is down rejects polls, so that a reset there is of one that was back.
 func (t *Tracker) StreamFailed(id int) {
 	s, _ := t.find(id)
-	t.reachedSinceConfirmed = t.reachedSinceConfirmed || s.connected && !s.isWatch()
+	if !s.connected || s.isWatch() {
+		return
+	}
+	t.reachedSinceConfirmed = true
+	if t.availability == downBehindProxy {
+		t.availability = available
+	}
 }
 
 // MalformedList notes, before StreamEnded, that a stream brought something that can't be read or built on. A watch that
