Soak: a violation of budget names its node, its server and the rig's own stalls

Now the rig notes when it does not come to run for 20 ms or more, and the line has the node, the server and how much of the time that was. The check is unchanged.

--- a/internal/lab/soak/observations.go
+++ b/internal/lab/soak/observations.go
@@ -12,6 +12,7 @@
 	Incarnations   []Incarnation
 	AddressChanges []AddressChange
 	Outages        []Span // of discovery
+	Stalls         []Span // in which the rig's own process did not come to run
 	Crowds         []CrowdSpan
 	Series         int // of signals that were sent
 	Attempts       []*Attempt
--- a/internal/lab/soak/run.go
+++ b/internal/lab/soak/run.go
@@ -114,6 +114,7 @@
 	r.plan = r.plan.shifted(r.recorder.now())
 	ctx, cancel := context.WithTimeout(ctx, r.plan.Length-r.recorder.now())
 	defer cancel()
+	go r.recorder.watchStalls(ctx)
 	var injecting sync.WaitGroup
 	for _, f := range slices.Concat(r.plan.Faults, r.plan.Answers) {
 		injecting.Go(func() {
--- a/internal/lab/soak/totals.go
+++ b/internal/lab/soak/totals.go
@@ -22,21 +22,25 @@
 	Write  time.Duration // from a client's begin to its last byte
 	Node   time.Duration // from there until a server has read the head of the first attempt
 	Handle time.Duration // from there until the server handles it
+	Stall  time.Duration // of the rig's own process
 }
 
 // String is a part of a run's output.
 func (d Delays) String() string {
-	return fmt.Sprintf("longest to write %v, to a server %v, to its handler %v", d.Write.Round(time.Millisecond),
-		d.Node.Round(time.Millisecond), d.Handle.Round(time.Millisecond))
+	return fmt.Sprintf("longest to write %v, to a server %v, to its handler %v, rig stalled %v", d.Write.Round(time.Millisecond),
+		d.Node.Round(time.Millisecond), d.Handle.Round(time.Millisecond), d.Stall.Round(time.Millisecond))
 }
 
 // longest is the longer of each wait.
 func (d Delays) longest(other Delays) Delays {
-	return Delays{max(d.Write, other.Write), max(d.Node, other.Node), max(d.Handle, other.Handle)}
+	return Delays{max(d.Write, other.Write), max(d.Node, other.Node), max(d.Handle, other.Handle), max(d.Stall, other.Stall)}
 }
 
 // delays are the longest waits that were observed.
 func (o *Observations) delays() (longest Delays) {
+	for _, s := range o.Stalls {
+		longest.Stall = max(longest.Stall, s.To-s.From)
+	}
 	first := map[string]*Attempt{}
 	for _, a := range o.Attempts {
 		longest.Handle = max(longest.Handle, a.At-a.HeadRead)
--- a/internal/lab/soak/violations.go
+++ b/internal/lab/soak/violations.go
@@ -150,8 +150,8 @@
 				broken = append(broken, fmt.Sprintf("lost: request %s was sent %v after its client was gone", r.ID, a.At-r.ClientGone))
 			}
 			if by := a.Budget - (r.Deadline - a.HeadRead) - invariants.BudgetSlack - clockTolerance; by > 0 {
-				broken = append(broken, fmt.Sprintf("budget: request %s gave its server %v too much: begun %v, last byte written %v, head read by the server %v, handled %v, %v left",
-					r.ID, by, r.At, r.Written, a.HeadRead, a.At, a.Budget))
+				broken = append(broken, fmt.Sprintf("budget: request %s of n%d gave server %d %v too much: begun %v, last byte written %v, head read by the server %v (the rig stalled for %v of that), handled %v, %v left",
+					r.ID, r.Node, a.Server, by, r.At, r.Written, a.HeadRead, o.stalledIn(r.Written, a.HeadRead), a.At, a.Budget))
 			}
 		}
 		if e := endOf(o, r, len(attempts[r.ID]) > 0); e.fault != "" {
--- a/internal/lab/soak/violations_test.go
+++ b/internal/lab/soak/violations_test.go
@@ -88,3 +88,18 @@
 		t.Errorf("nothing served at the end: %q", got)
 	}
 }
+
+// A late rig and a late node look the same in a budget: how long the rig was stalled tells them apart.
+func TestStalledIn(t *testing.T) {
+	o := &Observations{Stalls: []Span{{From: second, To: 2 * second}, {From: 3 * second, To: 5 * second}}}
+	for _, c := range []struct{ from, to, want time.Duration }{
+		{0, second, 0},
+		{0, 10 * second, 3 * second},
+		{1500 * time.Millisecond, 4 * second, 1500 * time.Millisecond},
+		{2 * second, 3 * second, 0},
+	} {
+		if got := o.stalledIn(c.from, c.to); got != c.want {
+			t.Errorf("stalled for %v from %v to %v, want %v", got, c.from, c.to, c.want)
+		}
+	}
+}
