Lease: what was found of discovery ends with its address

Cause: the same class as the drain between two outages, found by looking for it elsewhere: a finding about discovery outlives what it was made of. DiscoveryChanged kept the availability. A discovery that is unresponsive has the node serve without end, and one that is down behind a proxy for 6 s from the last rejected poll; both went on at an address of which nothing was known.

Now DiscoveryChanged forgets both. A lease without end gets the end that the change allows, 4 s after it. Unreachable is left to the first poll, which shows it at once.

--- a/cmd/hookwalk/soak.go
+++ b/cmd/hookwalk/soak.go
@@ -10,6 +10,7 @@
 	"os/exec"
 	"os/signal"
 	"path/filepath"
+	"strings"
 	"syscall"
 	"time"
 
@@ -24,7 +25,7 @@
 	Program string        `placeholder:"PATH" help:"Another build of hookwalk to play."`
 	Logs    string        `placeholder:"DIR" help:"Keep the nodes' logs in folders by seed."`
 
-	Regressions bool `help:"Also play the seeds that once broke a rule, each with the nodes that it had."`
+	Regressions bool `help:"Also play the seeds and plans that once broke a rule, each with the nodes that it had."`
 }
 
 // Bounds of what a soak may ask of a machine.
@@ -60,12 +61,13 @@
 	return nil
 }
 
-// plans are those of the regression seeds, if they are asked for, and those of the seeds in a row.
+// plans are those that once broke a rule, if they are asked for, and those of the seeds in a row.
 func (c labSoak) plans() (plans []soak.Plan) {
 	if c.Regressions {
 		for _, r := range soak.RegressionSeeds {
 			plans = append(plans, soak.DrawPlan(r.Seed, r.Nodes, c.Length))
 		}
+		plans = append(plans, soak.RegressionPlans()...)
 	}
 	for i := range c.Seeds {
 		plans = append(plans, soak.DrawPlan(c.First+uint64(i), c.Nodes, c.Length))
@@ -85,7 +87,7 @@
 
 // run plays one plan and prints what was seen and what was broken.
 func (p *soakPlay) run(ctx context.Context, plan soak.Plan) error {
-	logFolder, err := p.logFolder(plan.Seed)
+	logFolder, err := p.logFolder(plan)
 	if err != nil {
 		return err
 	}
@@ -103,7 +105,7 @@
 	broken, totals := result.Violations(), result.Totals()
 	p.sum.Add(totals)
 	p.played++
-	fmt.Fprintf(p.out, "seed %d, %d nodes: %v; %d broken\n", plan.Seed, plan.Nodes, totals, len(broken))
+	fmt.Fprintf(p.out, "%s, %d nodes: %v; %d broken\n", plan.Title(), plan.Nodes, totals, len(broken))
 	if len(broken) == 0 {
 		return nil
 	}
@@ -117,11 +119,11 @@
 	return nil
 }
 
-// logFolder makes the folder for the logs of a seed's play, and returns "" if none are kept.
-func (p *soakPlay) logFolder(seed uint64) (string, error) {
+// logFolder makes the folder for the logs of a plan's play, and returns "" if none are kept.
+func (p *soakPlay) logFolder(plan soak.Plan) (string, error) {
 	if p.logs == "" {
 		return "", nil
 	}
-	folder := filepath.Join(p.logs, fmt.Sprintf("seed-%d", seed))
+	folder := filepath.Join(p.logs, strings.ReplaceAll(plan.Title(), " ", "-"))
 	return folder, os.MkdirAll(folder, 0o700)
 }
--- a/cmd/hookwalk/soak_test.go
+++ b/cmd/hookwalk/soak_test.go
@@ -50,15 +50,9 @@
 	playSoak(t, soak.DrawPlan(seed, nodes, *soakLength))
 }
 
-// Discovery is back for a second between two outages, in which it resets the calls that it has. Nodes once took both for one
-// outage: the next call that was rejected renewed their lease, and they sent to a server that drains.
+// Discovery is back for a second between two outages: nodes took both for one, and sent to a server that drains.
 func TestResetInAnOutageEndsItsRenewals(t *testing.T) {
-	playSoak(t, soak.Plan{Nodes: 16, Servers: 8, Rate: 160, Length: 18 * time.Second, Faults: []soak.Fault{
-		{Kind: soak.DiscoveryOutage, From: 2 * time.Second, To: 6600 * time.Millisecond, HoldCalls: true},
-		{Kind: soak.DiscoverySlow, From: 6500 * time.Millisecond, To: 12500 * time.Millisecond, Wait: 5 * time.Second},
-		{Kind: soak.ServerDrain, From: 6550 * time.Millisecond, To: 6550 * time.Millisecond, Target: 1},
-		{Kind: soak.DiscoveryOutage, From: 7600 * time.Millisecond, To: 13 * time.Second, HoldCalls: true},
-	}})
+	playSoak(t, soak.ReturnBetweenOutages())
 }
 
 // playSoak plays a plan and reports the rules that it broke.
--- a/internal/endpointlease/availability.go
+++ b/internal/endpointlease/availability.go
@@ -32,9 +32,10 @@
 	// unreachable: the last connection was refused or did not come up. Set by Unreachable; ended by Connected.
 	unreachable
 	// downBehindProxy: the watch has ended, and polls are rejected after a wait, as by a proxy that can't reach discovery.
-	// Set by PollRejected; ended by StreamFailed, of a poll that was reset instead.
+	// Set by PollRejected; ended by StreamFailed, of a poll that was reset instead, and by DiscoveryChanged.
 	downBehindProxy
-	// unresponsive: connections come up and nothing has come on any for slowPeriod and more. Set by AdvanceLease.
+	// unresponsive: connections come up and nothing has come on any for slowPeriod and more. Set by AdvanceLease; ended by
+	// DiscoveryChanged.
 	unresponsive
 )
 
--- a/internal/endpointlease/availability_test.go
+++ b/internal/endpointlease/availability_test.go
@@ -177,3 +177,31 @@
 		},
 	})
 }
+
+// What was known of discovery is of the address that it had: where the configuration names another one, the node counts as
+// notified of what that has 4 s later, whatever became of the address before.
+func TestOutageEndsWithTheAddress(t *testing.T) {
+	checkHistories(t, map[string]history{
+		"down behind a proxy": {
+			options: polled,
+			events: func(tracker *Tracker) {
+				openWatch(tracker, 0, s)
+				tracker.StreamEnded(1, 2*s)
+				rejectPoll(tracker, 3*s, 4100*ms)
+				tracker.DiscoveryChanged(4200 * ms)
+				tracker.Connected(tracker.StreamOpened(4200*ms, 0))
+			},
+			at: 4500 * ms, wakeAt: 6700 * ms, expires: 8200 * ms, state: Aging,
+		},
+		"unresponsive": {
+			options: polled,
+			events: func(tracker *Tracker) {
+				openWatch(tracker, 0, s)
+				tracker.AdvanceLease(17 * s)
+				tracker.DiscoveryChanged(18 * s)
+				tracker.Connected(tracker.StreamOpened(18*s, 0))
+			},
+			at: 18 * s, wakeAt: 20500 * ms, expires: 22 * s, state: Aging,
+		},
+	})
+}
--- a/internal/endpointlease/endpointlease.go
+++ b/internal/endpointlease/endpointlease.go
@@ -33,14 +33,14 @@
 // The rules, and where they stand:
 //
 //	lease expiry                        lease.go         Expires, AdvanceLease, State
-//	no renewal by an outage             availability.go  changeMayPredateOutage
+//	no renewal by an outage             availability.go  changeMayPredateOutage, mayHaveReturned
 //	unavailable, unresponsive or slow   availability.go  PollRejected, Unreachable, slowUntil
 //	when to poll                        schedule.go      Step
 //	parallel polls                      parallel.go      parallelPollAt
 //	heartbeat time-out                  stream.go        heartbeatDeadline
 //	list transfer time-out              stream.go        transferDeadline
 //	backoff, limit on malformed lists   backoff.go       backoff
-//	address change                      events.go        DiscoveryChanged
+//	address change                      events.go        DiscoveryChanged, forgetAvailability
 //
 // The incident that this package answers to is docs/incidents/2026-12-02-sends-on-an-expired-list.md; the alternatives
 // that were weighed are in docs/design/endpoint-lease.md.
@@ -103,4 +103,5 @@
 	lastPollAt          time.Duration // the begin of the last poll
 	lastWatchEndedAt    time.Duration // when the last watch ended, where none is open
 	expiryFixedByOutage time.Duration // the end that the lease had as an outage began, which the outage does not put off; 0: none
+	expiryAfterChange   time.Duration // the end that a lease without one got as the address of discovery changed; 0: none
 }
--- a/internal/endpointlease/events.go
+++ b/internal/endpointlease/events.go
@@ -98,7 +98,8 @@
 
 // confirm notes that the list held is all that discovery has: the lease begins anew.
 func (t *Tracker) confirm(now time.Duration) {
-	t.confirmedAt, t.expiryFixedByOutage, t.reachedSinceConfirmed = now, 0, false
+	t.confirmedAt, t.reachedSinceConfirmed = now, false
+	t.expiryFixedByOutage, t.expiryAfterChange = 0, 0
 }
 
 // InheritAge takes over the list of the process before this one: it was confirmed so long ago. Without it a restart would
@@ -119,6 +120,7 @@
 // addresses: they are read until a list has come from the new one, for until then they may be the last to report a change.
 func (t *Tracker) DiscoveryChanged(now time.Duration) {
 	t.generation++
+	t.forgetAvailability(now)
 	t.nextPollAt, t.pollingStarted = now, true
 	t.parallelPolls, t.consecutiveFailures, t.malformedLists, t.overloaded = 0, 0, 0, false
 	t.lateRejectionProvesNothing = true // the new discovery is reached by all its nodes at once, and may be slow
@@ -129,6 +131,19 @@
 	t.pendingAddressChanges = append(t.pendingAddressChanges, addressChange{generation: t.generation, at: now})
 }
 
+// forgetAvailability drops what was found of the address before: that it is down behind a proxy, or unresponsive, says nothing
+// of the new one. Where the lease had no end it has the latest that the change allows. The first poll shows whether the new
+// address is unreachable, so that this is left to it.
+func (t *Tracker) forgetAvailability(now time.Duration) {
+	switch t.availability {
+	case unresponsive:
+		t.expiryAfterChange = now + NotificationDeadlineAfterChange
+		t.availability = available
+	case downBehindProxy:
+		t.availability = available
+	}
+}
+
 // DiscoveryChanging says whether no list has come yet from the present address.
 func (t *Tracker) DiscoveryChanging() bool { return len(t.pendingAddressChanges) > 0 }
 
--- a/internal/endpointlease/lease.go
+++ b/internal/endpointlease/lease.go
@@ -51,7 +51,7 @@
 	case t.Unavailable():
 		return t.unavailablePollAt + NotificationDeadline
 	}
-	expires := t.confirmedAt + NotificationDeadline
+	expires := max(t.confirmedAt+NotificationDeadline, t.expiryAfterChange)
 	if t.unavailablePollAt > 0 {
 		expires = max(expires, t.unavailablePollAt+NotificationDeadline)
 	}
--- a/internal/lab/soak/plan.go
+++ b/internal/lab/soak/plan.go
@@ -63,6 +63,7 @@
 // Plan is what a run does. The same seed, nodes and length give the same plan.
 type Plan struct {
 	Seed    uint64
+	Name    string // of a plan that no seed has drawn
 	Nodes   int
 	Servers int
 	Rate    int           // requests a second, of all clients
@@ -74,6 +75,14 @@
 	Crowds  []Crowd
 }
 
+// Title names a plan in a run's output.
+func (p Plan) Title() string {
+	if p.Name != "" {
+		return p.Name
+	}
+	return fmt.Sprintf("seed %d", p.Seed)
+}
+
 // Lines has all that goes wrong in a plan, a line each.
 func (p Plan) Lines() (lines []string) {
 	for _, f := range p.Faults {
--- /dev/null
+++ b/internal/lab/soak/regressionplans.go
@@ -0,0 +1,42 @@
+package soak
+
+import "time"
+
+// RegressionPlans are plans that once broke a rule and that no seed has drawn. They are played with the RegressionSeeds.
+func RegressionPlans() []Plan { return []Plan{ReturnBetweenOutages(), ChangeWhileUnresponsive()} }
+
+// ReturnBetweenOutages has discovery back for a second between two outages, in which it resets the calls that it has. Nodes
+// once took both for one outage: the next call that was rejected renewed their lease, and they sent to a server that drains.
+func ReturnBetweenOutages() Plan {
+	const (
+		down     = 2 * time.Second
+		back     = 6600 * time.Millisecond
+		downAnew = 7600 * time.Millisecond
+		end      = 13 * time.Second
+	)
+	return Plan{Name: "a return between outages", Nodes: 16, Servers: planServers, Rate: 16 * planRequestsPerNode,
+		Length: end + recoveryTime, Faults: []Fault{
+			{Kind: DiscoveryOutage, From: down, To: back, HoldCalls: true},
+			{Kind: DiscoverySlow, From: back - 100*time.Millisecond, To: end - 500*time.Millisecond, Wait: 5 * time.Second},
+			{Kind: ServerDrain, From: back - 50*time.Millisecond, Target: 1},
+			{Kind: DiscoveryOutage, From: downAnew, To: end, HoldCalls: true},
+		}}
+}
+
+// ChangeWhileUnresponsive has discovery accept calls and answer none for so long that nodes serve again without it. Then its
+// address changes: nodes once went on serving without end, although they count as notified of what is at the new address.
+func ChangeWhileUnresponsive() Plan {
+	const (
+		silent   = time.Second
+		drain    = 19 * time.Second // later than the end of the lease and the time for which discovery counts as slow
+		change   = drain + 500*time.Millisecond
+		answered = drain + 6200*time.Millisecond // within the deadline that runs from the drain
+	)
+	return Plan{Name: "a change of address while discovery is unresponsive", Nodes: 16, Servers: planServers,
+		Rate: 16 * planRequestsPerNode, Length: answered + recoveryTime + serviceCheckTime, Faults: []Fault{
+			{Kind: DiscoveryNoAnswer, From: silent - 100*time.Millisecond, To: answered, Share: 1},
+			{Kind: WatchStall, From: silent},
+			{Kind: ServerDrain, From: drain, Target: 1},
+			{Kind: DiscoveryMove, From: change, Count: 1, Wait: 100 * time.Millisecond},
+		}}
+}
--- a/internal/lab/soak/run.go
+++ b/internal/lab/soak/run.go
@@ -28,10 +28,10 @@
 	r := &run{plan: p, recorder: &recorder{started: time.Now()}, logFolder: logFolder}
 	defer r.close()
 	if err := r.start(program, folder); err != nil {
-		return nil, fmt.Errorf("soak: seed %d could not be played: %w", p.Seed, err)
+		return nil, fmt.Errorf("soak: %s could not be played: %w", p.Title(), err)
 	}
 	if err := r.playFaults(ctx); err != nil {
-		return nil, fmt.Errorf("soak: seed %d could not be played to its end: %w", p.Seed, err)
+		return nil, fmt.Errorf("soak: %s could not be played to its end: %w", p.Title(), err)
 	}
 	return &Result{Plan: r.plan, Observations: &r.recorder.observations}, nil
 }
