Soak: a connection that is reset while it comes up did not come up

The rig knew ECONNREFUSED only.

Now both count as refused, and are lost as before at a node in service. A dial that times out, and a reset of a connection that had come up, are judged as before.

--- a/internal/lab/soak/clients.go
+++ b/internal/lab/soak/clients.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"strconv"
 	"sync"
@@ -142,7 +143,7 @@
 	c.recorder.record(func(*Observations) {
 		request.Finished = c.recorder.now()
 		if err != nil {
-			request.Err, request.ConnectionRefused = err.Error(), errors.Is(err, syscall.ECONNREFUSED)
+			request.Err, request.ConnectionRefused = err.Error(), isRefused(err)
 			return
 		}
 		request.Status, request.RetryAfter = response.StatusCode, response.Header.Get("Retry-After") != ""
@@ -152,6 +153,14 @@
 	})
 }
 
+// isRefused reports whether no connection came up: it was refused, or reset while it came up, as where its node closes the
+// listener just then.
+func isRefused(err error) bool {
+	failed := &net.OpError{}
+	return errors.Is(err, syscall.ECONNREFUSED) ||
+		errors.As(err, &failed) && failed.Op == "dial" && errors.Is(err, syscall.ECONNRESET)
+}
+
 // noteWritten notes that a request's last byte was written: its time counts from there.
 func (c *clients) noteWritten(request *Request) {
 	c.recorder.record(func(*Observations) {
