Test: nodes that start while discovery is crowded send to draining servers

Two faults: late rejections count as an outage where no watch has ended, and a list that a new process was given counts as confirmed as it starts.

The rig gets what it lacked: a discovery that rejects late what it can't serve (crowd), bootstrap lists as a node had them last, not as they are, and a judge for which a restart puts no notification off, but for 3 s in which a new process may hear of it.

--- a/cmd/hookwalk/soak_test.go
+++ b/cmd/hookwalk/soak_test.go
@@ -55,6 +55,9 @@
 	playSoak(t, soak.ReturnBetweenOutages())
 }
 
+// Nodes that start while discovery is crowded took its late rejections for an outage, and sent to a server that drains.
+func TestRestartWhileDiscoveryIsCrowded(t *testing.T) { playSoak(t, soak.RestartWhileCrowded()) }
+
 // playSoak plays a plan and reports the rules that it broke.
 func playSoak(t *testing.T, plan soak.Plan) {
 	result, err := soak.Run(t.Context(), plan, testBinaryAsNode, "")
--- a/internal/lab/soak/discovery.go
+++ b/internal/lab/soak/discovery.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -35,6 +36,7 @@
 	version      int64
 	hosts        []listedServer
 	changed      []int64           // by server: the version that changed it last
+	delivered    map[int]int64     // by node: the version that it has
 	updated      chan struct{}     // closed at a change
 	stalled      chan struct{}     // closed: open watches deliver nothing any more
 	watchesReset chan struct{}     // closed: open watches are reset
@@ -71,7 +73,7 @@
 // newDiscovery lists some servers as version 1. It serves nobody before openAddress.
 func newDiscovery(recorder *recorder, servers []*server) *discovery {
 	d := &discovery{recorder: recorder, version: 1, updated: make(chan struct{}), stalled: make(chan struct{}),
-		watchesReset: make(chan struct{}), holdChanged: make(chan struct{}), endpoints: map[int]*endpoint{}}
+		watchesReset: make(chan struct{}), holdChanged: make(chan struct{}), delivered: map[int]int64{}, endpoints: map[int]*endpoint{}}
 	for _, s := range servers {
 		d.hosts = append(d.hosts, listedServer{Host: "s-" + strconv.Itoa(s.index), Dial: s.addr, Site: "a", Class: "m", Health: inService})
 		d.changed = append(d.changed, d.version)
@@ -120,11 +122,17 @@
 	}
 }
 
-// currentList is the complete list as it is.
-func (d *discovery) currentList() endpointList {
+// deliveredList is the complete list as a node had it last.
+func (d *discovery) deliveredList(node int) endpointList {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return endpointList{Version: d.version, Complete: true, Hosts: append([]listedServer(nil), d.hosts...)}
+	list := endpointList{Version: max(d.delivered[node], 1), Complete: true, Hosts: slices.Clone(d.hosts)}
+	for i := range list.Hosts {
+		if d.changed[i] > list.Version {
+			list.Hosts[i].Health = inService
+		}
+	}
+	return list
 }
 
 // drain lists a server as draining.
@@ -228,6 +236,13 @@
 	if f, slow := d.faults.find(DiscoverySlow); slow {
 		wait = f.Wait
 	}
+	if f, crowded := d.faults.find(DiscoveryCrowd); crowded {
+		queued, rejected := d.enqueue(f.Wait)
+		if rejected {
+			return maxQueueTime, true
+		}
+		return wait + queued, false
+	}
 	f, overloaded := d.faults.find(DiscoveryOverload)
 	if !overloaded {
 		return wait, false
@@ -294,6 +309,9 @@
 		w.(http.Flusher).Flush()
 		panic(http.ErrAbortHandler)
 	}
+	d.mu.Lock()
+	d.delivered[node] = version
+	d.mu.Unlock()
 	d.recorder.record(func(o *Observations) {
 		o.Deliveries = append(o.Deliveries, Delivery{At: d.recorder.now(), Node: node, Version: version})
 	})
--- a/internal/lab/soak/nodes.go
+++ b/internal/lab/soak/nodes.go
@@ -98,7 +98,7 @@
 
 // writeConfig writes the configuration file. The caller holds the lock.
 func (n *node) writeConfig() error {
-	bootstrap, err := json.Marshal(n.discovery.currentList())
+	bootstrap, err := json.Marshal(n.discovery.deliveredList(n.index))
 	if err != nil {
 		return err
 	}
--- a/internal/lab/soak/plan.go
+++ b/internal/lab/soak/plan.go
@@ -17,6 +17,7 @@
 	WatchReset         Kind = "end-watch" // open watches are reset
 	DiscoverySlow      Kind = "slow"      // each call to discovery takes Wait
 	DiscoveryOverload  Kind = "crowded"   // discovery handles calls in turn, Wait each, and rejects at once what would wait for long
+	DiscoveryCrowd     Kind = "crowd"     // the same, but what would wait for long is rejected only after a wait, as in an outage
 	DiscoveryNoAnswer  Kind = "lose"      // a Share of the calls to discovery is never answered
 	DiscoveryTruncated Kind = "cut"       // a Share of the answers to calls is reset in the middle
 	DiscoveryOutage    Kind = "down"      // watches are reset, and connections refused or, if HoldCalls, calls rejected after a wait
--- a/internal/lab/soak/regressionplans.go
+++ b/internal/lab/soak/regressionplans.go
@@ -3,7 +3,9 @@
 import "time"
 
 // RegressionPlans are plans that once broke a rule and that no seed has drawn. They are played with the RegressionSeeds.
-func RegressionPlans() []Plan { return []Plan{ReturnBetweenOutages(), ChangeWhileUnresponsive()} }
+func RegressionPlans() []Plan {
+	return []Plan{ReturnBetweenOutages(), ChangeWhileUnresponsive(), RestartWhileCrowded()}
+}
 
 // ReturnBetweenOutages has discovery back for a second between two outages, in which it resets the calls that it has. Nodes
 // once took both for one outage: the next call that was rejected renewed their lease, and they sent to a server that drains.
@@ -40,3 +42,27 @@
 			{Kind: DiscoveryMove, From: change, Count: 1, Wait: 100 * time.Millisecond},
 		}}
 }
+
+// RestartWhileCrowded has most nodes killed and started again while discovery has more callers than it can serve, and rejects
+// most calls after a wait. New processes once took that for an outage, and went on with the list that they were given.
+func RestartWhileCrowded() Plan {
+	const (
+		silent    = 4500 * time.Millisecond // the watches, so that nobody hears of the drain
+		drain     = 4600 * time.Millisecond
+		kill      = 5 * time.Second
+		end       = 15 * time.Second
+		nodes     = 16
+		killed    = 12
+		queueTime = 1900 * time.Millisecond // a call, so that a node in three has its list before the end
+	)
+	plan := Plan{Name: "restarts while discovery is crowded", Nodes: nodes, Servers: planServers, Rate: nodes * planRequestsPerNode,
+		Length: end + recoveryTime + serviceCheckTime, Faults: []Fault{
+			{Kind: DiscoveryCrowd, From: silent, To: end, Wait: queueTime},
+			{Kind: WatchStall, From: silent},
+			{Kind: ServerDrain, From: drain, Target: 1},
+		}}
+	for node := range killed {
+		plan.Faults = append(plan.Faults, Fault{Kind: NodeKill, From: kill, Target: node})
+	}
+	return plan
+}
--- a/internal/lab/soak/run.go
+++ b/internal/lab/soak/run.go
@@ -177,7 +177,7 @@
 		r.discovery.stallWatches()
 	case WatchReset:
 		r.discovery.resetWatches()
-	case DiscoverySlow, DiscoveryOverload, DiscoveryNoAnswer, DiscoveryTruncated:
+	case DiscoverySlow, DiscoveryOverload, DiscoveryCrowd, DiscoveryNoAnswer, DiscoveryTruncated:
 		r.activate(ctx, &r.discovery.faults, f)
 	case DiscoveryOutage:
 		r.keepError(r.discovery.setOutage(true, f.HoldCalls))
--- a/internal/lab/soak/violations.go
+++ b/internal/lab/soak/violations.go
@@ -14,6 +14,9 @@
 // machine's cores. It is added to the bound of each rule.
 const clockTolerance = 100 * time.Millisecond
 
+// bootstrapTime is for how long a new process may use the list that it was given, which may be old.
+const bootstrapTime = 3 * time.Second
+
 // minServedRatio is the share of requests that has to be served once all faults are over: nodes that stay in a refusing
 // state would pass every other rule.
 const minServedRatio = 0.8
@@ -83,7 +86,7 @@
 
 // notifiedAt is when an incarnation was notified of a drain, or counts as notified where lists are polled: the earliest
 // of a list that has the drain, and of the deadlines that run from the drain, from the return of discovery and from a
-// change of its address.
+// change of its address. A restart puts none of them off, but for the time that a new process has to hear of the drain.
 func notifiedAt(o *Observations, drain DrainStart, node, incarnation int) time.Duration {
 	notified := time.Duration(math.MaxInt64)
 	begin, end := lifetime(o, node, incarnation)
@@ -92,8 +95,8 @@
 			notified = min(notified, d.At)
 		}
 	}
-	reached := reachableFrom(o, max(drain.At, begin))
-	notified = min(notified, reached+endpointlease.NotificationDeadline)
+	reached := reachableFrom(o, drain.At)
+	notified = min(notified, max(reached+endpointlease.NotificationDeadline, begin+bootstrapTime))
 	for _, c := range o.AddressChanges {
 		if c.Node == node && c.At >= drain.At && c.At >= begin && c.At < end && reachableFrom(o, c.At) == c.At {
 			notified = min(notified, c.At+endpointlease.NotificationDeadlineAfterChange)
