Lease: a new process takes no late rejection for an outage

Cause: a poll that is rejected after a wait means that discovery is down where its watch has ended, and that was told by a field that is set while a watch is open. A new process never had a watch, so that its late rejections counted as an outage from the first one on, and each renewed its lease.

Now the field says that a watch has ended (lateRejectionMeansDown), and is not set in a new process, one that took over from another included, nor after a change of address, nor while a watch is open. A refused connection is an outage as before.

--- a/internal/endpointlease/availability.go
+++ b/internal/endpointlease/availability.go
@@ -58,8 +58,8 @@
 // PollRejected notes, before StreamEnded, that a poll was answered with an error status. The time tells two cases apart:
 //
 //   - A rejection within immediateRejection is of a discovery that is up and overloaded.
-//   - A later one means that discovery is down if its watch has ended too. While a watch is open, or the address has
-//     changed, a late rejection may as well come from a slow discovery, which must not renew the lease.
+//   - A later one means that discovery is down if its watch has ended too. Else (lateRejectionMeansDown) a late rejection
+//     may as well come from a slow discovery, which must not renew the lease.
 func (t *Tracker) PollRejected(id int, now time.Duration) {
 	s, open := t.find(id)
 	if !open || s.generation != t.generation {
@@ -68,7 +68,7 @@
 	t.overloaded = now-s.openedAt <= immediateRejection
 	if t.overloaded {
 		t.noteAlive(now)
-	} else if !t.lateRejectionProvesNothing {
+	} else if t.lateRejectionMeansDown {
 		t.noteUnavailable(downBehindProxy, id)
 	}
 }
--- a/internal/endpointlease/availability_test.go
+++ b/internal/endpointlease/availability_test.go
@@ -178,6 +178,45 @@
 	})
 }
 
+// A new process has no watch that ended: a poll that is rejected after a wait shows no outage there, for a discovery with more
+// pollers than it can serve does the same.
+func TestNewProcessTakesNoRejectionForAnOutage(t *testing.T) {
+	checkHistories(t, map[string]history{
+		"late rejections": {
+			options: polled,
+			events: func(tracker *Tracker) {
+				rejectPoll(tracker, 100*ms, 2100*ms)
+				rejectPoll(tracker, 2200*ms, 4200*ms)
+			},
+			at: 6 * s, wakeAt: 0, expires: 6 * s, state: Expired,
+		},
+		"discovery refuses connections": {
+			options: polled,
+			events: func(tracker *Tracker) {
+				pollUnreachable(tracker, 100*ms, 2*s)
+			},
+			at: 4 * s, wakeAt: 0, expires: 6100 * ms, state: Aging,
+		},
+		"late rejections after a watch of its own": {
+			options: polled,
+			events: func(tracker *Tracker) {
+				openWatch(tracker, 100*ms, 200*ms)
+				tracker.StreamEnded(1, 2*s)
+				rejectPoll(tracker, 3*s, 5100*ms)
+			},
+			at: 5100 * ms, wakeAt: 5100*ms + watchEndBackoff*2/10, expires: 9 * s, state: Aging,
+		},
+		"a list that another process handed over": {
+			options: polled,
+			events: func(tracker *Tracker) {
+				tracker.InheritAge(0, s)
+				rejectPoll(tracker, 100*ms, 2100*ms)
+			},
+			at: 2100 * ms, wakeAt: 2100*ms + watchEndBackoff*2/10, expires: 5 * s, state: Aging,
+		},
+	})
+}
+
 // What was known of discovery is of the address that it had: where the configuration names another one, the node counts as
 // notified of what that has 4 s later, whatever became of the address before.
 func TestOutageEndsWithTheAddress(t *testing.T) {
--- a/internal/endpointlease/endpointlease.go
+++ b/internal/endpointlease/endpointlease.go
@@ -92,11 +92,12 @@
 	availability      availability
 	lastActivityAt    time.Duration // the last sign of life, a rejection that came at once included
 	unavailablePollAt time.Duration // the begin of the last poll that found discovery unavailable
-	// lateRejectionProvesNothing: a poll that is rejected after a wait does not show that discovery is down, for a watch is
-	// open (even if silent), or the address has changed: a slow discovery may have rejected it.
-	lateRejectionProvesNothing bool
-	reachedSinceConfirmed      bool // discovery could be reached since the list was last confirmed, and sent nothing
-	pendingAddressChanges      []addressChange
+	// lateRejectionMeansDown: a poll that is rejected after a wait shows that discovery is down, for the last watch has ended.
+	// While a watch is open (even if silent), after a change of the address and in a new process it does not: a slow discovery,
+	// or one with too many pollers, may have rejected it.
+	lateRejectionMeansDown bool
+	reachedSinceConfirmed  bool // discovery could be reached since the list was last confirmed, and sent nothing
+	pendingAddressChanges  []addressChange
 
 	// The lease: see Expires.
 	confirmedAt         time.Duration // when the list held was last known to be all that discovery had
--- a/internal/endpointlease/events.go
+++ b/internal/endpointlease/events.go
@@ -46,7 +46,7 @@
 	t.confirm(now)
 	t.pendingAddressChanges = slices.DeleteFunc(t.pendingAddressChanges, func(c addressChange) bool { return c.generation <= s.generation })
 	if s.generation == t.generation {
-		t.parallelPolls, t.consecutiveFailures, t.overloaded, t.lateRejectionProvesNothing = 0, 0, false, true
+		t.parallelPolls, t.consecutiveFailures, t.overloaded, t.lateRejectionMeansDown = 0, 0, false, false
 	}
 }
 
@@ -91,7 +91,7 @@
 		t.parallelPolls = 0     // it was answered, even if with a rejection
 		t.consecutiveFailures++ // before backoff, which is 300 ms and not 150 ms after the first failed poll
 	} else if !t.hasWatch() {
-		t.lateRejectionProvesNothing = false
+		t.lateRejectionMeansDown = true
 	}
 	t.nextPollAt = now + t.backoff(s.jitter)
 }
@@ -123,7 +123,7 @@
 	t.forgetAvailability(now)
 	t.nextPollAt, t.pollingStarted = now, true
 	t.parallelPolls, t.consecutiveFailures, t.malformedLists, t.overloaded = 0, 0, 0, false
-	t.lateRejectionProvesNothing = true // the new discovery is reached by all its nodes at once, and may be slow
+	t.lateRejectionMeansDown = false // the new discovery is reached by all its nodes at once, and may be slow
 	if len(t.pendingAddressChanges) == maxPendingAddressChanges {
 		t.pendingAddressChanges[maxPendingAddressChanges-1].generation = t.generation
 		return
