Lease: the list that a new process was given counts as 3 s old

Cause: the lease began anew with each process, as if the list that it was given had been confirmed in that moment.

Now it counts as 3 s old (bootstrapListAge): 3 s are left of the lease until discovery has answered, or refuses connections.

--- a/internal/discovery/source.go
+++ b/internal/discovery/source.go
@@ -87,6 +87,7 @@
 		tracker: endpointlease.Tracker{Options: endpointlease.Options{
 			Pushed: !cfg.Polled, MaxPollInterval: cfg.MaxPollInterval, Pollers: cfg.Pollers}},
 	}
+	s.tracker.HoldBootstrapList(s.now())
 	s.ResumeFrom(cfg.Version)
 	return s
 }
--- a/internal/endpointlease/events.go
+++ b/internal/endpointlease/events.go
@@ -102,6 +102,9 @@
 	t.expiryFixedByOutage, t.expiryAfterChange = 0, 0
 }
 
+// HoldBootstrapList notes that a new process holds the list that it was given. That may be old.
+func (t *Tracker) HoldBootstrapList(now time.Duration) { t.InheritAge(now, bootstrapListAge) }
+
 // InheritAge takes over the list of the process before this one: it was confirmed so long ago. Without it a restart would
 // renew the lease of a list that nobody has confirmed.
 func (t *Tracker) InheritAge(now, age time.Duration) { t.confirmedAt = now - age }
--- a/internal/endpointlease/lease.go
+++ b/internal/endpointlease/lease.go
@@ -8,6 +8,11 @@
 	// 150 ms are left for a node that is held up between its check and its write.
 	pushedGrace = 100 * time.Millisecond
 
+	// bootstrapListAge is how old the list counts as that a new process was given. Nobody says how old it is, and a change
+	// made before the process began counts as known to it NotificationDeadline later like any other. What is left of the lease
+	// is the time that a new process needs to have its list from a discovery with many pollers.
+	bootstrapListAge = 3 * time.Second
+
 	// freshWithin is how long after its last line a watch counts as up to date: one heartbeat, and a quarter for its way.
 	freshWithin = HeartbeatInterval + HeartbeatInterval/4
 )
