--- a/internal/endpointlease/endpointlease.go
+++ b/internal/endpointlease/endpointlease.go
@@ -28,11 +28,14 @@
 // Where an agent pushes lists, the lease ends 100 ms after its last watch (pushedGrace), but while polls are refused: in the
 // right column at once if the watch has ended, and in the left one as soon as a connection comes up.
 //
+// A new process holds a list of unknown age: bootstrapListAge of its lease have gone as it starts.
+//
 // A change that discovery may have had before it became unavailable is an exception: see changeMayPredateOutage.
 //
 // The rules, and where they stand:
 //
 //	lease expiry                        lease.go         Expires, AdvanceLease, State
+//	lease of a new process              events.go        HoldBootstrapList, InheritAge
 //	no renewal by an outage             availability.go  changeMayPredateOutage, mayHaveReturned
 //	unavailable, unresponsive or slow   availability.go  PollRejected, Unreachable, slowUntil
 //	when to poll                        schedule.go      Step
