Soak: a new address in an outage is never that of another node

Nodes that get a new address while discovery refuses connections are given a free port, and the ports of the other nodes, whose listeners the outage has closed, count as free. When two had one port, the second could not listen again.

Now an address that a node has is passed over.

--- a/internal/lab/soak/discovery.go
+++ b/internal/lab/soak/discovery.go
@@ -84,12 +84,12 @@
 // openAddress gives a node a new address. The one before takes no new connections, and closes those that it has after a
 // while.
 func (d *discovery) openAddress(node int) (addr string, err error) {
-	listener, err := net.Listen("tcp", standInAddress()+":0")
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	listener, err := listenApart(func() (net.Listener, error) { return net.Listen("tcp", standInAddress()+":0") }, d.hasAddress)
 	if err != nil {
 		return "", err
 	}
-	d.mu.Lock()
-	defer d.mu.Unlock()
 	old := d.endpoints[node]
 	d.endpoints[node] = &endpoint{addr: listener.Addr().String()}
 	if d.refusing {
@@ -103,6 +103,27 @@
 	return listener.Addr().String(), err
 }
 
+// hasAddress reports whether an address is a node's, in an outage too. The caller holds the lock.
+func (d *discovery) hasAddress(addr string) bool {
+	for _, e := range d.endpoints {
+		if e.addr == addr {
+			return true
+		}
+	}
+	return false
+}
+
+// listenApart listens at an address that is not taken: the kernel may give the one of a listener that an outage has closed.
+func listenApart(listen func() (net.Listener, error), taken func(addr string) bool) (net.Listener, error) {
+	for {
+		listener, err := listen()
+		if err != nil || !taken(listener.Addr().String()) {
+			return listener, err
+		}
+		defer listener.Close() // later, so that it isn't given again
+	}
+}
+
 // serveNode serves a node's calls. The caller holds the lock.
 func (d *discovery) serveNode(node int, listener net.Listener) {
 	handler := func(w http.ResponseWriter, r *http.Request) { d.serve(w, r, node) }
--- a/internal/lab/soak/discovery_test.go
+++ b/internal/lab/soak/discovery_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"testing"
 	"time"
@@ -107,3 +108,25 @@
 		})
 	}
 }
+
+// A node that got a new address in an outage was once given that of another node, whose listener the outage had closed: one of
+// the two could not listen when the outage was over.
+func TestListenApart(t *testing.T) {
+	var opened []net.Listener
+	listen := func() (net.Listener, error) {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		opened = append(opened, listener)
+		return listener, err
+	}
+	listener, err := listenApart(listen, func(addr string) bool { return addr == opened[0].Addr().String() })
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	if len(opened) != 2 || listener != opened[1] {
+		t.Errorf("listens at the address of another, after %d tries", len(opened))
+	}
+	if _, err := opened[0].Accept(); err == nil {
+		t.Error("the address of another is still listened at")
+	}
+}
