Known failures: late rejections count as silence of discovery

By the plan n0 started at about 4.3 s, in an outage that rejects polls after a wait. Since today these renew no lease in a new process, so that it ended at 7.3 s; they are no sign of life either, so that discovery counts as unresponsive 10 s later and n0 serves again on the list that it was given, while 60 in 100 calls are lost. Its request came at 17.56 s.

--- a/internal/endpointlease/availability_test.go
+++ b/internal/endpointlease/availability_test.go
@@ -248,3 +248,17 @@
 		},
 	})
 }
+
+// A discovery that rejects polls after a wait is not silent: the node must not count it as unresponsive, and serve again on a list
+// that has expired.
+func TestLateRejectionsAreNoSilence(t *testing.T) {
+	tracker := &Tracker{Options: polled}
+	tracker.HoldBootstrapList(0)
+	for at := s; at < 14*s; at += 2500 * ms {
+		rejectPoll(tracker, at, at+2*s)
+		tracker.AdvanceLease(at + 2*s)
+	}
+	if got := tracker.AdvanceLease(14 * s); got.State != Expired {
+		t.Errorf("the list is %v again, until %v", got.State, got.Expires)
+	}
+}
