Soak: discovery's outages and queue in files of their own

Moved as they were, but for queueTime, where a crowded and an overloaded discovery no longer stand twice.

Measured: tests of internal/lab/soak with -race, TestRestartWhileDiscoveryIsCrowded and TestResetInAnOutageEndsItsRenewals pass.

--- /dev/null
+++ b/internal/lab/soak/discoveryqueue.go
@@ -0,0 +1,90 @@
+package soak
+
+import (
+	"net/http"
+	"time"
+)
+
+// awaitTurn has a call wait as the faults have it. It returns false if the call has its answer, or if its client is gone. A
+// call that waits for its turn as an outage begins is reset, as watches are.
+func (d *discovery) awaitTurn(w http.ResponseWriter, r *http.Request) bool {
+	outageBegins, back := d.awaitReturn(r)
+	if !back {
+		reject(w)
+		return false
+	}
+	wait, rejected := d.queueTime()
+	select {
+	case <-time.After(wait):
+	case <-outageBegins:
+		panic(http.ErrAbortHandler)
+	case <-r.Context().Done():
+		return false
+	}
+	if rejected {
+		reject(w)
+	}
+	return !rejected
+}
+
+// reject answers a call that has waited in vain.
+func reject(w http.ResponseWriter) { http.Error(w, "too busy", http.StatusServiceUnavailable) }
+
+// awaitReturn holds a call while an outage holds calls. It returns false if the call has waited for maxQueueTime, or its
+// client is gone; else a channel that is closed as the next such outage begins.
+func (d *discovery) awaitReturn(r *http.Request) (outageBegins <-chan struct{}, back bool) {
+	timeout := time.After(maxQueueTime)
+	for {
+		d.mu.Lock()
+		holding, changed := d.holding, d.holdChanged
+		d.mu.Unlock()
+		if !holding {
+			return changed, true
+		}
+		select {
+		case <-changed:
+		case <-timeout:
+			return nil, false
+		case <-r.Context().Done():
+			return nil, false
+		}
+	}
+}
+
+// queueTime is how long a call that arrives now waits, and whether it is rejected after that.
+func (d *discovery) queueTime() (wait time.Duration, rejected bool) {
+	if f, slow := d.faults.find(DiscoverySlow); slow {
+		wait = f.Wait
+	}
+	f, crowded := d.faults.find(DiscoveryCrowd)
+	if !crowded {
+		var overloaded bool
+		if f, overloaded = d.faults.find(DiscoveryOverload); !overloaded {
+			return wait, false
+		}
+	}
+	queued, rejected := d.enqueue(f.Wait)
+	switch {
+	case !rejected:
+		return wait + queued, false
+	case crowded:
+		return maxQueueTime, true
+	}
+	return 0, true
+}
+
+// enqueue puts a call that takes a service time behind the calls so far, and returns when it is handled from now on; a
+// call whose turn is too far off is rejected.
+func (d *discovery) enqueue(serviceTime time.Duration) (wait time.Duration, rejected bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := time.Now()
+	if d.queueFree.Before(now) {
+		d.queueFree = now
+	}
+	if d.queueFree.Sub(now) > maxQueueTime {
+		return 0, true
+	}
+	d.queueFree = d.queueFree.Add(serviceTime)
+	return min(d.queueFree.Sub(now), maxQueueTime), false
+}
