Lease: a discovery that answers no poll is never taken for one that is down

Callers: requests went to servers that drain, later than 6 s after discovery had the drain and could be reached, from nodes whose discovery accepted connections and answered no poll.

Cause: 10 s after the lease had ended (20 s with 400 nodes and more) AdvanceLease called such a discovery unresponsive, and the lease had no end from then on: time alone made the finding, whatever had shown meanwhile that discovery could be reached.

Change: the state, its three times and the lease without an end are gone. While nothing comes requests are rejected. Refused connections renew the lease as before.

An address change after long silence now leaves the list expired, where it had 4 s; the engine's lease comes back by a later end, where it had none. Both are stricter.

--- a/internal/discovery/lease.go
+++ b/internal/discovery/lease.go
@@ -21,7 +21,7 @@
 		return
 	}
 	s.notifiedExpiry = expires
-	s.RenewLease(engine.Lease{Until: s.epoch.Add(expires), Unbounded: s.tracker.Unbounded()})
+	s.RenewLease(engine.Lease{Until: s.epoch.Add(expires)})
 }
 
 // logLease logs changes of the lease and of discovery: an operator sees when a node began to reject requests, and why.
--- a/internal/discovery/source.go
+++ b/internal/discovery/source.go
@@ -116,7 +116,7 @@
 	return s.tracker.State(s.now())
 }
 
-// Unavailable says whether discovery can't be reached, or has sent nothing for long.
+// Unavailable says whether discovery was found to be down, so that it can notify nobody.
 func (s *Source) Unavailable() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/endpointlease/availability.go
+++ b/internal/endpointlease/availability.go
@@ -5,24 +5,15 @@
 	"time"
 )
 
-const (
-	// immediateRejection is how soon a rejection comes from a discovery that is up. A later one may be of a proxy before
-	// it that waited in vain.
-	immediateRejection = time.Second
-
-	// slowPeriod is how long after the lease has expired a discovery that accepts connections and sends nothing counts as
-	// slow, while the node rejects requests. From then on it counts as unresponsive, and the node serves again.
-	slowPeriod = 10 * time.Second
-	// slowPeriodPerPoller raises slowPeriod for a discovery with over 200 pollers: it takes longer for all of them.
-	slowPeriodPerPoller = 50 * time.Millisecond
-	// maxSlowPeriod bounds it: the node rejects requests for no longer than this.
-	maxSlowPeriod = 20 * time.Second
-)
+// immediateRejection is how soon a rejection comes from a discovery that is up. A later one may be of a proxy before it that
+// waited in vain.
+const immediateRejection = time.Second
 
 // availability says whether discovery can notify nodes of changes. While it can't, nothing that it has counts as known to
 // them, and each poll that finds it so renews the lease.
 //
-// Slow is not a state of its own: a slow discovery is available, so the lease expires while it sends nothing.
+// A discovery that is slow or silent is available: the lease expires, and requests are rejected for as long as it sends
+// nothing. Silence, however long, is no sign of an outage, for other nodes may be notified meanwhile.
 type availability int
 
 const (
@@ -34,13 +25,10 @@
 	// downBehindProxy: the watch has ended, and polls are rejected after a wait, as by a proxy that can't reach discovery.
 	// Set by PollRejected; ended by StreamFailed, of a poll that was reset instead, and by DiscoveryChanged.
 	downBehindProxy
-	// unresponsive: connections come up and nothing has come on any for slowPeriod and more. Set by AdvanceLease; ended by
-	// DiscoveryChanged.
-	unresponsive
 )
 
-// Unavailable says whether the node may serve on its list without discovery: unreachable, downBehindProxy or
-// unresponsive. Any activity ends that.
+// Unavailable says whether the node may serve on its list without discovery: unreachable or downBehindProxy. Any activity
+// ends that.
 func (t *Tracker) Unavailable() bool { return t.availability != available }
 
 // Connected notes that a poll's connection has come up: discovery can be reached, whether or not it answers.
@@ -67,16 +55,14 @@
 	}
 	t.overloaded = now-s.openedAt <= immediateRejection
 	if t.overloaded {
-		t.noteAlive(now)
+		t.noteAlive()
 	} else if t.lateRejectionMeansDown {
 		t.noteUnavailable(downBehindProxy, id)
 	}
 }
 
 // noteAlive notes that discovery has sent something.
-func (t *Tracker) noteAlive(now time.Duration) {
-	t.lastActivityAt, t.availability, t.reachedSinceConfirmed = now, available, true
-}
+func (t *Tracker) noteAlive() { t.availability, t.reachedSinceConfirmed = available, true }
 
 // noteUnavailable notes that discovery was unavailable when a poll began. Each such poll renews the lease, unless discovery
 // may have had a change before the outage: then the lease keeps the end that it had.
@@ -124,9 +110,3 @@
 func (t *Tracker) otherPollConnected(id int) bool {
 	return slices.ContainsFunc(t.streams, func(s stream) bool { return s.id != id && !s.isWatch() && s.connected })
 }
-
-// slowUntil is when a discovery that sends nothing no longer counts as slow, but as unresponsive.
-func (t *Tracker) slowUntil() time.Duration {
-	allPollers := time.Duration(t.Pollers) * slowPeriodPerPoller
-	return max(t.Expires(), t.lastActivityAt) + min(max(slowPeriod, allPollers), maxSlowPeriod)
-}
--- a/internal/endpointlease/endpointlease.go
+++ b/internal/endpointlease/endpointlease.go
@@ -16,14 +16,11 @@
 //	           that is refused renews the lease, to  expires
 //	           6 s after the poll's begin
 //	2.3-2.8 s  the node serves on                    the watch counts as silent, and polls begin
-//	6 s        the node serves on                    the lease expires: requests are rejected, and discovery
-//	                                                 counts as slow
-//	16 s       the node serves on                    unresponsive: the lease has no end, and the node serves again
-//	                                                 on the old list (with over 200 pollers later, with 400 and
-//	                                                 more at 26 s: see slowUntil)
-//	back       as a connection comes up the lease    as the first byte comes the lease is over, and requests are
-//	           has an end again, 6 s after the       rejected until a list is complete or a watch has a heartbeat
-//	           begin of the last refused poll
+//	6 s        the node serves on                    the lease expires: requests are rejected for as long as
+//	                                                 nothing comes
+//	back       as a connection comes up the lease    requests are rejected until a list is complete or a watch has
+//	           ends 6 s after the begin of the       a heartbeat
+//	           last refused poll
 //
 // Where an agent pushes lists, the lease ends 100 ms after its last watch (pushedGrace), but while polls are refused: in the
 // right column at once if the watch has ended, and in the left one as soon as a connection comes up.
@@ -37,13 +34,13 @@
 //	lease expiry                        lease.go         Expires, AdvanceLease, State
 //	lease of a new process              events.go        HoldBootstrapList, InheritAge
 //	no renewal by an outage             availability.go  changeMayPredateOutage, mayHaveReturned
-//	unavailable, unresponsive or slow   availability.go  PollRejected, Unreachable, slowUntil
+//	unavailable or slow                 availability.go  PollRejected, Unreachable
 //	when to poll                        schedule.go      Step
 //	parallel polls                      parallel.go      parallelPollAt
 //	heartbeat time-out                  stream.go        heartbeatDeadline
 //	list transfer time-out              stream.go        transferDeadline
 //	backoff, limit on malformed lists   backoff.go       backoff
-//	address change                      events.go        DiscoveryChanged, forgetAvailability
+//	address change                      events.go        DiscoveryChanged, forgetOutageBehindProxy
 //
 // The incident that this package answers to is docs/incidents/2026-12-02-sends-on-an-expired-list.md; the alternatives
 // that were weighed are in docs/design/endpoint-lease.md.
@@ -93,7 +90,6 @@
 
 	// What is known of discovery: see availability.go.
 	availability      availability
-	lastActivityAt    time.Duration // the last sign of life, a rejection that came at once included
 	unavailablePollAt time.Duration // the begin of the last poll that found discovery unavailable
 	// lateRejectionMeansDown: a poll that is rejected after a wait shows that discovery is down, for the last watch has ended.
 	// While a watch is open (even if silent), after a change of the address and in a new process it does not: a slow discovery,
@@ -107,5 +103,4 @@
 	lastPollAt          time.Duration // the begin of the last poll
 	lastWatchEndedAt    time.Duration // when the last watch ended, where none is open
 	expiryFixedByOutage time.Duration // the end that the lease had as an outage began, which the outage does not put off; 0: none
-	expiryAfterChange   time.Duration // the end that a lease without one got as the address of discovery changed; 0: none
 }
--- a/internal/endpointlease/events.go
+++ b/internal/endpointlease/events.go
@@ -19,7 +19,7 @@
 // Activity notes a sign of life on a stream: the head of an answer, a heartbeat, or a part of a list. One on a stream that
 // was dropped shows all the same that discovery is available.
 func (t *Tracker) Activity(id int, now time.Duration) {
-	t.noteAlive(now)
+	t.noteAlive()
 	s, _ := t.find(id)
 	s.lastByteAt = now
 	if s.isWatch() && s.listBeganAt == 0 {
@@ -37,7 +37,7 @@
 
 // ListComplete notes that a watch has brought a complete list or complete changes: the node holds what discovery had.
 func (t *Tracker) ListComplete(id int, now time.Duration) {
-	t.noteAlive(now)
+	t.noteAlive()
 	s, _ := t.find(id)
 	s.lastByteAt, s.listBeganAt = now, 0
 	if !s.isWatch() {
@@ -99,7 +99,7 @@
 // confirm notes that the list held is all that discovery has: the lease begins anew.
 func (t *Tracker) confirm(now time.Duration) {
 	t.confirmedAt, t.reachedSinceConfirmed = now, false
-	t.expiryFixedByOutage, t.expiryAfterChange = 0, 0
+	t.expiryFixedByOutage = 0
 }
 
 // HoldBootstrapList notes that a new process holds the list that it was given. That may be old.
@@ -123,7 +123,7 @@
 // addresses: they are read until a list has come from the new one, for until then they may be the last to report a change.
 func (t *Tracker) DiscoveryChanged(now time.Duration) {
 	t.generation++
-	t.forgetAvailability(now)
+	t.forgetOutageBehindProxy()
 	t.nextPollAt, t.pollingStarted = now, true
 	t.parallelPolls, t.consecutiveFailures, t.malformedLists, t.overloaded = 0, 0, 0, false
 	t.lateRejectionMeansDown = false // the new discovery is reached by all its nodes at once, and may be slow
@@ -134,15 +134,10 @@
 	t.pendingAddressChanges = append(t.pendingAddressChanges, addressChange{generation: t.generation, at: now})
 }
 
-// forgetAvailability drops what was found of the address before: that it is down behind a proxy, or unresponsive, says nothing
-// of the new one. Where the lease had no end it has the latest that the change allows. The first poll shows whether the new
-// address is unreachable, so that this is left to it.
-func (t *Tracker) forgetAvailability(now time.Duration) {
-	switch t.availability {
-	case unresponsive:
-		t.expiryAfterChange = now + NotificationDeadlineAfterChange
-		t.availability = available
-	case downBehindProxy:
+// forgetOutageBehindProxy drops what was found of the address before: that it is down behind a proxy says nothing of the new
+// one. The first poll shows whether the new address is unreachable, so that this is left to it.
+func (t *Tracker) forgetOutageBehindProxy() {
+	if t.availability == downBehindProxy {
 		t.availability = available
 	}
 }
--- a/internal/endpointlease/lease.go
+++ b/internal/endpointlease/lease.go
@@ -43,20 +43,18 @@
 //   - the configuration named another discovery: NotificationDeadlineAfterChange after the first such SIGHUP.
 //
 // While discovery is unavailable it can notify nobody: each poll that finds it so puts the end off to NotificationDeadline
-// after that poll's begin. While it is unresponsive the lease has no end. Neither puts the end off where a change may have
-// come before the outage (expiryFixedByOutage).
+// after that poll's begin, unless a change may have come before the outage (expiryFixedByOutage). Time alone puts no end
+// off: a discovery that answers no poll may have notified others.
 //
 // Without this rule a node goes on sending to a drained endpoint while discovery is slow: the incident of 2 December 2026.
 func (t *Tracker) Expires() time.Duration {
 	switch {
 	case t.expiryFixedByOutage > 0:
 		return t.expiryFixedByOutage
-	case t.availability == unresponsive:
-		return never
 	case t.Unavailable():
 		return t.unavailablePollAt + NotificationDeadline
 	}
-	expires := max(t.confirmedAt+NotificationDeadline, t.expiryAfterChange)
+	expires := t.confirmedAt + NotificationDeadline
 	if t.unavailablePollAt > 0 {
 		expires = max(expires, t.unavailablePollAt+NotificationDeadline)
 	}
@@ -73,9 +71,6 @@
 	return expires
 }
 
-// Unbounded says whether the lease has no end for now, while discovery is unresponsive.
-func (t *Tracker) Unbounded() bool { return t.Expires() == never }
-
 // LeaseCheck is what AdvanceLease finds.
 type LeaseCheck struct {
 	State   State
@@ -83,23 +78,16 @@
 	CheckAt time.Duration // when to check again if no event comes before
 }
 
-// AdvanceLease moves availability on when the lease has expired, and says what the list is worth then. An outage that no poll
-// has confirmed since is out of date: discovery counts as slow again and, at slowUntil, as unresponsive.
+// AdvanceLease moves availability on when the lease has expired, and says what the list is worth then. The lease has ended in
+// spite of an outage where no later poll has confirmed that, or where a change may have come before it. The outage excuses no
+// further serving then: discovery counts as available, though silent.
 func (t *Tracker) AdvanceLease(now time.Duration) LeaseCheck {
-	if t.availability != unresponsive && now >= t.Expires() {
-		// The lease has ended in spite of an outage: no later poll has confirmed it, or a change may have come before it.
-		// So it excuses no further serving, and discovery counts as slow: available, but silent.
+	if now >= t.Expires() {
 		t.availability = available
-		if t.pollingStarted && now >= t.slowUntil() {
-			t.availability = unresponsive
-		}
 	}
-	lease := LeaseCheck{State: t.State(now), Expires: t.Expires()}
-	switch lease.CheckAt = lease.Expires; {
-	case t.availability == unresponsive:
-		lease.CheckAt = never
-	case now >= lease.Expires:
-		lease.CheckAt = t.slowUntil()
+	lease := LeaseCheck{State: t.State(now), Expires: t.Expires(), CheckAt: t.Expires()}
+	if now >= lease.Expires {
+		lease.CheckAt = never // only an event can change it
 	}
 	return lease
 }
--- a/internal/engine/lease.go
+++ b/internal/engine/lease.go
@@ -10,11 +10,10 @@
 
 // Lease says until when the endpoint list may be relied on.
 type Lease struct {
-	Until     time.Time // with a reading of the monotonic clock
-	Unbounded bool      // no end for now: discovery is unresponsive, and the list is used until it answers
+	Until time.Time // with a reading of the monotonic clock
 }
 
-// noEnd is when a lease without an end expires.
+// noEnd is when a lease expires that no source of lists has set.
 const noEnd = time.Duration(math.MaxInt64)
 
 // leaseDeadline is when the lease in force ends. It guards against sends that rest on an expired list: discovery may long have
@@ -47,11 +46,7 @@
 // RenewLease says until when the endpoint list may be relied on. It doesn't block, and holds at once for all that has not
 // been written.
 func (e *Engine) RenewLease(l Lease) {
-	until := noEnd
-	if !l.Unbounded {
-		until = e.Clock.FromTime(l.Until)
-	}
-	e.lease.end.Store(int64(until))
+	e.lease.end.Store(int64(e.Clock.FromTime(l.Until)))
 	select {
 	case e.lease.changed <- struct{}{}:
 	default:
