Lease: a late rejection that proves no outage shows that discovery was reached

Callers: requests to servers that drain, from nodes whose discovery rejects polls after a wait and then refuses connections, or does both in turn: without an end.

Cause: a rejection after a wait that is no proof of an outage (in a new process, beside a silent watch, after an address change) was forgotten, where a reset or an immediate rejection counts as a sign that discovery was reached and sent nothing. So the next refused connection found no reason against a renewal.

Change: it counts as that sign. The refused connection then leaves the lease its end.

--- a/internal/endpointlease/availability.go
+++ b/internal/endpointlease/availability.go
@@ -47,17 +47,20 @@
 //
 //   - A rejection within immediateRejection is of a discovery that is up and overloaded.
 //   - A later one means that discovery is down if its watch has ended too. Else (lateRejectionMeansDown) a late rejection
-//     may as well come from a slow discovery, which must not renew the lease.
+//     may as well come from a slow discovery, which could have notified others: it was reached, and sent nothing.
 func (t *Tracker) PollRejected(id int, now time.Duration) {
 	s, open := t.find(id)
 	if !open || s.generation != t.generation {
 		return
 	}
 	t.overloaded = now-s.openedAt <= immediateRejection
-	if t.overloaded {
+	switch {
+	case t.overloaded:
 		t.noteAlive()
-	} else if t.lateRejectionMeansDown {
+	case t.lateRejectionMeansDown:
 		t.noteUnavailable(downBehindProxy, id)
+	default:
+		t.reachedSinceConfirmed = true
 	}
 }
 
--- a/internal/endpointlease/availability_test.go
+++ b/internal/endpointlease/availability_test.go
@@ -137,6 +137,41 @@
 	})
 }
 
+// A discovery that rejected polls after a wait, and is no proof of an outage, was reached and may have had a change. Nodes forgot
+// that: as it refused connections later the lease was renewed, in turn with further rejections without an end.
+func TestLateRejectionThenRefusalRenewsNoLease(t *testing.T) {
+	checkHistories(t, map[string]history{
+		"in a new process": {
+			options: polled,
+			events: func(tracker *Tracker) {
+				tracker.HoldBootstrapList(0)
+				rejectPoll(tracker, 100*ms, 2100*ms)
+				pollUnreachable(tracker, 2200*ms, 9*s)
+			},
+			at: 9 * s, wakeAt: 0, expires: 3 * s, state: Expired,
+		},
+		"beside a silent watch": {
+			options: polled,
+			events: func(tracker *Tracker) {
+				openWatch(tracker, 0, s)
+				rejectPoll(tracker, 3400*ms, 5400*ms)
+				pollUnreachable(tracker, 5500*ms, 9*s)
+			},
+			at: 9 * s, wakeAt: 0, expires: 7 * s, state: Expired,
+		},
+		"refused before and after": {
+			options: polled,
+			events: func(tracker *Tracker) {
+				tracker.HoldBootstrapList(0)
+				pollUnreachable(tracker, 100*ms, s)
+				rejectPoll(tracker, 1500*ms, 3500*ms)
+				pollUnreachable(tracker, 4*s, 9*s)
+			},
+			at: 9 * s, wakeAt: 0, expires: 6100 * ms, state: Expired,
+		},
+	})
+}
+
 // A discovery that was down behind a proxy may have been back for a moment, with a change that it could not send: what comes
 // instead of a rejection, or stays open beside one, shows it. The next rejection renews no lease then.
 func TestReturnBetweenOutagesRenewsNoLease(t *testing.T) {
