Lease: a late rejection brings no expired list back

Where an agent pushes lists the lease ends 100 ms after the watch; a late rejection comes after 1 s and more, and renewed it each time. Where lists are asked for it did so if its poll was begun within the lease.

Cause: that a late rejection after the watch has ended is of an outage is a reading (docs/questions.md, 9), since a crowded discovery looks the same. It was allowed not only to keep a lease in force but to undo its end.

Change: it renews a lease that is in force, and no other. Only a list, a heartbeat or a connection that does not come up bring an expired list back.

--- a/internal/endpointlease/availability.go
+++ b/internal/endpointlease/availability.go
@@ -23,7 +23,8 @@
 	// unreachable: the last connection was refused or did not come up. Set by Unreachable; ended by Connected.
 	unreachable
 	// downBehindProxy: the watch has ended, and polls are rejected after a wait, as by a proxy that can't reach discovery.
-	// Set by PollRejected; ended by StreamFailed, of a poll that was reset instead, and by DiscoveryChanged.
+	// Set by PollRejected; ended by StreamFailed, of a poll that was reset instead, and by DiscoveryChanged. It is a reading, not
+	// a proof: a discovery with too many pollers whose watches have ended looks the same (docs/questions.md, 9).
 	downBehindProxy
 )
 
@@ -43,11 +44,12 @@
 // Unreachable notes, before StreamEnded, that a poll's connection was refused or did not come up.
 func (t *Tracker) Unreachable(id int) { t.noteUnavailable(unreachable, id) }
 
-// PollRejected notes, before StreamEnded, that a poll was answered with an error status. The time tells two cases apart:
+// PollRejected notes, before StreamEnded, that a poll was answered with an error status:
 //
 //   - A rejection within immediateRejection is of a discovery that is up and overloaded.
-//   - A later one means that discovery is down if its watch has ended too. Else (lateRejectionMeansDown) a late rejection
-//     may as well come from a slow discovery, which could have notified others: it was reached, and sent nothing.
+//   - A later one counts as that of a proxy, whose discovery is down, if the watch has ended as an outage ends it
+//     (lateRejectionMeansDown) and the lease is in force. It never brings an expired list back.
+//   - Any other may come from a slow discovery, which could have notified others: it was reached, and sent nothing.
 func (t *Tracker) PollRejected(id int, now time.Duration) {
 	s, open := t.find(id)
 	if !open || s.generation != t.generation {
@@ -57,7 +59,7 @@
 	switch {
 	case t.overloaded:
 		t.noteAlive()
-	case t.lateRejectionMeansDown:
+	case t.lateRejectionMeansDown && now < t.Expires():
 		t.noteUnavailable(downBehindProxy, id)
 	default:
 		t.reachedSinceConfirmed = true
--- a/internal/endpointlease/availability_test.go
+++ b/internal/endpointlease/availability_test.go
@@ -172,6 +172,30 @@
 	})
 }
 
+// A late rejection is no proof of an outage that a node may serve through: it brings no expired list back.
+func TestLateRejectionBringsNoExpiredListBack(t *testing.T) {
+	checkHistories(t, map[string]history{
+		"pushed, after the grace of the watch": {
+			options: pushed,
+			events: func(tracker *Tracker) {
+				openWatch(tracker, 0, s)
+				tracker.StreamEnded(1, 2*s)
+				rejectPoll(tracker, 2150*ms, 4150*ms)
+			},
+			at: 4150 * ms, wakeAt: 4150*ms + watchEndBackoff*2/10, expires: 2*s + pushedGrace, state: Expired,
+		},
+		"of a poll that was begun within the lease": {
+			options: polled,
+			events: func(tracker *Tracker) {
+				openWatch(tracker, 0, s)
+				tracker.StreamEnded(1, 2*s)
+				rejectPoll(tracker, 6500*ms, 8500*ms)
+			},
+			at: 8500 * ms, wakeAt: 8500*ms + watchEndBackoff*2/10, expires: 7 * s, state: Expired,
+		},
+	})
+}
+
 // A discovery that was down behind a proxy may have been back for a moment, with a change that it could not send: what comes
 // instead of a rejection, or stays open beside one, shows it. The next rejection renews no lease then.
 func TestReturnBetweenOutagesRenewsNoLease(t *testing.T) {
--- /dev/null
+++ b/internal/endpointlease/expiry_test.go
@@ -0,0 +1,119 @@
+package endpointlease
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+// Nodes served again on lists that had expired, and sent to servers that drain: after a while of silence, and after a poll that
+// was rejected late. Whatever happens, in any order, only discovery's own word brings an expired list back, a list or a
+// heartbeat, or a connection that was begun within the lease and did not come up: while none does no node is notified.
+// Where nothing is open and lists are polled, the next poll begins MaxPollInterval anew.
+func TestOnlyDiscoveryBringsAnExpiredListBack(t *testing.T) {
+	const histories, events = 20_000, 40
+	for seed := range uint64(histories) {
+		h := newRandomHistory(seed)
+		for range events {
+			h.now += time.Duration(h.rng.IntN(3000)) * ms
+			h.check(t, seed, "time passes", false)
+			event, excused := h.happen()
+			h.check(t, seed, event, excused)
+		}
+	}
+}
+
+// check carries out what is due after an event, and fails the test if an expired list came back without an excuse.
+func (h *randomHistory) check(t *testing.T, seed uint64, event string, excused bool) {
+	excused = excused || !h.tracker.Pushed && len(h.tracker.streams) == 0
+	h.settle()
+	state := h.tracker.State(h.now)
+	if h.expired && state != Expired && !excused {
+		t.Fatalf("seed %d, %+v: after the event %q at %v the expired list is %v again, until %v", seed, h.tracker.Options, event,
+			h.now, state, h.tracker.Expires())
+	}
+	h.expired = state == Expired
+}
+
+// randomHistory has random events happen to a Tracker, and carries out its decisions.
+type randomHistory struct {
+	rng     *rand.Rand
+	tracker *Tracker
+	now     time.Duration
+	expired bool // the list was, after the last event
+}
+
+// newRandomHistory begins as a new process does.
+func newRandomHistory(seed uint64) *randomHistory {
+	rng := rand.New(rand.NewPCG(seed, 0))
+	h := &randomHistory{rng: rng, tracker: &Tracker{Options: []Options{polled, rarelyPolled, pushed}[rng.IntN(3)]}}
+	h.tracker.HoldBootstrapList(0)
+	h.tracker.RequestPoll()
+	h.settle()
+	return h
+}
+
+// settle carries out what is due.
+func (h *randomHistory) settle() {
+	for {
+		switch decision := h.tracker.Step(h.now); decision.Action {
+		case NoAction:
+			h.tracker.AdvanceLease(h.now)
+			return
+		case OpenStream:
+			h.tracker.StreamOpened(h.now, h.rng.Float64())
+		case AbortStalledStream:
+			h.tracker.MalformedList(decision.StreamID, h.now)
+			h.tracker.StreamEnded(decision.StreamID, h.now)
+		}
+	}
+}
+
+// happen has something happen to one of the open streams, and says whether that may bring an expired list back.
+func (h *randomHistory) happen() (event string, excused bool) {
+	t, now := h.tracker, h.now
+	if h.rng.IntN(20) == 0 {
+		t.DiscoveryChanged(now)
+		return "address change", false
+	}
+	if len(t.streams) == 0 {
+		return "nothing", false
+	}
+	s := t.streams[h.rng.IntN(len(t.streams))]
+	event = h.drawEvent(s)
+	switch event {
+	case "connection":
+		t.Connected(s.id)
+	case "list begins":
+		t.ListBegan(s.id, now)
+	case "heartbeat":
+		t.Activity(s.id, now)
+		return event, true
+	case "list":
+		t.ListComplete(s.id, now)
+		return event, true
+	case "rejection":
+		t.PollRejected(s.id, now)
+		t.StreamEnded(s.id, now)
+	case "unreachable":
+		excused = t.Pushed || s.openedAt < t.Expires() // an agent is down from the end of its watch on
+		t.Unreachable(s.id)
+		t.StreamEnded(s.id, now)
+	case "reset":
+		t.StreamFailed(s.id)
+		t.StreamEnded(s.id, now)
+	}
+	return event, excused
+}
+
+// drawEvent draws what may happen to a stream in its state.
+func (h *randomHistory) drawEvent(s stream) string {
+	events := []string{"connection", "unreachable"}
+	switch {
+	case s.isWatch():
+		events = []string{"reset", "heartbeat", "list"}
+	case s.connected:
+		events = []string{"reset", "rejection", "rejection", "list begins", "list"}
+	}
+	return events[h.rng.IntN(len(events))]
+}
