Lease: late rejections after a watch that fell silent renew nothing

Cause: the end of the watch was taken for the moment at which discovery went down, although the watch had been silent for longer than a heartbeat: discovery may have had the change while it was.

Change: the reading holds only where the watch ended within its heartbeat.

Evidence: the third case of TestLateRejectionBringsNoExpiredListBack failed before (a lease to 10.1 s in place of 7 s).

--- a/internal/endpointlease/availability_test.go
+++ b/internal/endpointlease/availability_test.go
@@ -172,7 +172,8 @@
 	})
 }
 
-// A late rejection is no proof of an outage that a node may serve through: it brings no expired list back.
+// A late rejection is no proof of an outage that a node may serve through: it brings no expired list back, and shows nothing
+// where the watch had fallen silent before it ended, for discovery may have had a change then.
 func TestLateRejectionBringsNoExpiredListBack(t *testing.T) {
 	checkHistories(t, map[string]history{
 		"pushed, after the grace of the watch": {
@@ -193,6 +194,15 @@
 			},
 			at: 8500 * ms, wakeAt: 8500*ms + watchEndBackoff*2/10, expires: 7 * s, state: Expired,
 		},
+		"the watch had fallen silent": {
+			options: polled,
+			events: func(tracker *Tracker) {
+				openWatch(tracker, 0, s)
+				tracker.StreamEnded(1, 4*s)
+				rejectPoll(tracker, 4100*ms, 6100*ms)
+			},
+			at: 6100 * ms, wakeAt: 6100*ms + watchEndBackoff*2/10, expires: 7 * s, state: Aging,
+		},
 	})
 }
 
--- a/internal/endpointlease/events.go
+++ b/internal/endpointlease/events.go
@@ -91,7 +91,7 @@
 		t.parallelPolls = 0     // it was answered, even if with a rejection
 		t.consecutiveFailures++ // before backoff, which is 300 ms and not 150 ms after the first failed poll
 	} else if !t.hasWatch() {
-		t.lateRejectionMeansDown = true
+		t.lateRejectionMeansDown = now < s.heartbeatDeadline()
 	}
 	t.nextPollAt = now + t.backoff(s.jitter)
 }
