Log: how discovery was found to be unavailable

The lines "discovery unavailable=" and "endpoint list may be used again" did not say whether connections are refused, which is proof, or polls are rejected after the watch has ended, which is a reading. The attribute "found" does now.

--- a/internal/discovery/lease.go
+++ b/internal/discovery/lease.go
@@ -25,17 +25,17 @@
 }
 
 // logLease logs changes of the lease and of discovery: an operator sees when a node began to reject requests, and why.
-func (s *Source) logLease(state endpointlease.State, unavailable bool) {
+func (s *Source) logLease(state endpointlease.State, unavailable bool, found string) {
 	if expired := state == endpointlease.Expired; expired != (s.loggedState == endpointlease.Expired) {
 		if expired {
 			s.log.Warn("endpoint list expired: requests are rejected until discovery answers", "version", s.Version(),
 				"addr", s.Addr(), "open_streams", len(s.streams))
 		} else {
-			s.log.Info("endpoint list may be used again", "version", s.Version(), "list", state, "unavailable", unavailable)
+			s.log.Info("endpoint list may be used again", "version", s.Version(), "list", state, "unavailable", unavailable, "found", found)
 		}
 	}
 	if unavailable != s.loggedUnavailable {
-		s.log.Warn("discovery", "unavailable", unavailable, "addr", s.Addr(), "version", s.Version())
+		s.log.Warn("discovery", "unavailable", unavailable, "found", found, "addr", s.Addr(), "version", s.Version())
 	}
 	s.loggedState, s.loggedUnavailable = state, unavailable
 }
--- a/internal/discovery/source.go
+++ b/internal/discovery/source.go
@@ -155,10 +155,11 @@
 		if decision.Action == endpointlease.OpenStream {
 			opened = s.newStream(now)
 		}
-		lease, unavailable := s.tracker.AdvanceLease(now), s.tracker.Unavailable()
+		lease := s.tracker.AdvanceLease(now)
+		unavailable, found := s.tracker.Unavailable(), s.tracker.Found()
 		s.notifyLease()
 		s.mu.Unlock()
-		s.logLease(lease.State, unavailable)
+		s.logLease(lease.State, unavailable, found)
 		switch decision.Action {
 		case endpointlease.NoAction:
 			return max(min(decision.WakeAt, lease.CheckAt)-now, 1)
--- a/internal/endpointlease/availability.go
+++ b/internal/endpointlease/availability.go
@@ -28,6 +28,14 @@
 	downBehindProxy
 )
 
+// String returns the finding as the log has it.
+func (a availability) String() string {
+	return [...]string{"available", "unreachable", "down behind a proxy"}[a]
+}
+
+// Found says what polls have found of discovery, for the log.
+func (t *Tracker) Found() string { return t.availability.String() }
+
 // Unavailable says whether the node may serve on its list without discovery: unreachable or downBehindProxy. Any activity
 // ends that.
 func (t *Tracker) Unavailable() bool { return t.availability != available }
