Lease: a watch that discovery closes in order is no sign of an outage

Callers: requests to servers that drain, from nodes whose discovery closes their watches, as it may in place of a change, and then rejects polls after a wait.

Cause: any end of the watch was taken for that of a discovery that goes down. One that goes down has its connections reset; an answer that ends in order was written to its end by a discovery that is up.

Change: late rejections after such an end renew no lease. Refused connections do as before, so that a discovery that is stopped in order and started again costs nothing.

Evidence: TestClosedWatchIsNoOutage failed before (a lease to 5 min 3 s, the end of the test, in place of 7 s).

--- a/internal/discovery/lease_test.go
+++ b/internal/discovery/lease_test.go
@@ -62,6 +62,7 @@
 				}
 			default:
 				agent.ServeHTTP(w, r)
+				panic(http.ErrAbortHandler) // as it goes down its connections are reset
 			}
 		})), func(source *Source) {
 			source.tracker.MaxPollInterval = 10 * time.Second
@@ -150,6 +151,34 @@
 	}
 }
 
+// A discovery that closes its watches is up, and may do so in place of a change. Polls that it rejects after a wait were taken
+// for an outage all the same, and renewed the lease without an end.
+func TestClosedWatchIsNoOutage(t *testing.T) {
+	const watchTime = time.Second
+	for _, mode := range []string{"on_request", "pushed"} {
+		synctest.Test(t, func(t *testing.T) {
+			var polls atomic.Int64
+			discovery := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				wait := 2 * time.Second
+				if polls.Add(1) == 1 {
+					wait = watchTime
+					fmt.Fprintln(w, discoverytest.CompleteList)
+					w.(http.Flusher).Flush()
+				} else {
+					defer w.WriteHeader(http.StatusServiceUnavailable)
+				}
+				select {
+				case <-time.After(wait):
+				case <-r.Context().Done():
+				}
+			})
+			if last := lastLease(t, mode, piped(t, discovery)); last > watchTime+endpointlease.NotificationDeadline {
+				t.Errorf("%s: the lease was renewed until %v after the start", mode, last)
+			}
+		})
+	}
+}
+
 // unansweredTime is how long lastLease has a process run.
 const unansweredTime = 5 * time.Minute
 
--- a/internal/discovery/updates.go
+++ b/internal/discovery/updates.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"time"
 
 	"hookwalk.example/hookwalk/internal/discoveryapi"
@@ -120,6 +121,8 @@
 		t.PollRejected(id, now)
 	case isUnreachable(err):
 		t.Unreachable(id)
+	case errors.Is(err, io.EOF):
+		t.StreamClosed(id)
 	default:
 		t.StreamFailed(id)
 	}
--- a/internal/endpointlease/availability_test.go
+++ b/internal/endpointlease/availability_test.go
@@ -173,7 +173,7 @@
 }
 
 // A late rejection is no proof of an outage that a node may serve through: it brings no expired list back, and shows nothing
-// where the watch had fallen silent before it ended, for discovery may have had a change then.
+// where discovery closed the watch, or where that had fallen silent before it ended: discovery may have had a change then.
 func TestLateRejectionBringsNoExpiredListBack(t *testing.T) {
 	checkHistories(t, map[string]history{
 		"pushed, after the grace of the watch": {
@@ -194,6 +194,16 @@
 			},
 			at: 8500 * ms, wakeAt: 8500*ms + watchEndBackoff*2/10, expires: 7 * s, state: Expired,
 		},
+		"discovery had closed the watch": {
+			options: polled,
+			events: func(tracker *Tracker) {
+				openWatch(tracker, 0, s)
+				tracker.StreamClosed(1)
+				tracker.StreamEnded(1, 2*s)
+				rejectPoll(tracker, 2100*ms, 4100*ms)
+			},
+			at: 4100 * ms, wakeAt: 4100*ms + watchEndBackoff*2/10, expires: 7 * s, state: Aging,
+		},
 		"the watch had fallen silent": {
 			options: polled,
 			events: func(tracker *Tracker) {
--- a/internal/endpointlease/endpointlease.go
+++ b/internal/endpointlease/endpointlease.go
@@ -92,8 +92,8 @@
 	availability      availability
 	unavailablePollAt time.Duration // the begin of the last poll that found discovery unavailable
 	// lateRejectionMeansDown: a poll that is rejected after a wait shows that discovery is down, for the last watch has ended,
-	// within its heartbeat. While a watch is open, after one that had fallen silent, after a change of the address and in a new
-	// process it does not: a slow discovery, or one with too many pollers, may have rejected it.
+	// within its heartbeat and not in order. While a watch is open, after one that had fallen silent or that discovery closed,
+	// after a change of the address and in a new process it does not: a slow discovery, or one with too many pollers, may have rejected it.
 	lateRejectionMeansDown bool
 	reachedSinceConfirmed  bool // discovery could be reached since the list was last confirmed, and sent nothing
 	pendingAddressChanges  []addressChange
--- a/internal/endpointlease/events.go
+++ b/internal/endpointlease/events.go
@@ -71,6 +71,14 @@
 	}
 }
 
+// StreamClosed notes, before StreamEnded, that discovery ended an answer in order, as one that goes down does not: its
+// connections are reset.
+func (t *Tracker) StreamClosed(id int) {
+	t.StreamFailed(id)
+	s, _ := t.find(id)
+	s.closedInOrder = true
+}
+
 // MalformedList notes, before StreamEnded, that a stream brought something that can't be read or built on. A watch that
 // was read without fault for healthyWatchAge is a new case: what was malformed before it no longer counts.
 func (t *Tracker) MalformedList(id int, now time.Duration) {
@@ -91,7 +99,7 @@
 		t.parallelPolls = 0     // it was answered, even if with a rejection
 		t.consecutiveFailures++ // before backoff, which is 300 ms and not 150 ms after the first failed poll
 	} else if !t.hasWatch() {
-		t.lateRejectionMeansDown = now < s.heartbeatDeadline()
+		t.lateRejectionMeansDown = now < s.heartbeatDeadline() && !s.closedInOrder
 	}
 	t.nextPollAt = now + t.backoff(s.jitter)
 }
--- a/internal/endpointlease/stream.go
+++ b/internal/endpointlease/stream.go
@@ -31,6 +31,8 @@
 	firstListAt time.Duration // when the first list was complete; 0: none was
 	jitter      float64       // from 0 to 1: when this node acts within the time that all nodes share
 	connected   bool
+
+	closedInOrder bool // by discovery, which was up then
 }
 
 // isWatch says whether the poll was answered with a list, so that heartbeats are due.
