Soak: second answers up to 100 ms late, and a judge that tells them from those astray

Second answers came up to 6 ms late, from servers that take 20 ms at most: no connection was used again before the true answer behind a second one, so that no play could show answers that go astray one behind another.

Servers record how late a second answer was really written; one that reached another request later than 20 ms is excused and counted, an answer of another request never is. Marked rejections come up to 6 ms late, as before.

--- a/internal/lab/soak/answers.go
+++ b/internal/lab/soak/answers.go
@@ -17,14 +17,22 @@
 // answerBody is what a server answers to a request. The judge compares it with what the client was given.
 func answerBody(id string) string { return "ok " + id }
 
+// secondAnswerBody is the body of a second answer to a request.
+func secondAnswerBody(id string) string { return secondAnswerPrefix + id }
+
+const secondAnswerPrefix = "second "
+
 // answer writes the answer to a request as the active faults have it.
 func (s *server) answer(w http.ResponseWriter, r *http.Request, id string) {
 	conn := clockConnOf(r)
 	if f, hit := s.faults.hits(AnswerSecond); hit {
-		conn.writeBehind(f.Wait, answerText(http.StatusOK, "second "+id))
+		conn.writeBehind(f.Wait, answerText(http.StatusOK, secondAnswerBody(id)), id)
+	}
+	if f, hit := s.faults.hits(AnswerLateSecond); hit {
+		conn.writeBehind(f.Wait, answerText(http.StatusOK, secondAnswerBody(id)), id)
 	}
 	if f, hit := s.faults.hits(AnswerSecondRejected); hit {
-		conn.writeBehind(f.Wait, answerText(http.StatusServiceUnavailable, ""))
+		conn.writeBehind(f.Wait, answerText(http.StatusServiceUnavailable, ""), id)
 	}
 	if _, hit := s.faults.hits(AnswerClose); hit {
 		conn.closeBehind()
@@ -97,15 +105,16 @@
 type behind struct {
 	mu     sync.Mutex
 	text   string
+	id     string // of the request that the text is a second answer to
 	wait   time.Duration
 	closes bool
 }
 
-// writeBehind has a text written behind the next answer, so long after it.
-func (c *clockConn) writeBehind(wait time.Duration, text string) {
+// writeBehind has a second answer to a request written behind the next answer, so long after it.
+func (c *clockConn) writeBehind(wait time.Duration, text, id string) {
 	c.behind.mu.Lock()
 	defer c.behind.mu.Unlock()
-	c.behind.text, c.behind.wait = text, wait
+	c.behind.text, c.behind.wait, c.behind.id = text, wait, id
 }
 
 // closeBehind has the connection closed behind the next answer.
@@ -122,7 +131,7 @@
 	defer c.behind.mu.Unlock()
 	if text := c.behind.text; text != "" {
 		c.behind.text = ""
-		c.writeAfter(c.behind.wait, text)
+		c.writeAfter(c.behind.wait, text, c.behind.id)
 	}
 	if c.behind.closes {
 		c.Conn.Close()
@@ -130,9 +139,13 @@
 	return n, err
 }
 
-// writeAfter writes a text after a wait, in one piece.
-func (c *clockConn) writeAfter(wait time.Duration, text string) {
-	write := func(conn net.Conn) { io.WriteString(conn, text) }
+// writeAfter writes a second answer after a wait, in one piece, and records how late it was.
+func (c *clockConn) writeAfter(wait time.Duration, text, id string) {
+	answeredAt := c.recorder.now()
+	write := func(conn net.Conn) {
+		io.WriteString(conn, text)
+		c.recorder.record(func(o *Observations) { o.noteSecondAnswer(id, c.recorder.now()-answeredAt) })
+	}
 	if wait == 0 {
 		write(c.Conn)
 		return
--- a/internal/lab/soak/clients.go
+++ b/internal/lab/soak/clients.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -149,6 +150,9 @@
 		request.Status, request.RetryAfter = response.StatusCode, response.Header.Get("Retry-After") != ""
 		if response.StatusCode == http.StatusOK && body != answerBody(request.ID) {
 			request.WrongBody = strconv.Quote(body)
+			if of, second := strings.CutPrefix(body, secondAnswerPrefix); second {
+				request.SecondAnswerOf = of
+			}
 		}
 	})
 }
--- a/internal/lab/soak/observations.go
+++ b/internal/lab/soak/observations.go
@@ -17,7 +17,8 @@
 	Series         int // of signals that were sent
 	Attempts       []*Attempt
 	Requests       []*Request
-	Complaints     []string // of nodes: broken invariants, panics, unexpected ends
+	SecondAnswers  map[string]time.Duration // by ID of a request: how long after its answer the latest second one was written
+	Complaints     []string                 // of nodes: broken invariants, panics, unexpected ends
 }
 
 // Span is from a time to another; an open one has no end yet.
@@ -87,6 +88,7 @@
 	Finished          time.Duration // when it had its answer, or knew that there is none
 	Status            int           // 0: none
 	RetryAfter        bool          // the answer says when to come back
+	SecondAnswerOf    string        // the ID of the request that the answer was a second one to; "": it was none
 	WrongBody         string        // of a 200 that no server wrote for this request; "": none
 	Err               string
 	NewConnection     bool // it was the first one on its connection
@@ -94,6 +96,14 @@
 	Unread            bool // its node ended the connection and had not read all of it
 }
 
+// noteSecondAnswer notes how late a second answer to a request was written.
+func (o *Observations) noteSecondAnswer(id string, lateness time.Duration) {
+	if o.SecondAnswers == nil {
+		o.SecondAnswers = map[string]time.Duration{}
+	}
+	o.SecondAnswers[id] = max(o.SecondAnswers[id], lateness)
+}
+
 // recorder collects observations. Its methods may be called from any goroutine.
 type recorder struct {
 	started time.Time
--- a/internal/lab/soak/plan.go
+++ b/internal/lab/soak/plan.go
@@ -63,17 +63,19 @@
 
 // Plan is what a run does. The same seed, nodes and length give the same plan.
 type Plan struct {
-	Seed    uint64
-	Name    string // of a plan that no seed has drawn
-	Nodes   int
-	Servers int
-	Rate    int           // requests a second, of all clients
-	Length  time.Duration // from the begin of the run to the last request; a plan that is shifted gets longer
-	Faults  []Fault       // by their begin
-	Answers []Fault       // of servers' answers
-	Bursts  []Burst
-	Series  []SignalSeries
-	Crowds  []Crowd
+	Seed       uint64
+	Name       string // of a plan that no seed has drawn
+	Nodes      int
+	Servers    int
+	Rate       int           // requests a second, of all clients
+	Length     time.Duration // from the begin of the run to the last request; a plan that is shifted gets longer
+	Faults     []Fault       // by their begin
+	Answers    []Fault       // of servers' answers
+	Bursts     []Burst
+	Late       []Fault // second answers that are so late that they may reach another request
+	LateBursts []Burst // beside them
+	Series     []SignalSeries
+	Crowds     []Crowd
 }
 
 // Title names a plan in a run's output.
@@ -89,10 +91,10 @@
 	for _, f := range p.Faults {
 		lines = append(lines, f.String())
 	}
-	for _, f := range p.Answers {
+	for _, f := range slices.Concat(p.Answers, p.Late) {
 		lines = append(lines, f.String())
 	}
-	for _, b := range p.Bursts {
+	for _, b := range slices.Concat(p.Bursts, p.LateBursts) {
 		lines = append(lines, b.String())
 	}
 	for _, s := range p.Series {
@@ -153,17 +155,20 @@
 
 // shifted is the plan with its times counted from an earlier moment.
 func (p Plan) shifted(begin time.Duration) Plan {
-	p.Faults, p.Answers = slices.Clone(p.Faults), slices.Clone(p.Answers)
-	for _, faults := range [][]Fault{p.Faults, p.Answers} {
+	p.Faults, p.Answers, p.Late = slices.Clone(p.Faults), slices.Clone(p.Answers), slices.Clone(p.Late)
+	for _, faults := range [][]Fault{p.Faults, p.Answers, p.Late} {
 		for i := range faults {
 			faults[i].From += begin
 			faults[i].To += begin
 		}
 	}
-	p.Series, p.Crowds, p.Bursts = slices.Clone(p.Series), slices.Clone(p.Crowds), slices.Clone(p.Bursts)
-	for i := range p.Bursts {
-		p.Bursts[i].From += begin
-		p.Bursts[i].To += begin
+	p.Series, p.Crowds = slices.Clone(p.Series), slices.Clone(p.Crowds)
+	p.Bursts, p.LateBursts = slices.Clone(p.Bursts), slices.Clone(p.LateBursts)
+	for _, bursts := range [][]Burst{p.Bursts, p.LateBursts} {
+		for i := range bursts {
+			bursts[i].From += begin
+			bursts[i].To += begin
+		}
 	}
 	for i := range p.Series {
 		p.Series[i].From += begin
@@ -189,6 +194,7 @@
 	p.Faults = append(p.Faults, drawStaleListFaults(rng, p)...)
 	slices.SortStableFunc(p.Faults, func(a, b Fault) int { return cmp.Compare(a.From, b.From) })
 	p.Answers, p.Bursts = drawAnswerFaults(seed, p)
+	p.Late, p.LateBursts = drawLateAnswers(seed, p)
 	p.Series, p.Crowds = drawSignals(seed, p)
 	return p
 }
--- a/internal/lab/soak/plan_test.go
+++ b/internal/lab/soak/plan_test.go
@@ -87,7 +87,7 @@
 // nodes recover. Kept seeds go on standing for their faults of answers.
 func TestAnswerFaults(t *testing.T) {
 	const want = "60c69ac69cde86af421c6a34408f19a9ccd847cbe51513c1a71eb9d4e794ae42"
-	digest, seen := sha256.New(), map[Kind]bool{}
+	digest, seen, latest := sha256.New(), map[Kind]bool{}, time.Duration(0)
 	for seed := range uint64(300) {
 		p := DrawPlan(seed, 24, 20*second)
 		fmt.Fprintln(digest, p.Answers, p.Bursts)
@@ -102,7 +102,13 @@
 				t.Errorf("seed %d: %v", seed, f)
 			}
 		}
-		for _, b := range p.Bursts {
+		for _, f := range p.Late {
+			latest = max(latest, f.Wait)
+			if f.From < firstFault || f.To > p.Length-recoveryTime || f.Target >= p.Servers || f.Wait > maxLateWait {
+				t.Errorf("seed %d: %v", seed, f)
+			}
+		}
+		for _, b := range slices.Concat(p.Bursts, p.LateBursts) {
 			if b.From < firstFault || b.To > p.Length-recoveryTime || b.Node >= p.Nodes {
 				t.Errorf("seed %d: %v", seed, b)
 			}
@@ -111,6 +117,9 @@
 			t.Errorf("seed %d has %d faults that are second answers", seed, second)
 		}
 	}
+	if latest < maxLateWait-maxLateWait/10 {
+		t.Errorf("no second answer is later than %v", latest)
+	}
 	for _, kind := range answerKinds {
 		if !seen[kind] {
 			t.Errorf("no plan has %s", kind)
--- a/internal/lab/soak/requestend.go
+++ b/internal/lab/soak/requestend.go
@@ -18,15 +18,19 @@
 	ExcusedRefused Excuse = "connection refused" // by a node that is down, or about to be
 	ExcusedKilled  Excuse = "killed"             // the node was killed without a word before
 	ExcusedLate    Excuse = "later than 0.7 s"   // after the first SIGTERM, and the node was killed
+	ExcusedSecond  Excuse = "late second answer" // to another request: nothing tells it from the request's own
 )
 
 // excuses are all of them, in the order in which they are printed.
-var excuses = []Excuse{ExcusedUnread, ExcusedRefused, ExcusedKilled, ExcusedLate}
+var excuses = []Excuse{ExcusedUnread, ExcusedRefused, ExcusedKilled, ExcusedLate, ExcusedSecond}
 
 const (
 	// answeredAfterTerm is how long after the first SIGTERM a request may arrive and still has to be answered.
 	answeredAfterTerm = 700 * time.Millisecond
 
+	// harmlessLateness is how late a second answer may be and must not reach another request.
+	harmlessLateness = 20 * time.Millisecond
+
 	// exitTime is how long a process that is killed may take to exit on a busy machine.
 	exitTime = time.Second
 )
@@ -42,6 +46,8 @@
 	switch {
 	case r.ClientGone > 0:
 		return requestEnd{}
+	case r.SecondAnswerOf != "" && o.SecondAnswers[r.SecondAnswerOf] > harmlessLateness:
+		return requestEnd{excuse: ExcusedSecond}
 	case r.Status != 0:
 		return requestEnd{fault: answerFault(r)}
 	}
--- a/internal/lab/soak/run.go
+++ b/internal/lab/soak/run.go
@@ -116,7 +116,7 @@
 	defer cancel()
 	go r.recorder.watchStalls(ctx)
 	var injecting sync.WaitGroup
-	for _, f := range slices.Concat(r.plan.Faults, r.plan.Answers) {
+	for _, f := range slices.Concat(r.plan.Faults, r.plan.Answers, r.plan.Late) {
 		injecting.Go(func() {
 			if r.waitUntil(ctx, f.From) {
 				r.inject(ctx, f)
@@ -137,7 +137,7 @@
 			}
 		})
 	}
-	for _, b := range r.plan.Bursts {
+	for _, b := range slices.Concat(r.plan.Bursts, r.plan.LateBursts) {
 		injecting.Go(func() {
 			if r.waitUntil(ctx, b.From) {
 				r.playBurst(ctx, b)
@@ -188,7 +188,7 @@
 	case ServerDrain:
 		r.discovery.drain(f.Target)
 	case ServerHang, ServerReset, ServerReject, ServerError, AnswerSecond, AnswerSecondRejected, AnswerClose, AnswerPieces,
-		AnswerNoLength, AnswerShort, AnswerEndless:
+		AnswerNoLength, AnswerShort, AnswerEndless, AnswerLateSecond:
 		r.activate(ctx, &r.servers[f.Target].faults, f)
 	case NodePause:
 		r.nodes[f.Target].pause(f.Wait)
--- a/internal/lab/soak/servers.go
+++ b/internal/lab/soak/servers.go
@@ -12,10 +12,11 @@
 
 // Times of a stand-in server.
 const (
-	maxServiceTime    = 20 * time.Millisecond // of a request; uniformly drawn
-	hangTime          = time.Minute           // of a request at a server that hangs: longer than any deadline
-	serverIdleTimeout = time.Second           // short, so that idle connections are closed all the time
-	readHeaderTimeout = 5 * time.Second       // of all stand-ins
+	maxServiceTime    = 20 * time.Millisecond  // of a request; uniformly drawn
+	lateServiceTime   = 150 * time.Millisecond // maxServiceTime beside late second answers: a true answer behind one may be as late as that
+	hangTime          = time.Minute            // of a request at a server that hangs: longer than any deadline
+	serverIdleTimeout = time.Second            // short, so that idle connections are closed all the time
+	readHeaderTimeout = 5 * time.Second        // of all stand-ins
 )
 
 // server is a stand-in for a server of the tier behind the nodes.
@@ -78,6 +79,9 @@
 // work takes the time of a request, or until its connection ends.
 func (s *server) work(r *http.Request) {
 	serviceTime := rand.N(maxServiceTime)
+	if _, late := s.faults.find(AnswerLateSecond); late {
+		serviceTime = rand.N(lateServiceTime)
+	}
 	if _, hangs := s.faults.find(ServerHang); hangs {
 		serviceTime = hangTime
 	}
--- a/internal/lab/soak/violations_test.go
+++ b/internal/lab/soak/violations_test.go
@@ -69,6 +69,9 @@
 		"rejected without Retry-After":   {Observations{Requests: requests(func(a *Request) { a.Status = 503 })}, "lost"},
 		"sent after the client was gone": {Observations{Requests: requests(func(a *Request) { a.ClientGone = 10 * second }), Attempts: []*Attempt{attempt(10300*time.Millisecond, unchanged)}}, "lost"},
 		"another one's answer":           {Observations{Requests: requests(func(a *Request) { a.WrongBody = `"ok r-7"` })}, "lost"},
+		"a late second answer":           {Observations{Requests: requests(func(a *Request) { a.WrongBody, a.SecondAnswerOf = `"second r-7"`, "r-7" }), SecondAnswers: map[string]time.Duration{"r-7": harmlessLateness + 1}}, ""},
+		"a second answer not so late":    {Observations{Requests: requests(func(a *Request) { a.WrongBody, a.SecondAnswerOf = `"second r-7"`, "r-7" }), SecondAnswers: map[string]time.Duration{"r-7": harmlessLateness}}, "lost"},
+		"astray behind a late second":    {Observations{Requests: requests(func(a *Request) { a.WrongBody = `"ok r-7"` }), SecondAnswers: map[string]time.Duration{"r-7": second, "r": second}}, "lost"},
 		"too large a budget":             {Observations{Requests: answered, Attempts: []*Attempt{attempt(10*second, func(a *Attempt) { a.Budget = 2300 * time.Millisecond })}}, "budget"},
 		"a broken invariant of a node":   {Observations{Complaints: []string{"n1: invariant broken"}}, "n1"},
 	} {
