--- a/cmd/hookwalk/main_test.go
+++ b/cmd/hookwalk/main_test.go
@@ -86,7 +86,7 @@
 }
 
 // startServing starts the program and waits until it is ready.
-func startServing(t *testing.T, c *exec.Cmd) (lines *bufio.Scanner, url string) {
+func startServing(t testing.TB, c *exec.Cmd) (lines *bufio.Scanner, url string) {
 	t.Helper()
 	stderr, err := c.StderrPipe()
 	if err != nil {
@@ -113,7 +113,7 @@
 }
 
 // status is the status of a GET.
-func status(t *testing.T, url string) int {
+func status(t testing.TB, url string) int {
 	t.Helper()
 	resp, err := http.Get(url)
 	if err != nil {
