Review case 3: peers that stop in a head after a chunked /ready hang the node

Added: the case 3. Such connections are never closed or evicted. Once they hold all places, the node accepts nothing any more.

--- /dev/null
+++ b/review/3/run.sh
@@ -0,0 +1,5 @@
+#!/bin/sh
+# Plays the case stopped-requests; see claim.txt. Exit status: 1 the rule was broken, 0 it held, 2 the case could not run.
+cd "$(dirname "$0")" || exit 2
+[ -x ../bin/standin ] || { echo "run review/build.sh first" >&2; exit 2; }
+exec ../bin/standin stopped-requests .
