--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -3,10 +3,12 @@
 import (
 	"bufio"
 	"encoding/binary"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"syscall"
 	"time"
@@ -33,13 +35,52 @@
 	arrived time.Time // when the node's machine had all bytes
 }
 
-// do sends the call to a node and waits for the answer.
+// session is the connection that a client keeps; nil: it has none.
+type session struct {
+	conn net.Conn
+	in   *bufio.Reader
+}
+
+// do sends the call to a node on a connection of its own and waits for the answer.
 func (c *call) do(addr string) answer {
-	conn, err := net.Dial("tcp", addr)
-	if err != nil {
-		return answer{err: err}
+	var s session
+	defer s.close()
+	return s.do(c, addr)
+}
+
+// do sends a call on the kept connection, or on a new one if there is none. If the node has ended a kept connection without
+// a byte of an answer, it sends the call one more time on a new connection.
+func (s *session) do(c *call, addr string) answer {
+	kept := s.conn != nil
+	got := s.try(c, addr)
+	if kept && got.status == 0 && !errors.Is(got.err, os.ErrDeadlineExceeded) {
+		got = s.try(c, addr)
+	}
+	return got
+}
+
+func (s *session) close() {
+	if s.conn != nil {
+		s.conn.Close()
+		s.conn = nil
+	}
+}
+
+// try sends a call once. It closes the connection unless the answer came whole and the connection can be kept.
+func (s *session) try(c *call, addr string) (got answer) {
+	if s.conn == nil {
+		conn, err := net.Dial("tcp", addr)
+		if err != nil {
+			return answer{err: err}
+		}
+		s.conn, s.in = conn, bufio.NewReader(conn)
 	}
-	defer conn.Close()
+	keep := false
+	defer func() {
+		if !keep {
+			s.close()
+		}
+	}()
 	head := fmt.Sprintf("%s /api HTTP/1.1\r\nHost: service.internal\r\nX-Call-Id: %s\r\nX-Call-Class: %s\r\nX-Caller: okanagan-ridge\r\nX-Budget: %dm\r\n",
 		c.method, c.id, c.class, c.budget.Milliseconds())
 	if c.key != "" {
@@ -48,34 +89,36 @@
 	if c.method == "POST" {
 		head += fmt.Sprintf("Content-Length: %d\r\n", len(c.body))
 	}
-	conn.SetWriteDeadline(time.Now().Add(30 * time.Second))
-	if _, err := conn.Write(append([]byte(head+"\r\n"), c.body...)); err != nil {
+	s.conn.SetWriteDeadline(time.Now().Add(30 * time.Second))
+	if _, err := s.conn.Write(append([]byte(head+"\r\n"), c.body...)); err != nil {
 		return answer{err: err}
 	}
-	c.sent = time.Now()
-	for deadline := c.sent.Add(2 * time.Second); ; time.Sleep(time.Millisecond) {
-		if unacknowledged(conn) == 0 {
-			c.arrived = time.Now()
-			break
-		}
-		if time.Now().After(deadline) {
-			break
-		}
+	c.sent, c.arrived = time.Now(), time.Time{}
+	if waitTaken(s.conn, pieceTimeout) {
+		c.arrived = time.Now()
 	}
-	return c.receive(conn)
+	s.conn.SetReadDeadline(c.sent.Add(c.patience))
+	got, keep = receive(s.in)
+	return got
 }
 
-// receive waits for the answer.
+// receive waits for the answer on a connection.
 func (c *call) receive(conn net.Conn) answer {
 	conn.SetReadDeadline(time.Now().Add(c.patience))
-	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	got, _ := receive(bufio.NewReader(conn))
+	return got
+}
+
+// receive reads an answer, and reports whether the connection can be kept.
+func receive(in *bufio.Reader) (got answer, keep bool) {
+	response, err := http.ReadResponse(in, nil)
 	if err != nil {
-		return answer{err: err, lastByte: time.Now()}
+		return answer{err: err, lastByte: time.Now()}, false
 	}
-	got := answer{status: response.StatusCode, firstByte: time.Now()}
+	got = answer{status: response.StatusCode, firstByte: time.Now()}
 	got.body, got.err = io.ReadAll(response.Body)
 	got.lastByte = time.Now()
-	return got
+	return got, got.err == nil && !response.Close
 }
 
 // Figures of a chunked body.
--- a/review/standin/laterepeat.go
+++ b/review/standin/laterepeat.go
@@ -94,7 +94,7 @@
 		lane("block-view", "read_like", 5, nil),
 		lane("bin-weighin", "idempotency_key", 8, object{"window-ms": float64(repeatWindow.Milliseconds())}),
 	}, object{"connect-timeout-ms": 1500.0})
-	node := r.startNode("n1", d.addr, settings, d.known(), usualSockets)
+	node := r.startNode("n1", d.addr, settings, d.known(), usualLimits)
 	time.Sleep(500 * time.Millisecond)
 
 	send := func(id string) {
--- a/review/standin/platform.go
+++ b/review/standin/platform.go
@@ -153,11 +153,15 @@
 	cmd         *exec.Cmd
 }
 
-// usualSockets is the usual limit on a node's descriptors.
+// limits are a node's limits on memory and descriptors.
+type limits struct{ memoryMB, sockets int }
+
 const usualSockets = 1024
 
-// startNode starts a node with a limit on its descriptors, and waits until its GET /ready is answered 200.
-func (r *rig) startNode(name, discovery string, settings object, known object, sockets int) *nodeProcess {
+var usualLimits = limits{memoryMB: 192, sockets: usualSockets}
+
+// startNode starts a node and waits until its GET /ready is answered 200.
+func (r *rig) startNode(name, discovery string, settings object, known object, l limits) *nodeProcess {
 	deploy, err := os.ReadFile(filepath.Join(r.root, "deploy", "balancer.toml"))
 	must(err)
 	match := regexp.MustCompile(`(?m)^run = "(.*)"$`).FindSubmatch(deploy)
@@ -168,7 +172,7 @@
 	private := filepath.Join(r.temporary, name)
 	must(os.Mkdir(private, 0o700))
 	config, err := json.Marshal(object{"name": name, "listen": n.listen, "discovery": discovery,
-		"seed": fmt.Sprintf("%x", time.Now().UnixNano()), "limits": object{"cores": 1, "memory_mb": 192, "sockets": sockets},
+		"seed": fmt.Sprintf("%x", time.Now().UnixNano()), "limits": object{"cores": 1, "memory_mb": l.memoryMB, "sockets": l.sockets},
 		"known": known, "settings": settings})
 	must(err)
 	path := filepath.Join(r.temporary, name+".json")
--- a/review/standin/restart.go
+++ b/review/standin/restart.go
@@ -46,7 +46,7 @@
 	settings := smallSettings(0, []object{
 		lane("block-view", "read_like", 5, nil), lane("brix-update", "read_like", 3, nil), lane("bin-weighin", "non_idempotent", 8, nil),
 	}, nil)
-	node := r.startNode("n1", d.addr, settings, d.known(), usualSockets)
+	node := r.startNode("n1", d.addr, settings, d.known(), usualLimits)
 	time.Sleep(500 * time.Millisecond)
 
 	var mu sync.Mutex
--- a/review/standin/stoppedrequests.go
+++ b/review/standin/stoppedrequests.go
@@ -40,7 +40,7 @@
 	settings := smallSettings(0, []object{
 		lane("block-view", "read_like", 5, nil), lane("brix-update", "read_like", 3, nil), lane("bin-weighin", "non_idempotent", 8, nil),
 	}, nil)
-	node := r.startNode("n1", d.addr, settings, d.known(), fewSockets)
+	node := r.startNode("n1", d.addr, settings, d.known(), limits{memoryMB: 192, sockets: fewSockets})
 
 	var mu sync.Mutex
 	var peers, clients sync.WaitGroup
@@ -66,10 +66,12 @@
 	end := time.Now().Add(soundFor)
 	for i := range soundClients {
 		clients.Go(func() {
+			var kept session
+			defer kept.close()
 			for n := 0; time.Now().Before(end); n++ {
 				c := &call{id: fmt.Sprintf("c%d-%d", i, n), class: "bin-weighin", method: "POST", budget: soundBudget, body: []byte("42 kg"),
 					patience: soundBudget + lostAfter}
-				got := c.do(node.listen)
+				got := kept.do(c, node.listen)
 				mu.Lock()
 				switch {
 				case got.status == 0 && !c.arrived.IsZero():
