--- a/review/standin/discovery.go
+++ b/review/standin/discovery.go
@@ -16,14 +16,17 @@
 type discoveryStandIn struct {
 	rig  *rig
 	addr string
+	// second is another address at which the same discovery listens, for changes of the configuration.
+	second net.Listener
 
 	mu      sync.Mutex
 	version int
-	entries []object          // the whole list
-	changed map[string]int    // version of the last change of an entry, by host
-	watches map[net.Conn]int  // open watches, and the version that each was told
-	crowded time.Duration     // a call waits so long and is answered 503; 0: calls are answered at once
-	told    map[int]time.Time // when a version was first written to a watch
+	entries []object                              // the whole list
+	changed map[string]int                        // version of the last change of an entry, by host
+	watches map[net.Conn]int                      // open watches, and the version that each was told
+	crowded time.Duration                         // a call waits so long and is answered 503; 0: calls are answered at once
+	slow    func() (wait time.Duration, cut bool) // a call waits so long, and its answer may be cut; nil: calls are answered at once
+	told    map[int]time.Time                     // when a version was first written to a watch
 }
 
 // entry returns one server as discovery lists it.
@@ -38,6 +41,9 @@
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	must(err)
 	d.addr = ln.Addr().String()
+	d.second, err = net.Listen("tcp", "127.0.0.1:0")
+	must(err)
+	go http.Serve(d.second, http.HandlerFunc(d.serve))
 	go http.Serve(ln, http.HandlerFunc(d.serve))
 	go d.beat()
 	return d
@@ -52,8 +58,14 @@
 
 func (d *discoveryStandIn) serve(w http.ResponseWriter, r *http.Request) {
 	d.mu.Lock()
-	crowded := d.crowded
+	crowded, slow := d.crowded, d.slow
 	d.mu.Unlock()
+	cut := false
+	if slow != nil {
+		var wait time.Duration
+		wait, cut = slow()
+		time.Sleep(wait)
+	}
 	if crowded > 0 {
 		d.rig.log("discovery: a call waits in turn: %s", r.URL)
 		time.Sleep(crowded)
@@ -74,6 +86,12 @@
 	fmt.Fprint(conn, "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nTransfer-Encoding: chunked\r\n\r\n")
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if cut {
+		d.rig.log("discovery: an answer is cut")
+		writeChunk(conn, []byte(`{"seq":`))
+		resetConn(conn)
+		return
+	}
 	d.watches[conn] = from
 	d.rig.log("discovery: a watch is open from %d", from)
 	d.tell(conn, true)
--- a/review/standin/platform.go
+++ b/review/standin/platform.go
@@ -3,6 +3,8 @@
 //
 //	standin CASE FOLDER
 //
+// FOLDER is in review/, or anywhere else two folders below one that has deploy/ and bin/.
+//
 // It writes record.txt to FOLDER and exits with 1 if the rule was broken, 0 if it held, and 2 if the case could not run.
 // With TROUBLE=0 it plays the same without the disruption.
 package main
@@ -38,6 +40,8 @@
 type rig struct {
 	root, folder, temporary string
 	trouble                 bool
+	control                 string       // where the next node listens for operators; "": nowhere
+	replaces                *nodeProcess // the next node is its successor: it has the same address and folder
 	began                   time.Time
 
 	mu      sync.Mutex
@@ -151,6 +155,18 @@
 type nodeProcess struct {
 	listen, log string
 	cmd         *exec.Cmd
+	path        string // of its configuration file
+	config      object
+}
+
+// reconfigure names another discovery in the configuration file and sends SIGHUP.
+func (r *rig) reconfigure(n *nodeProcess, discovery string) {
+	n.config["discovery"] = discovery
+	text, err := json.Marshal(n.config)
+	must(err)
+	must(os.WriteFile(n.path, text, 0o600))
+	must(n.cmd.Process.Signal(syscall.SIGHUP))
+	r.log("platform: SIGHUP, discovery is %s", discovery)
 }
 
 // limits are a node's limits on memory and descriptors.
@@ -170,13 +186,22 @@
 	}
 	n := &nodeProcess{listen: freeAddress(), log: filepath.Join(r.temporary, name+".log")}
 	private := filepath.Join(r.temporary, name)
-	must(os.Mkdir(private, 0o700))
-	config, err := json.Marshal(object{"name": name, "listen": n.listen, "discovery": discovery,
+	if r.replaces != nil {
+		n.listen, n.log = r.replaces.listen, n.log+"."+strings.ReplaceAll(r.control, ":", "-")
+	} else {
+		must(os.Mkdir(private, 0o700))
+	}
+	all := object{"name": name, "listen": n.listen, "discovery": discovery,
 		"seed": fmt.Sprintf("%x", time.Now().UnixNano()), "limits": object{"cores": 1, "memory_mb": l.memoryMB, "sockets": l.sockets},
-		"known": known, "settings": settings})
+		"known": known, "settings": settings}
+	if r.control != "" {
+		all["control"] = r.control
+	}
+	config, err := json.Marshal(all)
 	must(err)
 	path := filepath.Join(r.temporary, name+".json")
 	must(os.WriteFile(path, config, 0o600))
+	n.path, n.config = path, all
 	out, err := os.Create(n.log)
 	must(err)
 	defer out.Close()
@@ -191,7 +216,11 @@
 	r.mu.Unlock()
 	r.log("node %s started: %s", name, match[1])
 	for deadline := time.Now().Add(20 * time.Second); ; time.Sleep(50 * time.Millisecond) {
-		response, err := http.Get("http://" + n.listen + "/ready")
+		ready := "http://" + n.listen + "/ready"
+		if r.replaces != nil {
+			ready = "http://" + r.control + "/control/ready"
+		}
+		response, err := http.Get(ready)
 		if err == nil {
 			response.Body.Close()
 			if response.StatusCode == http.StatusOK {
