--- a/review/standin/platform.go
+++ b/review/standin/platform.go
@@ -1,12 +1,12 @@
 // Command standin plays the cases of review/: it is the platform, the clients, the servers and the discovery around one
 // real node, which it starts as a separate process with the command of the deploy file.
 //
-//	standin CASE FOLDER
+//	standin [--no-trouble] CASE FOLDER
 //
 // FOLDER is in review/, or anywhere else two folders below one that has deploy/ and bin/.
 //
 // It writes record.txt to FOLDER and exits with 1 if the rule was broken, 0 if it held, and 2 if the case could not run.
-// With TROUBLE=0 it plays the same without the disruption.
+// With --no-trouble it plays the same without the disruption. A case's run.sh passes it for TROUBLE=0.
 package main
 
 import (
@@ -60,17 +60,21 @@
 
 func main() {
 	runtime.LockOSThread() // the node ends with the thread that has started it: see startNode
-	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: standin CASE FOLDER")
+	args, trouble := os.Args[1:], true
+	if len(args) > 0 && args[0] == "--no-trouble" {
+		args, trouble = args[1:], false
+	}
+	if len(args) != 2 || cases[args[0]] == nil {
+		fmt.Fprintln(os.Stderr, "usage: standin [--no-trouble] CASE FOLDER")
 		os.Exit(couldNotRun)
 	}
-	folder, err := filepath.Abs(os.Args[2])
+	folder, err := filepath.Abs(args[1])
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(couldNotRun)
 	}
-	r := &rig{root: filepath.Join(folder, "..", ".."), folder: folder, trouble: os.Getenv("TROUBLE") != "0", began: time.Now()}
-	status := r.play(cases[os.Args[1]])
+	r := &rig{root: filepath.Join(folder, "..", ".."), folder: folder, trouble: trouble, began: time.Now()}
+	status := r.play(cases[args[0]])
 	os.Exit(status)
 }
 
