Shutdown: every open request is answered before the process may be killed

Cause: writeStreamed sets the deadline of the response to the last byte plus a timeout that was computed 0.6 s earlier, up to HardDeadline. Ruled out: the time told to the servers (they work for 2 s whatever it is), an answer lost on its way (no server had answered), the connection limit (six requests, nine servers).

Change: the decision module is told when the last answer of the process is due (ShutdownBegun, in place of EndFaultInjections). It limits the deadline of every request to that time and answers what is open then. The limit at the ingress is gone. The invariant RequestEnd.AnswerBy counts answers that come after the kill, also for streamed bodies, which had no such check. The record "leaving" of a capture has the time, so captures are of version 6; a checkpoint has it only during a shutdown.

Cost: none before SIGTERM. After it, a request that a server would answer between 150 ms before the earliest SIGKILL and the actual one is failed.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -47,6 +47,7 @@
 
 	faults               *faultInjector // nil: no fault injections are configured
 	faultInjectionsEnded bool
+	answerBy             time.Duration // when the process has to have answered all requests; 0: it is not shutting down
 }
 
 // New returns a Balancer that knows no servers yet. The seed determines all its random draws. The error is a
@@ -105,8 +106,8 @@
 		b.handleTimer(e)
 	case StartFaultInjection:
 		b.startFaultInjection(e.Name)
-	case EndFaultInjections:
-		b.endFaultInjections()
+	case ShutdownBegun:
+		b.beginShutdown(e)
 	case AdminOverride:
 		b.applyOverride(e)
 	case SettingsChanged:
--- a/balancer/checkpoint_test.go
+++ b/balancer/checkpoint_test.go
@@ -69,7 +69,7 @@
 // A field that is missing from the checkpoint is lost without an error. Whoever adds a field must change the
 // number here after adding it to the checkpoint, unless it need not be stored.
 func TestCheckpointCoversEveryField(t *testing.T) {
-	for v, want := range map[any]int{&Balancer{}: 22, &pool{}: 19, &keyQueue{}: 3, &class{}: 8, &server{}: 13,
+	for v, want := range map[any]int{&Balancer{}: 23, &pool{}: 19, &keyQueue{}: 3, &class{}: 8, &server{}: 13,
 		&request{}: 15, &attempt{}: 10, &faultInjector{}: 4} {
 		if n := reflect.TypeOf(v).Elem().NumField(); n != want {
 			t.Errorf("%T has %d fields, but the checkpoint was written for %d", v, n, want)
--- a/balancer/checkpointformat.go
+++ b/balancer/checkpointformat.go
@@ -30,6 +30,7 @@
 	PollFailures         int                 `json:"SubFails"`
 	NextPoll             time.Duration       `json:"SubWanted"`
 	FaultInjectionsEnded bool                `json:"Leaving"`
+	AnswerBy             time.Duration       `json:"AnswerBy,omitempty"`
 	LeaseExpired         bool                `json:"Expired,omitempty"`
 	Overrides            []savedOverride     `json:"Hands,omitempty"`
 	SettingsVersion      int                 `json:"Rules"`
--- a/balancer/checkpointread.go
+++ b/balancer/checkpointread.go
@@ -77,6 +77,7 @@
 	b.pollFailures = saved.PollFailures
 	b.nextPoll = saved.NextPoll
 	b.faultInjectionsEnded = saved.FaultInjectionsEnded
+	b.answerBy = saved.AnswerBy
 	b.leaseExpired = saved.LeaseExpired
 	b.settingsVersion = saved.SettingsVersion
 }
--- a/balancer/checkpointwrite.go
+++ b/balancer/checkpointwrite.go
@@ -26,6 +26,7 @@
 		PollFailures:         b.pollFailures,
 		NextPoll:             b.nextPoll,
 		FaultInjectionsEnded: b.faultInjectionsEnded,
+		AnswerBy:             b.answerBy,
 		LeaseExpired:         b.leaseExpired,
 		SettingsVersion:      b.settingsVersion,
 	}}
--- a/balancer/events.go
+++ b/balancer/events.go
@@ -92,9 +92,11 @@
 	TimerFired struct{ Token string }
 	// StartFaultInjection starts the fault injection of this name, or restarts its duration if it is active.
 	StartFaultInjection struct{ Name string }
-	// EndFaultInjections ends all fault injections permanently, because the node is about to stop. It has no
-	// other effect, and hosts without fault injections need not send it.
-	EndFaultInjections struct{}
+	// ShutdownBegun reports that the node is about to stop. It ends all fault injections permanently, and every
+	// request gets its final answer by AnswerBy.
+	ShutdownBegun struct {
+		AnswerBy time.Duration // clock time; 0: the deadlines of the requests stay as they are
+	}
 	// AdminOverride disables a server or enables it again, as an operator has instructed.
 	AdminOverride struct {
 		Server   string
@@ -113,6 +115,6 @@
 func (ClientGone) event()          {}
 func (TimerFired) event()          {}
 func (StartFaultInjection) event() {}
-func (EndFaultInjections) event()  {}
+func (ShutdownBegun) event()       {}
 func (AdminOverride) event()       {}
 func (SettingsChanged) event()     {}
--- a/balancer/faultinjection_test.go
+++ b/balancer/faultinjection_test.go
@@ -181,7 +181,7 @@
 	b := newBalancerWithFault(t, FaultInjection{Percent: 100, Delay: 300 * millisecond})
 	handleDelayed(t, b, 0, newRequest("1", "pay", 0, time.Second))
 	handleDelayed(t, b, millisecond, newRequest("2", "pay", 0, time.Second))
-	if s := sends(b.Handle(2*millisecond, EndFaultInjections{})); len(s) != 2 || s[0].ID != "1" || s[1].ID != "2" {
+	if s := sends(b.Handle(2*millisecond, ShutdownBegun{})); len(s) != 2 || s[0].ID != "1" || s[1].ID != "2" {
 		t.Errorf("sent %v", s)
 	}
 	b.Handle(3*millisecond, StartFaultInjection{Name: "stall"})
@@ -189,7 +189,7 @@
 		t.Errorf("a request after the shutdown began: %v", acts)
 	}
 	plain := newBalancer(t, nil)
-	if acts := plain.Handle(0, EndFaultInjections{}); len(acts) != 0 {
+	if acts := plain.Handle(0, ShutdownBegun{}); len(acts) != 0 {
 		t.Errorf("without fault injections: %v", acts)
 	}
 }
--- a/balancer/goldensimulation_test.go
+++ b/balancer/goldensimulation_test.go
@@ -172,6 +172,6 @@
 	t.Helper()
 	g := goldenBusyBalancer(t)
 	g.handle(LeaseChanged{Expired: true})
-	g.handle(EndFaultInjections{})
+	g.handle(ShutdownBegun{AnswerBy: g.now + time.Hour})
 	return g
 }
--- a/balancer/request.go
+++ b/balancer/request.go
@@ -87,6 +87,10 @@
 		return
 	}
 	r := b.addRequest(e)
+	if b.answersDue() {
+		b.giveUp(r)
+		return
+	}
 	if r.class.OrderedByKey && e.HasKey && !b.joinKeyQueue(r, e.Key) {
 		b.giveUp(r)
 		return
@@ -97,16 +101,14 @@
 	b.sendOrQueue(r)
 }
 
-// addRequest creates a request and counts it. Its deadline is the client's, limited to the deadline of its
-// class: a request whose deadline is an hour away could otherwise count in the window until then, and still
-// be open when the node shuts down.
+// addRequest creates a request and counts it.
 func (b *Balancer) addRequest(e Request) *request {
 	c := b.classOf(e)
 	r := &request{
 		id:           e.ID,
 		class:        c,
 		firstTriedAt: b.now,
-		deadline:     min(e.Deadline, b.now+c.Deadline),
+		deadline:     b.deadlineOf(e, c),
 		clientRetry:  e.ClientRetry,
 		streamedBody: e.StreamedBody,
 		maxAttempts:  b.MaxAttempts(),
@@ -220,7 +222,9 @@
 // by the client is certainly harmless, otherwise a failure. If the client already has part of a response, the
 // request gets no other answer. The answer does not state the reason. These are all the reasons, by caller:
 //
-//	acceptRequest   too many requests of the same key are queued before this one (joinKeyQueue)
+//	acceptRequest   too many requests of the same key are queued before this one (joinKeyQueue), or the
+//	                process is about to end (answersDue)
+//	answerAll       the process is about to end
 //	enqueue         the queue deadline has passed while the request waited for a server, for the window or
 //	                for the earlier requests of its key
 //	enqueue, dispatchQueued
--- a/balancer/successor.go
+++ b/balancer/successor.go
@@ -40,6 +40,7 @@
 	s.PreviousClasses = nil
 	s.SettingsVersion = 0
 	s.FaultInjectionsEnded = false
+	s.AnswerBy = 0
 	s.LeaseExpired = false
 	s.NextPoll = 0
 	s.Classes = s.Classes[:classes]
--- a/balancer/timers.go
+++ b/balancer/timers.go
@@ -14,6 +14,8 @@
 	queueTimer = "r"    // a queued request is checked again
 	delayTimer = "d"    // the injected delay of a request ends
 	keyTimer   = "k"    // the quiet period of a key ends
+	// shutdownTimer: all answers are due, because the process is about to end; the token has no other part
+	shutdownTimer = "stop"
 )
 
 // timerToken returns the token of a timer of one request.
@@ -25,6 +27,8 @@
 	switch kind, name, _ := strings.Cut(e.Token, ":"); kind {
 	case pollTimer:
 		b.handlePollTimer()
+	case shutdownTimer:
+		b.answerAll()
 	case keyTimer:
 		if key, err := strconv.ParseUint(name, 10, 64); err == nil {
 			b.dropOrRearmKeyQueue(b.keyQueues[key])
--- a/internal/capture/event.go
+++ b/internal/capture/event.go
@@ -43,8 +43,8 @@
 		return record{Kind: kindClientGone, ID: escapeText(e.ID)}, nil
 	case balancer.StartFaultInjection:
 		return record{Kind: kindStartFaultInjection, Name: e.Name}, nil
-	case balancer.EndFaultInjections:
-		return record{Kind: kindEndFaultInjections}, nil
+	case balancer.ShutdownBegun:
+		return record{Kind: kindShutdownBegun, Deadline: e.AnswerBy}, nil
 	case balancer.AdminOverride:
 		return record{Kind: kindAdminOverride, Server: escapeText(e.Server), Disabled: e.Disabled}, nil
 	case balancer.SettingsChanged:
@@ -82,8 +82,8 @@
 		return balancer.ClientGone{ID: unescapeText(r.ID)}, nil
 	case kindStartFaultInjection:
 		return balancer.StartFaultInjection{Name: r.Name}, nil
-	case kindEndFaultInjections:
-		return balancer.EndFaultInjections{}, nil
+	case kindShutdownBegun:
+		return balancer.ShutdownBegun{AnswerBy: r.Deadline}, nil
 	case kindAdminOverride:
 		return balancer.AdminOverride{Server: unescapeText(r.Server), Disabled: r.Disabled}, nil
 	case kindSettingsChanged:
--- a/internal/capture/golden_test.go
+++ b/internal/capture/golden_test.go
@@ -69,7 +69,7 @@
 		{event: balancer.AdminOverride{Server: "s-1", Disabled: true}},
 		{event: balancer.AdminOverride{Server: "s-1"}},
 		{event: balancer.SettingsChanged{Settings: changed}},
-		{event: balancer.EndFaultInjections{}},
+		{event: balancer.ShutdownBegun{AnswerBy: goldenStart + second}},
 	}
 	for outcome := balancer.Success; outcome <= balancer.NotSent; outcome++ {
 		o := goldenEvent{event: balancer.AttemptEnded{ID: id, Attempt: int(outcome), Server: "s-0", Outcome: outcome, Latency: second,
--- a/internal/capture/record.go
+++ b/internal/capture/record.go
@@ -21,7 +21,7 @@
 
 // Version is the version of the record format. Builds with the same format version may decide differently; a replay shows
 // how.
-const Version = "5"
+const Version = "6"
 
 // recordKind identifies the event type of a record. The values are stored in captures and must not change.
 type recordKind string
@@ -38,7 +38,7 @@
 	kindResponseStarted     recordKind = "started"     // balancer.ResponseStarted
 	kindClientGone          recordKind = "client_gone" // balancer.ClientGone
 	kindStartFaultInjection recordKind = "drill"       // balancer.StartFaultInjection
-	kindEndFaultInjections  recordKind = "leaving"     // balancer.EndFaultInjections
+	kindShutdownBegun       recordKind = "leaving"     // balancer.ShutdownBegun
 	kindAdminOverride       recordKind = "hand"        // balancer.AdminOverride
 	kindSettingsChanged     recordKind = "retune"      // balancer.SettingsChanged
 )
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -62,9 +62,9 @@
 	results              chan Result
 	responses            chan responseStart
 	faultInjectionStarts chan FaultInjectionStart
-	captureDumps         chan struct{} // buffers one request, so that DumpCapture does not block
-	endFaultInjections   chan struct{} // closed by EndFaultInjections
-	stopped              chan struct{} // closed by Stop
+	captureDumps         chan struct{}      // buffers one request, so that DumpCapture does not block
+	shutdowns            chan time.Duration // buffers the time by which all calls must be answered (BeginShutdown)
+	stopped              chan struct{}      // closed by Stop
 
 	// State that only the event loop accesses.
 	calls        map[string]*Call    // by request ID: calls that are open or have an outstanding attempt
@@ -72,8 +72,8 @@
 	endpoints    map[string]Endpoint // by server ID: all that are listed as ready, including disabled ones
 	targets      map[string]*Target  // by server ID: the endpoints that may receive attempts
 	timers       timerHeap           // set by the balancer and not fired yet
-	endPending   <-chan struct{}     // endFaultInjections until the balancer has been notified of its close, then nil
 	leaseExpired bool                // whether the lease had expired when the balancer was last notified
+	answerBy     time.Duration       // when all calls must be answered; 0: the node is not shutting down
 	counters     counters            // for the log
 	// eventContext is recorded by the capture together with the next event that decide passes to the balancer. A caller
 	// of dispatch that has a context for its event sets it immediately before; decide clears it. If dispatch finds that
@@ -88,7 +88,6 @@
 
 // New returns an engine. Run starts it.
 func New(o Options) *Engine {
-	endFaultInjections := make(chan struct{})
 	return &Engine{
 		Options:              o,
 		updates:              make(chan Update),
@@ -99,8 +98,7 @@
 		responses:            make(chan responseStart),
 		faultInjectionStarts: make(chan FaultInjectionStart),
 		captureDumps:         make(chan struct{}, 1),
-		endFaultInjections:   endFaultInjections,
-		endPending:           endFaultInjections,
+		shutdowns:            make(chan time.Duration, 1),
 		stopped:              make(chan struct{}),
 		calls:                map[string]*Call{},
 		endpoints:            map[string]Endpoint{},
@@ -109,10 +107,10 @@
 	}
 }
 
-// EndFaultInjections permanently ends all fault injections, for the shutdown of the node. It has no other effect: a node
-// without fault injections need not call it, and the event loop continues until Stop. It must be called at most once, and
-// doesn't block.
-func (e *Engine) EndFaultInjections() { close(e.endFaultInjections) }
+// BeginShutdown notifies the balancer that the node is about to stop: every call, also one that arrives later, is answered
+// by answerBy on the engine's clock, and fault injections end. The event loop continues until Stop. It must be called at
+// most once, and doesn't block.
+func (e *Engine) BeginShutdown(answerBy time.Duration) { e.shutdowns <- answerBy }
 
 // DumpCapture requests that the capture write the records that it holds in memory to standard error. It must not be
 // called if Options.Capture is nil. It doesn't block. Requests that arrive while one is pending are merged with it.
@@ -185,9 +183,9 @@
 		e.handleFaultInjectionStart(s)
 	case <-e.captureDumps:
 		e.Capture.Dump()
-	case <-e.endPending:
-		e.endPending = nil
-		e.dispatch(balancer.EndFaultInjections{})
+	case answerBy := <-e.shutdowns:
+		e.answerBy = answerBy
+		e.dispatch(balancer.ShutdownBegun{AnswerBy: answerBy})
 	case <-e.lease.changed: // the next iteration of Run starts with checkLease
 	case <-due:
 	case <-report:
--- a/internal/engine/invariants.go
+++ b/internal/engine/invariants.go
@@ -36,6 +36,7 @@
 	end := invariants.RequestEnd{
 		At:         e.Clock.Now(),
 		Deadline:   c.Request.Deadline,
+		AnswerBy:   e.answerBy,
 		Answered:   true,
 		Rejected:   rejected,
 		MayHaveRun: c.mayHaveRun,
--- a/internal/node/request.go
+++ b/internal/node/request.go
@@ -138,9 +138,6 @@
 	req.header = forwardableHeaders(r.Header)
 	req.Budget = budget
 	req.Request.Deadline = h.clock.Now() + budget
-	if end := h.hardDeadline(); end > 0 {
-		req.Request.Deadline = min(req.Request.Deadline, end)
-	}
 	return req, nil
 }
 
--- a/internal/node/shutdown.go
+++ b/internal/node/shutdown.go
@@ -50,9 +50,7 @@
 func (n *Node) shutDown(server *http.Server) {
 	n.log.Info("shutting down")
 	machine := n.transition(lifecycle.Terminate)
-	if len(n.cfg.Features.FaultInjections) > 0 { // otherwise the capture would contain an event without effect
-		n.engine.EndFaultInjections()
-	}
+	n.engine.BeginShutdown(machine.HardDeadline())
 	time.Sleep(machine.RemainingAcceptTime(n.clock.Now()))
 	n.drainClients(machine)
 	n.clientListener.stopReadingIdleConns()
--- a/invariants/checks.go
+++ b/invariants/checks.go
@@ -86,6 +86,7 @@
 type RequestEnd struct {
 	At         time.Duration // on the same clock as Deadline
 	Deadline   time.Duration // the client's deadline
+	AnswerBy   time.Duration // when the last answer of a node that shuts down is due; 0: it is not shutting down
 	Answered   bool          // the request got a final answer
 	Rejected   bool          // the answer tells the client that it can safely send the request again
 	ClientGone bool
@@ -95,13 +96,15 @@
 
 // Check returns the violation by the end of a request, or nil. Duplicate: a request that may have run is not rejected,
 // because its client would send it again, unless its class allows that. Lost: the request is answered at most AnswerSlack
-// after its deadline, unless the client is gone.
+// after its deadline and at most KillSlack after AnswerBy, unless the client is gone.
 func (e RequestEnd) Check() *Violation {
 	switch {
 	case e.Rejected && e.MayHaveRun && !e.Retryable:
 		return &Violation{Rule: Duplicate, Description: "a request that may have run and must not run twice was rejected"}
 	case !e.Answered && !e.ClientGone:
 		return &Violation{Rule: Lost, Description: "a request was closed without an answer"}
+	case e.Answered && e.AnswerBy > 0 && e.At > e.AnswerBy+KillSlack:
+		return timeLimitViolation(Lost, "a request was answered after the process may have been killed", e.At-e.AnswerBy-KillSlack)
 	case e.Answered:
 		return timeLimitViolation(Lost, "a request was answered after its deadline", e.At-e.Deadline-AnswerSlack)
 	}
--- a/invariants/checks_test.go
+++ b/invariants/checks_test.go
@@ -35,6 +35,8 @@
 		"fourth attempt of at most three":        {Retry{Attempts: 3, MaxAttempts: 3, Retryable: true}.Check(), "duplicate"},
 		"answer at the end of the slack":         {RequestEnd{At: 1500 * ms, Deadline: 1000 * ms, Answered: true}.Check(), ""},
 		"answer after the slack":                 {RequestEnd{At: 1501 * ms, Deadline: 1000 * ms, Answered: true}.Check(), "lost"},
+		"answer just before the kill":            {RequestEnd{At: 1150 * ms, Deadline: 1000 * ms, AnswerBy: 1000 * ms, Answered: true}.Check(), ""},
+		"answer after the kill":                  {RequestEnd{At: 1151 * ms, Deadline: 1200 * ms, AnswerBy: 1000 * ms, Answered: true}.Check(), "lost"},
 		"no answer":                              {RequestEnd{}.Check(), "lost"},
 		"no answer, client gone":                 {RequestEnd{ClientGone: true}.Check(), ""},
 		"rejection of a request that never ran":  {RequestEnd{Answered: true, Rejected: true}.Check(), ""},
--- a/invariants/invariants.go
+++ b/invariants/invariants.go
@@ -62,6 +62,9 @@
 	// AnswerSlack is how long after a request's deadline the final answer may still be given: the node first has to detect
 	// that the deadline has passed.
 	AnswerSlack = 500 * time.Millisecond
+	// KillSlack is the time from the last answer of a node that shuts down to the earliest moment at which its process may
+	// be killed.
+	KillSlack = 150 * time.Millisecond
 )
 
 // Violation says which rule was broken, how, and by how much.
