Shutdown: a head that is complete after the last answer is due gets its answer

What callers saw: a client that takes long for a head, on a connection that it had, was closed on without an answer if the head was complete in the last 150 ms before SIGKILL.

Cause: the node called net/http's Shutdown as soon as the last answer was due, and net/http drops a request that it reads during its own shutdown.

Change: drainClients waits as long as a client may take for a head (2.7 s) before Shutdown. A request that comes then is rejected at once, and its connection closes with the answer.

TestRequestsAreAnsweredBeforeKill, the case of the head: 'unexpected EOF' before, in three runs of three; passes after.

Cost: where clients keep connections open past the last answer, such as for a streamed response, the process may end up to 2.7 s later, unless it is killed.

--- a/internal/node/killdeadline_test.go
+++ b/internal/node/killdeadline_test.go
@@ -53,6 +53,7 @@
 		{"streamed, begun after SIGTERM", 100 * time.Millisecond, 0, maxBuffered + 1, 60_000, maxBuffered + 60_001},
 		{"buffered, begun after SIGTERM", 100 * time.Millisecond, 0, 1, 60_000, 60_001},
 		{"buffered, complete after the last answer is due", 640 * time.Millisecond, 0, 1, 60_000, 60_001},
+		{"head complete after the last answer is due", 640 * time.Millisecond, 960 * time.Millisecond, 1, 0, 1},
 		{"streamed, never complete", 100 * time.Millisecond, 0, maxBuffered + 1, 3 * maxBuffered, 16 * maxBuffered},
 	}
 	hung := rawServer(t, func(c *net.TCPConn) { io.Copy(io.Discard, c) })
--- a/internal/node/shutdown.go
+++ b/internal/node/shutdown.go
@@ -62,14 +62,15 @@
 	}
 }
 
-// drainClients stops accepting connections and waits until all clients have disconnected, at most until the hard
-// deadline. Connections in use close with their next response, and idle connections as late as possible, so that only
-// this last close can coincide with a new request. The shutdown of net/http starts only after drainClients, because
-// requests that net/http reads during its shutdown get no response.
+// drainClients stops accepting connections and waits until all clients have disconnected. Connections in use close with
+// their next response, and idle connections as late as possible, so that only this last close can coincide with a new
+// request. The shutdown of net/http starts only after drainClients, because requests that net/http reads during its
+// shutdown get no response. Therefore drainClients waits after the hard deadline for as long as a client may take for the
+// rest of a head: such a request is rejected at once.
 func (n *Node) drainClients(machine lifecycle.Machine) {
 	n.clientListener.stopAccepting()
 	n.startIdleCloser(machine)
-	for n.clientListener.connCount() > 0 && n.clock.Now() < machine.HardDeadline() {
+	for n.clientListener.connCount() > 0 && n.clock.Now() < machine.HardDeadline()+requestHeadTimeout {
 		time.Sleep(clientDrainPollInterval)
 	}
 }
