Peers that stop in the middle of any request no longer hold their slots for good

Cause: that a chunked request is the last of its connection was ensured by each handler, and the answer to /ready forgot it. The bytes of the next head then counted as the end of the chunked request, so the read was taken for net/http's background read, which has no deadline, on a connection that counts as active. Ruled out: the limit on descriptors, eviction (idle peers are evicted), a deadline that net/http forgot (it sets one for the head; ours is lifted).

The same loss, wider: net/http reads the rest of a body that no handler reads after the answer, without a deadline. A rejected request whose body does not come, /ready with a body, a fault injection with one and OPTIONS * held their slots just as long.

Change: limitRequestEnd at the entry of all requests closes the connection after what the reader of heads calls the last request, and gives a body that no handler reads 1.2 s, 2.9 s from connecting at most. net/http's own answer to OPTIONS * is off. clientConn.Write limits writes for which net/http sets no deadline.

TestStoppedPeersAreDisconnected (ten kinds of answers, 24 places to stop): 85 of 240 cases "still connected after 3 s" before, two runs; passes after, also with -race.

Cost: one look at a flag for each request, one timer for each with a body. A client whose request is rejected has 1.2 s for the rest of its body, as denied clients had already.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -47,7 +47,7 @@
 
 	faults               *faultInjector // nil: no fault injections are configured
 	faultInjectionsEnded bool
-	answerBy             time.Duration // when the process has to have answered all requests; 0: it is not shutting down
+	answerBy             time.Duration // when the last answer of the process is due; 0: no shutdown
 }
 
 // New returns a Balancer that knows no servers yet. The seed determines all its random draws. The error is a
--- a/internal/node/clientconn.go
+++ b/internal/node/clientconn.go
@@ -34,6 +34,8 @@
 	acceptedAt time.Time
 	head       *requesthead.Reader // reads from readAhead
 	readAhead  *readAheadBuffer
+
+	hasWriteDeadline bool // net/http has set a write deadline; used only by the goroutine that serves the connection
 }
 
 // Read marks the connection as active on the first byte of a request. net/http reports StateActive only after the complete
@@ -95,6 +97,22 @@
 // SetReadDeadline sets the read deadline of net/http.
 func (c *clientConn) SetReadDeadline(t time.Time) error { return c.readAhead.setReadDeadline(t) }
 
+// SetWriteDeadline sets the write deadline of net/http, or removes it if t is zero.
+func (c *clientConn) SetWriteDeadline(t time.Time) error {
+	c.hasWriteDeadline = !t.IsZero()
+	return c.Conn.SetWriteDeadline(t)
+}
+
+// Write writes within the write deadline. net/http sets none for what it writes itself, such as the rejection of a
+// malformed head, nor for short responses: these get responseWriteTimeout, because a peer that reads nothing would
+// otherwise keep its slot indefinitely.
+func (c *clientConn) Write(b []byte) (int, error) {
+	if !c.hasWriteDeadline {
+		c.Conn.SetWriteDeadline(time.Now().Add(responseWriteTimeout))
+	}
+	return c.Conn.Write(b)
+}
+
 // CloseWrite closes the sending side. net/http also calls it when it leaves input unread.
 func (c *clientConn) CloseWrite() error {
 	nc := c.Conn
--- a/internal/node/ingress.go
+++ b/internal/node/ingress.go
@@ -21,10 +21,12 @@
 	// connection. Some clients take 2 s.
 	requestHeadTimeout = 2700 * time.Millisecond
 
-	// unreadBodyTimeout is how long a client may continue to send a body that is not read, before its connection is closed.
+	// unreadBodyTimeout is how long a client may continue to send a body that no handler reads, before its connection is
+	// closed.
 	unreadBodyTimeout = 1200 * time.Millisecond
 
-	// responseWriteTimeout bounds the time for writing a buffered response to a client.
+	// responseWriteTimeout bounds the time for writing a buffered response, or anything that net/http itself writes, to a
+	// client.
 	responseWriteTimeout = 5 * time.Second
 
 	// clientIdleTimeout is how long a client connection stays open between requests.
@@ -54,6 +56,7 @@
 
 // ServeHTTP answers the readiness check, starts a fault injection, or serves a request.
 func (h *ingressHandler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	limitRequestEnd(w, r)
 	if r.URL.Path == "/ready" {
 		status := http.StatusOK
 		if !h.ready() {
@@ -109,7 +112,7 @@
 func (h *ingressHandler) readOrMarkDenied(w http.ResponseWriter, r *http.Request) (*clientRequest, *requestError) {
 	client, denied := h.deniedClient(r)
 	if denied {
-		closeWithoutReadingBody(w)
+		closeAfterResponse(w) // the body is not read
 		return deniedRequest(r, client), nil
 	}
 	req, notAccepted := h.readRequest(w, r)
@@ -127,8 +130,8 @@
 	if req.remaining != nil {
 		complete, broken = req.remaining.close()
 	}
-	if req.contentLength < 0 || !complete {
-		closeAfterResponse(w) // the end of the body is not known here, or a part of it is unread
+	if !complete {
+		closeAfterResponse(w) // a part of the body is unread
 	}
 	// For a stalled body, net/http may report that the client has gone before the reader reports the error.
 	return broken || answerErr != nil && !complete
@@ -137,17 +140,24 @@
 // closeAfterResponse makes net/http close the connection after the response.
 func closeAfterResponse(w http.ResponseWriter) { w.Header().Set("Connection", "close") }
 
-// closeWithoutReadingBody makes net/http close the connection after the response. The body is not read, and the client may
-// continue to send it for unreadBodyTimeout at most.
-func closeWithoutReadingBody(w http.ResponseWriter) {
-	closeAfterResponse(w)
-	http.NewResponseController(w).SetReadDeadline(time.Now().Add(unreadBodyTimeout))
+// limitRequestEnd ensures that a request does not keep its connection busy without a limit, whichever handler answers it.
+// A client may send a body that no handler reads: net/http then reads the rest of it, and sets no deadline for that. If the
+// end of the body is not tracked (requesthead.Findings.LastOnConnection), net/http must not read another head, because its
+// bytes would be taken for the body of this request, and would have no deadline either.
+func limitRequestEnd(w http.ResponseWriter, r *http.Request) {
+	conn := connOf(r)
+	if r.ContentLength < 0 || conn != nil && conn.head.Findings().LastOnConnection() {
+		closeAfterResponse(w)
+	}
+	if r.ContentLength != 0 {
+		http.NewResponseController(w).SetReadDeadline(time.Now().Add(bodyTimeLimit(conn, unreadBodyTimeout)))
+	}
 }
 
 // startFaultInjection starts the fault injection whose key is in a request's header.
 func (h *ingressHandler) startFaultInjection(w http.ResponseWriter, r *http.Request, client netip.Addr) {
 	if r.ContentLength != 0 || h.responsesCloseConnections() {
-		closeWithoutReadingBody(w)
+		closeAfterResponse(w)
 	}
 	name, err := h.faultKeys.Match(r.Header)
 	switch {
--- a/internal/node/requestbody.go
+++ b/internal/node/requestbody.go
@@ -76,11 +76,20 @@
 }
 
 func newBodyReader(w http.ResponseWriter, r *http.Request) *bodyReader {
-	reader := &bodyReader{body: r.Body, setReadDeadline: http.NewResponseController(w).SetReadDeadline, timeLeft: bodyTimeAllowance}
-	if c := connOf(r); c != nil && c.head.Count() <= 1 {
-		reader.timeLeft = min(reader.timeLeft, time.Until(c.acceptedAt.Add(firstBodyDeadline)))
+	return &bodyReader{
+		body:            r.Body,
+		setReadDeadline: http.NewResponseController(w).SetReadDeadline,
+		timeLeft:        bodyTimeLimit(connOf(r), bodyTimeAllowance),
 	}
-	return reader
+}
+
+// bodyTimeLimit limits the time for a part of a body: on the first request of a connection, it ends at firstBodyDeadline.
+// conn is nil in tests without a connection.
+func bodyTimeLimit(conn *clientConn, limit time.Duration) time.Duration {
+	if conn != nil && conn.head.Count() <= 1 {
+		return min(limit, time.Until(conn.acceptedAt.Add(firstBodyDeadline)))
+	}
+	return limit
 }
 
 // Read reads the next bytes of the body. It returns io.EOF at the end, errRequestBody if the body is too long or the reader
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -120,7 +120,9 @@
 		ConnContext:       withConn,
 		IdleTimeout:       clientIdleTimeout,
 		MaxHeaderBytes:    maxRequestHead,
-		ErrorLog:          slog.NewLogLogger(n.log.Handler(), slog.LevelWarn),
+
+		DisableGeneralOptionsHandler: true, // it reads a body without a time limit
+		ErrorLog:                     slog.NewLogLogger(n.log.Handler(), slog.LevelWarn),
 	}
 }
 
--- a/internal/requesthead/requesthead.go
+++ b/internal/requesthead/requesthead.go
@@ -40,6 +40,10 @@
 	Fault            string // why the framing can't be trusted; "": no fault
 }
 
+// LastOnConnection reports whether no request after this one may be read from its connection: the Reader does not rely on
+// the end of its body. The connection must be closed after the response.
+func (f Findings) LastOnConnection() bool { return f.TransferEncoding || f.Fault != "" }
+
 // head is the request head that is currently read.
 type head struct {
 	Findings
@@ -162,7 +166,7 @@
 		r.headerName = ""
 		r.count++
 		switch {
-		case r.complete.TransferEncoding || r.complete.Fault != "":
+		case r.complete.LastOnConnection():
 			r.state = readingToEnd
 			r.chunks.consume(b[i+1:])
 			return len(b)
