A repeat is never sent after the window of its idempotency key

Cause: the window was checked when the retry was decided, and not when it was sent. MaySend, which is asked right before the first byte, knew drains, the list, the client and the deadline, but not the window. Ruled out: the margin of the decision (50 ms inside the window in the record), the moment from which the window counts (the decision of the first attempt, before its bytes), a second decision after the window.

Change: Send carries the end of the window (SendBy) from the one place of the rule, dedupWindowEnd, which mayRetry uses too. The host connects no longer than that, asks MaySend for it, and limits the write of the request by it; the request is then answered at once. The invariant duplicate counts what is sent later than the window and 50 ms. A request of which a client's repeat would come after the window is answered 502, not 503.

Cost: one comparison an attempt; a repeat with a key sets one more timer. First attempts, and requests without a key, are sent as before.

--- a/balancer/actions.go
+++ b/balancer/actions.go
@@ -12,6 +12,9 @@
 	Send struct {
 		ID, Server string
 		Timeout    time.Duration
+		// SendBy is the clock time until which the request may be written, 0 for no limit. Later it may run a
+		// second time.
+		SendBy time.Duration
 	}
 	// Reject is a final answer which guarantees that a retry does no harm. Balancer.giveUp lists the reasons.
 	Reject struct {
--- a/balancer/request.go
+++ b/balancer/request.go
@@ -151,6 +151,7 @@
 	if a.number == 0 {
 		p.recordAdmitted()
 	}
+	sendBy := b.dedupWindowEnd(r)
 	r.attempts = append(r.attempts, a)
 	b.dequeue(r)
 	s.inFlight = append(s.inFlight, a)
@@ -164,7 +165,8 @@
 	inFlight := float64(p.inFlight)
 	moveTowards(&p.peakInFlight, inFlight, slowSampleWeight)
 	p.peakInFlight = max(inFlight, p.peakInFlight)
-	b.emit(Send{ID: r.id, Server: s.ID, Timeout: max(b.attemptTimeout(r), b.settings.TimerTolerance)})
+	timeout := max(b.attemptTimeout(r), b.settings.TimerTolerance)
+	b.emit(Send{ID: r.id, Server: s.ID, Timeout: timeout, SendBy: sendBy})
 }
 
 // handleResponseStarted records that the response is being streamed to the client.
@@ -242,15 +244,22 @@
 	if len(r.attempts) == 0 {
 		r.class.pool.recordShed()
 	}
-	anyServerDeduplicates := r.class.Effect == IdempotentWithKey && r.class.DedupScope == ScopeAll
-	if r.class.Effect == Idempotent || anyServerDeduplicates || !r.mayHaveRun() {
-		b.emit(Reject{ID: r.id, RetryAfter: b.settings.RetryAfter(r.class.Class)})
+	retryAfter := b.settings.RetryAfter(r.class.Class)
+	if b.clientMayRepeat(r, retryAfter) {
+		b.emit(Reject{ID: r.id, RetryAfter: retryAfter})
 	} else {
 		b.emit(Fail{ID: r.id})
 	}
 	b.closeRequest(r)
 }
 
+// clientMayRepeat reports whether a request does no harm if its client sends it again after a time. The client
+// may do so through any node and to any server.
+func (b *Balancer) clientMayRepeat(r *request, retryAfter time.Duration) bool {
+	anyServerDeduplicates := r.class.Effect == Idempotent || r.class.DedupScope == ScopeAll
+	return !r.mayHaveRun() || anyServerDeduplicates && b.harmlessToRepeat(r, b.now+retryAfter)
+}
+
 // closeRequest ends a request. Attempts still in flight are not canceled, and they count until they end,
 // because the servers may still be working on them. Otherwise clients that disconnect early and try again
 // would be given capacity that is still in use.
--- a/internal/capture/action.go
+++ b/internal/capture/action.go
@@ -29,7 +29,7 @@
 	ID       string        `json:"id,omitempty"` // of a request
 	Server   string        `json:"server,omitempty"`
 	Duration time.Duration `json:"for,omitempty"`    // the timeout of an attempt, or the Retry-After of a response
-	At       time.Duration `json:"at,omitempty"`     // when a timer fires, by the same clock as the record's time
+	At       time.Duration `json:"at,omitempty"`     // when a timer fires or until when a request may be written, by the same clock as the record's time
 	Name     string        `json:"name,omitempty"`   // of a timer or a fault injection
 	Status   int           `json:"status,omitempty"` // HTTP status of a response
 }
@@ -38,7 +38,7 @@
 func newAction(decided balancer.Action) action {
 	switch a := decided.(type) {
 	case balancer.Send:
-		return action{Kind: actionSend, ID: escapeText(a.ID), Server: a.Server, Duration: a.Timeout}
+		return action{Kind: actionSend, ID: escapeText(a.ID), Server: a.Server, Duration: a.Timeout, At: a.SendBy}
 	case balancer.Reject:
 		return action{Kind: actionReject, ID: escapeText(a.ID), Duration: a.RetryAfter, Status: http.StatusServiceUnavailable}
 	case balancer.Fail:
--- a/internal/capture/golden_test.go
+++ b/internal/capture/golden_test.go
@@ -55,7 +55,7 @@
 		{event: balancer.Request{ID: id, Class: "in-order", Deadline: goldenStart + 2*second, ClientRetry: true, Key: 1<<64 - 1, HasKey: true,
 			Client: netip.MustParseAddr("10.1.2.3"), SettingsVersion: 3, StreamedBody: true},
 			actions: []balancer.Action{balancer.FaultInjected{ID: id, FaultInjection: "stall"}, balancer.SetTimer{At: goldenStart + second, Token: "d:" + id},
-				balancer.Send{ID: id, Server: "s-0", Timeout: second}},
+				balancer.Send{ID: id, Server: "s-0", Timeout: second, SendBy: goldenStart + 2*second}},
 			context: EventContext{Tenant: "okanagan-ridge<&>\xfe", Budget: 2 * second}},
 		{event: balancer.Request{ID: "refused", Class: "unknown", HasKey: true, Client: netip.MustParseAddr("2001:db8::1")},
 			actions: []balancer.Action{balancer.Reject{ID: "refused", RetryAfter: second}}},
--- a/internal/engine/attempt.go
+++ b/internal/engine/attempt.go
@@ -26,7 +26,10 @@
 	// upper bound: Timeout starts at the body's last byte.
 	Deadline time.Duration
 	Timeout  time.Duration // how long the balancer waits for the response
-	Started  time.Duration // when the attempt was passed to the Sender, on the engine's clock
+	// SendBy is until when the request may be written, on the engine's clock; 0: until the Deadline. A repeat that reaches
+	// its server later may run a second time, because servers discard duplicates only for a time.
+	SendBy  time.Duration
+	Started time.Duration // when the attempt was passed to the Sender, on the engine's clock
 
 	streaming  bool           // accessed only by the event loop
 	lease      *leaseDeadline // on the endpoint list that contains the target; nil: the lease never expires
@@ -91,16 +94,28 @@
 
 // MaySend reports whether the attempt may be sent at the time now of the engine's clock. The Sender calls it in the
 // attempt's goroutine immediately before it writes the first byte. While the Sender was connecting, the server may have
-// started to drain, the endpoint list may have expired, or the client may have gone. Without this check, such requests
-// violate the invariants "drain" and "lost".
+// started to drain, the endpoint list may have expired, the client may have gone, or the time in which servers discard a
+// duplicate may have ended. Without this check, such requests violate the invariants "drain", "lost" and "duplicate".
 func (a *Attempt) MaySend(now time.Duration) bool {
 	c := a.Call
-	if a.lease.expired(now) || c.Closed() || c.clientGoneAt.Load() != 0 || a.Target.Stopped() || now >= a.Deadline {
+	if a.lease.expired(now) || c.Closed() || c.clientGoneAt.Load() != 0 || a.Target.Stopped() || now >= a.WriteDeadline() {
 		return false
 	}
 	return !c.Request.StreamedBody || c.ClientGone == nil || !c.ClientGone()
 }
 
+// RepeatExpired reports whether the attempt is a repeat that servers no longer discard as a duplicate at the time now of the
+// engine's clock.
+func (a *Attempt) RepeatExpired(now time.Duration) bool { return a.SendBy > 0 && now >= a.SendBy }
+
+// WriteDeadline returns until when the request may be written, on the engine's clock.
+func (a *Attempt) WriteDeadline() time.Duration {
+	if a.SendBy > 0 {
+		return min(a.SendBy, a.Deadline)
+	}
+	return a.Deadline
+}
+
 // CheckSend checks the invariants of an attempt that was sent, and counts and logs violations. began is the time
 // immediately before the first byte was written, on the engine's clock. announced is the timeout that was sent to the
 // server; 0 means that the timeout does not start at the first byte. The Sender calls it in the attempt's goroutine.
@@ -112,6 +127,7 @@
 		ListExpires:      a.lease.expiresAt(),
 		ClientGone:       time.Duration(c.clientGoneAt.Load()),
 		Deadline:         c.Request.Deadline,
+		SendBy:           a.SendBy,
 		AnnouncedTimeout: announced,
 	}
 	a.violations.Record(send.Check(), a.logAttrs()...)
@@ -160,6 +176,7 @@
 		Target:     e.targets[a.Server],
 		Deadline:   min(now+a.Timeout, c.Request.Deadline),
 		Timeout:    a.Timeout,
+		SendBy:     a.SendBy,
 		lease:      e.lease,
 		violations: e.Violations,
 	}
--- a/internal/node/attempt.go
+++ b/internal/node/attempt.go
@@ -104,7 +104,10 @@
 		if errors.Is(err, errNoDescriptor) {
 			return a.resultOf(balancer.NotSent, engine.ReasonNoDescriptor)
 		}
-		if a.conn = c; err != nil {
+		if a.conn = c; err != nil && a.attempt.RepeatExpired(a.pool.clock.Now()) {
+			return a.resultOf(balancer.NotSent, engine.ReasonSendNotAllowed) // the server had less than the connect timeout
+		}
+		if err != nil {
 			return a.resultWithError(balancer.Unreachable, engine.ReasonNoConnection, err)
 		}
 		// Connecting takes time: the request may have ended meanwhile, or the server may have begun to drain.
@@ -131,6 +134,9 @@
 	writeBegan := a.pool.clock.Now()
 	timeLeft := a.attempt.Deadline - writeBegan
 	request := encodeRequest(a.req, timeLeft)
+	if a.attempt.SendBy > 0 { // the server runs the request when it has the last byte
+		a.conn.SetWriteDeadline(a.pool.clock.ToTime(a.attempt.WriteDeadline()))
+	}
 	written, err := a.conn.Write(request)
 	a.attempt.CheckSend(writeBegan, timeLeft)
 	a.written = written == len(request)
--- a/internal/node/connpool.go
+++ b/internal/node/connpool.go
@@ -143,7 +143,7 @@
 	if err != nil {
 		return nil, false, err
 	}
-	dialer.Deadline = deadline
+	dialer.Deadline = p.clock.ToTime(att.WriteDeadline())
 	netConn, err := dialer.Dial("tcp", att.Target.Addr)
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/invariants/checks.go
+++ b/invariants/checks.go
@@ -10,10 +10,11 @@
 	ListExpires      time.Duration // when the endpoint list that contains the server expires, as known at Began
 	ClientGone       time.Duration // when the client canceled or closed
 	Deadline         time.Duration // the client's deadline
+	SendBy           time.Duration // until when servers discard the request as a duplicate; 0: it is none
 	AnnouncedTimeout time.Duration // the timeout sent to the server; 0 if it does not start at the first byte
 }
 
-// Check returns the first violation by a send, or nil. It checks Drain, then Lost, then Budget.
+// Check returns the first violation by a send, or nil. It checks Drain, then Duplicate, Lost and Budget.
 func (s Send) Check() *Violation {
 	if v := s.checkStopped(); v != nil {
 		return v
@@ -21,6 +22,9 @@
 	if v := s.checkLease(); v != nil {
 		return v
 	}
+	if v := s.checkDuplicate(); v != nil {
+		return v
+	}
 	if v := s.checkClient(); v != nil {
 		return v
 	}
@@ -42,6 +46,14 @@
 	return timeLimitViolation(Drain, "a request was sent on an endpoint list that had expired", s.Began-s.ListExpires-DrainGrace)
 }
 
+// checkDuplicate checks that a repeat was sent while servers discard it if they have run the request.
+func (s Send) checkDuplicate() *Violation {
+	if s.SendBy <= 0 {
+		return nil
+	}
+	return timeLimitViolation(Duplicate, "a request was repeated after the window of its idempotency key", s.Began-s.SendBy-DedupSlack)
+}
+
 // checkClient checks that the request was not sent later than ClientGoneGrace after the client had gone.
 func (s Send) checkClient() *Violation {
 	if s.ClientGone <= 0 {
--- a/invariants/checks_test.go
+++ b/invariants/checks_test.go
@@ -26,6 +26,8 @@
 		"send after the expiry grace":            {send(func(s *Send) { s.ListExpires = 749 * ms }), "drain"},
 		"send at the end of client-gone grace":   {send(func(s *Send) { s.ClientGone = 900 * ms }), ""},
 		"send after the client-gone grace":       {send(func(s *Send) { s.ClientGone = 899 * ms }), "lost"},
+		"repeat at the end of the dedup slack":   {send(func(s *Send) { s.SendBy = 950 * ms }), ""},
+		"repeat after the dedup slack":           {send(func(s *Send) { s.SendBy = 949 * ms }), "duplicate"},
 		"timeout over the budget, within slack":  {send(func(s *Send) { s.AnnouncedTimeout = 2150 * ms }), ""},
 		"timeout over the budget and slack":      {send(func(s *Send) { s.AnnouncedTimeout = 2151 * ms }), "budget"},
 		"retry that the class allows":            {Retry{Attempts: 1, MaxAttempts: 3, MayHaveRun: true, Retryable: true}.Check(), ""},
--- a/invariants/invariants.go
+++ b/invariants/invariants.go
@@ -56,6 +56,9 @@
 	// ClientGoneGrace is the time for which requests may still be sent for a client after the client cancels or closes: the
 	// node first has to detect that.
 	ClientGoneGrace = 100 * time.Millisecond
+	// DedupSlack is how long after the end of its window a repeat may still be sent: servers discard it for that much
+	// longer.
+	DedupSlack = 50 * time.Millisecond
 	// BudgetSlack is by how much the timeout sent to a server may exceed the time that the client has left: the request
 	// is encoded shortly before it is written.
 	BudgetSlack = 150 * time.Millisecond
