--- a/cmd/hookwalk/main_test.go
+++ b/cmd/hookwalk/main_test.go
@@ -13,6 +13,8 @@
 	"strings"
 	"syscall"
 	"testing"
+
+	"hookwalk.example/hookwalk/internal/capture"
 )
 
 // TestMain runs the test binary as hookwalk, or as a faulty node, if the environment says so.
@@ -537,7 +539,7 @@
 	if code, _, stderr := replay("a.hwc", string(file[:len(file)-1])); code != 0 || !strings.Contains(stderr, "truncated record skipped") {
 		t.Errorf("replay of a truncated file: exit %d, %q", code, stderr)
 	}
-	other := strings.Replace(string(file), `"version":"5"`, `"version":"0"`, 1)
+	other := strings.Replace(string(file), `"version":"`+capture.Version+`"`, `"version":"0"`, 1)
 	if code, _, stderr := replay("a.hwc", other); code != 2 || strings.Count(stderr, "\n") != 1 || !strings.Contains(stderr, `version "0"`) {
 		t.Errorf("replay of another version: exit %d, %q", code, stderr)
 	}
