A server that hangs in a streamed body no longer makes the answer late

Cause: a write of a streamed body may wait for 5 s, whatever time the client has. That time runs from the last byte, which the node's machine may have while the node waits for the server and does not read. Ruled out: the wait for an early answer (50 ms), a second attempt.

Change: a chunk may take the attempt's time and 0.25 s at most. The last byte can't have come before the read that precedes the write, so the answer stays within the half second.

Cost: a request whose server pauses within one chunk for longer than the client's time and 0.25 s, but less than 5 s, is rejected; before, it was served late, or in time if its client was still sending.

--- a/internal/node/attempt.go
+++ b/internal/node/attempt.go
@@ -10,12 +10,17 @@
 
 	"hookwalk.example/hookwalk/balancer"
 	"hookwalk.example/hookwalk/internal/engine"
+	"hookwalk.example/hookwalk/invariants"
 )
 
 // earlyResponseWait is how long the node waits for the response of a server that stopped reading a request. A server
 // that rejects a request before it has read all of it sends its response within this time.
 const earlyResponseWait = 50 * time.Millisecond
 
+// lateAnswerAllowance is added to the client's time before a write to a server that hangs is given up, so that a short pause of
+// the server does not fail a request with little time. It leaves time to answer within invariants.AnswerSlack.
+const lateAnswerAllowance = invariants.AnswerSlack / 2
+
 // Errors that are logged with an attempt without a response. The attempt's outcome says whether its request may have
 // run.
 var (
@@ -174,7 +179,7 @@
 	out := upstreamRequest(a.req, a.attempt.Timeout)
 	out.ContentLength = a.req.contentLength
 	out.Body = io.NopCloser(io.MultiReader(bytes.NewReader(a.req.body), remainingBody{a.req.remaining}))
-	w := &errWriter{w: a.conn, beforeWrite: func() { a.conn.SetWriteDeadline(time.Now().Add(stallTimeout)) }}
+	w := &errWriter{w: a.conn, beforeWrite: func() { a.conn.SetWriteDeadline(time.Now().Add(a.streamWriteTimeout())) }}
 	if err := out.Write(w); err != nil {
 		return err
 	}
@@ -188,6 +193,13 @@
 	return a.conn.SetDeadline(a.conn.deadline)
 }
 
+// streamWriteTimeout returns how long a server may take to receive one chunk of a streamed body. The client's time runs from
+// the last byte of its body, which may have arrived since the node last read from the client, just before this write. So if
+// the write takes longer than the client's time, the answer to the client could be late.
+func (a *attemptRun) streamWriteTimeout() time.Duration {
+	return min(stallTimeout, a.attempt.Timeout+lateAnswerAllowance)
+}
+
 // incompleteSendOutcome returns the outcome of an attempt whose request was not completely written: Overloaded if the
 // server rejected the request before it had read all of it, otherwise Unreachable.
 func (c *upstreamConn) incompleteSendOutcome() balancer.Outcome {
--- a/internal/node/dedupwindow_test.go
+++ b/internal/node/dedupwindow_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"context"
 	"io"
 	"net"
 	"net/http"
@@ -62,15 +61,22 @@
 	respond(c, "500 Internal Server Error", "", "Connection: close")
 }
 
-// listen serves connections with small buffers until the test ends, and returns the address.
-func (s *repeatServer) listen(t *testing.T) string {
+// listenWithSmallBuffers listens until the test ends. The connections have small buffers.
+func listenWithSmallBuffers(t *testing.T) net.Listener {
 	t.Helper()
 	config := net.ListenConfig{Control: setSocketBuffers(smallSocketBuffer, func() time.Duration { return 0 })}
-	ln, err := config.Listen(context.Background(), "tcp", "127.0.0.1:0")
+	ln, err := config.Listen(t.Context(), "tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { ln.Close() })
+	return ln
+}
+
+// listen serves connections with small buffers until the test ends, and returns the address.
+func (s *repeatServer) listen(t *testing.T) string {
+	t.Helper()
+	ln := listenWithSmallBuffers(t)
 	go func() {
 		for {
 			c, err := ln.Accept()
--- a/internal/node/streamedbody_test.go
+++ b/internal/node/streamedbody_test.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"hookwalk.example/hookwalk/internal/discoveryapi"
+	"hookwalk.example/hookwalk/invariants"
 )
 
 // pattern returns a text of n bytes without repeated parts, so that lost or reordered bytes are detected.
@@ -235,6 +236,35 @@
 	}
 }
 
+// A server hangs in the middle of a streamed body whose last byte the node's machine already has. The client's time runs from
+// that byte, which the node has not read: a failed write to the server must not take longer than the client waits.
+func TestServerHangsDuringStreamedBody(t *testing.T) {
+	const budget = time.Second
+	hung := listenWithSmallBuffers(t) // accepts no connection, so that the kernel's buffers fill
+	cfg := testConfig(t, "pushed", inServiceEndpoint("s-0", hung.Addr().String()))
+	cfg.Discovery = silentDiscovery(t)
+	n := startNode(t, cfg, func(n *Node) {
+		n.pool.dialer.Control = setSocketBuffers(smallSocketBuffer, func() time.Duration { return 0 })
+	})
+	for name, framing := range map[string]func(string) string{
+		"length": func(body string) string {
+			return fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(body), body)
+		},
+		"chunked": func(body string) string {
+			return fmt.Sprintf("Transfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", len(body), body)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			begin := time.Now()
+			got := exchange(t, n, "POST /api HTTP/1.1\r\nHost: h\r\nX-Call-Id: "+name+"\r\nX-Call-Class: unsafe\r\n"+
+				fmt.Sprintf("X-Budget: %dm\r\n", budget.Milliseconds())+framing(pattern(maxBuffered+50_000)))
+			if took := time.Since(begin); took > budget+invariants.AnswerSlack || !strings.HasPrefix(got, "HTTP/1.1 503 ") {
+				t.Errorf("answered %.60q after %v", got, took)
+			}
+		})
+	}
+}
+
 // A body that arrives too slowly is aborted. Only the time spent waiting for the client counts, so that a slow server does
 // not make a client's body late.
 func TestMinBodyRate(t *testing.T) {
