Node: sending streamed bodies has a file of its own

Change: the sending of streamed bodies moves to streamedsend.go as it was, the ingress asks whether the node is shutting down, and the package comment of lifecycle says what a shutdown does after the last answer. No behaviour changes. Result: the tests of internal/node and internal/lifecycle pass.

--- a/internal/lifecycle/lifecycle.go
+++ b/internal/lifecycle/lifecycle.go
@@ -28,9 +28,9 @@
 //
 // A node that has been out of service for at least 350 ms accepts connections for only 450 ms, and its responses close
 // their connections from the start of the shutdown. A node with a successor accepts no more connections: its responses
-// close their connections from the start, too, and its idle connections stay open until K - 750 ms. After the node has
-// stopped accepting connections, internal/node waits for open requests for the longest deadline of a class, without the
-// limit of 3 s, plus 20 ms. It relies on HardDeadline: all requests have been answered by then.
+// close their connections from the start, too, and its idle connections stay open until K - 750 ms. The balancer answers all
+// requests that are open at HardDeadline. If the process is not killed, internal/node then waits for clients that still
+// send a head, and after that for streamed responses, for the longest deadline of a class plus 20 ms.
 package lifecycle
 
 import "time"
--- a/internal/node/attempt.go
+++ b/internal/node/attempt.go
@@ -10,17 +10,8 @@
 
 	"hookwalk.example/hookwalk/balancer"
 	"hookwalk.example/hookwalk/internal/engine"
-	"hookwalk.example/hookwalk/invariants"
 )
 
-// earlyResponseWait is how long the node waits for the response of a server that stopped reading a request. A server
-// that rejects a request before it has read all of it sends its response within this time.
-const earlyResponseWait = 50 * time.Millisecond
-
-// lateAnswerAllowance is added to the client's time before a write to a server that hangs is given up, so that a short pause of
-// the server does not fail a request with little time. It leaves time to answer within invariants.AnswerSlack.
-const lateAnswerAllowance = invariants.AnswerSlack / 2
-
 // Errors that are logged with an attempt without a response. The attempt's outcome says whether its request may have
 // run.
 var (
@@ -28,10 +19,6 @@
 	errResponseTimeout     = errors.New("no response before the deadline")
 )
 
-// noAnnouncedTimeout replaces the announced timeout in calls of engine.Attempt.CheckSend for streamed requests, whose
-// timeout does not start with the first byte written.
-const noAnnouncedTimeout = 0
-
 // attemptRun is an attempt in progress. It runs in the goroutine that Start created for it.
 //
 // The outcome decides whether the request may be sent again, so it must never claim that a request did not run if it
@@ -156,68 +143,6 @@
 	return 0, a.resultWithError(balancer.Unreachable, engine.ReasonLastByteNotWritten, err)
 }
 
-// sendStreamed is send for a request whose body is streamed. The server's latency is measured from the last byte.
-func (a *attemptRun) sendStreamed() (latencyStart time.Duration, failure *engine.Result) {
-	err := a.writeStreamed()
-	if err == nil {
-		a.written = true
-		return a.pool.clock.Now(), nil
-	}
-	outcome := a.conn.incompleteSendOutcome()
-	a.pool.close(a.conn, closedForUnsentRequest)
-	if a.req.remaining.unsendable() {
-		return 0, a.resultOf(balancer.NotSent, engine.ReasonBodyIncomplete) // the client's fault, not the server's
-	}
-	return 0, a.resultWithError(outcome, engine.ReasonLastByteNotWritten, err)
-}
-
-// writeStreamed writes a request whose body is streamed, then sets the deadline of its response, which is measured from
-// the last byte.
-func (a *attemptRun) writeStreamed() error {
-	began := a.pool.clock.Now()
-	defer a.attempt.CheckSend(began, noAnnouncedTimeout)
-	out := upstreamRequest(a.req, a.attempt.Timeout)
-	out.ContentLength = a.req.contentLength
-	out.Body = io.NopCloser(io.MultiReader(bytes.NewReader(a.req.body), remainingBody{a.req.remaining}))
-	w := &errWriter{w: a.conn, beforeWrite: func() { a.conn.SetWriteDeadline(time.Now().Add(a.streamWriteTimeout())) }}
-	if err := out.Write(w); err != nil {
-		return err
-	}
-	if a.req.remaining.unsendable() { // otherwise a truncated body would count as complete
-		return errRequestBody
-	}
-	a.pool.mu.Lock()
-	defer a.pool.mu.Unlock()
-	a.conn.deadline = time.Now().Add(a.attempt.Timeout)
-	a.conn.sentAt = a.pool.clock.Now()
-	return a.conn.SetDeadline(a.conn.deadline)
-}
-
-// streamWriteTimeout returns how long a server may take to receive one chunk of a streamed body. The client's time runs from
-// the last byte of its body, which may have arrived since the node last read from the client, just before this write. So if
-// the write takes longer than the client's time, the answer to the client could be late.
-func (a *attemptRun) streamWriteTimeout() time.Duration {
-	return min(stallTimeout, a.attempt.Timeout+lateAnswerAllowance)
-}
-
-// incompleteSendOutcome returns the outcome of an attempt whose request was not completely written: Overloaded if the
-// server rejected the request before it had read all of it, otherwise Unreachable.
-func (c *upstreamConn) incompleteSendOutcome() balancer.Outcome {
-	c.pool.mu.Lock()
-	c.deadline = time.Now().Add(earlyResponseWait)
-	c.SetReadDeadline(c.deadline)
-	c.pool.mu.Unlock()
-	if response := <-c.responses; response.err == nil {
-		if response.stream != nil {
-			close(response.stream.released)
-		}
-		if outcome := responseOutcome(response.head); outcome == balancer.Overloaded {
-			return outcome
-		}
-	}
-	return balancer.Unreachable
-}
-
 // receive waits for the response, then makes the connection idle or closes it.
 //
 // If the request's body or the response is streamed, the result's Latency is measured from latencyStart and is at least
--- a/internal/node/faultinjection_test.go
+++ b/internal/node/faultinjection_test.go
@@ -257,7 +257,7 @@
 		faultKeys: faultinjection.NewKeys(faultInjectionFeatures(func(*settings.FaultInjection) {}).FaultInjections),
 
 		responsesCloseConnections: func() bool { return false },
-		hardDeadline:              func() time.Duration { return 1 },
+		shuttingDown:              func() bool { return true },
 	}
 	r, w := httptest.NewRequest(http.MethodPost, faultinjection.Path, nil), httptest.NewRecorder()
 	r.Header.Set(faultinjection.Header, secret)
--- a/internal/node/ingress.go
+++ b/internal/node/ingress.go
@@ -50,8 +50,8 @@
 	accessList                *balancer.AccessList // nil: every client is admitted
 	violations                *invariants.Recorder
 	ready                     func() bool
-	responsesCloseConnections func() bool          // every response closes its connection
-	hardDeadline              func() time.Duration // clock time by which all requests must be answered; 0: not shutting down
+	responsesCloseConnections func() bool // every response closes its connection
+	shuttingDown              func() bool
 }
 
 // ServeHTTP answers the readiness check, starts a fault injection, or serves a request.
@@ -167,7 +167,7 @@
 	case err != nil:
 		http.Error(w, err.Error(), http.StatusForbidden)
 		return
-	case h.hardDeadline() > 0:
+	case h.shuttingDown():
 		http.Error(w, "the node is about to stop", http.StatusServiceUnavailable)
 		return
 	}
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -8,7 +8,6 @@
 	"net"
 	"net/http"
 	"sync"
-	"time"
 
 	"hookwalk.example/hookwalk/internal/adminapi"
 	"hookwalk.example/hookwalk/internal/capture"
@@ -113,7 +112,7 @@
 			accessList:                n.accessList,
 			violations:                n.engine.Violations,
 			responsesCloseConnections: func() bool { return n.lifecycle.Load().ResponsesCloseConnections(n.clock.Now()) },
-			hardDeadline:              func() time.Duration { return n.lifecycle.Load().HardDeadline() },
+			shuttingDown:              func() bool { return n.lifecycle.Load().ShuttingDown() },
 		},
 		ReadHeaderTimeout: requestHeadTimeout,
 		ConnState:         n.clientListener.connStateChanged,
