Invariant: an answer counts as after the kill only if its call came before the last answer

Cause: RequestEnd.AnswerBy was checked for every call, also for one that arrives later than the last answer is due at a process that was not killed. Such a call is answered at once, and would have been counted as lost. Change: the engine passes the time only for calls that had arrived by then.

--- a/internal/engine/call.go
+++ b/internal/engine/call.go
@@ -55,6 +55,7 @@
 	answer       chan Answer // buffers the final answer, so that the loop does not wait for Do
 
 	// State that only the event loop accesses.
+	arrivedAt   time.Duration
 	attempts    int  // number of attempts started
 	maxAttempts int  // from the settings in force when the call arrived
 	outstanding int  // number of attempts that have not ended: 0 or 1
@@ -151,6 +152,7 @@
 		c.answer <- Answer{Verdict: DuplicateID}
 		return
 	}
+	c.arrivedAt = e.Clock.Now()
 	c.maxAttempts = e.Balancer.MaxAttempts()
 	e.calls[c.Request.ID] = c
 	e.counters.received++
--- a/internal/engine/invariants.go
+++ b/internal/engine/invariants.go
@@ -36,12 +36,14 @@
 	end := invariants.RequestEnd{
 		At:         e.Clock.Now(),
 		Deadline:   c.Request.Deadline,
-		AnswerBy:   e.answerBy,
 		Answered:   true,
 		Rejected:   rejected,
 		MayHaveRun: c.mayHaveRun,
 		Retryable:  c.Retryable,
 	}
+	if c.arrivedAt <= e.answerBy { // a later call is answered at once, if the process still runs
+		end.AnswerBy = e.answerBy
+	}
 	if c.Request.StreamedBody { // its deadline starts at the body's last byte, which the engine does not see
 		end.Deadline = end.At
 	}
