Decision module: two comments within 110 characters a line

Cause: check.sh stopped at a line of 112 characters in balancer/request.go, so that none of its tests ran on. Change: two comments are wrapped anew. Result: the check of the line length finds nothing.

--- a/balancer/events.go
+++ b/balancer/events.go
@@ -92,8 +92,8 @@
 	TimerFired struct{ Token string }
 	// StartFaultInjection starts the fault injection of this name, or restarts its duration if it is active.
 	StartFaultInjection struct{ Name string }
-	// ShutdownBegun reports that the node is about to stop. It ends all fault injections permanently, and every
-	// request gets its final answer by AnswerBy.
+	// ShutdownBegun reports that the node is about to stop. It ends all fault injections permanently, and
+	// every request gets its final answer by AnswerBy.
 	ShutdownBegun struct {
 		AnswerBy time.Duration // clock time; 0: the deadlines of the requests stay as they are
 	}
--- a/balancer/request.go
+++ b/balancer/request.go
@@ -253,8 +253,8 @@
 	b.closeRequest(r)
 }
 
-// clientMayRepeat reports whether a request does no harm if its client sends it again after a time. The client
-// may do so through any node and to any server.
+// clientMayRepeat reports whether it does no harm if the client sends a request again after a time. The
+// client may do so through any node and to any server.
 func (b *Balancer) clientMayRepeat(r *request, retryAfter time.Duration) bool {
 	anyServerDeduplicates := r.class.Effect == Idempotent || r.class.DedupScope == ScopeAll
 	return !r.mayHaveRun() || anyServerDeduplicates && b.harmlessToRepeat(r, b.now+retryAfter)
