Node: nothing is sent on for a client that left behind much unread input

Callers saw: a client sends a request and more than 1 MiB of further bytes, and closes or resets its connection.

Cause: behind an open request the node read 16 KiB ahead, discarded 1 MiB more and then stopped. The end of the connection waits in the client's kernel for room in the node's, which never came. The kernel's state was asked before an attempt for streamed bodies only.

When the unread input takes half of the kernel's buffer, the node reads and discards it to its end, up to 512 KiB in 2 ms, with a small receive buffer of the kernel. Before each attempt of any request the kernel is asked, and the request is canceled if its client has gone.

--- a/internal/engine/attempt.go
+++ b/internal/engine/attempt.go
@@ -101,7 +101,7 @@
 	if a.lease.expired(now) || c.Closed() || c.clientGoneAt.Load() != 0 || a.Target.Stopped() || now >= a.WriteDeadline() {
 		return false
 	}
-	return !c.Request.StreamedBody || c.ClientGone == nil || !c.ClientGone()
+	return c.ClientGone == nil || !c.ClientGone()
 }
 
 // RepeatExpired reports whether the attempt is a repeat that servers no longer discard as a duplicate at the time now of the
--- a/internal/lab/clientload/memorylimit_test.go
+++ b/internal/lab/clientload/memorylimit_test.go
@@ -40,8 +40,9 @@
 			open.Wait()
 			return sent, failures
 		}
+		id := fmt.Sprintf("other-%d", sent)
 		open.Go(func() {
-			if failure := n.sendSmall(client, fmt.Sprintf("other-%d", sent)); failure != "" {
+			if failure := n.sendSmall(client, id); failure != "" {
 				mu.Lock()
 				defer mu.Unlock()
 				failures = append(failures, failure)
@@ -234,7 +235,7 @@
 	for _, size := range nodeSizes {
 		for name, client := range heavyClients {
 			t.Run(fmt.Sprintf("%d MB, %d descriptors/%s", size.memoryMB, size.sockets, name), func(t *testing.T) {
-				checkMemoryLimit(t, startLimitedNode(t, size.memoryMB, size.sockets), size.sockets/3, client)
+				checkMemoryLimit(t, startLimitedNode(t, size.memoryMB, size.sockets, answerBySize), size.sockets/3, client)
 			})
 		}
 	}
--- a/internal/lab/clientload/node_test.go
+++ b/internal/lab/clientload/node_test.go
@@ -42,8 +42,7 @@
 	return scale.BuildForService(context.Background(), "../../..", folder)
 })
 
-// limitedNode is a node process with limits on memory and descriptors, and twelve servers that answer with large responses if
-// the request's ID says so.
+// limitedNode is a node process with limits on memory and descriptors, and twelve servers.
 type limitedNode struct {
 	addr     string
 	memoryMB int
@@ -54,8 +53,8 @@
 	log strings.Builder
 }
 
-// startLimitedNode starts a node for service.
-func startLimitedNode(t *testing.T, memoryMB, sockets int) *limitedNode {
+// startLimitedNode starts a node for service, and servers that use a handler.
+func startLimitedNode(t *testing.T, memoryMB, sockets int, handler http.HandlerFunc) *limitedNode {
 	t.Helper()
 	program, err := serviceProgram()
 	if err != nil {
@@ -63,7 +62,7 @@
 	}
 	var hosts []map[string]any
 	for i := range 12 {
-		server := httptest.NewServer(http.HandlerFunc(answerBySize))
+		server := httptest.NewServer(handler)
 		t.Cleanup(server.Close)
 		hosts = append(hosts, map[string]any{"host": fmt.Sprintf("s-%d", i), "dial": server.Listener.Addr().String(), "health": "in_service"})
 	}
--- a/internal/node/clientconn.go
+++ b/internal/node/clientconn.go
@@ -131,6 +131,7 @@
 	c.listener.mu.Lock()
 	defer c.listener.mu.Unlock()
 	c.listener.removeIdle(c)
+	c.listener.inputWatcher.remove(c.readAhead)
 	if !c.closed {
 		c.closed = true
 		close(c.closedSignal)
@@ -156,6 +157,7 @@
 // newClientConn wraps a newly accepted connection.
 func newClientConn(nc net.Conn, listener *clientListener) *clientConn {
 	readAhead := newReadAheadBuffer(nc)
+	readAhead.watcher = listener.inputWatcher
 	return &clientConn{Conn: nc, listener: listener, acceptedAt: time.Now(), closedSignal: make(chan struct{}),
 		readAhead: readAhead, head: requesthead.NewReader(readAhead)}
 }
--- a/internal/node/clientlistener.go
+++ b/internal/node/clientlistener.go
@@ -48,6 +48,7 @@
 	net.Listener
 	maxConns     int               // number of slots
 	metrics      *metrics.Reporter // nil: off
+	inputWatcher *inputWatcher
 	access       *accessControl    // nil: every client is admitted
 	slotFreed    chan struct{}     // signals that a slot may be free, or that a connection may be evicted
 	closed       chan struct{}
@@ -62,7 +63,7 @@
 
 func newClientListener(ln net.Listener, maxConns int, reporter *metrics.Reporter) *clientListener {
 	closed := make(chan struct{})
-	return &clientListener{Listener: ln, maxConns: maxConns, metrics: reporter, slotFreed: make(chan struct{}, 1), closed: closed,
+	return &clientListener{Listener: ln, maxConns: maxConns, metrics: reporter, slotFreed: make(chan struct{}, 1), closed: closed, inputWatcher: newInputWatcher(),
 		signalClosed: sync.OnceFunc(func() { close(closed) }), idleConns: list.New()}
 }
 
--- a/internal/node/readahead.go
+++ b/internal/node/readahead.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -15,12 +16,25 @@
 
 // Sizes in bytes for reading beyond the open request.
 const (
-	maxReadAhead          = 16 << 10 // buffered after an open request: the maximum size of the next request's head
-	maxDiscardedReadAhead = 1 << 20  // read and discarded after that; bounds the cost of a client that sends without end
-	readAheadChunk        = 2 << 10  // size of one read
-	peekSize              = 64       // size of a non-blocking read: enough to reach a client's FIN after a little data
+	maxReadAhead = 16 << 10 // buffered after an open request, once the kernel has no more room
+	discardChunk = 32 << 10 // size of one read that is discarded
+	peekSize     = 64       // size of a non-blocking read: enough to reach a client's FIN after a little data
+
+	// discardQuota is how much is discarded between two pauses of discardPause. It bounds the processor time for a client that
+	// sends without end, and still reaches the end of 10 MB, which the kernels of both sides may hold, within 0.1 s.
+	discardQuota = 512 << 10
 )
 
+// discardReceiveBuffer is the size in bytes of the kernel's receive buffer while input is discarded. Otherwise it would grow to many
+// megabytes for a client that sends without end, and the end of the connection would arrive behind all of them.
+const discardReceiveBuffer = 128 << 10
+
+// discardPause is the pause after each discardQuota.
+const discardPause = 2 * time.Millisecond
+
+// discardBuffers holds unused buffers for input that is discarded.
+var discardBuffers = sync.Pool{New: func() any { return new([discardChunk]byte) }}
+
 // pastDeadlineUnix is a read deadline in the past, in seconds of Unix time. net/http sets this value to end its background
 // read, and beginRead sets it to end the read-ahead goroutine. The value distinguishes a deadline that is meant to end a
 // read from the expired deadline of a request body.
@@ -37,8 +51,10 @@
 //
 // This prevents work for clients that have gone. net/http reads one byte beyond an open request, and after that byte it no
 // longer detects a close. If a client pipelined another request or sent stray bytes and then left, its open request would
-// still be forwarded and run. Therefore a goroutine continues to read, buffers up to maxReadAhead bytes for net/http, and
-// calls clientGone when the connection ends.
+// still be forwarded and run. Therefore the connection is watched from then on (inputWatcher): the input stays in the kernel,
+// which reports the end of the connection behind it. Once the input fills the kernel's buffer so far that the end could no
+// longer arrive, a goroutine reads it, buffers up to maxReadAhead bytes for net/http, and discards the rest until the end: a
+// client that sends so much has no other way left to tell that it leaves.
 //
 // Only one goroutine reads the socket at any time. Between requests, and while a body is read, net/http's goroutine reads it
 // through Read. While a request is open and net/http holds the one byte that follows it, the goroutine started by
@@ -47,6 +63,7 @@
 	conn       net.Conn
 	raw        syscall.RawConn    // nil: not a socket
 	clientGone context.CancelFunc // cancels the contexts of all requests on the connection
+	watcher    *inputWatcher      // nil: input is read at once
 
 	mu                sync.Mutex
 	buf               []byte // read from the socket, but not yet by net/http
@@ -58,6 +75,7 @@
 	inBackgroundRead  bool   // net/http reads only to detect that the client of the open request leaves
 	discardedBytes    int    // bytes that were read but not buffered; if above 0, this response must close the connection
 	readerDone        chan struct{}
+	stopReader        chan struct{} // closed to end the reader
 	stopping          bool
 	deadline          time.Time // the read deadline that net/http has set
 	headDeadline      time.Time // when a head that is partly read must be complete; zero: there is none
@@ -135,7 +153,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.httpHasByte = true
-	a.startReader()
+	a.watchInput()
 }
 
 // setHasPipelinedBytes records whether bytes that follow the current request were read together with it.
@@ -158,8 +176,8 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.requestOpen = true
-	a.startReader()
-	return a.err != nil || !a.socketEmpty && a.clientClosed() // the end may follow more bytes than peek has read
+	a.watchInput()
+	return a.err != nil || !a.socketEmpty && a.clientClosedLocked() // the end may follow more bytes than peek has read
 }
 
 // endRequest records that the request has been answered. It reports whether the connection must be closed after the
@@ -171,24 +189,148 @@
 	return a.discardedBytes > 0
 }
 
-// startReader starts the goroutine that reads ahead, if a request is open and no other goroutine reads. The caller holds
-// a.mu. The goroutine ends on beginRead, at the end of the connection, or after discarding maxDiscardedReadAhead bytes.
+// watchInput has the connection watched, if a request is open and net/http doesn't read. The caller holds a.mu.
+func (a *readAheadBuffer) watchInput() {
+	switch {
+	case !a.requestOpen || !a.httpHasByte || a.err != nil:
+	case a.watcher != nil && a.raw != nil:
+		a.watcher.add(a)
+	default:
+		a.startReader()
+	}
+}
+
+// checkInput is called by the watcher. It cancels the requests of a client that has gone, and starts to read if the kernel has
+// no more room.
+func (a *readAheadBuffer) checkInput() {
+	if a.checkClientClosed() || !a.receiveBufferFull() {
+		return
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.requestOpen && a.httpHasByte {
+		a.startReader()
+	}
+}
+
+// startReader starts the goroutine that reads ahead, unless it is running. The caller holds a.mu. The goroutine ends on
+// beginRead or at the end of the connection.
 func (a *readAheadBuffer) startReader() {
-	if a.requestOpen && a.httpHasByte && a.readerDone == nil && a.err == nil {
-		a.readerDone = make(chan struct{})
-		go a.runReader(a.readerDone)
+	if a.readerDone == nil && a.err == nil {
+		a.readerDone, a.stopReader = make(chan struct{}), make(chan struct{})
+		go a.runReader(a.readerDone, a.stopReader)
 	}
 }
 
-// runReader reads ahead until storeRead tells it to stop, and then closes done.
-func (a *readAheadBuffer) runReader(done chan struct{}) {
+// runReader reads ahead until the reader is stopped or the connection ends, and then closes done.
+func (a *readAheadBuffer) runReader(done, stop chan struct{}) {
 	defer close(done)
-	b := make([]byte, readAheadChunk)
-	for {
+	if a.bufferInput() {
+		a.discardInput(stop)
+	}
+}
+
+// bufferInput reads into the buffer. It returns true when the buffer is full, and false if the reader must stop.
+func (a *readAheadBuffer) bufferInput() (full bool) {
+	for room := a.bufferRoom(); room > 0; room = a.bufferRoom() {
+		if a.storeRead(a.readUpTo(room)) {
+			return false
+		}
+	}
+	return true
+}
+
+// readUpTo waits for input and reads up to size bytes of it. It needs no memory while it waits.
+func (a *readAheadBuffer) readUpTo(size int) (b []byte, err error) {
+	if a.raw == nil {
+		b = make([]byte, size)
 		n, err := a.conn.Read(b)
-		if a.storeRead(b[:n], err) {
+		return b[:n], err
+	}
+	rawErr := a.raw.Read(func(fd uintptr) bool {
+		scratch := discardBuffers.Get().(*[discardChunk]byte)
+		defer discardBuffers.Put(scratch)
+		n, readErr := ignoringEINTR(func() (int, error) { return syscall.Read(int(fd), scratch[:size]) })
+		switch {
+		case n > 0:
+			b = append(b, scratch[:n]...)
+		case readErr == syscall.EAGAIN:
+			return false
+		case readErr != nil:
+			err = readErr
+		default:
+			err = io.EOF
+		}
+		return true
+	})
+	return b, cmp.Or(err, rawErr)
+}
+
+// bufferRoom returns how many bytes may still be buffered: none once input has been discarded.
+func (a *readAheadBuffer) bufferRoom() int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.discardedBytes > 0 {
+		return 0
+	}
+	return max(maxReadAhead-len(a.buf), 0)
+}
+
+// discardInput reads and discards input until the connection ends or the reader is stopped.
+func (a *readAheadBuffer) discardInput(stop <-chan struct{}) {
+	if a.raw != nil {
+		a.raw.Control(func(fd uintptr) { unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, discardReceiveBuffer) })
+	}
+	for pause := time.Duration(0); ; {
+		select {
+		case <-stop:
+			return
+		case <-time.After(pause):
+		}
+		discarded, err := a.discardOnce()
+		if a.storeDiscarded(discarded, err) {
 			return
 		}
+		if pause = 0; discarded >= discardQuota {
+			pause = discardPause
+		}
+	}
+}
+
+// discardOnce waits for input, and reads and discards up to discardQuota of what has arrived.
+func (a *readAheadBuffer) discardOnce() (discarded int, err error) {
+	if a.raw == nil {
+		return a.conn.Read(make([]byte, maxReadAhead))
+	}
+	rawErr := a.raw.Read(func(fd uintptr) bool {
+		b := discardBuffers.Get().(*[discardChunk]byte)
+		defer discardBuffers.Put(b)
+		for discarded < discardQuota {
+			n, readErr := ignoringEINTR(func() (int, error) { return syscall.Read(int(fd), b[:]) })
+			switch {
+			case n > 0:
+				discarded += n
+				continue
+			case readErr == syscall.EAGAIN:
+				return discarded > 0
+			case readErr != nil:
+				err = readErr
+			default:
+				err = io.EOF
+			}
+			return true
+		}
+		return true
+	})
+	return discarded, cmp.Or(err, rawErr)
+}
+
+// ignoringEINTR repeats a system call that a signal has interrupted.
+func ignoringEINTR(call func() (int, error)) (n int, err error) {
+	for {
+		if n, err = call(); err != syscall.EINTR {
+			return n, err
+		}
 	}
 }
 
@@ -196,27 +338,41 @@
 func (a *readAheadBuffer) storeRead(b []byte, err error) (stop bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if len(a.buf)+len(b) <= maxReadAhead && a.discardedBytes == 0 {
-		a.buf = append(a.buf, b...)
-	} else {
-		a.discardedBytes += len(b)
-	}
+	a.buf = append(a.buf, b...)
+	return a.recordEnd(err)
+}
+
+// storeDiscarded is storeRead for input that was discarded.
+func (a *readAheadBuffer) storeDiscarded(bytes int, err error) (stop bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.discardedBytes += bytes
+	return a.recordEnd(err)
+}
+
+// recordEnd records the end of the connection, if err is one, and reports whether the read-ahead goroutine must stop. The caller
+// holds a.mu.
+func (a *readAheadBuffer) recordEnd(err error) (stop bool) {
 	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
 		a.err = err
 		a.clientGone()
 	}
-	return err != nil || a.stopping || a.discardedBytes > maxDiscardedReadAhead
+	return err != nil || a.stopping
 }
 
 // beginRead prepares a read by net/http: it ends the read-ahead goroutine, if there is one. backgroundRead is true if
 // net/http reads only to detect that the client leaves.
 func (a *readAheadBuffer) beginRead(backgroundRead bool) {
+	if a.watcher != nil {
+		a.watcher.remove(a)
+	}
 	a.mu.Lock()
 	a.httpHasByte = false
 	a.inBackgroundRead = backgroundRead
 	done := a.readerDone
 	if done != nil {
 		a.stopping = true
+		close(a.stopReader)
 		a.conn.SetReadDeadline(time.Unix(pastDeadlineUnix, 0))
 	}
 	a.mu.Unlock()
@@ -308,10 +464,20 @@
 	return a.conn.SetReadDeadline(time.Time{}) == nil
 }
 
-// clientClosed reports whether the client has closed its side of the connection, according to the kernel. Unlike a read, it
-// detects this even if unread bytes, for example a part of a body, precede the end of the connection. It returns false if the
-// state is unknown.
-func (a *readAheadBuffer) clientClosed() (closed bool) {
+// checkClientClosed reports whether the client has closed its side of the connection, and if so, cancels its requests.
+func (a *readAheadBuffer) checkClientClosed() (closed bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if closed = a.err != nil || a.clientClosedLocked(); closed {
+		a.clientGone()
+	}
+	return closed
+}
+
+// clientClosedLocked reports whether the client has closed its side of the connection, according to the kernel. Unlike a read,
+// it detects this even if unread bytes, for example a part of a body, precede the end of the connection. It returns false if
+// the state is unknown. The caller holds a.mu.
+func (a *readAheadBuffer) clientClosedLocked() (closed bool) {
 	if a.raw == nil {
 		return false
 	}
