Node: what clients together cost in memory stays within the limit

Callers saw: with hundreds of clients at once, a node with little memory passed its limit and was killed, and others waited.

Cause, four of one class (a sum that nothing bounds): (1) the Go runtime was allowed three quarters of the limit, but the program's own pages are 10 MB, a third of the least memory. (2) 16 KiB of tiny header fields become some 600 KB in net/http's maps, copied again for each attempt. (3) Each streamed body took a buffer of 32 KiB in http.Request.Write, and each streamed response two. (4) Buffers of bodies and responses were sized as if the program and its connections cost nothing.

What a head costs is counted as it arrives, in lines and bytes; above 2 KiB and 32 lines it is taken from an amount that all connections share, or the request is rejected with 503 and Retry-After before net/http has parsed it. Heads are written to servers without copies. Streams use pieces as large as the buffers of the node. The read buffer of a server connection exists only while a response is read; a head is read 1 KiB at a time, so that pipelined requests wait in the kernel. At 32 MB and 1,024 descriptors a node takes fewer idle connections.

Cost without the fault: a head of over 1 KiB takes further reads; of 16 KiB heads at 32 MB, part are rejected.

--- a/cmd/hookwalk/run.go
+++ b/cmd/hookwalk/run.go
@@ -3,11 +3,8 @@
 import (
 	"context"
 	"log/slog"
-	"math"
 	"os"
 	"os/signal"
-	"runtime"
-	"runtime/debug"
 	"sync"
 	"syscall"
 	"time"
@@ -21,10 +18,6 @@
 // must not keep the process alive.
 const stderrFlushTimeout = time.Second
 
-// goMemoryPercent is the percentage of the memory limit that the Go runtime may use. The rest is for socket buffers and
-// thread stacks, which the runtime does not count.
-const goMemoryPercent = 75
-
 // runNode runs a node until SIGTERM or SIGINT. settingsPath names the settings file; if it is empty, all features are off.
 func runNode(hangups <-chan os.Signal, settingsPath string) error {
 	configPath := os.Getenv("ROUTER_CONFIG")
@@ -60,17 +53,6 @@
 	return n.Run(ctx)
 }
 
-// limitResources limits the process to the memory and the cores of its configuration.
-func limitResources(cfg node.Config) {
-	if cfg.MemoryMB > 0 {
-		debug.SetMemoryLimit(int64(cfg.MemoryMB) << 20 * goMemoryPercent / 100)
-	}
-	if cfg.Cores > 0 {
-		runtime.GOMAXPROCS(int(math.Ceil(cfg.Cores)))
-	}
-	signal.Ignore(syscall.SIGXFSZ) // so that a write beyond the file size limit fails instead of terminating the node
-}
-
 // captureDumpSignals returns a channel that receives SIGUSR1, on which the node dumps its capture. Without a capture it
 // returns nil and leaves the default action of the signal in place.
 func captureDumpSignals(cfg node.Config) <-chan os.Signal {
--- a/internal/node/attempt.go
+++ b/internal/node/attempt.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"errors"
-	"io"
 	"net/http"
 	"os"
 	"time"
@@ -238,22 +237,8 @@
 // encodeRequest returns the bytes of a buffered request for a server. They include how long the node waits for the
 // response.
 func encodeRequest(req *clientRequest, timeout time.Duration) []byte {
-	out := upstreamRequest(req, timeout)
-	if out.ContentLength = int64(len(req.body)); len(req.body) > 0 {
-		out.Body = io.NopCloser(bytes.NewReader(req.body))
-	}
 	var b bytes.Buffer
-	out.Write(&b) // can't fail: both the buffer and the body are in memory
+	writeRequestHead(&b, req, timeout, int64(len(req.body)))
+	b.Write(req.body)
 	return b.Bytes()
 }
-
-// upstreamRequest returns the request to send to a server: the client's request without its body, and with timeout as
-// its budget.
-func upstreamRequest(req *clientRequest, timeout time.Duration) *http.Request {
-	header := req.header.Clone()
-	header.Set(headerBudget, formatBudget(timeout))
-	if _, ok := header["User-Agent"]; !ok {
-		header["User-Agent"] = nil // otherwise Request.Write adds a default User-Agent
-	}
-	return &http.Request{Method: req.method, URL: req.url, Host: req.host, Header: header}
-}
--- a/internal/node/clientconn.go
+++ b/internal/node/clientconn.go
@@ -14,6 +14,10 @@
 	"hookwalk.example/hookwalk/internal/requesthead"
 )
 
+// headChunk is the size in bytes of one read of a head. Of pipelined requests, at most so much is read together with a request,
+// and has to be kept until the request is answered.
+const headChunk = 1 << 10
+
 // clientConn is a connection from a client. The comment on clientListener describes its states.
 //
 // A read passes through three layers: readAhead reads the socket and buffers bytes that follow the open request; head
@@ -35,6 +39,8 @@
 	head       *requesthead.Reader // reads from readAhead
 	readAhead  *readAheadBuffer
 
+	headMemory memoryReservation // for the head of the open request
+
 	hasWriteDeadline bool // net/http has set a write deadline; used only by the goroutine that serves the connection
 }
 
@@ -56,6 +62,9 @@
 	if !backgroundRead && c.head.HeadBegun() {
 		c.readAhead.startHeadDeadline(requestHeadTimeout)
 	}
+	if c.head.ReadingHead() {
+		b = b[:min(len(b), headChunk)]
+	}
 	n, err := c.head.Read(b)
 	for backgroundRead && n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.readAhead.clearExpiredDeadline() {
 		n, err = c.head.Read(b)
@@ -64,7 +73,10 @@
 		c.readAhead.clearHeadDeadline()
 	}
 	c.readAhead.setHasPipelinedBytes(c.head.Buffered())
+	size := c.head.HeadSize()
 	switch {
+	case n > 0 && !backgroundRead && !c.headMemory.raiseTo(headMemory(size.Bytes, size.Lines)):
+		return 0, c.rejectHead(size)
 	case n > 0 && !c.listener.markActive(c):
 		return 0, io.EOF
 	case n == 0 && err != nil && !c.hasPendingInput() && c.listener.confirmReadClose(c):
@@ -94,6 +106,19 @@
 	return io.EOF
 }
 
+// headRejection is the response to a head for which the node has no memory.
+const headRejection = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+
+// rejectHead rejects a request whose head needs more memory than is left, and returns io.EOF, on which net/http closes the
+// connection. net/http has not got the end of the head, so the request can't have run.
+func (c *clientConn) rejectHead(size requesthead.Size) error {
+	c.listener.log.Warn("request rejected: no memory for its head", "client", c.Conn.RemoteAddr(), "bytes", size.Bytes, "lines", size.Lines)
+	c.Write([]byte(headRejection)) // an error is ignored: the connection is closed
+	c.CloseWrite()
+	c.readAhead.discardUntilEnd(halfCloseTimeout) // a close with unread bytes would reset the connection and destroy the response
+	return io.EOF
+}
+
 // SetReadDeadline sets the read deadline of net/http.
 func (c *clientConn) SetReadDeadline(t time.Time) error { return c.readAhead.setReadDeadline(t) }
 
@@ -131,6 +156,7 @@
 	c.listener.mu.Lock()
 	defer c.listener.mu.Unlock()
 	c.listener.removeIdle(c)
+	c.headMemory.release(true)
 	c.listener.inputWatcher.remove(c.readAhead)
 	if !c.closed {
 		c.closed = true
@@ -159,7 +185,7 @@
 	readAhead := newReadAheadBuffer(nc)
 	readAhead.watcher = listener.inputWatcher
 	return &clientConn{Conn: nc, listener: listener, acceptedAt: time.Now(), closedSignal: make(chan struct{}),
-		readAhead: readAhead, head: requesthead.NewReader(readAhead)}
+		readAhead: readAhead, head: requesthead.NewReader(readAhead), headMemory: memoryReservation{pool: listener.headMemory}}
 }
 
 // connKey is the context key for the connection on which a request arrived.
--- a/internal/node/clientlistener.go
+++ b/internal/node/clientlistener.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/list"
+	"log/slog"
 	"net"
 	"net/http"
 	"sync"
@@ -48,11 +49,13 @@
 	net.Listener
 	maxConns     int               // number of slots
 	metrics      *metrics.Reporter // nil: off
-	inputWatcher *inputWatcher
 	access       *accessControl    // nil: every client is admitted
 	slotFreed    chan struct{}     // signals that a slot may be free, or that a connection may be evicted
 	closed       chan struct{}
 	signalClosed func()
+	inputWatcher *inputWatcher
+	headMemory   *memoryPool // for the heads of requests; nil: no limit
+	log          *slog.Logger
 	handedOver   atomic.Bool // a successor accepts now: the listener is closed, open connections are still served
 
 	mu           sync.Mutex
@@ -63,7 +66,7 @@
 
 func newClientListener(ln net.Listener, maxConns int, reporter *metrics.Reporter) *clientListener {
 	closed := make(chan struct{})
-	return &clientListener{Listener: ln, maxConns: maxConns, metrics: reporter, slotFreed: make(chan struct{}, 1), closed: closed, inputWatcher: newInputWatcher(),
+	return &clientListener{Listener: ln, maxConns: maxConns, metrics: reporter, log: slog.New(slog.DiscardHandler), slotFreed: make(chan struct{}, 1), closed: closed, inputWatcher: newInputWatcher(),
 		signalClosed: sync.OnceFunc(func() { close(closed) }), idleConns: list.New()}
 }
 
@@ -168,6 +171,7 @@
 func (l *clientListener) connStateChanged(nc net.Conn, state http.ConnState) {
 	switch c := nc.(*clientConn); state {
 	case http.StateIdle:
+		c.headMemory.release(false)
 		if !c.hasPendingInput() { // otherwise the next request has begun, and the connection must not be closed
 			l.markIdle(c)
 		}
--- a/internal/node/connpool.go
+++ b/internal/node/connpool.go
@@ -1,7 +1,6 @@
 package node
 
 import (
-	"bufio"
 	"container/list"
 	"errors"
 	"log/slog"
@@ -24,7 +23,7 @@
 	// otherProcessShareDivisor halves the connection limit of a process while two processes of the node run.
 	otherProcessShareDivisor = 2
 
-	// upstreamReadBuffer is the size of a server connection's read buffer, in bytes.
+	// upstreamReadBuffer is the size in bytes of the buffer with which a response is read.
 	upstreamReadBuffer = 4 << 10
 )
 
@@ -74,7 +73,7 @@
 func newConnPool(clock engine.Clock, cfg Config, maxConns int, attemptEnded func(engine.Result),
 	forwardResponse func(*engine.Attempt, any) bool) *connPool {
 	p := &connPool{clock: clock, dialer: net.Dialer{KeepAlive: -1},
-		bufferLimit: bufferLimit(cfg.MemoryMB, responseMemoryDivisor, maxConns), maxConns: maxConns, fullMaxConns: maxConns,
+		bufferLimit: maxBuffered, maxConns: maxConns, fullMaxConns: maxConns,
 		attemptEnded: attemptEnded, forwardResponse: forwardResponse,
 		log: slog.New(slog.DiscardHandler), count: func(metrics.Counter) {},
 		conns: map[*upstreamConn]bool{}, idle: list.New(), idleByTarget: map[*engine.Target][]*upstreamConn{},
@@ -181,7 +180,6 @@
 	p.lastConnNumber++
 	c := &upstreamConn{Conn: netConn, raw: raw, number: p.lastConnNumber, pool: p, target: att.Target, responses: make(chan *upstreamResponse, 1),
 		deadline: deadline, requestDeadline: att.Call.Request.Deadline, connectedAt: now, releasedAt: now}
-	c.reader = bufio.NewReaderSize(c, upstreamReadBuffer)
 	p.conns[c] = true
 	netConn.SetDeadline(deadline)
 	p.goroutines.Go(c.readLoop)
--- a/internal/node/headers.go
+++ b/internal/node/headers.go
@@ -1,8 +1,11 @@
 package node
 
 import (
+	"bytes"
+	"fmt"
 	"net/http"
 	"strings"
+	"time"
 
 	"hookwalk.example/hookwalk/internal/faultinjection"
 )
@@ -30,18 +33,32 @@
 // nonForwardedHeaders are request headers that are not forwarded to servers: hop-by-hop headers, headers that the node
 // replaces, and headers that are meant for the node only.
 var nonForwardedHeaders = []string{"Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding",
-	"Upgrade", "Expect", headerBudget, faultinjection.Header}
+	"Content-Length", "Upgrade", "Expect", headerBudget, faultinjection.Header}
 
-// forwardableHeaders returns a copy of a request's headers without those that are not forwarded to servers.
-func forwardableHeaders(header http.Header) http.Header {
-	out := header.Clone()
+// excludedHeaders returns the headers of a request that are not forwarded, as keys.
+func excludedHeaders(header http.Header) map[string]bool {
+	excluded := map[string]bool{}
+	for _, name := range nonForwardedHeaders {
+		excluded[name] = true
+	}
 	for _, value := range header.Values("Connection") {
 		for name := range strings.SplitSeq(value, ",") {
-			out.Del(strings.TrimSpace(name))
+			excluded[http.CanonicalHeaderKey(strings.TrimSpace(name))] = true
 		}
 	}
-	for _, name := range nonForwardedHeaders {
-		out.Del(name)
+	return excluded
+}
+
+// writeRequestHead writes the head of a request to a server. timeout is how long the node waits for the response. The body has
+// contentLength bytes; -1: it is chunked.
+func writeRequestHead(b *bytes.Buffer, req *clientRequest, timeout time.Duration, contentLength int64) {
+	fmt.Fprintf(b, "%s %s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n", req.method, req.url.RequestURI(), req.host, headerBudget, formatBudget(timeout))
+	switch {
+	case contentLength < 0:
+		b.WriteString("Transfer-Encoding: chunked\r\n")
+	case contentLength > 0 || req.method != http.MethodGet:
+		fmt.Fprintf(b, "Content-Length: %d\r\n", contentLength)
 	}
-	return out
+	req.header.WriteSubset(b, excludedHeaders(req.header)) // can't fail: the buffer is in memory
+	b.WriteString("\r\n")
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -63,6 +63,7 @@
 	accessList     *balancer.AccessList // nil: every client is admitted
 	stderr         io.Writer            // receives metrics and captures
 	maxClientConns int                  // limit on concurrent client connections
+	memory         int                  // for heads, bodies and responses, in bytes; 0: no limit
 	clientListener *clientListener      // set by serve
 
 	lifecycle          atomic.Pointer[lifecycle.Machine] // only transition replaces it
@@ -115,7 +116,13 @@
 
 	available := cfg.Sockets - cfg.reservedDescriptors()
 	n.maxClientConns = available * clientDescriptorShare / descriptorShares
-	n.pool = newConnPool(n.clock, cfg, available-n.maxClientConns, n.engine.AttemptEnded, n.engine.ForwardResponse)
+	maxUpstreamConns := available - n.maxClientConns
+	if cfg.MemoryMB > 0 {
+		n.memory = variableMemory(cfg.MemoryMB<<20, cfg.Sockets)
+		n.maxClientConns = maxConnections(cfg.MemoryMB<<20, cfg.Sockets, n.maxClientConns)
+	}
+	n.pool = newConnPool(n.clock, cfg, maxUpstreamConns, n.engine.AttemptEnded, n.engine.ForwardResponse)
+	n.pool.bufferLimit = bufferLimit(n.memory, responseMemoryDivisor, maxUpstreamConns)
 	n.pool.log = logger
 	n.pool.count = func(c metrics.Counter) { n.engine.Metrics.Count(metrics.Tags(0), c) }
 	n.discovery = discovery.New(discovery.Config{Addr: cfg.Discovery, Polled: cfg.Settings.PollDiscovery,
--- a/internal/node/readahead.go
+++ b/internal/node/readahead.go
@@ -360,6 +360,18 @@
 	return err != nil || a.stopping
 }
 
+// discardUntilEnd reads and discards input until the connection ends, at most for a timeout and up to discardQuota.
+func (a *readAheadBuffer) discardUntilEnd(timeout time.Duration) {
+	a.conn.SetReadDeadline(time.Now().Add(timeout))
+	for discarded := 0; discarded < discardQuota; {
+		n, err := a.discardOnce()
+		if err != nil {
+			return
+		}
+		discarded += n
+	}
+}
+
 // beginRead prepares a read by net/http: it ends the read-ahead goroutine, if there is one. backgroundRead is true if
 // net/http reads only to detect that the client leaves.
 func (a *readAheadBuffer) beginRead(backgroundRead bool) {
--- a/internal/node/request.go
+++ b/internal/node/request.go
@@ -135,7 +135,7 @@
 	if req.remaining != nil {
 		req.Request.StreamedBody, req.BodyTimeout = true, maxBodyDuration
 	}
-	req.header = forwardableHeaders(r.Header)
+	req.header = r.Header
 	req.Budget = budget
 	req.Request.Deadline = h.clock.Now() + budget
 	return req, nil
@@ -152,9 +152,7 @@
 	if req.contentLength > 0 {
 		size = min(size, req.contentLength)
 	}
-	req.body = make([]byte, size)
-	n, err := io.ReadFull(reader, req.body)
-	req.body = req.body[:n]
+	n, err := req.readBuffered(reader, int(size))
 	switch {
 	case req.contentLength > 0 && int64(n) == req.contentLength:
 		reader.Read(make([]byte, 1)) // reads io.EOF
@@ -168,6 +166,23 @@
 	return nil
 }
 
+// readBuffered reads up to size bytes of the body. The buffer grows with what arrives, since a client may announce much and send
+// nothing.
+func (req *clientRequest) readBuffered(reader io.Reader, size int) (n int, err error) {
+	req.body = make([]byte, min(size, minBuffered))
+	for {
+		read, err := io.ReadFull(reader, req.body[n:])
+		n += read
+		if err != nil || n == size {
+			req.body = req.body[:n]
+			return n, err
+		}
+		grown := make([]byte, min(size, 2*len(req.body)))
+		copy(grown, req.body)
+		req.body = grown
+	}
+}
+
 var (
 	errBudgetSyntax = errors.New("want a number and m or u")
 	errBudgetRange  = errors.New("out of range")
--- a/internal/node/requestbody.go
+++ b/internal/node/requestbody.go
@@ -17,13 +17,6 @@
 	streamChunk     = 32 << 10 // maximum size of one read while streaming
 )
 
-// Fractions of the node's memory that all buffered data together may use, as divisors. The rest is for the program itself
-// and for the buffers of streams.
-const (
-	requestBodyMemoryDivisor = 4 // a quarter for request bodies
-	responseMemoryDivisor    = 6 // a sixth for responses
-)
-
 // Timeouts that protect against bodies sent very slowly (slow loris). Without them such a body would hold a slot, and a
 // connection to a server, indefinitely.
 const (
@@ -48,17 +41,6 @@
 // errRequestBody means that a client's body did not arrive, arrived too slowly or was too long. The client is at fault.
 var errRequestBody = errors.New("the body could not be read")
 
-// bufferLimit returns how many bytes of one body or response are buffered if up to maxConcurrent exist at once. It is at
-// most maxBuffered, and all of them together use at most a fraction of the node's memory (0: no memory limit is set). With
-// a fixed limit no memory accounting is needed, and no request waits or is rejected for lack of memory: larger bodies are
-// streamed.
-func bufferLimit(memoryMB, memoryDivisor, maxConcurrent int) int {
-	if memoryMB == 0 {
-		return maxBuffered
-	}
-	return min(max(memoryMB<<20/memoryDivisor/max(maxConcurrent, 1), minBuffered), maxBuffered)
-}
-
 // bodyReader reads a client's body and enforces minBodyRate. Only the time spent waiting for the client counts.
 //
 // One goroutine reads at a time: first the one that serves the request, then that of the attempt that sends the body. The
--- a/internal/node/response.go
+++ b/internal/node/response.go
@@ -101,7 +101,7 @@
 func copyResponse(w http.ResponseWriter, response *upstreamResponse) (clientErr, serverErr error) {
 	control := http.NewResponseController(w)
 	out := &errWriter{w: w, beforeWrite: func() { control.SetWriteDeadline(time.Now().Add(clientWriteTimeout)) }}
-	buf := make([]byte, streamChunk)
+	buf := make([]byte, response.stream.chunkSize())
 	for chunk := response.body; out.err == nil && serverErr == nil; {
 		out.Write(chunk)
 		if err := control.Flush(); out.err == nil {
--- a/internal/node/responsestream.go
+++ b/internal/node/responsestream.go
@@ -39,6 +39,9 @@
 	return s.body.Read(b)
 }
 
+// chunkSize returns the size in bytes of the pieces in which the response is forwarded.
+func (s *responseStream) chunkSize() int { return min(s.conn.pool.bufferLimit, streamChunk) }
+
 // finish reports how the stream ended to the waiting attempt.
 func (s *responseStream) finish(outcome balancer.Outcome, err error) {
 	s.result <- streamResult{outcome, err}
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -55,6 +55,10 @@
 	defer stopWaiting()
 
 	n.clientListener = newClientListener(clients, n.maxClientConns, n.engine.Metrics)
+	n.clientListener.log = n.log
+	if n.memory > 0 {
+		n.clientListener.headMemory = &memoryPool{bytes: n.memory / headMemoryDivisor}
+	}
 	if a := n.cfg.Features.AccessList; a != nil {
 		n.clientListener.access = &accessControl{accessList: n.accessList, proxyHeaderTimeout: a.ProxyTimeout, log: n.log}
 	}
@@ -106,7 +110,7 @@
 			clock:                     n.clock,
 			classes:                   n.classes.Load,
 			ready:                     n.ready,
-			bufferLimit:               bufferLimit(n.cfg.MemoryMB, requestBodyMemoryDivisor, n.maxClientConns),
+			bufferLimit:               bufferLimit(n.memory, requestBodyMemoryDivisor, n.maxClientConns),
 			faultKeys:                 faultinjection.NewKeys(n.cfg.Features.FaultInjections),
 			metrics:                   n.engine.Metrics,
 			accessList:                n.accessList,
--- a/internal/node/streamedbody_test.go
+++ b/internal/node/streamedbody_test.go
@@ -296,15 +296,30 @@
 	}
 }
 
-// All bodies that are buffered at once stay within their fraction of the memory, even on the smallest nodes.
-func TestBufferLimit(t *testing.T) {
-	for _, c := range []struct{ memoryMB, bodies, divisor, want int }{
-		{0, 1000, 4, maxBuffered}, {64, 209, requestBodyMemoryDivisor, maxBuffered}, {32, 129, requestBodyMemoryDivisor, 65027}, {32, 609, requestBodyMemoryDivisor, 13774},
-		{192, 365, responseMemoryDivisor, maxBuffered}, {32, 365, responseMemoryDivisor, 15321}, {32, 1 << 20, 4, minBuffered},
+// All heads, bodies and responses that are in memory at once stay within what the program and its connections leave, even on the
+// smallest nodes. With more memory, the limits of each body and response are the highest.
+func TestVariableMemory(t *testing.T) {
+	for _, c := range []struct{ memoryMB, sockets, wantBody, wantResponse int }{
+		{32, 1024, minBuffered, minBuffered}, {32, 256, 25834, 43056}, {64, 1024, 17672, 29453}, {64, 256, maxBuffered, maxBuffered},
+		{192, 256, maxBuffered, maxBuffered}, {192, 1024, maxBuffered, maxBuffered},
 	} {
-		got := bufferLimit(c.memoryMB, c.divisor, c.bodies)
-		if got != c.want || c.memoryMB > 0 && got > minBuffered && got*c.bodies > c.memoryMB<<20/c.divisor {
-			t.Errorf("%d MB, %d bodies at once: limit %d, want %d", c.memoryMB, c.bodies, got, c.want)
+		cfg := testConfig(t, "pushed")
+		cfg.MemoryMB, cfg.Sockets = c.memoryMB, c.sockets
+		n, err := New(cfg, discardLogger())
+		if err != nil {
+			t.Fatal(err)
+		}
+		clients := c.sockets / clientsWithRequests
+		body, response := bufferLimit(n.memory, requestBodyMemoryDivisor, n.maxClientConns), n.pool.bufferLimit
+		if body != c.wantBody || response != c.wantResponse {
+			t.Errorf("%d MB, %d descriptors: limits of %d and %d, want %d and %d", c.memoryMB, c.sockets, body, response, c.wantBody, c.wantResponse)
+		}
+		sum := n.memory/headMemoryDivisor + clients*(body+response)
+		if sum > n.memory+clients*2*minBuffered {
+			t.Errorf("%d MB, %d descriptors: %d bytes at once, of %d", c.memoryMB, c.sockets, sum, n.memory)
+		}
+		if n.maxClientConns < clients {
+			t.Errorf("%d MB, %d descriptors: %d connections for %d clients", c.memoryMB, c.sockets, n.maxClientConns, clients)
 		}
 	}
 }
--- a/internal/node/streamedsend.go
+++ b/internal/node/streamedsend.go
@@ -1,8 +1,10 @@
 package node
 
 import (
+	"bufio"
 	"bytes"
 	"io"
+	"net/http/httputil"
 	"time"
 
 	"hookwalk.example/hookwalk/balancer"
@@ -42,11 +44,8 @@
 func (a *attemptRun) writeStreamed() error {
 	began := a.pool.clock.Now()
 	defer a.attempt.CheckSend(began, noAnnouncedTimeout)
-	out := upstreamRequest(a.req, a.attempt.Timeout)
-	out.ContentLength = a.req.contentLength
-	out.Body = io.NopCloser(io.MultiReader(bytes.NewReader(a.req.body), remainingBody{a.req.remaining}))
 	w := &errWriter{w: a.conn, beforeWrite: func() { a.conn.SetWriteDeadline(time.Now().Add(a.streamWriteTimeout())) }}
-	if err := out.Write(w); err != nil {
+	if err := a.copyStreamed(w); err != nil {
 		return err
 	}
 	if a.req.remaining.unsendable() { // otherwise a truncated body would count as complete
@@ -59,6 +58,45 @@
 	return a.conn.SetDeadline(a.conn.deadline)
 }
 
+// copyStreamed writes the head and the body. http.Request.Write is not used, because it needs a buffer of 32 KiB for each body.
+func (a *attemptRun) copyStreamed(w io.Writer) error {
+	var head bytes.Buffer
+	writeRequestHead(&head, a.req, a.attempt.Timeout, a.req.contentLength)
+	if _, err := w.Write(head.Bytes()); err != nil {
+		return err
+	}
+	if a.req.contentLength < 0 {
+		return a.copyChunked(bufio.NewWriterSize(w, minBuffered))
+	}
+	written, err := a.copyBody(w)
+	if err == nil && written != a.req.contentLength {
+		return errRequestBody
+	}
+	return err
+}
+
+// copyChunked writes the body with chunked encoding.
+func (a *attemptRun) copyChunked(out *bufio.Writer) error {
+	chunks := httputil.NewChunkedWriter(out)
+	if _, err := a.copyBody(chunks); err != nil {
+		return err
+	}
+	chunks.Close()
+	out.WriteString("\r\n") // no trailers; Flush returns the error of an earlier write
+	return out.Flush()
+}
+
+// copyBody writes the body, and returns how many bytes it has written.
+func (a *attemptRun) copyBody(w io.Writer) (written int64, err error) {
+	if _, err := w.Write(a.req.body); err != nil {
+		return 0, err
+	}
+	remaining := remainingBody{a.req.remaining}
+	chunk := make([]byte, min(max(len(a.req.body), minBuffered), streamChunk))
+	rest, err := io.CopyBuffer(struct{ io.Writer }{w}, remaining, chunk)
+	return int64(len(a.req.body)) + rest, err
+}
+
 // streamWriteTimeout returns how long a server may take to receive one chunk of a streamed body. The client's time runs from
 // the last byte of its body, which may have arrived since the node last read from the client, just before this write. So if
 // the write takes longer than the client's time, the answer to the client could be late.
--- a/internal/node/upstreamconn.go
+++ b/internal/node/upstreamconn.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"os"
+	"sync"
 	"syscall"
 	"time"
 
@@ -44,8 +45,8 @@
 	number       uint64 // identifies the connection in the log; counts from 1 in each pool
 	pool         *connPool
 	target       *engine.Target
-	bytesAllowed int // bytes of the current response that may still be read; used by readLoop only
-	reader       *bufio.Reader
+	bytesAllowed int                    // bytes of the current response that may still be read; used by readLoop only
+	reader       *bufio.Reader          // while a response is read; nil: none is
 	responses    chan *upstreamResponse // receives one for each request
 
 	// For the log; used by the attempt that has acquired the connection.
@@ -91,13 +92,14 @@
 // that the server closed, that received unsolicited bytes, or whose idle timeout or deadline passed.
 func (c *upstreamConn) readLoop() {
 	for {
-		c.bytesAllowed = maxBufferedResponse
 		idle, err := c.awaitResponse()
 		if idle {
 			return
 		}
 		response := &upstreamResponse{err: err}
 		if err == nil {
+			c.reader = responseReaders.Get().(*bufio.Reader)
+			c.reader.Reset(c)
 			response = c.readResponse()
 			if response.err != nil {
 				c.pool.close(c, c.closeReasonFor(response.err))
@@ -108,12 +110,25 @@
 		if response.stream != nil {
 			<-response.stream.released
 		}
+		c.releaseReader()
 		if response.err != nil || response.head.Close {
 			return
 		}
 	}
 }
 
+// responseReaders holds unused buffers of upstreamConn.reader. A connection that waits for a response needs none.
+var responseReaders = sync.Pool{New: func() any { return bufio.NewReaderSize(nil, upstreamReadBuffer) }}
+
+// releaseReader gives the buffer back after a response. Bytes that are left in it were reported as unsolicited.
+func (c *upstreamConn) releaseReader() {
+	if c.reader != nil {
+		c.reader.Reset(nil)
+		responseReaders.Put(c.reader)
+		c.reader = nil
+	}
+}
+
 // awaitResponse waits for the first byte of a response, or for the end of the connection. If there is no response to
 // read, it closes the connection and returns an error. It also reports whether the connection was idle: if so, no attempt
 // waits for a result.
@@ -205,6 +220,7 @@
 // responses. If it is uncertain where the response ends, it returns an error, because the bytes that follow may belong to
 // another response.
 func (c *upstreamConn) readResponse() *upstreamResponse {
+	c.bytesAllowed = responseHeadAllowance
 	for {
 		head, err := http.ReadResponse(c.reader, nil)
 		switch {
@@ -214,13 +230,27 @@
 			continue
 		case head.StatusCode < 100 || head.ContentLength > maxStreamedResponse:
 			return &upstreamResponse{err: errMalformedResponse}
-		case head.ContentLength > int64(c.pool.bufferLimit):
-			return c.beginStreamedResponse(head, make([]byte, streamChunk))
 		}
+		head.Header = keptHeaders(head.Header)
+		if head.ContentLength > int64(c.pool.bufferLimit) {
+			return c.beginStreamedResponse(head, make([]byte, min(c.pool.bufferLimit, streamChunk)))
+		}
+		c.bytesAllowed += maxBufferedResponse - responseHeadAllowance
 		return c.readBufferedResponse(head)
 	}
 }
 
+// keptHeaders returns those headers of a response that are used, so that the others do not stay in memory with it.
+func keptHeaders(header http.Header) http.Header {
+	kept := http.Header{}
+	for _, name := range []string{"Content-Type", headerRejected} {
+		if value := header.Get(name); value != "" {
+			kept.Set(name, value)
+		}
+	}
+	return kept
+}
+
 func isInformational(head *http.Response) bool {
 	return head.StatusCode >= 100 && head.StatusCode < 200 && head.StatusCode != http.StatusSwitchingProtocols
 }
--- a/internal/requesthead/requesthead.go
+++ b/internal/requesthead/requesthead.go
@@ -38,6 +38,13 @@
 	ContentLength    int64  // in bytes; 0: no header; math.MaxInt64: not a number
 	TransferEncoding bool   // the header is present: the length of the body is unknown
 	Fault            string // why the framing can't be trusted; "": no fault
+	Size             Size
+}
+
+// Size is how much of a request head has been read.
+type Size struct {
+	Bytes int
+	Lines int // complete lines, including the request line
 }
 
 // LastOnConnection reports whether no request after this one may be read from its connection: the Reader does not rely on
@@ -47,7 +54,6 @@
 // head is the request head that is currently read.
 type head struct {
 	Findings
-	lines          int
 	contentLengths int // number of Content-Length headers
 }
 
@@ -90,9 +96,20 @@
 // Count returns the number of complete heads.
 func (r *Reader) Count() int { return r.count }
 
+// ReadingHead reports whether the next byte belongs to a head, or to empty lines before it.
+func (r *Reader) ReadingHead() bool { return r.state == readingHead }
+
 // HeadBegun reports whether a head is partly read.
 func (r *Reader) HeadBegun() bool {
-	return r.state == readingHead && (r.current.lines > 0 || r.lineSize > 0)
+	return r.state == readingHead && (r.current.Size.Lines > 0 || r.lineSize > 0)
+}
+
+// HeadSize returns the size of the head that is partly read, or else of the last complete head.
+func (r *Reader) HeadSize() Size {
+	if r.HeadBegun() {
+		return r.current.Size
+	}
+	return r.complete.Size
 }
 
 // Buffered reports whether bytes of a later request were read from the connection but not yet returned by Read.
@@ -113,18 +130,24 @@
 // Read reads from the connection into b, but not beyond the end of the current request.
 func (r *Reader) Read(b []byte) (n int, err error) {
 	for {
-		if len(r.pending) == 0 {
-			n, err = r.conn.Read(b)
-		} else {
+		buffered := len(r.pending) > 0
+		if buffered {
 			n = copy(b, r.pending)
-			r.pending = r.pending[n:]
+		} else {
+			n, err = r.conn.Read(b)
 		}
 		skipped := r.skipEmptyLines(b[:n])
 		consumed := r.consume(b[skipped:n])
-		if beyond := b[skipped+consumed : n]; len(beyond) > 0 {
-			r.pending = append(append([]byte(nil), beyond...), r.pending...)
+		used := skipped + consumed
+		switch {
+		case buffered && used == len(r.pending):
+			r.pending = nil
+		case buffered:
+			r.pending = r.pending[used:]
+		case used < n:
+			r.pending = append([]byte(nil), b[used:n]...)
 		}
-		copy(b, b[skipped:skipped+consumed])
+		copy(b, b[skipped:used])
 		if consumed > 0 || err != nil || n == 0 {
 			return consumed, err
 		}
@@ -180,6 +203,7 @@
 
 // addByte processes one byte of the head and reports whether the head ends with it.
 func (r *Reader) addByte(c byte) (end bool) {
+	r.current.Size.Bytes++
 	if c != '\n' {
 		if r.afterCR {
 			r.current.setFault("a CR within a line")
@@ -198,12 +222,12 @@
 	r.afterCR = false
 	empty := r.lineSize == 0
 	if !empty {
-		if r.current.lines++; r.current.lines > 1 {
+		if r.current.Size.Lines++; r.current.Size.Lines > 1 {
 			r.checkHeader()
 		}
 	}
 	r.line, r.lineSize = r.line[:0], 0
-	return empty && r.current.lines > 0 // an empty line before the request line is skipped
+	return empty && r.current.Size.Lines > 0 // an empty line before the request line is skipped
 }
 
 // checkHeader checks one complete header line.
