Node: a request whose client left does not run again under the same ID

Callers saw: a client left while its request, which must not run twice, was at a server. It came again with the same ID, to the same process or, during an upgrade, to the other one, and the request ran a second time.

Cause: an ID was known only as long as a call or an attempt of it was open, and each process knew only its own.

As the client leaves, the other process of a hot restart is told; the loop does not wait for that. The message is new, and older builds ignore it, so the version of the handover stays: a new one would refuse upgrades from builds that differ in nothing else. Requests that may run again are not affected.

TestRequestIDIsFreeAfterClientLeaves wanted the second run of an unsafe request; its replacement wants 409 and one run, and for a class that may run again the free ID, as before. Cost without the fault: a look at an empty map for each request.

--- a/cmd/hookwalk/upgrade_test.go
+++ b/cmd/hookwalk/upgrade_test.go
@@ -382,3 +382,47 @@
 		})
 	}
 }
+
+// A client leaves while its request is at a server, and sends it again to the other process of the node. A request that must not
+// run twice then ran in both processes, since each knew only its own requests.
+func TestRequestOfGoneClientRunsOnceAcrossUpgrade(t *testing.T) {
+	var runs atomic.Int64
+	s := newNodeEnvironmentWith(t, func(w http.ResponseWriter, r *http.Request) {
+		if r.Header.Get("X-Call-Id") == "abandoned" {
+			runs.Add(1)
+			time.Sleep(500 * time.Millisecond)
+		}
+	})
+	send := func() net.Conn {
+		c, err := net.Dial("tcp", s.listen)
+		if err != nil {
+			t.Fatal(err)
+		}
+		fmt.Fprint(c, "POST /api HTTP/1.1\r\nHost: a\r\nX-Call-Id: abandoned\r\nX-Call-Class: a\r\nX-Budget: 2000m\r\nContent-Length: 0\r\n\r\n")
+		return c
+	}
+	old := s.start(t)
+	old.waitReady(t)
+	first := send()
+	waitFor(t, "the request has reached a server", func() bool { return runs.Load() == 1 })
+	successor := s.start(t)
+	successor.waitReady(t)
+	first.Close()
+	time.Sleep(100 * time.Millisecond) // a client that leaves needs a moment to come again
+	for again := range 8 {             // the kernel may give a connection to either process
+		c := send()
+		response, err := http.ReadResponse(bufio.NewReader(c), nil)
+		if err != nil {
+			t.Fatalf("request %d: %v", again, err)
+		}
+		if response.StatusCode != http.StatusConflict {
+			t.Errorf("request %d was answered with %d", again, response.StatusCode)
+		}
+		c.Close()
+	}
+	if got := runs.Load(); got != 1 {
+		t.Errorf("the request ran %d times", got)
+	}
+	old.terminate(t)
+	successor.terminate(t)
+}
--- a/internal/engine/call.go
+++ b/internal/engine/call.go
@@ -83,7 +83,7 @@
 	Failed
 	// Denied: the access list denies the client.
 	Denied
-	// DuplicateID: another open call has the same ID.
+	// DuplicateID: another open call has the same ID, or an abandoned run had it (recentRuns).
 	DuplicateID
 	// Aborted: a fault injection ended the call with Status.
 	Aborted
@@ -139,7 +139,8 @@
 }
 
 // handleArrival passes a new call to the balancer. A call with the ID of another open call is answered immediately: the
-// balancer would mistake it for the request that it already has, and never answer it.
+// balancer would mistake it for the request that it already has, and never answer it. So is a call with the ID of an abandoned
+// run, which would run twice.
 func (e *Engine) handleArrival(c *Call) {
 	e.arriving = c
 	if c.AccessDenied {
@@ -147,7 +148,8 @@
 		e.dispatch(c.Request)
 		return
 	}
-	if e.calls[c.Request.ID] != nil {
+	if abandoned := e.recentRuns.contains(c.Request.ID, e.Clock.Now()); abandoned || e.calls[c.Request.ID] != nil {
+		e.Log.Warn("request not taken: its ID is in use, or was used by a client that left", "id", c.Request.ID, "abandoned", abandoned)
 		c.ClaimAnswer()
 		c.answer <- Answer{Verdict: DuplicateID}
 		return
@@ -168,6 +170,7 @@
 		return
 	}
 	e.counters.clientGone++
+	e.reportAbandonedRun(c)
 	e.dispatch(balancer.ClientGone{ID: c.Request.ID})
 	e.removeIfDone(c)
 }
@@ -225,6 +228,7 @@
 // removeIfDone removes a call that is closed and has no outstanding attempt. From then on its ID can be used again.
 func (e *Engine) removeIfDone(c *Call) {
 	if c.Closed() && c.outstanding == 0 && e.calls[c.Request.ID] == c {
+		e.rememberAbandonedRun(c)
 		delete(e.calls, c.Request.ID)
 	}
 }
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -47,6 +47,9 @@
 	Metrics    *metrics.Reporter
 	Capture    *capture.Writer
 	Violations *invariants.Recorder // counts and logs violations of invariants
+	// OnAbandonedRun, if not nil, is called with the ID of a request whose client left while an attempt was outstanding, and which
+	// must not run again. The event loop calls it, so it must not block.
+	OnAbandonedRun func(id string)
 }
 
 // Engine runs one Balancer. Its methods may be called from any goroutine. Unless documented otherwise, they block until the
@@ -74,7 +77,8 @@
 	timers       timerHeap           // set by the balancer and not fired yet
 	leaseExpired bool                // whether the lease had expired when the balancer was last notified
 	answerBy     time.Duration       // when all calls must be answered; 0: the node is not shutting down
-	counters     counters            // for the log
+	recentRuns   recentRuns
+	counters     counters // for the log
 	// eventContext is recorded by the capture together with the next event that decide passes to the balancer. A caller
 	// of dispatch that has a context for its event sets it immediately before; decide clears it. If dispatch finds that
 	// the lease has just changed, the context is used up by the LeaseChanged event, and the dispatched event has none.
@@ -103,6 +107,7 @@
 		calls:                map[string]*Call{},
 		endpoints:            map[string]Endpoint{},
 		targets:              map[string]*Target{},
+		recentRuns:           newRecentRuns(),
 		lease:                newLeaseDeadline(),
 	}
 }
--- a/internal/hotrestart/golden_test.go
+++ b/internal/hotrestart/golden_test.go
@@ -54,7 +54,7 @@
 func goldenMessages() []Message {
 	out, back := true, false
 	return []Message{{ID: 1, Serving: true}, {AckID: 1}, {ID: 2, Server: "s-1", Disabled: true}, {ID: 3, Server: "s-1"}, {ID: 4, OutOfService: &out},
-		{ID: 5, OutOfService: &back}}
+		{ID: 5, OutOfService: &back}, {ID: 6, AbandonedRun: "9b1f03aa5c7e2d41"}}
 }
 
 // Every field must be set in an example. Otherwise the golden files would not detect a change of its key.
@@ -198,7 +198,7 @@
 	if _, err := acks.ReadFrom(socket); err != nil {
 		t.Fatal(err)
 	}
-	if want := "{\"ack\":1}\n{\"ack\":2}\n{\"ack\":3}\n{\"ack\":4}\n{\"ack\":5}\n"; acks.String() != want {
+	if want := "{\"ack\":1}\n{\"ack\":2}\n{\"ack\":3}\n{\"ack\":4}\n{\"ack\":5}\n{\"ack\":6}\n"; acks.String() != want {
 		t.Errorf("got acknowledgements %q, want %q", acks.String(), want)
 	}
 }
--- a/internal/hotrestart/hotrestart.go
+++ b/internal/hotrestart/hotrestart.go
@@ -60,8 +60,8 @@
 }
 
 // Message is a message between the two processes. It is either an acknowledgement (AckID) or one of these notifications:
-// the sender serves clients (Serving), a server was disabled or enabled (Server, Disabled), or the node was put out of
-// service or back in service (OutOfService).
+// the sender serves clients (Serving), a server was disabled or enabled (Server, Disabled), the node was put out of
+// service or back in service (OutOfService), or a request must not run in the other process (AbandonedRun).
 type Message struct {
 	ID           int    `json:"n,omitempty"`      // set by Send; the receiver acknowledges it
 	AckID        int    `json:"ack,omitempty"`    // the ID of the acknowledged message
@@ -69,6 +69,7 @@
 	Server       string `json:"server,omitempty"` // the ID of a server
 	Disabled     bool   `json:"out,omitempty"`    // true: an operator disabled Server; false: enabled it
 	OutOfService *bool  `json:"drain,omitempty"`  // nil: the message is about something else
+	AbandonedRun string `json:"ran,omitempty"`    // the ID of a request that may run here, and whose client has left
 }
 
 // ErrSocketPathTooLong means that the socket can't be created, so that no process can take over from another.
--- a/internal/node/ingress_test.go
+++ b/internal/node/ingress_test.go
@@ -190,30 +190,48 @@
 	}
 }
 
-// A client leaves while its request is at a server. The request ID must become free again.
-func TestRequestIDIsFreeAfterClientLeaves(t *testing.T) {
-	release := make(chan struct{})
-	b := newBackend(t, func(_ int, c net.Conn, _ *http.Request) bool {
-		<-release
-		return respond(c, "200 OK", "done")
-	})
-	n := startWithBackends(t, b)
-	ctx, leave := context.WithCancel(context.Background())
-	left := make(chan error, 1)
-	r := newRequest(t, n.url, "unsafe", "1", "x").WithContext(ctx)
-	go func() {
-		_, err := http.DefaultClient.Do(r)
-		left <- err
-	}()
-	eventually(t, "the request has reached the server", func() bool { return b.requests() == 1 })
-	leave()
-	if err := <-left; err == nil {
-		t.Fatal("the request was answered, although its client left")
+// A client leaves while its request is at a server, and comes again with the same ID. A request that must not run twice is answered
+// with 409, during the attempt and after it, and runs once. Other requests are not affected: the ID of a request that may run
+// again becomes free.
+func TestRequestOfGoneClientRunsOnce(t *testing.T) {
+	for class, wantRuns := range map[string]int{"unsafe": 1, "keyed": 2} {
+		t.Run(class, func(t *testing.T) {
+			release := make(chan struct{})
+			b := newBackend(t, func(_ int, c net.Conn, _ *http.Request) bool {
+				<-release
+				return respond(c, "200 OK", "done")
+			})
+			n := startWithBackends(t, b)
+			ctx, leave := context.WithCancel(context.Background())
+			left := make(chan error, 1)
+			go func() {
+				_, err := http.DefaultClient.Do(newRequest(t, n.url, class, "1", "x").WithContext(ctx))
+				left <- err
+			}()
+			eventually(t, "the request has reached the server", func() bool { return b.requests() == 1 })
+			leave()
+			if err := <-left; err == nil {
+				t.Fatal("the request was answered, although its client left")
+			}
+			if status, _, _ := sendRequest(t, newRequest(t, n.url, class, "1", "x")); status != http.StatusConflict {
+				t.Errorf("during the attempt, the ID was answered with %d", status)
+			}
+			close(release)
+			eventually(t, "the attempt has ended", func() bool {
+				status, _, _ := sendRequest(t, newRequest(t, n.url, class, "1", "x"))
+				return wantRuns == 1 && n.openRequests() == 0 || status == http.StatusOK
+			})
+			if wantRuns == 1 {
+				if status, _, _ := sendRequest(t, newRequest(t, n.url, class, "1", "x")); status != http.StatusConflict {
+					t.Errorf("after the attempt, the ID was answered with %d", status)
+				}
+			}
+			if status, _, _ := sendRequest(t, newRequest(t, n.url, class, "2", "x")); status != http.StatusOK {
+				t.Errorf("another request was answered with %d", status)
+			}
+			if got := b.requests() - 1; got != wantRuns {
+				t.Errorf("the request ran %d times, want %d", got, wantRuns)
+			}
+		})
 	}
-	close(release)
-	// The ID is free again after the engine's loop has removed the call and its attempt.
-	eventually(t, "the request ID is free", func() bool {
-		status, _, _ := sendRequest(t, newRequest(t, n.url, "unsafe", "1", "x"))
-		return status == http.StatusOK
-	})
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -112,6 +112,8 @@
 	n.balancerSettings.Store(&settings)
 	n.classes.Store(newClassTable(settings, nil, 0))
 	n.engine = engine.New(engine.Options{Clock: n.clock, Log: logger, Balancer: bal, Violations: invariants.NewRecorder(logger)})
+	n.otherProcess.abandonedRuns = make(chan string, maxQueuedRuns)
+	n.engine.OnAbandonedRun = n.otherProcess.queueAbandonedRun
 	n.engine.Violations.OnViolation = func(invariants.Rule) { n.engine.Metrics.Count(metrics.Tags(0), metrics.Violations) }
 
 	available := cfg.Sockets - cfg.reservedDescriptors()
--- a/internal/node/otherprocess.go
+++ b/internal/node/otherprocess.go
@@ -17,6 +17,9 @@
 	// servingAckTimeout is how long the previous process may take to acknowledge that this one serves. Until then this
 	// process reports to operators that it is not ready.
 	servingAckTimeout = 2 * time.Second
+
+	// maxQueuedRuns is the maximum number of abandoned runs that the other process has not been told of yet.
+	maxQueuedRuns = 256
 )
 
 // otherProcess is the other process of the node while two run during a hot restart. Only a node with an admin address
@@ -25,6 +28,8 @@
 	socketPath string            // of the Unix socket for handovers; "": none, so no process can take over
 	store      *hotrestart.Store // of the operator state on disk; nil: none
 
+	abandonedRuns chan string // IDs that the other process is to be told; buffered
+
 	mu          sync.Mutex
 	conn        *hotrestart.Conn // nil: there is no other process
 	isSuccessor bool             // the other process is the newer one
@@ -139,6 +144,10 @@
 		switch {
 		case message.Serving:
 			n.otherProcess.markServing(conn)
+		case message.AbandonedRun != "":
+			if err := n.engine.RememberRun(context.Background(), message.AbandonedRun); err != nil {
+				n.log.Warn("a request of the other process is not remembered", "id", message.AbandonedRun, "err", err)
+			}
 		case message.OutOfService != nil:
 			n.setInService(!*message.OutOfService)
 		case message.Server != "":
@@ -155,6 +164,33 @@
 	}
 }
 
+// queueAbandonedRun has forwardAbandonedRuns tell the other process of a request whose client left while it may run here. It does
+// not block: the oldest are told first, and beyond maxQueuedRuns none is added.
+func (p *otherProcess) queueAbandonedRun(id string) {
+	select {
+	case p.abandonedRuns <- id:
+	default:
+	}
+}
+
+// forwardAbandonedRuns sends the queued IDs to the other process, if there is one, until the node has stopped.
+func (n *Node) forwardAbandonedRuns() {
+	for {
+		select {
+		case id := <-n.otherProcess.abandonedRuns:
+			conn := n.otherProcess.currentConn()
+			if conn == nil {
+				continue
+			}
+			if err := conn.Send(hotrestart.Message{AbandonedRun: id}, otherProcessAckTimeout); err != nil {
+				n.log.Warn("the other process was not told of a request that may run here", "id", id, "err", err)
+			}
+		case <-n.stopped:
+			return
+		}
+	}
+}
+
 // recordOperatorCall sends an operator's call to the other process, if there is one, and saves the operator state on
 // disk. If either fails, the call remains in effect in this process, and the failure is logged.
 func (n *Node) recordOperatorCall(ctx context.Context, message hotrestart.Message) {
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -50,6 +50,7 @@
 	var owned sync.WaitGroup // goroutines that end before serve returns
 	n.startFeatures()
 	owned.Go(n.engine.Run)
+	owned.Go(n.forwardAbandonedRuns)
 	watchCtx, stopWatching := context.WithCancel(context.Background())
 	stopWaiting := n.startDiscovery(watchCtx, &owned)
 	defer stopWaiting()
