Node: no request is served on a connection that the node has closed

Cause, by the code and in a test in virtual time: the node closes an idle connection itself if its reader does not react within 50 ms. A reader that is held up may already have a read in progress; it returns bytes after the close, and only then is the socket closed. markActive asked whether the reader had agreed to the close, not whether the connection was closed, so the request was forwarded. The same held between the decision to close and the close.

Change: whoever decides to close takes the connection away from its reader under the lock (endReading), and markActive refuses closed connections. New log lines: an idle connection closed in place of its reader, input discarded for that reason, and each request that ends without an answer, with its ID and how its connection ended.

Cost: nothing but the lines.

--- a/internal/node/clientconn.go
+++ b/internal/node/clientconn.go
@@ -28,7 +28,7 @@
 	idleElement          *list.Element // in listener.idleConns; nil: a request is open
 	idleSince            time.Time
 	readCloseRequestedAt time.Time     // when the listener asked the reader to close it; zero: it has not
-	readClosed           bool          // the reader has confirmed the request to close: nothing more is read
+	readClosed           bool          // the connection is about to be closed: nothing more is read
 	halfCloseFirst       bool          // close the sending side first, and the rest after halfCloseTimeout
 	closedSignal         chan struct{} // closed by Close
 	tags                 metrics.Tags  // of its last request
@@ -78,6 +78,7 @@
 	case n > 0 && !backgroundRead && !c.headMemory.raiseTo(headMemory(size.Bytes, size.Lines)):
 		return 0, c.rejectHead(size)
 	case n > 0 && !c.listener.markActive(c):
+		c.listener.log.Info("input discarded: its connection was closed while it was read", "client", c.remoteAddr(), "bytes", n)
 		return 0, io.EOF
 	case n == 0 && err != nil && !c.hasPendingInput() && c.listener.confirmReadClose(c):
 		return 0, c.closeFromReader()
@@ -87,6 +88,14 @@
 	return n, err
 }
 
+// remoteAddr returns the address of the other end of the connection for the log, without waiting for a PROXY header.
+func (c *clientConn) remoteAddr() net.Addr {
+	if identified, ok := c.Conn.(*identifiedConn); ok {
+		return identified.Conn.RemoteAddr()
+	}
+	return c.Conn.RemoteAddr()
+}
+
 // hasPendingInput reports whether bytes have been read that belong to a request which is not open yet.
 func (c *clientConn) hasPendingInput() bool {
 	return c.head.HeadBegun() || c.head.Buffered() || c.readAhead.hasBuffered()
@@ -112,7 +121,7 @@
 // rejectHead rejects a request whose head needs more memory than is left, and returns io.EOF, on which net/http closes the
 // connection. net/http has not got the end of the head, so the request can't have run.
 func (c *clientConn) rejectHead(size requesthead.Size) error {
-	c.listener.log.Warn("request rejected: no memory for its head", "client", c.Conn.RemoteAddr(), "bytes", size.Bytes, "lines", size.Lines)
+	c.listener.log.Warn("request rejected: no memory for its head", "client", c.remoteAddr(), "bytes", size.Bytes, "lines", size.Lines)
 	c.Write([]byte(headRejection)) // an error is ignored: the connection is closed
 	c.CloseWrite()
 	c.readAhead.discardUntilEnd(halfCloseTimeout) // a close with unread bytes would reset the connection and destroy the response
@@ -205,3 +214,14 @@
 	c, _ := r.Context().Value(connKey{}).(*clientConn)
 	return c
 }
+
+// connEndReason says for the log how a connection has ended. It is nil in tests without a connection.
+func connEndReason(c *clientConn) string {
+	if c == nil {
+		return "none"
+	}
+	if c.listener.isClosed(c) {
+		return "closed by the node"
+	}
+	return c.readAhead.endReason()
+}
--- a/internal/node/clientlistener.go
+++ b/internal/node/clientlistener.go
@@ -40,7 +40,7 @@
 //	active       from the first byte of a request until its response is written (markActive).
 //	read-closed  idle, and readCloseRequestedAt is set: the connection's reader is interrupted and should begin no further
 //	             request. If the reader already has bytes of a request, the connection becomes active again. Otherwise
-//	             the reader sets readClosed, which is final.
+//	             the reader sets readClosed, which is final; so does whoever closes the connection in its place.
 //	closed       clientConn.Close has released the slot.
 //
 // net/http owns and closes each connection. If its reader does not react to the request to close in time, closeIdle or
@@ -139,13 +139,27 @@
 	if !c.readCloseRequestedAt.IsZero() {
 		wait = minIdleBeforeEviction - time.Since(c.readCloseRequestedAt)
 	}
+	overdue := wait <= 0
+	if overdue {
+		l.endReading(c)
+	}
 	l.mu.Unlock()
-	if wait <= 0 { // the reader has not closed it in time
-		c.Close()
+	if overdue {
+		l.closeOverdue(c)
 	}
 	return max(wait, 0), false
 }
 
+// endReading has the reader of an idle connection treat all bytes as unread, also those that it is just reading. From then on no
+// request of the connection is served, so it may be closed. The caller holds l.mu.
+func (l *clientListener) endReading(c *clientConn) { c.readClosed = true }
+
+// closeOverdue closes a connection whose reader has not closed it in time. endReading was called before.
+func (l *clientListener) closeOverdue(c *clientConn) {
+	l.log.Info("idle connection closed: its reader did not close it in time", "client", c.remoteAddr())
+	c.Close()
+}
+
 // Close closes the listener and ends Accept, even while it waits for a slot.
 func (l *clientListener) Close() error {
 	l.signalClosed()
@@ -193,12 +207,12 @@
 	}
 }
 
-// markActive records that bytes of a request were read. It returns false if the reader has already called confirmReadClose
-// and is to close the connection: the bytes must not be used then.
+// markActive records that bytes of a request were read. It returns false if the connection is closed or about to be closed: the
+// bytes must not be used then. A read that had begun before the close may still return bytes.
 func (l *clientListener) markActive(c *clientConn) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if c.readClosed {
+	if c.readClosed || c.closed {
 		return false
 	}
 	if !c.readCloseRequestedAt.IsZero() { // the bytes arrived before the reader was interrupted
@@ -234,6 +248,13 @@
 	return c.idleElement == nil
 }
 
+// isClosed reports whether this process has closed a connection.
+func (l *clientListener) isClosed(c *clientConn) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return c.closed
+}
+
 // removeIdle removes a connection from idleConns. The caller holds l.mu.
 func (l *clientListener) removeIdle(c *clientConn) {
 	if c.idleElement != nil {
@@ -277,6 +298,7 @@
 	for e := l.idleConns.Front(); e != nil; e = e.Next() {
 		switch c := e.Value.(*clientConn); {
 		case !c.readCloseRequestedAt.IsZero() && now.Sub(c.readCloseRequestedAt) >= halfCloseTimeout:
+			l.endReading(c)
 			overdue = append(overdue, c)
 		case c.readCloseRequestedAt.IsZero() && now.Sub(c.idleSince) >= minIdle:
 			l.requestReadClose(c, true)
@@ -284,6 +306,6 @@
 	}
 	l.mu.Unlock()
 	for _, c := range overdue {
-		c.Close()
+		l.closeOverdue(c)
 	}
 }
--- a/internal/node/clientlistener_test.go
+++ b/internal/node/clientlistener_test.go
@@ -143,6 +143,8 @@
 
 func (c *racingRequestConn) SetReadDeadline(time.Time) error { return nil }
 
+func (c *racingRequestConn) RemoteAddr() net.Addr { return nil }
+
 // A request arrives while its idle connection is being closed, and its client sends it again. If the node read and forwarded
 // the first one, it would run twice or get no response. So the request must stay unread, whatever the reason for the close.
 func TestRequestRacingWithCloseIsNotRead(t *testing.T) {
@@ -181,6 +183,64 @@
 	}
 }
 
+// lateReadConn is a client connection on which a read that has begun returns bytes although the connection is closed meanwhile, as
+// the read of a goroutine that was ready before the close does.
+type lateReadConn struct {
+	net.Conn
+	closed chan struct{}
+}
+
+func (c *lateReadConn) Read(b []byte) (int, error) {
+	<-c.closed
+	return copy(b, "G"), nil
+}
+
+func (c *lateReadConn) Close() error {
+	close(c.closed)
+	return nil
+}
+
+func (c *lateReadConn) SetReadDeadline(time.Time) error { return nil }
+
+func (c *lateReadConn) RemoteAddr() net.Addr { return nil }
+
+// The reader of an idle connection is held up: its read returns a request only after the node has closed the connection. If the
+// request were served, it would run and its client would get no answer, on a connection that the node itself has ended.
+func TestRequestReadAfterCloseIsNotServed(t *testing.T) {
+	for name, closes := range map[string]func(listener *clientListener, c *clientConn){
+		"evicted for its slot": func(listener *clientListener, _ *clientConn) {
+			wait, _ := listener.acquireSlot()
+			<-time.After(wait)
+			listener.acquireSlot()
+		},
+		"out of service": func(listener *clientListener, _ *clientConn) {
+			listener.closeIdle(0)
+			<-time.After(halfCloseTimeout)
+			listener.closeIdle(0)
+		},
+		"closed": func(_ *clientListener, c *clientConn) { c.Close() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				listener := newClientListener(nil, 1, nil)
+				c := newClientConn(&lateReadConn{closed: make(chan struct{})}, listener)
+				listener.openConns = 1
+				listener.markIdle(c)
+				read := make(chan error, 1)
+				go func() {
+					_, err := c.Read(make([]byte, 1))
+					read <- err
+				}()
+				<-time.After(minIdleBeforeEviction)
+				closes(listener, c)
+				if err := <-read; err != io.EOF {
+					t.Errorf("a request was read from a closed connection: %v", err)
+				}
+			})
+		})
+	}
+}
+
 // The deadline of a request's body ends with the body. On a busy node, net/http's background read, which detects that the
 // client leaves, may begin just before that deadline is cleared. If the read exceeds the deadline, the request must not be
 // canceled: its client is still there, would see its connection close, and would send the request again while it runs.
--- a/internal/node/ingress.go
+++ b/internal/node/ingress.go
@@ -101,6 +101,7 @@
 	if err != nil { // the client has gone, or the node ends and has closed this connection
 		end := invariants.RequestEnd{ClientGone: errors.Is(err, engine.ErrClientGone)}
 		h.violations.Record(end.Check(), "id", req.Request.ID, "err", err)
+		h.engine.Log.Info("request ended without an answer", "id", req.Request.ID, "err", err, "connection", connEndReason(conn))
 		return statusClientGone
 	}
 	return h.writeResponse(w, conn, answer)
--- a/internal/node/readahead.go
+++ b/internal/node/readahead.go
@@ -476,6 +476,19 @@
 	return a.conn.SetReadDeadline(time.Time{}) == nil
 }
 
+// endReason says for the log how the connection has ended, as far as it is known.
+func (a *readAheadBuffer) endReason() string {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	switch {
+	case a.err != nil:
+		return a.err.Error()
+	case a.clientClosedLocked():
+		return "closed by the client, with unread input"
+	}
+	return "not seen to end"
+}
+
 // checkClientClosed reports whether the client has closed its side of the connection, and if so, cancels its requests.
 func (a *readAheadBuffer) checkClientClosed() (closed bool) {
 	a.mu.Lock()
