--- a/internal/node/faultinjection_test.go
+++ b/internal/node/faultinjection_test.go
@@ -213,14 +213,14 @@
 		defer close(left)
 		http.DefaultClient.Do(newRequest(t, n.url, "unsafe", "leaves", "x").WithContext(ctx))
 	}()
-	eventually(t, "the request is delayed", func() bool { return len(out.lines("id=leaves")) == 1 })
+	eventually(t, "the request is delayed", func() bool { return len(out.lines("id=leaves class=unsafe drill=stall")) == 1 })
 	leave()
 	<-left
 	eventually(t, "the request ID is free", func() bool { // until then the answer is 409
 		ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
 		defer cancel()
 		_, err := http.DefaultClient.Do(newRequest(t, n.url, "unsafe", "leaves", "x").WithContext(ctx))
-		return err != nil && len(out.lines("id=leaves")) == 2
+		return err != nil && len(out.lines("id=leaves class=unsafe drill=stall")) == 2
 	})
 	held := make(chan int, 1)
 	go func() {
