Node: a response that its server still sends slowly is not cut off

Cause: a response of unknown length was held until 64 KiB of it were there, and the attempt's deadline ran all the while.

Change: such a response is forwarded while it arrives from 1 s after its first byte, or from 0.1 s before the attempt's deadline, if a byte has come within 0.25 s. Until then, and where the server has stopped, another server can replace it as before. The node waits without reading, because a chunked body can't be read on after a deadline; an error that the kernel reports while it waits is kept, since a reset is no end.

Cost without the fault: none for a response that is there at once. A response of unknown length that breaks off after more than 1 s reaches its client incomplete, where a retry may have followed.

--- a/internal/lab/clientload/memorylimit_test.go
+++ b/internal/lab/clientload/memorylimit_test.go
@@ -143,6 +143,16 @@
 	}
 }
 
+// readStatus reads one response and returns its status and the size of its body.
+func readStatus(c net.Conn) (status, size int, err error) {
+	response, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		return 0, 0, err
+	}
+	n, err := io.Copy(io.Discard, response.Body)
+	return response.StatusCode, int(n), err
+}
+
 // sendUnfinishedHead sends many short header fields and no end of the head.
 func sendUnfinishedHead(distinct bool) func(int, net.Conn, <-chan struct{}, *atomic.Int64) {
 	fields := shortFields(15<<10, distinct)
--- a/internal/lab/clientload/node_test.go
+++ b/internal/lab/clientload/node_test.go
@@ -42,7 +42,7 @@
 	return scale.BuildForService(context.Background(), "../../..", folder)
 })
 
-// limitedNode is a node process with limits on memory and descriptors, and twelve servers.
+// limitedNode is a node process with limits on memory and descriptors.
 type limitedNode struct {
 	addr     string
 	memoryMB int
@@ -53,18 +53,29 @@
 	log strings.Builder
 }
 
-// startLimitedNode starts a node for service, and servers that use a handler.
+// startLimitedNode starts a node for service, and twelve servers that use a handler.
 func startLimitedNode(t *testing.T, memoryMB, sockets int, handler http.HandlerFunc) *limitedNode {
+	t.Helper()
+	var servers []string
+	for range 12 {
+		server := httptest.NewServer(handler)
+		t.Cleanup(server.Close)
+		t.Cleanup(server.CloseClientConnections)
+		servers = append(servers, server.Listener.Addr().String())
+	}
+	return startNodeWithServers(t, memoryMB, sockets, servers)
+}
+
+// startNodeWithServers starts a node for service that knows the servers with the given addresses.
+func startNodeWithServers(t *testing.T, memoryMB, sockets int, servers []string) *limitedNode {
 	t.Helper()
 	program, err := serviceProgram()
 	if err != nil {
 		t.Fatal(err)
 	}
 	var hosts []map[string]any
-	for i := range 12 {
-		server := httptest.NewServer(handler)
-		t.Cleanup(server.Close)
-		hosts = append(hosts, map[string]any{"host": fmt.Sprintf("s-%d", i), "dial": server.Listener.Addr().String(), "health": "in_service"})
+	for i, addr := range servers {
+		hosts = append(hosts, map[string]any{"host": fmt.Sprintf("s-%d", i), "dial": addr, "health": "in_service"})
 	}
 	discovery := httptest.NewServer(http.HandlerFunc(serveEmptyChange))
 	t.Cleanup(discovery.Close)
--- a/internal/node/upstreamconn.go
+++ b/internal/node/upstreamconn.go
@@ -255,12 +255,16 @@
 	return head.StatusCode >= 100 && head.StatusCode < 200 && head.StatusCode != http.StatusSwitchingProtocols
 }
 
-// readBufferedResponse reads a response into memory. If its length was unknown and it exceeds the buffer limit, the
-// rest is streamed.
+// readBufferedResponse reads a response into memory. If its length was unknown and it exceeds the buffer limit, or if its server
+// sends it slowly, the rest is streamed.
 func (c *upstreamConn) readBufferedResponse(head *http.Response) *upstreamResponse {
 	limit := c.pool.bufferLimit
-	body, err := io.ReadAll(io.LimitReader(head.Body, int64(limit)+1))
-	if err == nil && len(body) > limit {
+	read := slowBodyReader{conn: c, body: head.Body, limit: limit}
+	if head.ContentLength >= 0 || head.StatusCode != http.StatusOK {
+		read.neverSlow = true
+	}
+	body, complete, err := read.readAll()
+	if err == nil && !complete {
 		c.bytesAllowed = maxStreamedResponse
 		return &upstreamResponse{head: head, body: body, stream: newResponseStream(c, head.Body)}
 	}
