Node: a streamed request that has arrived has its time, however slowly its server reads

Callers could see: an answer long after its time, where a server reads a large request chunk by chunk. Each write had a limit, all of them had none, while all of the request waited in the node's kernel and the client's time ran.

Change: for a body of known length the node asks the kernel before each chunk what has arrived. Once that is all, the remaining chunks together have the client's time from then on, and so has the response.

Chunked bodies are not covered: their end is not known before it is read. Cost: one ioctl for each chunk of a streamed body.

--- a/internal/node/readahead.go
+++ b/internal/node/readahead.go
@@ -476,6 +476,19 @@
 	return a.conn.SetReadDeadline(time.Time{}) == nil
 }
 
+// unreadBytes returns how many bytes have arrived on a client's connection and were not read. It is 0 if that is unknown.
+func unreadBytes(c *clientConn) (unread int64) {
+	if c == nil || c.readAhead.raw == nil {
+		return 0
+	}
+	c.readAhead.raw.Control(func(fd uintptr) {
+		if n, err := unix.IoctlGetInt(int(fd), unix.SIOCINQ); err == nil {
+			unread = int64(n)
+		}
+	})
+	return unread
+}
+
 // endReason says for the log how the connection has ended, as far as it is known.
 func (a *readAheadBuffer) endReason() string {
 	a.mu.Lock()
--- a/internal/node/requestbody.go
+++ b/internal/node/requestbody.go
@@ -38,6 +38,9 @@
 	maxBodyDuration = maxStreamedBody / minBodyRate * time.Second
 )
 
+// httpReadBuffer is the size in bytes of the buffer with which net/http reads a connection.
+const httpReadBuffer = 4 << 10
+
 // errRequestBody means that a client's body did not arrive, arrived too slowly or was too long. The client is at fault.
 var errRequestBody = errors.New("the body could not be read")
 
@@ -49,8 +52,10 @@
 	body             io.Reader
 	setReadDeadline  func(time.Time) error
 	timeLeft         time.Duration // until the next byte must arrive; grows with the bytes received
-	bytesRead        int64
-	remainderStarted atomic.Bool // the unbuffered part has been read from: the body can't be sent again
+	bytesRead        atomic.Int64
+	contentLength    int64        // of the complete body, in bytes; -1: unknown
+	unread           func() int64 // bytes that have arrived on the connection and were not read
+	remainderStarted atomic.Bool  // the unbuffered part has been read from: the body can't be sent again
 
 	mu     sync.Mutex // guards the read deadline and the fields below
 	closed bool
@@ -60,6 +65,8 @@
 func newBodyReader(w http.ResponseWriter, r *http.Request) *bodyReader {
 	return &bodyReader{
 		body:            r.Body,
+		contentLength:   r.ContentLength,
+		unread:          func() int64 { return unreadBytes(connOf(r)) },
 		setReadDeadline: http.NewResponseController(w).SetReadDeadline,
 		timeLeft:        bodyTimeLimit(connOf(r), bodyTimeAllowance),
 	}
@@ -83,7 +90,7 @@
 	}
 	n, err := r.body.Read(b[:min(len(b), streamChunk)])
 	r.timeLeft = min(r.timeLeft+time.Duration(n)*time.Second/minBodyRate-time.Since(begin), maxBodyTimeLeft)
-	if r.bytesRead += int64(n); r.bytesRead > maxStreamedBody { // a chunked body does not announce its length
+	if r.bytesRead.Add(int64(n)) > maxStreamedBody { // a chunked body does not announce its length
 		err = errRequestBody
 	}
 	if err != nil {
@@ -106,6 +113,12 @@
 	return nil
 }
 
+// arrived reports whether all of the body has arrived at this machine, except perhaps for what net/http may have buffered. It
+// returns false if the length of the body is unknown.
+func (r *bodyReader) arrived() bool {
+	return r.contentLength >= 0 && r.bytesRead.Load()+r.unread()+httpReadBuffer >= r.contentLength
+}
+
 // finish records how the body ended.
 func (r *bodyReader) finish(err error) {
 	r.mu.Lock()
--- a/internal/node/streamedsend.go
+++ b/internal/node/streamedsend.go
@@ -44,7 +44,7 @@
 func (a *attemptRun) writeStreamed() error {
 	began := a.pool.clock.Now()
 	defer a.attempt.CheckSend(began, noAnnouncedTimeout)
-	w := &errWriter{w: a.conn, beforeWrite: func() { a.conn.SetWriteDeadline(time.Now().Add(a.streamWriteTimeout())) }}
+	w := &errWriter{w: a.conn, beforeWrite: func() { a.conn.SetWriteDeadline(a.streamWriteDeadline(time.Now())) }}
 	if err := a.copyStreamed(w); err != nil {
 		return err
 	}
@@ -53,7 +53,7 @@
 	}
 	a.pool.mu.Lock()
 	defer a.pool.mu.Unlock()
-	a.conn.deadline = time.Now().Add(a.attempt.Timeout)
+	a.conn.deadline = a.responseDeadline(time.Now())
 	a.conn.sentAt = a.pool.clock.Now()
 	return a.conn.SetDeadline(a.conn.deadline)
 }
@@ -97,11 +97,39 @@
 	return int64(len(a.req.body)) + rest, err
 }
 
-// streamWriteTimeout returns how long a server may take to receive one chunk of a streamed body. The client's time runs from
-// the last byte of its body, which may have arrived since the node last read from the client, just before this write. So if
-// the write takes longer than the client's time, the answer to the client could be late.
-func (a *attemptRun) streamWriteTimeout() time.Duration {
-	return min(stallTimeout, a.attempt.Timeout+lateAnswerAllowance)
+// streamWriteDeadline returns until when a server may receive the chunk that is written at the time now. The client's time runs
+// from when the last byte of its body arrived, which may have happened since the node last read from the client. So if the write
+// takes longer than the client's time, the answer to the client could be late. Once all of the body is known to have arrived, the
+// writes of all chunks together have that time: the bytes may wait in the kernel for a server that reads slowly.
+func (a *attemptRun) streamWriteDeadline(now time.Time) time.Time {
+	if a.bodyArrivedAt.IsZero() && a.req.remaining.arrived() {
+		a.bodyArrivedAt = now
+		if !a.bodyMissingAt.IsZero() {
+			a.bodyArrivedAt = a.bodyMissingAt // it arrived at some time since then
+		}
+	}
+	a.bodyMissingAt = now
+	deadline := now.Add(min(stallTimeout, a.attempt.Timeout+lateAnswerAllowance))
+	if a.bodyArrivedAt.IsZero() {
+		return deadline
+	}
+	return earlier(deadline, a.bodyArrivedAt.Add(a.attempt.Timeout+lateAnswerAllowance))
+}
+
+// responseDeadline returns until when the response to a request that was sent completely at the time now may arrive.
+func (a *attemptRun) responseDeadline(now time.Time) time.Time {
+	if a.bodyArrivedAt.IsZero() {
+		return now.Add(a.attempt.Timeout)
+	}
+	return earlier(now, a.bodyArrivedAt.Add(lateAnswerAllowance)).Add(a.attempt.Timeout)
+}
+
+// earlier returns the earlier of two times.
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
 }
 
 // incompleteSendOutcome returns the outcome of an attempt whose request was not completely written: Overloaded if the
