--- a/cmd/hookwalk/upgrade_test.go
+++ b/cmd/hookwalk/upgrade_test.go
@@ -404,7 +404,11 @@
 	old := s.start(t)
 	old.waitReady(t)
 	first := send()
-	waitFor(t, "the request has reached a server", func() bool { return runs.Load() == 1 })
+	for end := time.Now().Add(10 * time.Second); runs.Load() != 1; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("the request did not reach a server")
+		}
+	}
 	successor := s.start(t)
 	successor.waitReady(t)
 	first.Close()
