Node: a response that trickles without end is not forwarded

What arrives at less than 32 KiB a second since its first byte, or less than 1 KiB, is not forwarded any more: it ends at the deadline, as before.

--- a/internal/lab/clientload/slowservers_test.go
+++ b/internal/lab/clientload/slowservers_test.go
@@ -115,6 +115,29 @@
 	}
 }
 
+// Guards against forwarding a response that trickles without end: its client would never get a final answer.
+func TestEndlessResponseIsAnsweredInTime(t *testing.T) {
+	const budget = 2 * time.Second
+	node := startLimitedNode(t, 64, 256, func(w http.ResponseWriter, r *http.Request) {
+		for r.Context().Err() == nil {
+			io.WriteString(w, "ok ")
+			w.(http.Flusher).Flush()
+			time.Sleep(slowReadInterval / 5)
+		}
+	})
+	c, err := net.Dial("tcp", node.addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	began := time.Now()
+	fmt.Fprintf(c, "POST /api HTTP/1.1\r\nHost: a\r\nX-Call-Class: write\r\nX-Call-Id: endless\r\nX-Budget: %dm\r\nContent-Length: 0\r\n\r\n", budget.Milliseconds())
+	c.SetReadDeadline(began.Add(budget + lateAnswerSlack))
+	if status, _, err := readStatus(c); err != nil || status != http.StatusBadGateway {
+		t.Errorf("status %d, %v, after %v", status, err, time.Since(began))
+	}
+}
+
 // slowUpload is a request whose server reads it slowly.
 type slowUpload struct {
 	size   int
--- a/internal/node/slowresponse.go
+++ b/internal/node/slowresponse.go
@@ -17,6 +17,11 @@
 
 	// arrivingGap is the longest pause in a response that counts as still arriving. After a longer one, its server may hang.
 	arrivingGap = 250 * time.Millisecond
+
+	// minForwardedBytes and minResponseRate, in bytes per second since the first byte, tell a response that is long from one that
+	// trickles without end. The latter is never forwarded, because its client would get no final answer.
+	minForwardedBytes = 1 << 10
+	minResponseRate   = minBodyRate
 )
 
 // slowBodyReader reads the body of a response that is to be buffered. It stops when the body exceeds the limit, and when its
@@ -30,6 +35,8 @@
 	limit     int  // bytes
 	neverSlow bool // the body is read up to the limit, however slowly it arrives
 
+	received    int // bytes
+	firstByteAt time.Time
 	lastByteAt  time.Time
 	forwardFrom time.Time // when the body is forwarded if it is still arriving; set by the first byte
 }
@@ -64,7 +71,9 @@
 		return
 	}
 	r.lastByteAt = time.Now()
+	r.received += n
 	if r.forwardFrom.IsZero() {
+		r.firstByteAt = r.lastByteAt
 		r.forwardFrom = r.lastByteAt.Add(maxHoldTime)
 		if last := r.conn.readDeadline().Add(-forwardMargin); last.Before(r.forwardFrom) {
 			r.forwardFrom = last
@@ -95,10 +104,14 @@
 	return false, err
 }
 
-// stillArriving reports whether the time to forward has come and the server has sent bytes recently.
+// stillArriving reports whether the time to forward has come, and the server has sent bytes recently and fast enough.
 func (r *slowBodyReader) stillArriving() bool {
 	now := time.Now()
-	return !now.Before(r.forwardFrom) && now.Sub(r.lastByteAt) < arrivingGap
+	if now.Before(r.forwardFrom) || now.Sub(r.lastByteAt) >= arrivingGap {
+		return false
+	}
+	expected := int(now.Sub(r.firstByteAt) * minResponseRate / time.Second)
+	return r.received >= max(expected, minForwardedBytes)
 }
 
 // restoreReadDeadline sets the read deadline that the pool or the attempt has set last.
