Node: fewer idle connections and captures in memory where memory is short

With 341 ordinary clients beside 1,024 idle ones a node of 32 MB reached 32,880 KiB of 32,768, in one play of two. Of the program's pages only a part is resident when the runtime's limit is set: 11 MB are assumed now. The ring of captures takes a 64th of the memory (768 KiB at most, as before, from 48 MB up), fewer idle connections to servers are kept, and one idle client connection for 16 with requests instead of eight.

--- a/cmd/hookwalk/resources.go
+++ b/cmd/hookwalk/resources.go
@@ -25,8 +25,9 @@
 	// minGoMemory is the lowest memory limit of the Go runtime, in bytes. With less, it would do little but collect garbage.
 	minGoMemory = 8 << 20
 
-	// assumedProgramPages is the resident size of the program in bytes where the system does not tell it.
-	assumedProgramPages = 12 << 20
+	// minProgramPages is the least that is assumed for the resident pages of the program and its libraries, in bytes. At the start
+	// only some of them are resident.
+	minProgramPages = 11 << 20
 )
 
 // limitResources limits the process to the memory and the cores of its configuration, and returns the memory in bytes that the
@@ -49,19 +50,20 @@
 	return max(min(memory*goMemoryPercent/100, memory-programPages-nonGoMemory), minGoMemory)
 }
 
-// residentProgramPages returns the size in bytes of the resident pages that come from files: the program and its libraries.
+// residentProgramPages returns the size in bytes of the resident pages that come from files, the program and its libraries, but at
+// least minProgramPages.
 func residentProgramPages() int64 {
 	text, err := os.ReadFile("/proc/self/statm") // sizes in pages: total, resident, and the resident part that comes from files
 	if err != nil {
-		return assumedProgramPages
+		return minProgramPages
 	}
 	fields := strings.Fields(string(text))
 	if len(fields) < 3 {
-		return assumedProgramPages
+		return minProgramPages
 	}
 	pages, err := strconv.ParseInt(fields[2], 10, 64)
 	if err != nil || pages <= 0 {
-		return assumedProgramPages
+		return minProgramPages
 	}
-	return pages * int64(os.Getpagesize())
+	return max(pages*int64(os.Getpagesize()), minProgramPages)
 }
--- a/internal/capture/ring_test.go
+++ b/internal/capture/ring_test.go
@@ -57,3 +57,20 @@
 		}
 	}
 }
+
+// A smaller ring must keep the newest frames of the larger one, the head among them: without it, a dump can't be replayed.
+func TestLimitRingKeepsNewestFrames(t *testing.T) {
+	w := &Writer{ring: newRing(ringBytes)}
+	frame := make([]byte, prefixBytes+1)
+	frame[prefixBytes-1] = 1 // the length of the rest
+	for i := range 10 {
+		frame[prefixBytes] = byte(i)
+		w.ring.push(frame)
+	}
+	w.LimitRing(3 * len(frame))
+	var kept []byte
+	w.ring.each(func(frame []byte) { kept = append(kept, frame[prefixBytes]) })
+	if string(kept) != "\x07\x08\x09" {
+		t.Errorf("kept %v, want the frames 7, 8 and 9", kept)
+	}
+}
--- a/internal/capture/writer.go
+++ b/internal/capture/writer.go
@@ -52,6 +52,13 @@
 	return w
 }
 
+// LimitRing reduces the ring buffer to a number of bytes. Like Event, it must not be called concurrently.
+func (w *Writer) LimitRing(bytes int) {
+	limited := newRing(min(bytes, ringBytes))
+	w.ring.each(limited.push)
+	w.ring = limited
+}
+
 // Event records an event and the resulting actions. It must be called before the Balancer handles the next event, because
 // it may write a head with the current state of the Balancer.
 func (w *Writer) Event(at time.Duration, event balancer.Event, actions []balancer.Action, context EventContext) {
--- a/internal/lab/clientload/memorylimit_test.go
+++ b/internal/lab/clientload/memorylimit_test.go
@@ -284,3 +284,35 @@
 		t.Errorf("%d of %d requests of ordinary clients were served", answered.Load(), want)
 	}
 }
+
+// A node must stay within its memory limit while idle clients hold more connections than it has descriptors, besides as many ordinary
+// clients as may be there.
+func TestIdleClientsStayWithinMemoryLimit(t *testing.T) {
+	const memoryMB, sockets = 32, 1024
+	node := startLimitedNode(t, memoryMB, sockets, answerBySize)
+	var idle sync.WaitGroup
+	for range sockets {
+		idle.Go(func() { keepConnecting(node.addr, node.stop) })
+	}
+	client := heavyClients["heads with few fields"].run
+	var ordinary sync.WaitGroup
+	var answered atomic.Int64
+	for i := range sockets / 3 {
+		ordinary.Go(func() {
+			c, err := net.Dial("tcp", node.addr)
+			if err != nil {
+				return
+			}
+			defer c.Close()
+			client(i, c, node.stop, &answered) // the connection may be evicted between two requests
+		})
+	}
+	time.AfterFunc(loadTime, func() { close(node.stop) })
+	ordinary.Wait()
+	idle.Wait()
+	peak := node.peakKB(t)
+	t.Logf("peak memory %d KiB; %d requests were served", peak, answered.Load())
+	if peak > memoryMB<<10 || answered.Load() == 0 {
+		t.Errorf("peak memory %d KiB, limit %d KiB; %d requests were served", peak, memoryMB<<10, answered.Load())
+	}
+}
--- a/internal/node/closereason.go
+++ b/internal/node/closereason.go
@@ -10,6 +10,7 @@
 	closedAtDeadline       closeReason = "deadline"             // the deadline of the attempt was exceeded
 	closedForIdleTime      closeReason = "idle"                 // the connection was idle for idleTimeout
 	closedForDescriptor    closeReason = "room"                 // another connection needed the descriptor
+	closedForMemory        closeReason = "memory"               // more connections were idle than the node's memory allows
 	closedForRetiredServer closeReason = "server retired"       // the server gets no new requests
 	closedForUnsolicited   closeReason = "unasked bytes"        // the server sent bytes that belong to no request
 	closedForSuspicion     closeReason = "suspicion"            // the server sent unsolicited bytes on another connection
--- a/internal/node/connpool.go
+++ b/internal/node/connpool.go
@@ -50,6 +50,7 @@
 type connPool struct {
 	clock           engine.Clock
 	bufferLimit     int                             // largest response that is buffered completely, in bytes
+	maxIdle         int                             // limit of idle connections
 	fullMaxConns    int                             // value of maxConns while no other process of the node runs
 	attemptEnded    func(engine.Result)             // receives the result of each attempt
 	forwardResponse func(*engine.Attempt, any) bool // forwards a streamed response; false: no client waits for it
@@ -73,7 +74,7 @@
 func newConnPool(clock engine.Clock, cfg Config, maxConns int, attemptEnded func(engine.Result),
 	forwardResponse func(*engine.Attempt, any) bool) *connPool {
 	p := &connPool{clock: clock, dialer: net.Dialer{KeepAlive: -1},
-		bufferLimit: maxBuffered, maxConns: maxConns, fullMaxConns: maxConns,
+		bufferLimit: maxBuffered, maxIdle: maxConns, maxConns: maxConns, fullMaxConns: maxConns,
 		attemptEnded: attemptEnded, forwardResponse: forwardResponse,
 		log: slog.New(slog.DiscardHandler), count: func(metrics.Counter) {},
 		conns: map[*upstreamConn]bool{}, idle: list.New(), idleByTarget: map[*engine.Target][]*upstreamConn{},
@@ -254,6 +255,9 @@
 	c.SetDeadline(c.deadline)
 	c.idleElement = p.idle.PushBack(c)
 	p.idleByTarget[c.target] = append(p.idleByTarget[c.target], c)
+	for p.idle.Len() > p.maxIdle {
+		p.closeLocked(p.idle.Front().Value.(*upstreamConn), closedForMemory)
+	}
 	return notClosed
 }
 
--- a/internal/node/memory.go
+++ b/internal/node/memory.go
@@ -7,6 +7,9 @@
 	// programMemory is for the program: its code, the runtime, settings, the endpoint list, metrics and captures.
 	programMemory = 18 << 20
 
+	// captureMemoryDivisor limits the ring buffer of captures to a part of the memory.
+	captureMemoryDivisor = 64
+
 	// connectionMemory is for a client connection with one open request: buffers and goroutines of net/http, and those of
 	// the connection to the server.
 	connectionMemory = 44 << 10
@@ -14,16 +17,24 @@
 	// idleConnectionMemory is for a client connection without an open request.
 	idleConnectionMemory = 20 << 10
 
+	// idleUpstreamMemory is for an idle connection to a server.
+	idleUpstreamMemory = 8 << 10
+
 	// minMemoryShares is the lowest part of the memory for heads, bodies and responses, as a divisor.
 	minMemoryShares = 10
+
+	// minIdleShares is the lowest number of connections without an open request, as a part of those with one, as a divisor.
+	minIdleShares = 16
 )
 
 // clientsWithRequests is the part of the descriptors that clients hold for requests at most, as a divisor. It is stated by the
 // platform.
 const clientsWithRequests = 3
 
-// Parts of the memory left (variableMemory) for each use, as divisors.
+// Parts of the memory left (variableMemory) for each use, as divisors. Idle connections to servers use what the others leave: they
+// are closed at once when a request needs a connection.
 const (
+	idleUpstreamDivisor      = 4
 	headMemoryDivisor        = 3
 	requestBodyMemoryDivisor = 3
 	responseMemoryDivisor    = 3
@@ -40,7 +51,16 @@
 func maxConnections(memory, descriptors, available int) int {
 	withRequests := descriptors / clientsWithRequests
 	idle := (memory - programMemory - withRequests*connectionMemory) / idleConnectionMemory
-	return min(available, withRequests+max(idle, withRequests/8))
+	return min(available, withRequests+max(idle, withRequests/minIdleShares))
+}
+
+// maxIdleUpstreamConns returns how many idle connections to servers a node keeps, of maxConns connections to servers (memory 0: no
+// limit is set).
+func maxIdleUpstreamConns(memory, maxConns int) int {
+	if memory == 0 {
+		return maxConns
+	}
+	return min(memory/idleUpstreamDivisor/idleUpstreamMemory, maxConns)
 }
 
 // bufferLimit returns how many bytes of one body or response are buffered if up to maxConcurrent exist at once. It is at
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -125,6 +125,7 @@
 	}
 	n.pool = newConnPool(n.clock, cfg, maxUpstreamConns, n.engine.AttemptEnded, n.engine.ForwardResponse)
 	n.pool.bufferLimit = bufferLimit(n.memory, responseMemoryDivisor, maxUpstreamConns)
+	n.pool.maxIdle = maxIdleUpstreamConns(n.memory, maxUpstreamConns)
 	n.pool.log = logger
 	n.pool.count = func(c metrics.Counter) { n.engine.Metrics.Count(metrics.Tags(0), c) }
 	n.discovery = discovery.New(discovery.Config{Addr: cfg.Discovery, Polled: cfg.Settings.PollDiscovery,
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -137,6 +137,9 @@
 	}
 	if c := n.cfg.Features.Capture; c != nil {
 		n.engine.Capture = capture.New(*c, n.cfg.Name, n.engine.Balancer, n.currentSettings(), n.cfg.Seed, n.stderr, n.log)
+		if n.cfg.MemoryMB > 0 {
+			n.engine.Capture.LimitRing(n.cfg.MemoryMB << 20 / captureMemoryDivisor)
+		}
 	}
 }
 
