--- a/internal/node/upstreamconn.go
+++ b/internal/node/upstreamconn.go
@@ -24,6 +24,7 @@
 	// responseHeadAllowance is for a response's head, the overhead of chunked encoding, and preceding 1xx responses.
 	responseHeadAllowance = 16 << 10
 
+	maxResponseHead     = maxBuffered                           // bytes read of a head and of preceding 1xx responses
 	maxBufferedResponse = 2*maxBuffered + responseHeadAllowance // bytes read of a response before it is streamed
 	maxStreamedResponse = 4 * maxStreamedBody                   // bytes of a streamed response
 )
@@ -220,7 +221,7 @@
 // responses. If it is uncertain where the response ends, it returns an error, because the bytes that follow may belong to
 // another response.
 func (c *upstreamConn) readResponse() *upstreamResponse {
-	c.bytesAllowed = responseHeadAllowance
+	c.bytesAllowed = maxResponseHead
 	for {
 		head, err := http.ReadResponse(c.reader, nil)
 		switch {
@@ -235,7 +236,7 @@
 		if head.ContentLength > int64(c.pool.bufferLimit) {
 			return c.beginStreamedResponse(head, make([]byte, min(c.pool.bufferLimit, streamChunk)))
 		}
-		c.bytesAllowed += maxBufferedResponse - responseHeadAllowance
+		c.bytesAllowed += maxBufferedResponse - maxResponseHead
 		return c.readBufferedResponse(head)
 	}
 }
