Node: no attempt begins while a client's input has to be discarded

The node had not yet read to the end of the connection. Whether such a client is still there can't be known until its input has been discarded, so until none has come for 10 ms no attempt begins for it; if it stays, it gets a rejection. Clients whose pipelined requests fit into half of the kernel's buffer are not affected.

--- a/internal/engine/call.go
+++ b/internal/engine/call.go
@@ -44,8 +44,8 @@
 	Retryable    bool // the class allows the request to run more than once
 	AccessDenied bool // the access list denies the client; Request contains only the ID
 	Payload      any  // data for the Sender; not used by the engine
-	// ClientGone, if not nil, reports whether the call's client is gone, and if so, cancels the context of Do. It detects that
-	// earlier than a read from the connection. The Sender's goroutines call it; it must not block.
+	// ClientGone, if not nil, reports whether the call's client is gone or may be gone. If it is gone for certain, ClientGone cancels
+	// the context of Do. It detects that earlier than a read from the connection. The Sender's goroutines call it; it must not block.
 	ClientGone func() bool
 
 	closed atomic.Bool // answered, or the client is gone: nothing more may be sent for the call
--- a/internal/node/readahead.go
+++ b/internal/node/readahead.go
@@ -29,6 +29,9 @@
 // megabytes for a client that sends without end, and the end of the connection would arrive behind all of them.
 const discardReceiveBuffer = 128 << 10
 
+// discardSettleTime is how long no input must have come from a client whose input is discarded before it counts as still there.
+const discardSettleTime = 10 * time.Millisecond
+
 // discardPause is the pause after each discardQuota.
 const discardPause = 2 * time.Millisecond
 
@@ -73,7 +76,8 @@
 	httpHasByte       bool   // net/http holds one byte that follows that request, and reads no further
 	hasPipelinedBytes bool   // bytes that follow that request were read together with it; net/http has not taken them
 	inBackgroundRead  bool   // net/http reads only to detect that the client of the open request leaves
-	discardedBytes    int    // bytes that were read but not buffered; if above 0, this response must close the connection
+	lastDiscardAt     time.Time
+	discardedBytes    int // bytes that were read but not buffered; if above 0, this response must close the connection
 	readerDone        chan struct{}
 	stopReader        chan struct{} // closed to end the reader
 	stopping          bool
@@ -347,6 +351,9 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.discardedBytes += bytes
+	if bytes > 0 {
+		a.lastDiscardAt = time.Now()
+	}
 	return a.recordEnd(err)
 }
 
@@ -512,6 +519,17 @@
 	return closed
 }
 
+// maySendFor reports whether an attempt for the client's request may begin. It is false if the client has gone, and also as long as
+// its input has to be discarded: the end of the connection may wait behind it.
+func (a *readAheadBuffer) maySendFor() bool {
+	if a.checkClientClosed() {
+		return false
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.discardedBytes == 0 || time.Since(a.lastDiscardAt) >= discardSettleTime
+}
+
 // clientClosedLocked reports whether the client has closed its side of the connection, according to the kernel. Unlike a read,
 // it detects this even if unread bytes, for example a part of a body, precede the end of the connection. It returns false if
 // the state is unknown. The caller holds a.mu.
