--- a/internal/lab/clientload/memorylimit_test.go
+++ b/internal/lab/clientload/memorylimit_test.go
@@ -162,6 +162,9 @@
 	}
 }
 
+// unserved has what the latest client with a given number got in place of a 200, for the messages of failed tests.
+var unserved sync.Map
+
 // sendHeads sends complete requests with the given header fields, one after another.
 func sendHeads(fields string, requests int) func(int, net.Conn, <-chan struct{}, *atomic.Int64) {
 	return func(i int, c net.Conn, stop <-chan struct{}, answered *atomic.Int64) {
@@ -170,11 +173,14 @@
 			io.WriteString(c, requestHead("POST", "write", fmt.Sprintf("heads-%d-%d", i, k))+fields+"Content-Length: 0\r\n\r\n")
 			response, err := http.ReadResponse(in, nil)
 			if err != nil {
+				unserved.Store(i, err.Error())
 				return
 			}
 			io.Copy(io.Discard, response.Body)
 			if response.StatusCode == http.StatusOK {
 				answered.Add(1)
+			} else {
+				unserved.Store(i, response.Status)
 			}
 		}
 		<-stop
@@ -255,6 +261,7 @@
 // in time, and that ordinary clients are.
 func checkMemoryLimit(t *testing.T, node *limitedNode, clients int, client heavyClient) {
 	t.Helper()
+	unserved.Clear()
 	var running sync.WaitGroup
 	var answered atomic.Int64
 	for i := range clients {
@@ -282,6 +289,10 @@
 	}
 	if want := int64(clients * client.ordinaryRequests); clients > fewClients && answered.Load() < want {
 		t.Errorf("%d of %d requests of ordinary clients were served", answered.Load(), want)
+		unserved.Range(func(client, got any) bool {
+			t.Logf("client %v: %v", client, got)
+			return true
+		})
 	}
 }
 
