Hot restart: a successor is told of abandoned runs from before the handover

The other process was told only of clients that left while it was there. The successor is now told of all that are remembered and of those whose attempt is outstanding. For that the engine keeps the IDs themselves, 2,048 at most, in place of 4,096 hashes. They are two tests in place of one: the path of a subtest's folder is too long for the socket of the handover.

--- a/cmd/hookwalk/upgrade_test.go
+++ b/cmd/hookwalk/upgrade_test.go
@@ -385,7 +385,14 @@
 
 // A client leaves while its request is at a server, and sends it again to the other process of the node. A request that must not
 // run twice then ran in both processes, since each knew only its own requests.
-func TestRequestOfGoneClientRunsOnceAcrossUpgrade(t *testing.T) {
+func TestAbandonedRunDuringUpgrade(t *testing.T) { checkRunsOnceAcrossUpgrade(t, false) }
+
+// The same, but the client has left before the successor starts, which has to be told at the handover.
+func TestAbandonedRunBeforeUpgrade(t *testing.T) { checkRunsOnceAcrossUpgrade(t, true) }
+
+// checkRunsOnceAcrossUpgrade has a client leave before the successor is started, or after it is ready.
+func checkRunsOnceAcrossUpgrade(t *testing.T, leavesBefore bool) {
+	t.Helper()
 	var runs atomic.Int64
 	s := newNodeEnvironmentWith(t, func(w http.ResponseWriter, r *http.Request) {
 		if r.Header.Get("X-Call-Id") == "abandoned" {
@@ -409,6 +416,9 @@
 			t.Fatal("the request did not reach a server")
 		}
 	}
+	if leavesBefore {
+		first.Close()
+	}
 	successor := s.start(t)
 	successor.waitReady(t)
 	first.Close()
--- a/internal/engine/recentruns.go
+++ b/internal/engine/recentruns.go
@@ -2,7 +2,8 @@
 
 import (
 	"context"
-	"hash/maphash"
+	"maps"
+	"slices"
 	"time"
 )
 
@@ -12,43 +13,36 @@
 	recentRunDuration = time.Minute
 
 	// maxRecentRuns is the maximum number of IDs that are remembered. Beyond it, the oldest is forgotten.
-	maxRecentRuns = 4096
+	maxRecentRuns = 2048
 )
 
 // recentRuns remembers the IDs of abandoned runs: requests whose clients left without an answer, that may have run, and that must
 // not run again. A client that does not know what became of its request may send it again on another connection, or to the
 // other process of a hot restart.
 type recentRuns struct {
-	seed   maphash.Seed
-	byHash map[uint64]time.Duration // when each was remembered last, on the engine's clock
+	byID   map[string]time.Duration // when each was remembered last, on the engine's clock
 	oldest []recentRun              // in the order in which they were remembered
 }
 
 // recentRun is one entry of recentRuns.oldest.
 type recentRun struct {
-	hash uint64
-	at   time.Duration
+	id string
+	at time.Duration
 }
 
-func newRecentRuns() recentRuns {
-	return recentRuns{seed: maphash.MakeSeed(), byHash: map[uint64]time.Duration{}}
-}
+func newRecentRuns() recentRuns { return recentRuns{byID: map[string]time.Duration{}} }
 
 // add remembers an ID.
 func (r *recentRuns) add(id string, now time.Duration) {
-	hash := maphash.String(r.seed, id)
-	r.byHash[hash] = now
-	r.oldest = append(r.oldest, recentRun{hash, now})
+	r.byID[id] = now
+	r.oldest = append(r.oldest, recentRun{id, now})
 	r.expire(now)
 }
 
 // contains reports whether an ID is remembered.
 func (r *recentRuns) contains(id string, now time.Duration) bool {
-	if len(r.byHash) == 0 {
-		return false
-	}
 	r.expire(now)
-	_, found := r.byHash[maphash.String(r.seed, id)]
+	_, found := r.byID[id]
 	return found
 }
 
@@ -57,8 +51,8 @@
 	for len(r.oldest) > 0 && (len(r.oldest) > maxRecentRuns || now-r.oldest[0].at > recentRunDuration) {
 		first := r.oldest[0]
 		r.oldest = r.oldest[1:]
-		if r.byHash[first.hash] == first.at { // otherwise it was remembered again later
-			delete(r.byHash, first.hash)
+		if r.byID[first.id] == first.at { // otherwise it was remembered again later
+			delete(r.byID, first.id)
 		}
 	}
 }
@@ -86,3 +80,19 @@
 		return nil
 	})
 }
+
+// AbandonedRuns returns the IDs of the requests that must not run again in another process of the node: those that are remembered,
+// and those whose clients have left while an attempt is outstanding.
+func (e *Engine) AbandonedRuns(ctx context.Context) (ids []string, err error) {
+	err = e.runCommand(ctx, func() error {
+		e.recentRuns.expire(e.Clock.Now())
+		ids = slices.Collect(maps.Keys(e.recentRuns.byID))
+		for id, c := range e.calls {
+			if !c.Retryable && c.clientGoneAt.Load() != 0 {
+				ids = append(ids, id)
+			}
+		}
+		return nil
+	})
+	return ids, err
+}
--- a/internal/node/otherprocess.go
+++ b/internal/node/otherprocess.go
@@ -135,6 +135,21 @@
 			continue
 		}
 		start(func() { n.receiveFromOtherProcess(conn) })
+		start(func() { n.handOverAbandonedRuns(conn) })
+	}
+}
+
+// handOverAbandonedRuns tells a successor of the requests whose clients left before the handover and that must not run again.
+func (n *Node) handOverAbandonedRuns(conn *hotrestart.Conn) {
+	ids, err := n.engine.AbandonedRuns(context.Background())
+	for _, id := range ids {
+		if err != nil {
+			break
+		}
+		err = conn.Send(hotrestart.Message{AbandonedRun: id}, otherProcessAckTimeout)
+	}
+	if err != nil {
+		n.log.Warn("the successor was not told of all requests that may have run here", "err", err)
 	}
 }
 
