--- a/internal/node/headers.go
+++ b/internal/node/headers.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"maps"
 	"net/http"
 	"strings"
 	"time"
@@ -32,16 +33,17 @@
 
 // nonForwardedHeaders are request headers that are not forwarded to servers: hop-by-hop headers, headers that the node
 // replaces, and headers that are meant for the node only.
-var nonForwardedHeaders = []string{"Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding",
-	"Content-Length", "Upgrade", "Expect", headerBudget, faultinjection.Header}
+var nonForwardedHeaders = map[string]bool{"Connection": true, "Keep-Alive": true, "Proxy-Connection": true, "Te": true, "Trailer": true,
+	"Transfer-Encoding": true, "Content-Length": true, "Upgrade": true, "Expect": true, headerBudget: true, faultinjection.Header: true}
 
-// excludedHeaders returns the headers of a request that are not forwarded, as keys.
+// excludedHeaders returns the headers of a request that are not forwarded. The caller must not change the map.
 func excludedHeaders(header http.Header) map[string]bool {
-	excluded := map[string]bool{}
-	for _, name := range nonForwardedHeaders {
-		excluded[name] = true
+	named := header.Values("Connection")
+	if len(named) == 0 {
+		return nonForwardedHeaders
 	}
-	for _, value := range header.Values("Connection") {
+	excluded := maps.Clone(nonForwardedHeaders)
+	for _, value := range named {
 		for name := range strings.SplitSeq(value, ",") {
 			excluded[http.CanonicalHeaderKey(strings.TrimSpace(name))] = true
 		}
