--- a/internal/node/ingress.go
+++ b/internal/node/ingress.go
@@ -88,7 +88,7 @@
 		if req.remaining == nil && conn.readAhead.beginRequest() {
 			return statusClientGone
 		}
-		req.ClientGone = func() bool { return !conn.readAhead.maySendFor() }
+		req.ClientGone = conn.readAhead.mayBeGone
 	}
 	answer, err := h.engine.Do(r.Context(), &req.Call)
 	if conn != nil && conn.readAhead.endRequest() {
--- a/internal/node/inputwatcher.go
+++ b/internal/node/inputwatcher.go
@@ -100,3 +100,16 @@
 	}
 	return receiveMemory{used: info[usedIndex], size: info[sizeIndex]}, nil
 }
+
+// unreadBytes returns how many bytes have arrived on a client's connection and were not read. It is 0 if that is unknown.
+func unreadBytes(c *clientConn) (unread int64) {
+	if c == nil || c.readAhead.raw == nil {
+		return 0
+	}
+	c.readAhead.raw.Control(func(fd uintptr) {
+		if n, err := unix.IoctlGetInt(int(fd), unix.SIOCINQ); err == nil {
+			unread = int64(n)
+		}
+	})
+	return unread
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -7,7 +7,8 @@
 //   - initiallist.go: the first endpoint list
 //   - config.go, configcompat.go, override.go, reload.go, classtable.go: the configuration, and changes to it at run time
 //   - ingress.go, request.go, headers.go, response.go, requestmetrics.go: requests from clients and their responses
-//   - clientlistener.go, clientconn.go, accesscontrol.go, readahead.go, inputwatcher.go: client connections
+//   - clientlistener.go, clientconn.go, accesscontrol.go, readahead.go, inputwatcher.go, inputdiscard.go: client
+//     connections
 //   - requestbody.go, streamedsend.go, responsestream.go, slowresponse.go: bodies that are too large or too slow to be buffered
 //   - memory.go: how the memory is divided among them
 //   - connpool.go, connreuse.go, suspicion.go, closereason.go, upstreamconn.go, attempt.go: connections to servers, and
--- a/internal/node/readahead.go
+++ b/internal/node/readahead.go
@@ -1,10 +1,8 @@
 package node
 
 import (
-	"cmp"
 	"context"
 	"errors"
-	"io"
 	"net"
 	"os"
 	"sync"
@@ -17,27 +15,9 @@
 // Sizes in bytes for reading beyond the open request.
 const (
 	maxReadAhead = 16 << 10 // buffered after an open request, once the kernel has no more room
-	discardChunk = 32 << 10 // size of one read that is discarded
 	peekSize     = 64       // size of a non-blocking read: enough to reach a client's FIN after a little data
-
-	// discardQuota is how much is discarded between two pauses of discardPause. It bounds the processor time for a client that
-	// sends without end, and still reaches the end of 10 MB, which the kernels of both sides may hold, within 0.1 s.
-	discardQuota = 512 << 10
 )
 
-// discardReceiveBuffer is the size in bytes of the kernel's receive buffer while input is discarded. Otherwise it would grow to many
-// megabytes for a client that sends without end, and the end of the connection would arrive behind all of them.
-const discardReceiveBuffer = 128 << 10
-
-// discardSettleTime is how long no input must have come from a client whose input is discarded before it counts as still there.
-const discardSettleTime = 10 * time.Millisecond
-
-// discardPause is the pause after each discardQuota.
-const discardPause = 2 * time.Millisecond
-
-// discardBuffers holds unused buffers for input that is discarded.
-var discardBuffers = sync.Pool{New: func() any { return new([discardChunk]byte) }}
-
 // pastDeadlineUnix is a read deadline in the past, in seconds of Unix time. net/http sets this value to end its background
 // read, and beginRead sets it to end the read-ahead goroutine. The value distinguishes a deadline that is meant to end a
 // read from the expired deadline of a request body.
@@ -102,17 +82,15 @@
 
 // readSocketOnce does one non-blocking read of the socket. It always returns true, so that RawConn.Read does not repeat it.
 func (a *readAheadBuffer) readSocketOnce(fd uintptr) bool {
-	n, err := syscall.Read(int(fd), a.scratch[:])
+	n, err := readSocket(fd, a.scratch[:])
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	switch {
-	case n > 0:
-		a.buf = append(a.buf, a.scratch[:n]...)
 	case err == nil:
-		a.err = io.EOF
-	case err == syscall.EAGAIN:
+		a.buf = append(a.buf, a.scratch[:n]...)
+	case errors.Is(err, syscall.EAGAIN):
 		a.socketEmpty = true
-	case err != syscall.EINTR:
+	default:
 		a.err = err
 	}
 	return true
@@ -244,32 +222,6 @@
 	return true
 }
 
-// readUpTo waits for input and reads up to size bytes of it. It needs no memory while it waits.
-func (a *readAheadBuffer) readUpTo(size int) (b []byte, err error) {
-	if a.raw == nil {
-		b = make([]byte, size)
-		n, err := a.conn.Read(b)
-		return b[:n], err
-	}
-	rawErr := a.raw.Read(func(fd uintptr) bool {
-		scratch := discardBuffers.Get().(*[discardChunk]byte)
-		defer discardBuffers.Put(scratch)
-		n, readErr := ignoringEINTR(func() (int, error) { return syscall.Read(int(fd), scratch[:size]) })
-		switch {
-		case n > 0:
-			b = append(b, scratch[:n]...)
-		case readErr == syscall.EAGAIN:
-			return false
-		case readErr != nil:
-			err = readErr
-		default:
-			err = io.EOF
-		}
-		return true
-	})
-	return b, cmp.Or(err, rawErr)
-}
-
 // bufferRoom returns how many bytes may still be buffered: none once input has been discarded.
 func (a *readAheadBuffer) bufferRoom() int {
 	a.mu.Lock()
@@ -280,64 +232,6 @@
 	return max(maxReadAhead-len(a.buf), 0)
 }
 
-// discardInput reads and discards input until the connection ends or the reader is stopped.
-func (a *readAheadBuffer) discardInput(stop <-chan struct{}) {
-	if a.raw != nil {
-		a.raw.Control(func(fd uintptr) { unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, discardReceiveBuffer) })
-	}
-	for pause := time.Duration(0); ; {
-		select {
-		case <-stop:
-			return
-		case <-time.After(pause):
-		}
-		discarded, err := a.discardOnce()
-		if a.storeDiscarded(discarded, err) {
-			return
-		}
-		if pause = 0; discarded >= discardQuota {
-			pause = discardPause
-		}
-	}
-}
-
-// discardOnce waits for input, and reads and discards up to discardQuota of what has arrived.
-func (a *readAheadBuffer) discardOnce() (discarded int, err error) {
-	if a.raw == nil {
-		return a.conn.Read(make([]byte, maxReadAhead))
-	}
-	rawErr := a.raw.Read(func(fd uintptr) bool {
-		b := discardBuffers.Get().(*[discardChunk]byte)
-		defer discardBuffers.Put(b)
-		for discarded < discardQuota {
-			n, readErr := ignoringEINTR(func() (int, error) { return syscall.Read(int(fd), b[:]) })
-			switch {
-			case n > 0:
-				discarded += n
-				continue
-			case readErr == syscall.EAGAIN:
-				return discarded > 0
-			case readErr != nil:
-				err = readErr
-			default:
-				err = io.EOF
-			}
-			return true
-		}
-		return true
-	})
-	return discarded, cmp.Or(err, rawErr)
-}
-
-// ignoringEINTR repeats a system call that a signal has interrupted.
-func ignoringEINTR(call func() (int, error)) (n int, err error) {
-	for {
-		if n, err = call(); err != syscall.EINTR {
-			return n, err
-		}
-	}
-}
-
 // storeRead stores the result of one read of the read-ahead goroutine, and reports whether the goroutine must stop.
 func (a *readAheadBuffer) storeRead(b []byte, err error) (stop bool) {
 	a.mu.Lock()
@@ -346,17 +240,6 @@
 	return a.recordEnd(err)
 }
 
-// storeDiscarded is storeRead for input that was discarded.
-func (a *readAheadBuffer) storeDiscarded(bytes int, err error) (stop bool) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.discardedBytes += bytes
-	if bytes > 0 {
-		a.lastDiscardAt = time.Now()
-	}
-	return a.recordEnd(err)
-}
-
 // recordEnd records the end of the connection, if err is one, and reports whether the read-ahead goroutine must stop. The caller
 // holds a.mu.
 func (a *readAheadBuffer) recordEnd(err error) (stop bool) {
@@ -367,18 +250,6 @@
 	return err != nil || a.stopping
 }
 
-// discardUntilEnd reads and discards input until the connection ends, at most for a timeout and up to discardQuota.
-func (a *readAheadBuffer) discardUntilEnd(timeout time.Duration) {
-	a.conn.SetReadDeadline(time.Now().Add(timeout))
-	for discarded := 0; discarded < discardQuota; {
-		n, err := a.discardOnce()
-		if err != nil {
-			return
-		}
-		discarded += n
-	}
-}
-
 // beginRead prepares a read by net/http: it ends the read-ahead goroutine, if there is one. backgroundRead is true if
 // net/http reads only to detect that the client leaves.
 func (a *readAheadBuffer) beginRead(backgroundRead bool) {
@@ -483,19 +354,6 @@
 	return a.conn.SetReadDeadline(time.Time{}) == nil
 }
 
-// unreadBytes returns how many bytes have arrived on a client's connection and were not read. It is 0 if that is unknown.
-func unreadBytes(c *clientConn) (unread int64) {
-	if c == nil || c.readAhead.raw == nil {
-		return 0
-	}
-	c.readAhead.raw.Control(func(fd uintptr) {
-		if n, err := unix.IoctlGetInt(int(fd), unix.SIOCINQ); err == nil {
-			unread = int64(n)
-		}
-	})
-	return unread
-}
-
 // endReason says for the log how the connection has ended, as far as it is known.
 func (a *readAheadBuffer) endReason() string {
 	a.mu.Lock()
@@ -519,15 +377,15 @@
 	return closed
 }
 
-// maySendFor reports whether an attempt for the client's request may begin. It is false if the client has gone, and also as long as
-// its input has to be discarded: the end of the connection may wait behind it.
-func (a *readAheadBuffer) maySendFor() bool {
+// mayBeGone reports whether the client has gone, or may have gone because its input has to be discarded: the end of the connection
+// may wait behind it. No attempt may begin then.
+func (a *readAheadBuffer) mayBeGone() bool {
 	if a.checkClientClosed() {
-		return false
+		return true
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.discardedBytes == 0 || time.Since(a.lastDiscardAt) >= discardSettleTime
+	return a.discardedBytes > 0 && time.Since(a.lastDiscardAt) < discardSettleTime
 }
 
 // clientClosedLocked reports whether the client has closed its side of the connection, according to the kernel. Unlike a read,
