Tests: one table of the ways in which a connection is closed, a shorter memory test

The two tests of requests that race with a close had the table twice; the newer one now also has the close at shutdown. All cases that they had before are still played.

--- a/internal/node/clientlistener_test.go
+++ b/internal/node/clientlistener_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"os"
@@ -128,6 +129,21 @@
 	}
 }
 
+// listenerCloses are the ways in which the node closes an idle connection itself.
+var listenerCloses = map[string]func(listener *clientListener, c *clientConn){
+	"evicted for its slot": func(listener *clientListener, _ *clientConn) {
+		wait, _ := listener.acquireSlot()
+		<-time.After(wait)
+		listener.acquireSlot()
+	},
+	"out of service": func(listener *clientListener, _ *clientConn) {
+		listener.closeIdle(0)
+		<-time.After(halfCloseTimeout)
+		listener.closeIdle(0)
+	},
+	"at shutdown": func(listener *clientListener, c *clientConn) { listener.stopReadingIdleConns(); c.Close() },
+}
+
 // racingRequestConn is a client connection on which a request arrives at the moment of its close.
 type racingRequestConn struct {
 	net.Conn
@@ -148,19 +164,7 @@
 // A request arrives while its idle connection is being closed, and its client sends it again. If the node read and forwarded
 // the first one, it would run twice or get no response. So the request must stay unread, whatever the reason for the close.
 func TestRequestRacingWithCloseIsNotRead(t *testing.T) {
-	for name, closes := range map[string]func(listener *clientListener, c *clientConn){
-		"evicted for its slot": func(listener *clientListener, _ *clientConn) {
-			wait, _ := listener.acquireSlot()
-			<-time.After(wait)
-			listener.acquireSlot()
-		},
-		"out of service": func(listener *clientListener, _ *clientConn) {
-			listener.closeIdle(0)
-			<-time.After(halfCloseTimeout)
-			listener.closeIdle(0)
-		},
-		"at shutdown": func(listener *clientListener, c *clientConn) { listener.stopReadingIdleConns(); c.Close() },
-	} {
+	for name, closes := range listenerCloses {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				listener := newClientListener(nil, 1, nil)
@@ -207,19 +211,9 @@
 // The reader of an idle connection is held up: its read returns a request only after the node has closed the connection. If the
 // request were served, it would run and its client would get no answer, on a connection that the node itself has ended.
 func TestRequestReadAfterCloseIsNotServed(t *testing.T) {
-	for name, closes := range map[string]func(listener *clientListener, c *clientConn){
-		"evicted for its slot": func(listener *clientListener, _ *clientConn) {
-			wait, _ := listener.acquireSlot()
-			<-time.After(wait)
-			listener.acquireSlot()
-		},
-		"out of service": func(listener *clientListener, _ *clientConn) {
-			listener.closeIdle(0)
-			<-time.After(halfCloseTimeout)
-			listener.closeIdle(0)
-		},
-		"closed": func(_ *clientListener, c *clientConn) { c.Close() },
-	} {
+	all := maps.Clone(listenerCloses)
+	all["closed"] = func(_ *clientListener, c *clientConn) { c.Close() }
+	for name, closes := range all {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				listener := newClientListener(nil, 1, nil)
--- a/internal/node/memory_test.go
+++ b/internal/node/memory_test.go
@@ -23,45 +23,41 @@
 		return pool.bytes
 	}
 	all := available()
-	largeHead := func(id string, fields int) string {
-		return strings.TrimSuffix(rawRequest("unsafe", id), "\r\n\r\nx") + "\r\n" + strings.Repeat("a:b\r\n", fields)
-	}
-	statuses := map[int]int{}
-	for i, head := range []string{
-		largeHead("small", 10) + "\r\nx",
-		largeHead("large", 500) + "\r\nx",
-		largeHead("unfinished", 500),
-		largeHead("too-large", 3000) + "\r\nx",
+	for _, head := range []struct {
+		id         string
+		fields     int
+		wantStatus int // 0: the head is not finished
+	}{
+		{"small", 10, http.StatusOK}, {"large", 500, http.StatusOK}, {"unfinished", 500, 0}, {"too-large", 3000, http.StatusServiceUnavailable},
 	} {
+		elsewhere := memoryReservation{pool: pool}
+		if head.wantStatus == http.StatusServiceUnavailable && !elsewhere.raiseTo(all/2) {
+			t.Fatal("half of the memory is not available")
+		}
 		c, err := net.Dial("tcp", strings.TrimPrefix(n.url, "http://"))
 		if err != nil {
 			t.Fatal(err)
 		}
-		pool.mu.Lock()
-		if i == 3 {
-			pool.bytes -= all / 2 // as if other connections held it
-		}
-		pool.mu.Unlock()
-		fmt.Fprint(c, head)
-		if strings.HasSuffix(head, "x") {
-			response, err := http.ReadResponse(bufio.NewReader(c), nil)
-			if err != nil {
-				t.Fatalf("head %d: %v", i, err)
-			}
-			io.Copy(io.Discard, response.Body)
-			statuses[response.StatusCode]++
-		} else {
+		fmt.Fprint(c, strings.TrimSuffix(rawRequest("unsafe", head.id), "\r\n\r\nx")+"\r\n"+strings.Repeat("a:b\r\n", head.fields))
+		if head.wantStatus == 0 {
 			eventually(t, "the head has been read", func() bool { return available() < all })
+		} else if got := finishHead(t, c); got != head.wantStatus {
+			t.Errorf("%s: status %d, want %d", head.id, got, head.wantStatus)
 		}
 		c.Close()
-		pool.mu.Lock()
-		if i == 3 {
-			pool.bytes += all / 2
-		}
-		pool.mu.Unlock()
+		elsewhere.release(true)
 		eventually(t, "the memory is returned", func() bool { return available() == all })
 	}
-	if statuses[http.StatusOK] != 2 || statuses[http.StatusServiceUnavailable] != 1 {
-		t.Errorf("statuses %v, want two 200 and one 503", statuses)
+}
+
+// finishHead sends the end of a head and a body of one byte, and returns the status of the response.
+func finishHead(t *testing.T, c net.Conn) int {
+	t.Helper()
+	fmt.Fprint(c, "\r\nx") // fails if the node has rejected the head
+	response, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		t.Fatal(err)
 	}
+	io.Copy(io.Discard, response.Body)
+	return response.StatusCode
 }
