--- a/review/standin2/quickreloads.go
+++ b/review/standin2/quickreloads.go
@@ -33,7 +33,7 @@
 	r.startNode()
 	time.Sleep(time.Second)
 	for range 30 { // ordinary traffic before
-		r.get("block-view", 3*time.Second, 4*time.Second)
+		r.get("/api", "block-view", 3*time.Second, 4*time.Second)
 	}
 	const requests = 5
 	done := make(chan string, requests)
@@ -47,7 +47,7 @@
 				return
 			}
 			defer conn.Close()
-			io.WriteString(conn, head("POST", id, weighIn, 3*time.Second, bodySize))
+			io.WriteString(conn, head("POST", "/api", id, weighIn, 3*time.Second, bodySize))
 			r.note("client %d: head of POST %s sent", i, id)
 			piece := make([]byte, bytesPerSecond/20)
 			for sent := 0; sent < bodySize; {
--- a/review/standin2/rig.go
+++ b/review/standin2/rig.go
@@ -256,9 +256,10 @@
 	if err := r.node.Start(); err != nil {
 		r.abandon("%v", err)
 	}
-	r.ended = make(chan struct{})
+	node, ended := r.node, make(chan struct{})
+	r.ended = ended
 	go func() {
-		err := r.node.Wait()
+		err := node.Wait()
 		r.mu.Lock()
 		expected := r.stopping
 		r.mu.Unlock()
@@ -266,7 +267,7 @@
 		if !expected {
 			r.breaks("the node ended by itself: %v", err)
 		}
-		close(r.ended)
+		close(ended)
 	}()
 	for until := time.Now().Add(startTimeout); time.Now().Before(until); time.Sleep(20 * time.Millisecond) {
 		if resp, err := http.Get("http://" + r.listen + "/ready"); err == nil {
