--- a/review/standin2/quickreloads.go
+++ b/review/standin2/quickreloads.go
@@ -6,7 +6,6 @@
 	"io"
 	"net"
 	"net/http"
-	"syscall"
 	"time"
 )
 
@@ -69,11 +68,11 @@
 		time.Sleep(200 * time.Millisecond)
 		r.settings()["lanes"] = []any{view}
 		r.writeConfig()
-		r.signal(syscall.SIGHUP)
+		r.node.signal(r, sigHUP)
 		time.Sleep(300 * time.Millisecond)
 		r.settings()["lanes"] = []any{view, class(weighIn, "read_like", 1250, 3000)}
 		r.writeConfig()
-		r.signal(syscall.SIGHUP)
+		r.node.signal(r, sigHUP)
 	}
 	for range requests {
 		id := <-done
--- a/review/standin2/rig.go
+++ b/review/standin2/rig.go
@@ -40,8 +40,8 @@
 	root      string // the repository
 	folder    string // temporary
 	discovery *discovery
-	node      *exec.Cmd
-	ended     chan struct{} // closed when the node has ended
+	node      *process
+	quiet     bool // what servers received is not recorded
 	listen    string
 	config    map[string]any
 
@@ -53,6 +53,28 @@
 	stopping bool
 }
 
+// process is one process of the node.
+type process struct {
+	command *exec.Cmd
+	control string        // its second address; "": none
+	ended   chan struct{} // closed when it has ended
+}
+
+func (p *process) pid() int { return p.command.Process.Pid }
+
+// Signals that cases send.
+const (
+	sigHUP  = syscall.SIGHUP
+	sigTERM = syscall.SIGTERM
+	sigKILL = syscall.SIGKILL
+)
+
+// signal sends a signal to the process.
+func (p *process) signal(r *rig, s syscall.Signal) {
+	r.note("signal to process %d: %v", p.pid(), s)
+	p.command.Process.Signal(s)
+}
+
 // run is one request that a server received completely.
 type run struct {
 	id, server string
@@ -103,7 +125,11 @@
 func (r *rig) ran(id, server string) {
 	r.mu.Lock()
 	r.runs = append(r.runs, run{id, server, time.Now()})
+	quiet := r.quiet
 	r.mu.Unlock()
+	if quiet {
+		return
+	}
 	r.note("server %s: received %s", server, id)
 }
 
@@ -228,8 +254,8 @@
 
 var runLine = regexp.MustCompile(`(?m)^run = "(.*)"$`)
 
-// startNode starts the node with the command of the deploy file, and waits until it is ready.
-func (r *rig) startNode() {
+// startProcess starts a process of the node with the command of the deploy file and the present configuration.
+func (r *rig) startProcess() *process {
 	r.writeConfig()
 	deploy, err := os.ReadFile(filepath.Join(r.root, "deploy", "balancer.toml"))
 	if err != nil {
@@ -243,43 +269,72 @@
 	if err := os.MkdirAll(private, 0o700); err != nil {
 		r.abandon("%v", err)
 	}
-	log, err := os.Create(r.nodeLogPath())
+	log, err := os.OpenFile(r.nodeLogPath(), os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o600)
 	if err != nil {
 		r.abandon("%v", err)
 	}
 	defer log.Close()
-	r.node = exec.Command("/bin/sh", "-c", string(found[1]))
-	r.node.Dir = r.root
-	r.node.Env = append(withoutPrefix(os.Environ(), "ROUTER_", "TMPDIR="), "ROUTER_NAME=n0", "ROUTER_LISTEN="+r.listen,
+	command := exec.Command("/bin/sh", "-c", string(found[1]))
+	command.Dir = r.root
+	command.Env = append(withoutPrefix(os.Environ(), "ROUTER_", "TMPDIR="), "ROUTER_NAME=n0", "ROUTER_LISTEN="+r.listen,
 		"ROUTER_DISCOVERY="+r.discovery.addr, "ROUTER_CONFIG="+r.configPath(), "TMPDIR="+private)
-	r.node.Stdout, r.node.Stderr = log, log
-	if err := r.node.Start(); err != nil {
+	command.Stdout, command.Stderr = log, log
+	if err := command.Start(); err != nil {
 		r.abandon("%v", err)
 	}
-	node, ended := r.node, make(chan struct{})
-	r.ended = ended
+	control, _ := r.config["control"].(string)
+	p := &process{command: command, control: control, ended: make(chan struct{})}
+	r.note("process %d started", p.pid())
 	go func() {
-		err := node.Wait()
+		err := command.Wait()
+		r.note("process %d ended: %v", p.pid(), err)
+		close(p.ended)
+	}()
+	return p
+}
+
+// startNode starts the node and waits until it is ready.
+func (r *rig) startNode() {
+	r.node = r.startProcess()
+	node := r.node
+	go func() {
+		<-node.ended
 		r.mu.Lock()
-		expected := r.stopping
+		expected := r.stopping || r.node != node
 		r.mu.Unlock()
-		r.note("node ended: %v", err)
 		if !expected {
-			r.breaks("the node ended by itself: %v", err)
+			r.breaks("crash: the node ended by itself")
 		}
-		close(ended)
 	}()
+	r.waitFor("http://" + r.listen + "/ready")
+}
+
+// startSuccessor starts a second process of the node, with the same addresses but another second one.
+func (r *rig) startSuccessor() *process {
+	r.mu.Lock()
+	r.stopping = true // the first process is to end
+	r.mu.Unlock()
+	r.config["control"] = freeAddress()
+	r.config["seed"] = newID()
+	return r.startProcess()
+}
+
+// waitUntilReady waits for a process's yes.
+func (r *rig) waitUntilReady(p *process) { r.waitFor("http://" + p.control + "/control/ready") }
+
+// waitFor waits until a call is answered 200.
+func (r *rig) waitFor(url string) {
+	client := http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: time.Second}
 	for until := time.Now().Add(startTimeout); time.Now().Before(until); time.Sleep(20 * time.Millisecond) {
-		if resp, err := http.Get("http://" + r.listen + "/ready"); err == nil {
+		if resp, err := client.Get(url); err == nil {
 			resp.Body.Close()
 			if resp.StatusCode == http.StatusOK {
-				r.note("node is ready, process %d", r.node.Process.Pid)
-				http.DefaultClient.CloseIdleConnections()
+				r.note("yes from %s", url)
 				return
 			}
 		}
 	}
-	r.abandon("the node was not ready in time")
+	r.abandon("no yes from %s in time", url)
 }
 
 func withoutPrefix(list []string, prefixes ...string) []string {
@@ -288,25 +343,19 @@
 	})
 }
 
-// signal sends a signal to the node.
-func (r *rig) signal(s syscall.Signal) {
-	r.note("signal to the node: %v", s)
-	r.node.Process.Signal(s)
-}
-
 // stopNode ends the node with SIGTERM, and with SIGKILL if that takes too long.
 func (r *rig) stopNode() {
-	if r.node == nil || r.node.Process == nil || r.ended == nil {
+	if r.node == nil {
 		return
 	}
 	r.mu.Lock()
 	r.stopping = true
 	r.mu.Unlock()
-	r.node.Process.Signal(syscall.SIGTERM)
+	r.node.signal(r, sigTERM)
 	select {
-	case <-r.ended:
+	case <-r.node.ended:
 	case <-time.After(killAfter):
-		r.node.Process.Kill()
-		<-r.ended
+		r.node.signal(r, sigKILL)
+		<-r.node.ended
 	}
 }
