--- a/review/standin2/server.go
+++ b/review/standin2/server.go
@@ -14,6 +14,11 @@
 
 // startServer starts a server and adds it to discovery's list. Each whole request is recorded before it is answered.
 func (r *rig) startServer(name string, answer answerer) host {
+	return r.startRawServer(name, func(conn net.Conn) { r.serveConn(name, conn, answer) })
+}
+
+// startRawServer is startServer for a server that serves each connection as it likes. The connection is closed afterwards.
+func (r *rig) startRawServer(name string, serve func(net.Conn)) host {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		cannotRun(err)
@@ -24,7 +29,10 @@
 			if err != nil {
 				return
 			}
-			go r.serveConn(name, conn, answer)
+			go func() {
+				defer conn.Close()
+				serve(conn)
+			}()
 		}
 	}()
 	h := host{Host: name, Dial: ln.Addr().String(), Site: "kelowna-dc", Class: "front-fast", Health: "in_service", Share: 1}
@@ -33,7 +41,6 @@
 }
 
 func (r *rig) serveConn(name string, conn net.Conn, answer answerer) {
-	defer conn.Close()
 	in := bufio.NewReader(conn)
 	for {
 		req, err := http.ReadRequest(in)
