--- a/review/standin2/discovery.go
+++ b/review/standin2/discovery.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 )
@@ -28,7 +29,6 @@
 type discovery struct {
 	addr   string
 	server *http.Server
-	ln     net.Listener
 
 	mu      sync.Mutex
 	seq     int
@@ -41,7 +41,7 @@
 	if err != nil {
 		cannotRun(err)
 	}
-	d := &discovery{addr: ln.Addr().String(), ln: ln, seq: 1, hosts: []host{}, changed: make(chan struct{})}
+	d := &discovery{addr: ln.Addr().String(), seq: 1, hosts: []host{}, changed: make(chan struct{})}
 	d.server = &http.Server{Handler: d}
 	go d.server.Serve(ln)
 	return d
@@ -53,8 +53,26 @@
 	}
 }
 
-// refuse ends the listener: new connections are refused, and open ones stay.
-func (d *discovery) refuse() { d.ln.Close() }
+// down ends the service: open connections are closed, and new ones are refused.
+func (d *discovery) down() { d.server.Close() }
+
+// up starts the service again at its address.
+func (d *discovery) up() error {
+	ln, err := net.Listen("tcp", d.addr)
+	if err != nil {
+		return err
+	}
+	d.server = &http.Server{Handler: d}
+	go d.server.Serve(ln)
+	return nil
+}
+
+// snapshot returns the version and the servers of the list.
+func (d *discovery) snapshot() (seq int, hosts []host) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.seq, slices.Clone(d.hosts)
+}
 
 // set adds a server, or replaces it.
 func (d *discovery) set(h host) {
--- a/review/standin2/rig.go
+++ b/review/standin2/rig.go
@@ -42,10 +42,8 @@
 	discovery *discovery
 	node      *process
 	quiet     bool // what servers received is not recorded
-	// settingsFile replaces the settings file that the deploy file names; "": it is used
-	settingsFile string
-	listen       string
-	config       map[string]any
+	listen    string
+	config    map[string]any
 
 	mu       sync.Mutex
 	began    time.Time
@@ -276,11 +274,7 @@
 		r.abandon("%v", err)
 	}
 	defer log.Close()
-	run := string(found[1])
-	if r.settingsFile != "" {
-		run = strings.Replace(run, "deploy/hookwalk.hcl", r.settingsFile, 1)
-	}
-	command := exec.Command("/bin/sh", "-c", run)
+	command := exec.Command("/bin/sh", "-c", string(found[1]))
 	command.Dir = r.root
 	command.Env = append(withoutPrefix(os.Environ(), "ROUTER_", "TMPDIR="), "ROUTER_NAME=n0", "ROUTER_LISTEN="+r.listen,
 		"ROUTER_DISCOVERY="+r.discovery.addr, "ROUTER_CONFIG="+r.configPath(), "TMPDIR="+private)
@@ -301,8 +295,10 @@
 
 // startNode starts the node and waits until it is ready.
 func (r *rig) startNode() {
-	r.node = r.startProcess()
-	node := r.node
+	node := r.startProcess()
+	r.mu.Lock()
+	r.node = node
+	r.mu.Unlock()
 	go func() {
 		<-node.ended
 		r.mu.Lock()
@@ -315,6 +311,16 @@
 	r.waitFor("http://" + r.listen + "/ready")
 }
 
+// killNode kills the node, as the platform may at any time.
+func (r *rig) killNode() {
+	killed := r.node
+	r.mu.Lock()
+	r.node = nil
+	r.mu.Unlock()
+	killed.signal(r, sigKILL)
+	<-killed.ended
+}
+
 // startSuccessor starts a second process of the node, with the same addresses but another second one.
 func (r *rig) startSuccessor() *process {
 	r.mu.Lock()
