A response that comes in pieces is not cut off while its server keeps its pace

Cause: three places judged whether a slow server had stopped, each over a part of the response. streamTimeLimit forgot what had come ahead of a pause, slowBodyReader took a pause of 0.25 s for a hang, and a read of the framing between two chunks could not be left, so that a chunked response was not forwarded before its deadline.

A held response is forwarded while a read is in progress, and the head alone if the body is long and begins late. Each cut is logged and counted (responses_cut_off).

Cost: a response of over 64 KiB whose server has stopped ends 2.9 s after its last byte, or 0.25 s after the deadline if that is later; before, 0.45 s and 0.25 s. One that goes on at a share r of 32 KiB/s ends 2.9 s/(1 - r) after it became so slow. A chunked one below 64 KiB that stops behind a piece which came faster than 32 KiB/s ends up to 1.25 s after the deadline, as one just above that rate did before. Each read of a held response of unknown length takes a goroutine.

--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -37,12 +37,14 @@
 	ConnectionsAbandoned                // to servers, after such bytes on this or another connection to the same server
 	Suspicions                          // servers that became suspected because of such bytes
 	EarlyResponses                      // from servers, so early and so soon after another one that the reuse delay applies
+	ResponsesCutOff                     // that a server had begun: it has stopped, or is too slow
+	RequestsReadSlowly                  // that were given up because a server reads them too slowly
 	counterCount                        // number of counters
 )
 
 var counterNames = [counterCount]string{"requests", "served", "refused", "turned_away", "failed", "left", "drill.applied",
 	"invariant.violations", "refused.list_expired", "server_connections", "unasked_responses", "connections_given_up", "suspicions",
-	"early_responses"}
+	"early_responses", "responses_cut_off", "requests_read_slowly"}
 
 // Gauge is a metric that rises and falls.
 type Gauge int
--- a/internal/node/attempt.go
+++ b/internal/node/attempt.go
@@ -9,6 +9,7 @@
 
 	"hookwalk.example/hookwalk/balancer"
 	"hookwalk.example/hookwalk/internal/engine"
+	"hookwalk.example/hookwalk/internal/metrics"
 )
 
 // Errors that are logged with an attempt without a response. The attempt's outcome says whether its request may have
@@ -221,6 +222,9 @@
 		return false
 	}
 	end := <-stream.result
+	if end.outcome == balancer.TimedOut {
+		a.reportCutOff(stream.limit)
+	}
 	if end.outcome != balancer.Success {
 		a.pool.close(a.conn, closedForBrokenStream)
 	}
@@ -233,6 +237,15 @@
 	return true
 }
 
+// reportCutOff logs and counts a response that was cut off because its server had stopped.
+func (a *attemptRun) reportCutOff(limit *responseLimit) {
+	a.pool.count(metrics.ResponsesCutOff)
+	now := time.Now()
+	a.pool.log.Warn("response cut off: its server has stopped, or is too slow", "id", a.attempt.Call.Request.ID, "server", a.attempt.Target.ID,
+		"received", limit.received, "length", limit.length, "since_last_byte", now.Sub(limit.lastByteAt),
+		"after_deadline", now.Sub(limit.due)+lateAnswerAllowance)
+}
+
 // responseOutcome returns the outcome that a response's status and headers indicate. After a 503 or 504 that is not
 // marked as a rejection, the request may have run.
 func responseOutcome(head *http.Response) balancer.Outcome {
--- a/internal/node/clientwrite.go
+++ b/internal/node/clientwrite.go
@@ -8,33 +8,24 @@
 	"golang.org/x/sys/unix"
 )
 
-const (
-	// clientProgressInterval is how often it is checked whether the client takes a response, while a write to it waits.
-	clientProgressInterval = 500 * time.Millisecond
-
-	// minClientRate is the minimum rate in bytes per second at which a client takes a streamed response. Clients reach four times
-	// that.
-	minClientRate = 16 << 10
-
-	// maxClientPause is how long a client may take nothing of a streamed response.
-	maxClientPause = 5 * time.Second
-)
+// clientProgressInterval is how often it is checked whether the client takes a response, while a write to it waits.
+const clientProgressInterval = 500 * time.Millisecond
 
 // clientWriteLimit decides how long the node waits for a client to take a streamed response. All writes of the response have one
-// limit, so that a client can't hold the response, and a connection to a server, by taking a little before each timeout.
+// limit (receivingPeerPace).
 //
 // What counts is what the client has acknowledged. The kernel lets a writer continue only when a third of its buffer, which may have
 // some megabytes, is free again: a sound slow client may need longer for that than any timeout of one write.
 type clientWriteLimit struct {
-	written   int64         // bytes given to the kernel
-	taken     int64         // of these, acknowledged by the client; below 0 while bytes of earlier responses are not
-	credit    time.Duration // how long the client may take nothing: the time of the bytes taken, at minClientRate
+	written   int64 // bytes given to the kernel
+	taken     int64 // of these, acknowledged by the client; below 0 while bytes of earlier responses are not
+	progress  transferProgress
 	checkedAt time.Time
 }
 
 // newClientWriteLimit returns the limit of a response. unacknowledged is how many bytes of earlier responses the client has not taken.
 func newClientWriteLimit(unacknowledged int64) *clientWriteLimit {
-	return &clientWriteLimit{taken: -unacknowledged, credit: maxClientPause}
+	return &clientWriteLimit{taken: -unacknowledged, progress: receivingPeerPace.begin(receivingPeerPace.maxPause)}
 }
 
 // beginWrite records that a write begins. Time between writes, in which the node waits for the server, does not count.
@@ -43,10 +34,9 @@
 // mayContinue reports whether a write that has waited until now may go on.
 func (l *clientWriteLimit) mayContinue(unacknowledged int64, now time.Time) bool {
 	taken := l.written - unacknowledged
-	earned := time.Duration(taken-l.taken) * time.Second / minClientRate
-	l.credit = min(l.credit+earned, maxClientPause) - now.Sub(l.checkedAt)
+	sound := l.progress.record(taken-l.taken, now.Sub(l.checkedAt))
 	l.taken, l.checkedAt = taken, now
-	return l.credit > 0
+	return sound
 }
 
 // beginStream limits the writes that follow by what the client takes, until endStream. It has no effect if the system does not tell
--- a/internal/node/requestbody.go
+++ b/internal/node/requestbody.go
@@ -23,17 +23,13 @@
 	// bodyTimeAllowance is the time that every body has in addition to the time that its bytes take at minBodyRate.
 	bodyTimeAllowance = 800 * time.Millisecond
 
-	// minBodyRate is the minimum rate of a body in bytes per second. Clients reach twice that.
+	// minBodyRate is the minimum rate of a body in bytes per second. Sound peers reach almost twice that.
 	minBodyRate = 32 << 10
 
 	// firstBodyDeadline is the time after accepting a connection by which the body of its first request must have begun. A
 	// client that sends no valid request must get an answer or be disconnected within 3 s of connecting.
 	firstBodyDeadline = 2900 * time.Millisecond
 
-	// maxBodyTimeLeft caps the time that a body gains by arriving faster than minBodyRate. Otherwise a client could send most
-	// of it at once and then nothing for minutes.
-	maxBodyTimeLeft = stallTimeout
-
 	// maxBodyDuration bounds the time for a complete body. No body that keeps to minBodyRate takes longer.
 	maxBodyDuration = maxStreamedBody / minBodyRate * time.Second
 )
@@ -44,14 +40,14 @@
 // errRequestBody means that a client's body did not arrive, arrived too slowly or was too long. The client is at fault.
 var errRequestBody = errors.New("the body could not be read")
 
-// bodyReader reads a client's body and enforces minBodyRate. Only the time spent waiting for the client counts.
+// bodyReader reads a client's body and enforces sendingClientPace. Only the time spent waiting for the client counts.
 //
 // One goroutine reads at a time: first the one that serves the request, then that of the attempt that sends the body. The
 // request's goroutine calls close when it has the answer, which also ends a blocked read.
 type bodyReader struct {
 	body             io.Reader
 	setReadDeadline  func(time.Time) error
-	timeLeft         time.Duration // until the next byte must arrive; grows with the bytes received
+	progress         transferProgress // its credit is the time until the next byte must arrive
 	bytesRead        atomic.Int64
 	contentLength    int64        // of the complete body, in bytes; -1: unknown
 	unread           func() int64 // bytes that have arrived on the connection and were not read
@@ -68,7 +64,7 @@
 		contentLength:   r.ContentLength,
 		unread:          func() int64 { return unreadBytes(connOf(r)) },
 		setReadDeadline: http.NewResponseController(w).SetReadDeadline,
-		timeLeft:        bodyTimeLimit(connOf(r), bodyTimeAllowance),
+		progress:        sendingClientPace.begin(bodyTimeLimit(connOf(r), bodyTimeAllowance)),
 	}
 }
 
@@ -89,7 +85,7 @@
 		return 0, err
 	}
 	n, err := r.body.Read(b[:min(len(b), streamChunk)])
-	r.timeLeft = min(r.timeLeft+time.Duration(n)*time.Second/minBodyRate-time.Since(begin), maxBodyTimeLeft)
+	r.progress.record(int64(n), time.Since(begin))
 	if r.bytesRead.Add(int64(n)) > maxStreamedBody { // a chunked body does not announce its length
 		err = errRequestBody
 	}
@@ -109,7 +105,7 @@
 	case r.closed:
 		return errRequestBody
 	}
-	r.setReadDeadline(now.Add(r.timeLeft))
+	r.setReadDeadline(now.Add(r.progress.credit))
 	return nil
 }
 
--- a/internal/node/responsestream.go
+++ b/internal/node/responsestream.go
@@ -15,8 +15,9 @@
 type responseStream struct {
 	conn     *upstreamConn
 	body     io.Reader
-	limit    streamTimeLimit
+	limit    *responseLimit
 	started  bool              // limit has its deadline
+	begun    *bodyRead         // a read that was in progress as the response began to be forwarded; nil: none, or all of it was returned
 	result   chan streamResult // buffered, so that finish does not block
 	released chan struct{}     // closed when readLoop may read from the connection again
 }
@@ -27,25 +28,47 @@
 	err     error
 }
 
-// newResponseStream returns the stream of the rest of a response. buffered is how many bytes of its body have been read, and
-// length that of the whole body; it is -1 if it is unknown.
-func newResponseStream(c *upstreamConn, body io.Reader, buffered int, length int64) *responseStream {
-	return &responseStream{conn: c, body: body, limit: streamTimeLimit{received: int64(buffered), length: length},
-		result: make(chan streamResult, 1), released: make(chan struct{})}
+// newResponseStream returns the stream of the rest of a response. limit has recorded what was buffered of it.
+// begun is nil if no read is in progress.
+func newResponseStream(c *upstreamConn, body io.Reader, limit *responseLimit, begun *bodyRead) *responseStream {
+	return &responseStream{conn: c, body: body, limit: limit, begun: begun, result: make(chan streamResult, 1), released: make(chan struct{})}
 }
 
-// Read reads from the server. It fails with os.ErrDeadlineExceeded if the response has to end (streamTimeLimit).
+// Read reads from the server. It fails with os.ErrDeadlineExceeded if the response has to end (responseLimit).
 func (s *responseStream) Read(b []byte) (int, error) {
 	if !s.started { // not earlier: the deadline of a streamed request is known when its last byte has been sent
 		s.started = true
 		s.limit.start(s.conn.clientDeadline(), time.Now())
 	}
-	s.conn.SetReadDeadline(s.limit.beginRead(time.Now()))
-	n, err := s.body.Read(b)
-	s.limit.endRead(n, time.Now())
+	s.conn.SetReadDeadline(s.limit.beginWait(time.Now()))
+	n, err := s.readBody(b)
+	s.limit.record(n, time.Now())
 	return n, err
 }
 
+// readBody reads from the body. What the read in progress returns comes first.
+func (s *responseStream) readBody(b []byte) (int, error) {
+	if s.begun == nil {
+		return s.body.Read(b)
+	}
+	<-s.begun.done
+	n := copy(b, s.begun.buf[:s.begun.n])
+	s.begun.buf, s.begun.n = s.begun.buf[n:], s.begun.n-n
+	if s.begun.n > 0 {
+		return n, nil
+	}
+	err := s.begun.err
+	s.begun = nil
+	return n, err
+}
+
+// awaitRead waits until no read is in progress. The connection must be closed, or the response read to its end.
+func (s *responseStream) awaitRead() {
+	if s.begun != nil {
+		<-s.begun.done
+	}
+}
+
 // clientDeadline returns when the client stops waiting for the response that is being read. For a request whose body is streamed,
 // its time runs from the last byte of the body, and the deadline of the connection has it.
 func (c *upstreamConn) clientDeadline() time.Time {
--- a/internal/node/slowresponse.go
+++ b/internal/node/slowresponse.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"io"
-	"os"
 	"time"
 )
 
@@ -14,104 +13,95 @@
 
 	// forwardMargin is the time before the deadline of an attempt at which a response that is still arriving is forwarded.
 	forwardMargin = 100 * time.Millisecond
-
-	// arrivingGap is the longest pause in a response that counts as still arriving. After a longer one, its server may hang.
-	arrivingGap = 250 * time.Millisecond
-
-	// minForwardedBytes and minResponseRate, in bytes per second since the first byte, tell a response that is long from one that
-	// trickles without end. The latter is never forwarded, because its client would get no final answer.
-	minForwardedBytes = 1 << 10
-	minResponseRate   = minBodyRate
 )
 
-// slowBodyReader reads the body of a response that is to be buffered. It stops when the body exceeds the limit, and when its
+// slowBodyReader reads the body of a response that is to be buffered. It stops when the body exceeds its size limit, and when its
 // server sends it so slowly that it has to be forwarded while it arrives: otherwise the attempt's deadline would cut off a
 // response that the server still sends.
-//
-// It waits without reading, because a read that fails at a deadline leaves a chunked body unreadable.
 type slowBodyReader struct {
 	conn      *upstreamConn
 	body      io.Reader
-	limit     int  // bytes
-	neverSlow bool // the body is read up to the limit, however slowly it arrives
+	size      int  // bytes that are buffered at most
+	neverSlow bool // the body is read up to that size, however slowly it arrives
 
-	received    int // bytes
-	firstByteAt time.Time
-	lastByteAt  time.Time
+	limit       *responseLimit
 	forwardFrom time.Time // when the body is forwarded if it is still arriving; set by the first byte
+	unfinished  *bodyRead // in progress as the body has to be forwarded; nil: none is
+}
+
+// bodyRead is one read of a body in a goroutine of its own. A read that was given up would leave a chunked body unreadable, and a read
+// of the framing between two pieces waits for the next piece. So a response is forwarded while a read is in progress.
+type bodyRead struct {
+	buf  []byte
+	n    int           // valid after done
+	err  error         // valid after done
+	done chan struct{} // closed when the read has returned
+}
+
+// startBodyRead starts to read into buf.
+func startBodyRead(body io.Reader, buf []byte) *bodyRead {
+	read := &bodyRead{buf: buf, done: make(chan struct{})}
+	go func() {
+		defer close(read.done)
+		read.n, read.err = body.Read(buf)
+	}()
+	return read
 }
 
 // readAll returns the body, or its beginning if complete is false. The error is that of the connection, or that the body is
 // malformed.
 func (r *slowBodyReader) readAll() (body []byte, complete bool, err error) {
-	body = make([]byte, 0, min(r.limit+1, minBuffered))
-	for len(body) <= r.limit {
-		if forward, err := r.waitForInput(); forward || err != nil {
-			return body, false, err
-		}
+	body = make([]byte, 0, min(r.size+1, minBuffered))
+	for len(body) <= r.size {
 		if len(body) == cap(body) {
-			body = append(make([]byte, 0, min(2*cap(body), r.limit+1)), body...)
+			body = append(make([]byte, 0, min(2*cap(body), r.size+1)), body...)
 		}
-		n, err := r.body.Read(body[len(body):cap(body)])
+		n, forward, err := r.read(body[len(body):cap(body)])
 		body = body[:len(body)+n]
 		r.recordBytes(n)
 		switch {
 		case errors.Is(err, io.EOF):
 			return body, true, nil
-		case err != nil:
+		case forward || err != nil:
 			return body, false, err
 		}
 	}
 	return body, false, nil
 }
 
-// recordBytes records that n bytes of the body have arrived.
-func (r *slowBodyReader) recordBytes(n int) {
-	if n == 0 {
-		return
+// read reads into buf, or reports that the body has to be forwarded from now on. The read is then unfinished.
+func (r *slowBodyReader) read(buf []byte) (n int, forward bool, err error) {
+	if r.neverSlow || r.forwardFrom.IsZero() { // nothing has arrived that could be forwarded
+		n, err = r.body.Read(buf)
+		return n, false, err
 	}
-	r.lastByteAt = time.Now()
-	r.received += n
-	if r.forwardFrom.IsZero() {
-		r.firstByteAt = r.lastByteAt
-		r.forwardFrom = r.lastByteAt.Add(maxHoldTime)
-		if last := r.conn.readDeadline().Add(-forwardMargin); last.Before(r.forwardFrom) {
-			r.forwardFrom = last
-		}
-	}
-}
-
-// waitForInput waits until there is input, the connection ends or is closed at its deadline, or the body has to be forwarded from
-// now on. The error is one of the operating system, which reports it only once.
-func (r *slowBodyReader) waitForInput() (forward bool, err error) {
-	switch {
-	case r.neverSlow, r.forwardFrom.IsZero(): // nothing has arrived that could be forwarded
-		return false, nil
-	case r.stillArriving():
-		return true, nil
-	case r.conn.reader.Buffered() > 0, time.Now().After(r.forwardFrom):
-		return false, nil
+	read := startBodyRead(r.body, buf)
+	timer := time.NewTimer(time.Until(r.forwardFrom))
+	defer timer.Stop()
+	select {
+	case <-read.done:
+		return read.n, false, read.err
+	case <-timer.C:
 	}
-	r.conn.SetReadDeadline(r.forwardFrom)
-	err = r.conn.waitReadable()
-	r.conn.restoreReadDeadline()
-	switch {
-	case errors.Is(err, os.ErrDeadlineExceeded):
-		return r.stillArriving(), nil
-	case errors.Is(err, io.EOF): // the body's reader decides whether this is its end
-		return false, nil
+	if !r.limit.begunSoundly(time.Now()) {
+		<-read.done
+		return read.n, false, read.err
 	}
-	return false, err
+	r.conn.SetReadDeadline(r.conn.clientDeadline().Add(lateAnswerAllowance)) // until the stream sets its own
+	r.unfinished = read
+	return 0, true, nil
 }
 
-// stillArriving reports whether the time to forward has come, and the server has sent bytes recently and fast enough.
-func (r *slowBodyReader) stillArriving() bool {
+// recordBytes records that n bytes of the body have arrived.
+func (r *slowBodyReader) recordBytes(n int) {
+	if n == 0 {
+		return
+	}
 	now := time.Now()
-	if now.Before(r.forwardFrom) || now.Sub(r.lastByteAt) >= arrivingGap {
-		return false
+	r.limit.record(n, now)
+	if r.forwardFrom.IsZero() {
+		r.forwardFrom = earlier(now.Add(maxHoldTime), r.conn.readDeadline().Add(-forwardMargin))
 	}
-	expected := int(now.Sub(r.firstByteAt) * minResponseRate / time.Second)
-	return r.received >= max(expected, minForwardedBytes)
 }
 
 // restoreReadDeadline sets the read deadline that the pool or the attempt has set last.
--- a/internal/node/streamedsend.go
+++ b/internal/node/streamedsend.go
@@ -129,14 +129,6 @@
 	return earlier(now, a.bodyArrivedAt.Add(lateAnswerAllowance)).Add(a.attempt.Timeout)
 }
 
-// earlier returns the earlier of two times.
-func earlier(a, b time.Time) time.Time {
-	if a.Before(b) {
-		return a
-	}
-	return b
-}
-
 // incompleteSendOutcome returns the outcome of an attempt whose request was not completely written: Overloaded if the
 // server rejected the request before it had read all of it, otherwise Unreachable.
 func (c *upstreamConn) incompleteSendOutcome() balancer.Outcome {
--- a/internal/node/upstreamconn.go
+++ b/internal/node/upstreamconn.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"os"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -46,7 +47,7 @@
 	number       uint64 // identifies the connection in the log; counts from 1 in each pool
 	pool         *connPool
 	target       *engine.Target
-	bytesAllowed int                    // bytes of the current response that may still be read; used by readLoop only
+	bytesAllowed atomic.Int64           // bytes of the current response that may still be read
 	reader       *bufio.Reader          // while a response is read; nil: none is
 	responses    chan *upstreamResponse // receives one for each request
 
@@ -110,6 +111,7 @@
 		c.responses <- response
 		if response.stream != nil {
 			<-response.stream.released
+			response.stream.awaitRead()
 		}
 		c.releaseReader()
 		if response.err != nil || response.head.Close {
@@ -209,11 +211,12 @@
 
 // Read reads from the connection, and fails with errMalformedResponse once the current response exceeds its size limit.
 func (c *upstreamConn) Read(b []byte) (int, error) {
-	if c.bytesAllowed <= 0 {
+	allowed := c.bytesAllowed.Load()
+	if allowed <= 0 {
 		return 0, errMalformedResponse
 	}
-	n, err := c.Conn.Read(b[:min(len(b), c.bytesAllowed)])
-	c.bytesAllowed -= n
+	n, err := c.Conn.Read(b[:min(int64(len(b)), allowed)])
+	c.bytesAllowed.Add(-int64(n))
 	return n, err
 }
 
@@ -221,7 +224,7 @@
 // responses. If it is uncertain where the response ends, it returns an error, because the bytes that follow may belong to
 // another response.
 func (c *upstreamConn) readResponse() *upstreamResponse {
-	c.bytesAllowed = maxResponseHead
+	c.bytesAllowed.Store(maxResponseHead)
 	for {
 		head, err := http.ReadResponse(c.reader, nil)
 		switch {
@@ -234,9 +237,9 @@
 		}
 		head.Header = keptHeaders(head.Header)
 		if head.ContentLength > int64(c.pool.bufferLimit) {
-			return c.beginStreamedResponse(head, make([]byte, min(c.pool.bufferLimit, streamChunk)))
+			return c.beginStreamedResponse(head)
 		}
-		c.bytesAllowed += maxBufferedResponse - maxResponseHead
+		c.bytesAllowed.Add(maxBufferedResponse - maxResponseHead)
 		return c.readBufferedResponse(head)
 	}
 }
@@ -259,28 +262,48 @@
 // readBufferedResponse reads a response into memory. If its length was unknown and it exceeds the buffer limit, or if its server
 // sends it slowly, the rest is streamed.
 func (c *upstreamConn) readBufferedResponse(head *http.Response) *upstreamResponse {
-	limit := c.pool.bufferLimit
-	read := slowBodyReader{conn: c, body: head.Body, limit: limit}
+	limit := newResponseLimit(head.ContentLength, time.Now())
+	read := slowBodyReader{conn: c, body: head.Body, size: c.pool.bufferLimit, limit: limit}
 	if head.ContentLength >= 0 || head.StatusCode != http.StatusOK {
 		read.neverSlow = true
 	}
 	body, complete, err := read.readAll()
 	if err == nil && !complete {
-		c.bytesAllowed = maxStreamedResponse
-		return &upstreamResponse{head: head, body: body, stream: newResponseStream(c, head.Body, len(body), head.ContentLength)}
+		c.bytesAllowed.Store(maxStreamedResponse)
+		return &upstreamResponse{head: head, body: body, stream: newResponseStream(c, head.Body, limit, read.unfinished)}
 	}
 	unsolicited := c.reader.Buffered() > 0
 	head.Close = head.Close || unsolicited
 	return &upstreamResponse{head: head, body: body, err: err, unsolicitedBytes: unsolicited}
 }
 
-// beginStreamedResponse reads the first bytes of a response's body into buf and returns the response with them. The rest
-// of the body is streamed.
-func (c *upstreamConn) beginStreamedResponse(head *http.Response, buf []byte) *upstreamResponse {
-	n, err := head.Body.Read(buf)
-	if err != nil && n == 0 {
-		return &upstreamResponse{err: err}
+// beginStreamedResponse reads the first bytes of a response's body and returns the response with them. The rest of the body is
+// streamed, or all of it if its first bytes don't come before the client's deadline and the head alone is the beginning in time.
+func (c *upstreamConn) beginStreamedResponse(head *http.Response) *upstreamResponse {
+	limit := newResponseLimit(head.ContentLength, time.Now())
+	var body []byte
+	if !c.headIsForwarded(head, limit) {
+		body = make([]byte, min(c.pool.bufferLimit, streamChunk))
+		n, err := head.Body.Read(body)
+		if err != nil && n == 0 {
+			return &upstreamResponse{err: err}
+		}
+		limit.record(n, time.Now())
+		body = body[:n]
+	}
+	c.bytesAllowed.Store(maxStreamedResponse)
+	return &upstreamResponse{head: head, body: body, stream: newResponseStream(c, head.Body, limit, nil)}
+}
+
+// headIsForwarded waits for the body of a response, and reports whether its head has to be forwarded without any of it: the client's
+// deadline is near, and the response is long, so that only its first bytes are due then.
+func (c *upstreamConn) headIsForwarded(head *http.Response, limit *responseLimit) bool {
+	deadline := c.readDeadline()
+	if head.StatusCode != http.StatusOK || !limit.long() || deadline.Before(c.clientDeadline()) || c.reader.Buffered() > 0 {
+		return false
 	}
-	c.bytesAllowed = maxStreamedResponse
-	return &upstreamResponse{head: head, body: buf[:n], stream: newResponseStream(c, head.Body, n, head.ContentLength)}
+	c.SetReadDeadline(deadline.Add(-forwardMargin))
+	err := c.waitReadable()
+	c.restoreReadDeadline()
+	return errors.Is(err, os.ErrDeadlineExceeded)
 }
