--- a/internal/node/readahead.go
+++ b/internal/node/readahead.go
@@ -80,56 +80,6 @@
 	return a
 }
 
-// readSocketOnce does one non-blocking read of the socket. It always returns true, so that RawConn.Read does not repeat it.
-func (a *readAheadBuffer) readSocketOnce(fd uintptr) bool {
-	n, err := readSocket(fd, a.scratch[:])
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	switch {
-	case err == nil:
-		a.buf = append(a.buf, a.scratch[:n]...)
-	case errors.Is(err, syscall.EAGAIN):
-		a.socketEmpty = true
-	default:
-		a.err = err
-	}
-	return true
-}
-
-// Read reads for net/http: first the buffered bytes, then from the connection.
-func (a *readAheadBuffer) Read(b []byte) (n int, err error) {
-	a.mu.Lock()
-	if n = copy(b, a.buf); n > 0 {
-		a.buf = a.buf[n:]
-	} else if a.err != nil {
-		err = a.err
-	}
-	more := len(a.buf) == 0 && a.err == nil
-	a.socketEmpty = false
-	mayPeek := !a.inBackgroundRead // that read must itself return the connection's end: then net/http cancels the request
-	a.mu.Unlock()
-	if n == 0 && err == nil {
-		n, err = a.conn.Read(b)
-		more = n < len(b) && err == nil
-	}
-	if more && mayPeek {
-		a.peek()
-	}
-	return n, err
-}
-
-// peek reads without blocking what has arrived meanwhile: more data or the end of the connection. Both may have arrived if
-// the connection was not read for a while.
-func (a *readAheadBuffer) peek() {
-	if a.raw == nil {
-		return
-	}
-	if identified, ok := a.conn.(*identifiedConn); ok && identified.bufferedReader != nil {
-		return // its buffered bytes precede those of the socket
-	}
-	a.raw.Read(a.peekSocket)
-}
-
 // markHTTPHasByte records that net/http holds one byte that follows the open request.
 func (a *readAheadBuffer) markHTTPHasByte() {
 	a.mu.Lock()
