A request that its server reads slowly is answered in time from its last byte

Cause: the time of a streamed request began again when the node had written the last byte to the server. That byte may have waited for long, unread in this machine's kernel (chunked bodies) or in the client's (also bodies with a length). Each write had 5 s of its own. Time for the connection to come up did not count either.

Change: bodyArrival, pure, estimates when the client wrote the last byte: the latest time at which it is known not to have been written. Known are the bytes that have arrived, whether the client's window is open, waits for the client, that a client's kernel holds 5 MiB at most, and, before a request is given up, whether what is unread ends as a chunked body does. Writes and the wait for the response end at that time, the request's time and 0.25 s. A pause of the server alone no longer ends a request whose client still writes: writeLimit, which the responses to clients have, asks for 16 KiB/s acknowledged and no pause of 5 s. Each request given up is logged and counted (requests_read_slowly).

Why it holds: the estimate is never later than the last byte, but for a delay of the process between an arrival and its observation.

Cost: a body of over some megabytes whose client is held back by a closed window may count as written up to 5 MiB earlier than it was; if its server then reads less than that in the request's time, it is given up (503, not run) though its client still writes. It could rarely have been answered in time, since as much waits ahead of its last byte. A server that stops in an upload whose client still writes is given up after 5 s; before, after the request's time and 0.25 s. Two more system calls each 5 ms of an upload, and one for each read.

TestStreamDeadlineCountsFromBodyArrival tested the function that is gone; TestBodyArrival has its cases and the chunked and held back ones.

--- a/internal/node/attempt.go
+++ b/internal/node/attempt.go
@@ -39,9 +39,7 @@
 	conn    *upstreamConn // nil: no connection acquired yet
 	written bool          // the request's last byte was written to conn
 
-	// Of a streamed body.
-	bodyMissingAt time.Time // when the last part of the body was last known not to have arrived at this machine
-	bodyArrivedAt time.Time // the earliest time at which all of it may have arrived; zero: it has not
+	arrival *bodyArrival // of a streamed body, from when the request is written
 }
 
 // runAttempt sends an attempt's request at most once, waits for the response and returns the result.
--- a/internal/node/clientconn.go
+++ b/internal/node/clientconn.go
@@ -43,8 +43,8 @@
 
 	receiveBufferRaised bool // by clientPresence; used by the goroutine that reads a body
 
-	writeLimit       *clientWriteLimit // of the streamed response that is being written; nil: none is
-	hasWriteDeadline bool              // net/http has set a write deadline; used only by the goroutine that serves the connection
+	writeLimit       *writeLimit // of the streamed response that is being written; nil: none is
+	hasWriteDeadline bool        // net/http has set a write deadline; used only by the goroutine that serves the connection
 }
 
 // Read marks the connection as active on the first byte of a request. net/http reports StateActive only after the complete
--- a/internal/node/clientpresence.go
+++ b/internal/node/clientpresence.go
@@ -48,6 +48,8 @@
 	body        *bodyReader
 	reserved    memoryReservation
 	confirmedAt time.Time // when the client was last found to be there; zero: never
+
+	raisedForBody bool // the receive buffer was raised while the body was sent on
 }
 
 // newClientPresence returns the clientPresence of a streamed request. conn is nil in tests without a connection.
--- a/internal/node/inputwatcher.go
+++ b/internal/node/inputwatcher.go
@@ -102,14 +102,9 @@
 }
 
 // unreadBytes returns how many bytes have arrived on a client's connection and were not read. It is 0 if that is unknown.
-func unreadBytes(c *clientConn) (unread int64) {
-	if c == nil || c.readAhead.raw == nil {
+func unreadBytes(c *clientConn) int64 {
+	if c == nil {
 		return 0
 	}
-	c.readAhead.raw.Control(func(fd uintptr) {
-		if n, err := unix.IoctlGetInt(int(fd), unix.SIOCINQ); err == nil {
-			unread = int64(n)
-		}
-	})
-	return unread
+	return c.readAhead.kernelUnread()
 }
--- a/internal/node/readahead.go
+++ b/internal/node/readahead.go
@@ -50,6 +50,7 @@
 
 	mu                sync.Mutex
 	buf               []byte // read from the socket, but not yet by net/http
+	received          int64  // bytes read from the socket in all, without those that were discarded
 	err               error  // how the connection ended; net/http gets it after the bytes in buf
 	socketEmpty       bool   // the last non-blocking read found nothing to read
 	requestOpen       bool   // a request is open, and its body has been read
@@ -61,6 +62,8 @@
 	readerDone        chan struct{}
 	stopReader        chan struct{} // closed to end the reader
 	stopping          bool
+	lastWait          inputWait
+	timesWaits        bool      // waits for input are recorded in lastWait
 	deadline          time.Time // the read deadline that net/http has set
 	headDeadline      time.Time // when a head that is partly read must be complete; zero: there is none
 	interrupted       bool      // reads end at once, because the connection is about to be closed
@@ -187,6 +190,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.buf = append(a.buf, b...)
+	a.received += int64(len(b))
 	return a.recordEnd(err)
 }
 
--- a/internal/node/requestbody.go
+++ b/internal/node/requestbody.go
@@ -49,9 +49,8 @@
 	setReadDeadline  func(time.Time) error
 	progress         transferProgress // its credit is the time until the next byte must arrive
 	bytesRead        atomic.Int64
-	contentLength    int64        // of the complete body, in bytes; -1: unknown
-	unread           func() int64 // bytes that have arrived on the connection and were not read
-	remainderStarted atomic.Bool  // the unbuffered part has been read from: the body can't be sent again
+	contentLength    int64       // of the complete body, in bytes; -1: unknown
+	remainderStarted atomic.Bool // the unbuffered part has been read from: the body can't be sent again
 
 	mu     sync.Mutex // guards the read deadline and the fields below
 	closed bool
@@ -62,7 +61,6 @@
 	return &bodyReader{
 		body:            r.Body,
 		contentLength:   r.ContentLength,
-		unread:          func() int64 { return unreadBytes(connOf(r)) },
 		setReadDeadline: http.NewResponseController(w).SetReadDeadline,
 		progress:        sendingClientPace.begin(bodyTimeLimit(connOf(r), bodyTimeAllowance)),
 	}
@@ -109,10 +107,16 @@
 	return nil
 }
 
-// arrived reports whether all of the body has arrived at this machine, except perhaps for what net/http may have buffered. It
-// returns false if the length of the body is unknown.
-func (r *bodyReader) arrived() bool {
-	return r.contentLength >= 0 && r.bytesRead.Load()+r.unread()+httpReadBuffer >= r.contentLength
+// whileReading calls f and returns true, or returns false if the body has ended or the reader is closed. net/http may read the
+// connection then, but not during f.
+func (r *bodyReader) whileReading(f func()) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.closed || r.err != nil {
+		return false
+	}
+	f()
+	return true
 }
 
 // finish records how the body ended.
--- a/internal/node/response.go
+++ b/internal/node/response.go
@@ -19,7 +19,7 @@
 )
 
 // clientWriteTimeout is how long a client may take to receive one chunk of a streamed response, where the system does not tell what
-// the client takes (clientWriteLimit).
+// the client takes (writeLimit).
 const clientWriteTimeout = 10 * time.Second
 
 // statusOf returns the HTTP status of a final answer.
--- a/internal/node/streamedsend.go
+++ b/internal/node/streamedsend.go
@@ -3,19 +3,18 @@
 import (
 	"bufio"
 	"bytes"
+	"errors"
 	"io"
 	"net/http/httputil"
+	"os"
 	"time"
 
 	"hookwalk.example/hookwalk/balancer"
 	"hookwalk.example/hookwalk/internal/engine"
+	"hookwalk.example/hookwalk/internal/metrics"
 	"hookwalk.example/hookwalk/invariants"
 )
 
-// stallTimeout is how long a server may take to receive one chunk of a streamed request. Without it, a stalled server would hold
-// up its client indefinitely.
-const stallTimeout = 5 * time.Second
-
 // earlyResponseWait is how long the node waits for the response of a server that stopped reading a request. A server
 // that rejects a request before it has read all of it sends its response within this time.
 const earlyResponseWait = 50 * time.Millisecond
@@ -36,6 +35,9 @@
 		a.req.presence.release()
 		return a.pool.clock.Now(), nil
 	}
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		a.reportSlowReading()
+	}
 	outcome := a.conn.incompleteSendOutcome()
 	a.pool.close(a.conn, closedForUnsentRequest)
 	if a.req.remaining.unsendable() {
@@ -44,25 +46,48 @@
 	return 0, a.resultWithError(outcome, engine.ReasonLastByteNotWritten, err)
 }
 
-// writeStreamed writes a request whose body is streamed, then sets the deadline of its response, which is measured from
-// the last byte.
+// reportSlowReading logs and counts a request that is given up because its server reads it too slowly.
+func (a *attemptRun) reportSlowReading() {
+	a.pool.count(metrics.RequestsReadSlowly)
+	a.pool.log.Warn("request given up: its server has stopped reading it, or reads too slowly", "id", a.attempt.Call.Request.ID,
+		"server", a.attempt.Target.ID, "arrived", a.arrival.previous.arrived, "window_open", a.arrival.previous.windowOpen,
+		"last_byte_possible_for", time.Since(a.arrival.missingAt), "timeout", a.attempt.Timeout)
+}
+
+// writeStreamed writes a request whose body is streamed, then sets the deadline of its response. The client's time runs from when it
+// has written the last byte, however long the node and the server take to read the body.
 func (a *attemptRun) writeStreamed() error {
 	began := a.pool.clock.Now()
 	defer a.attempt.CheckSend(began, noAnnouncedTimeout)
-	w := &errWriter{w: a.conn, beforeWrite: func() { a.conn.SetWriteDeadline(a.streamWriteDeadline(time.Now())) }}
-	if err := a.copyStreamed(w); err != nil {
+	a.arrival = newBodyArrival(a.pool.clock.ToTime(a.attempt.Started))
+	if presence := a.req.presence; presence != nil {
+		presence.conn.readAhead.timeWaits()
+	}
+	limit := newWriteLimit(a.conn.raw)
+	limit.expiry = a.uploadExpiry
+	if err := a.copyStreamed(&uploadWriter{conn: a.conn, limit: limit}); err != nil {
 		return err
 	}
 	if a.req.remaining.unsendable() { // otherwise a truncated body would count as complete
 		return errRequestBody
 	}
+	now := time.Now()
 	a.pool.mu.Lock()
 	defer a.pool.mu.Unlock()
-	a.conn.deadline = a.responseDeadline(time.Now())
 	a.conn.sentAt = a.pool.clock.Now()
+	a.conn.requestDeadline = a.conn.sentAt + a.clientDeadline().Sub(now)
+	a.conn.deadline = a.responseDeadline(now)
 	return a.conn.SetDeadline(a.conn.deadline)
 }
 
+// uploadWriter writes a streamed request to a server.
+type uploadWriter struct {
+	conn  *upstreamConn
+	limit *writeLimit
+}
+
+func (w *uploadWriter) Write(b []byte) (int, error) { return w.limit.write(w.conn, b) }
+
 // copyStreamed writes the head and the body. http.Request.Write is not used, because it needs a buffer of 32 KiB for each body.
 func (a *attemptRun) copyStreamed(w io.Writer) error {
 	var head bytes.Buffer
@@ -96,37 +121,58 @@
 	if _, err := w.Write(a.req.body); err != nil {
 		return 0, err
 	}
-	remaining := remainingBody{a.req.remaining, a.req.presence}
+	remaining := awaitedBody{remainingBody{a.req.remaining, a.req.presence}, a.arrival}
 	chunk := make([]byte, min(max(len(a.req.body), minBuffered), streamChunk))
 	rest, err := io.CopyBuffer(struct{ io.Writer }{w}, remaining, chunk)
 	return int64(len(a.req.body)) + rest, err
 }
 
-// streamWriteDeadline returns until when a server may receive the chunk that is written at the time now. The client's time runs
-// from when the last byte of its body arrived, which may have happened since the node last read from the client. So if the write
-// takes longer than the client's time, the answer to the client could be late. Once all of the body is known to have arrived, the
-// writes of all chunks together have that time: the bytes may wait in the kernel for a server that reads slowly.
-func (a *attemptRun) streamWriteDeadline(now time.Time) time.Time {
-	if a.bodyArrivedAt.IsZero() && a.req.remaining.arrived() {
-		a.bodyArrivedAt = now
-		if !a.bodyMissingAt.IsZero() {
-			a.bodyArrivedAt = a.bodyMissingAt // it arrived at some time since then
-		}
+// uploadExpiry returns until when a write of a streamed request may wait for its server. The node can't read the body meanwhile, so
+// that its last byte may have arrived unread: the client must be answered in its time, counted from when it can have written that byte.
+func (a *attemptRun) uploadExpiry() time.Time {
+	expired := !time.Now().Before(a.clientDeadline().Add(lateAnswerAllowance))
+	if nextObservation := a.arrival.previous.at.Add(minQuietTime); expired && time.Now().Before(nextObservation) {
+		return nextObservation
 	}
-	a.bodyMissingAt = now
-	deadline := now.Add(min(stallTimeout, a.attempt.Timeout+lateAnswerAllowance))
-	if a.bodyArrivedAt.IsZero() {
-		return deadline
+	a.observeBody(expired)
+	return a.clientDeadline().Add(lateAnswerAllowance)
+}
+
+// observeBody updates the estimate of when the client wrote the last byte, and looks at what is unread if inspect is true. If nothing is
+// known of the client's connection, the body counts as incomplete.
+func (a *attemptRun) observeBody(inspect bool) {
+	now := time.Now()
+	switch presence := a.req.presence; {
+	case presence == nil:
+		a.arrival.missingUntil(now)
+	case now.Sub(a.arrival.previous.at) >= minQuietTime:
+		if observation, reading := presence.observe(inspect); reading {
+			a.arrival.observe(observation)
+		}
 	}
-	return earlier(deadline, a.bodyArrivedAt.Add(a.attempt.Timeout+lateAnswerAllowance))
 }
 
+// clientDeadline returns when the client stops waiting, by the estimate of when it wrote the last byte.
+func (a *attemptRun) clientDeadline() time.Time { return a.arrival.missingAt.Add(a.attempt.Timeout) }
+
 // responseDeadline returns until when the response to a request that was sent completely at the time now may arrive.
 func (a *attemptRun) responseDeadline(now time.Time) time.Time {
-	if a.bodyArrivedAt.IsZero() {
-		return now.Add(a.attempt.Timeout)
+	return earlier(now.Add(a.attempt.Timeout), a.clientDeadline().Add(lateAnswerAllowance))
+}
+
+// awaitedBody reads the unbuffered part of a body, and records when the client was waited for.
+type awaitedBody struct {
+	remainingBody
+	arrival *bodyArrival
+}
+
+// Read reads the next bytes.
+func (r awaitedBody) Read(b []byte) (int, error) {
+	n, err := r.remainingBody.Read(b)
+	if r.presence != nil {
+		r.arrival.waited(r.presence.conn.readAhead.takeWait())
 	}
-	return earlier(now, a.bodyArrivedAt.Add(lateAnswerAllowance)).Add(a.attempt.Timeout)
+	return n, err
 }
 
 // incompleteSendOutcome returns the outcome of an attempt whose request was not completely written: Overloaded if the
--- a/internal/requesthead/requesthead.go
+++ b/internal/requesthead/requesthead.go
@@ -127,6 +127,18 @@
 	return false
 }
 
+// BodyMissing returns how many bytes of the last request's body have not arrived, if unread bytes have arrived that were not read
+// through the Reader. It is 0 if the body is complete, and -1 if its length is unknown and its end has not been read.
+func (r *Reader) BodyMissing(unread int64) int64 {
+	switch {
+	case r.state == readingBody:
+		return max(r.bodyRemaining-unread, 0)
+	case r.state == readingToEnd && r.chunks.state != chunkedComplete:
+		return -1
+	}
+	return 0
+}
+
 // Read reads from the connection into b, but not beyond the end of the current request.
 func (r *Reader) Read(b []byte) (n int, err error) {
 	for {
