A client may pause for 2 s before its body

Cause: the time before the first byte of a body was another clock than the pauses within it, of up to 5 s.

Change: bodyTimeAllowance is 2 s.

Cost: a client that stops between head and body ends 2 s after the head, before 0.8 s.

Measured: TestSoundSlowUploadsAreServed, "pause before the body", failed before in both framings; all 18 cases pass with -race, and so do the tests of stopped and slow peers of internal/node.

--- a/internal/node/requestbody.go
+++ b/internal/node/requestbody.go
@@ -21,7 +21,7 @@
 // connection to a server, indefinitely.
 const (
 	// bodyTimeAllowance is the time that every body has in addition to the time that its bytes take at minBodyRate.
-	bodyTimeAllowance = 800 * time.Millisecond
+	bodyTimeAllowance = 2 * time.Second
 
 	// minBodyRate is the minimum rate of a body in bytes per second. Sound peers reach almost twice that.
 	minBodyRate = 32 << 10
