One allowance for the response to a long body; a stalled client is no slow server

A client that stalled within its body was logged and counted as a server that reads slowly.

Change: the limit takes the client's own deadline. The log line and the metric are kept for servers.

--- a/internal/lab/clientload/endlessresponses_test.go
+++ b/internal/lab/clientload/endlessresponses_test.go
@@ -124,3 +124,23 @@
 		t.Error("the response counts as complete")
 	}
 }
+
+// Guards against a response without an end where the request has a long body: its time counts from the body's last byte.
+func TestResponseToALongBodyHasAnEnd(t *testing.T) {
+	const bodySize = 200e3
+	node := startLimitedNode(t, 64, 256, endlessResponse{parts: []responsePart{soundPart(900 * time.Millisecond)}}.ServeHTTP)
+	c, err := net.Dial("tcp", node.addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	fmt.Fprintf(c, "POST /api HTTP/1.1\r\nHost: a\r\nX-Call-Class: write\r\nX-Call-Id: long\r\nX-Budget: %dm\r\nContent-Length: %d\r\n\r\n",
+		endlessBudget.Milliseconds(), int(bodySize))
+	c.Write(make([]byte, bodySize))
+	lastByte := time.Now()
+	c.SetReadDeadline(lastByte.Add(endlessBudget + 3*time.Second))
+	status, got, err := readStatus(c)
+	if took := time.Since(lastByte); took > endlessBudget+lateAnswerSlack+socketSlack || err == nil && status == http.StatusOK {
+		t.Errorf("status %d, %d bytes, %v, %v after the last byte", status, got, err, took)
+	}
+}
--- a/internal/node/responsestream.go
+++ b/internal/node/responsestream.go
@@ -69,15 +69,12 @@
 	}
 }
 
-// clientDeadline returns when the client stops waiting for the response that is being read. For a request whose body is streamed,
-// its time runs from the last byte of the body, and the deadline of the connection has it.
+// clientDeadline returns when the client stops waiting for the response that is being read. For a request whose body is streamed, this
+// is known when its last byte has been sent.
 func (c *upstreamConn) clientDeadline() time.Time {
 	c.pool.mu.Lock()
 	defer c.pool.mu.Unlock()
-	if request := c.pool.clock.ToTime(c.requestDeadline); request.After(c.deadline) {
-		return request
-	}
-	return c.deadline
+	return c.pool.clock.ToTime(c.requestDeadline)
 }
 
 // chunkSize returns the size in bytes of the pieces in which the response is forwarded.
--- a/internal/node/slowresponse.go
+++ b/internal/node/slowresponse.go
@@ -87,7 +87,7 @@
 		<-read.done
 		return read.n, false, read.err
 	}
-	r.conn.SetReadDeadline(r.conn.clientDeadline().Add(lateAnswerAllowance)) // until the stream sets its own
+	r.conn.SetReadDeadline(later(r.conn.readDeadline(), r.conn.clientDeadline()).Add(lateAnswerAllowance)) // until the stream sets its own
 	r.unfinished = read
 	return 0, true, nil
 }
--- a/internal/node/streamedsend.go
+++ b/internal/node/streamedsend.go
@@ -35,13 +35,14 @@
 		a.req.presence.release()
 		return a.pool.clock.Now(), nil
 	}
-	if errors.Is(err, os.ErrDeadlineExceeded) {
+	clientAtFault := a.req.remaining.unsendable()
+	if !clientAtFault && errors.Is(err, os.ErrDeadlineExceeded) {
 		a.reportSlowReading()
 	}
 	outcome := a.conn.incompleteSendOutcome()
 	a.pool.close(a.conn, closedForUnsentRequest)
-	if a.req.remaining.unsendable() {
-		return 0, a.resultOf(balancer.NotSent, engine.ReasonBodyIncomplete) // the client's fault, not the server's
+	if clientAtFault || a.req.remaining.unsendable() {
+		return 0, a.resultOf(balancer.NotSent, engine.ReasonBodyIncomplete)
 	}
 	return 0, a.resultWithError(outcome, engine.ReasonLastByteNotWritten, err)
 }
