A small first piece of a late response of unknown length pays for 0.25 s more

Found by reading the change for pieces once more: a chunked response that begins late with a piece of 26 kB, and pauses for 1 s, was cut off at 0.25 s after the deadline, where it can't be known yet to be longer than 64 KiB.

Change: after the deadline, the bytes of such a response pay for lateAnswerAllowance in addition to their time. It still has to exceed 64 KiB by 1.25 s after the deadline.

Cost: one that stops there ends 0.25 s later, within the same 1.25 s.

Measured: TestSoundResponsesInLumpsAreNotCutOff with the new case (54 responses), TestForwardedResponseHasAnEnd, TestSlowResponsesAreForwarded and TestEndlessResponseIsAnsweredInTime pass with -race.

--- a/internal/lab/clientload/lumps_test.go
+++ b/internal/lab/clientload/lumps_test.go
@@ -84,6 +84,7 @@
 			"900-kB-pauses-of-0.7-to-1.9-s": {size: 900e3, after: 500 * ms, pauses: []time.Duration{700 * ms, 1900 * ms, 1300 * ms}},
 			"head-after-2-s":                {size: 190e3, after: 2000 * ms, pauses: uneven},
 			"rate-counts-from-a-late-head":  {size: 190e3, after: 2000 * ms, pauses: []time.Duration{800 * ms, 500 * ms, 900 * ms}, fromHead: true},
+			"a-small-piece-with-late-head":  {size: 190e3, after: 2000 * ms, first: 26e3, pauses: []time.Duration{1000 * ms, 700 * ms}, fromHead: true},
 			"rate-counts-from-a-later-head": {size: 300e3, after: 2300 * ms, pauses: []time.Duration{950 * ms, 700 * ms}, fromHead: true},
 		} {
 			response.framing = framing
--- a/internal/node/responselimit.go
+++ b/internal/node/responselimit.go
@@ -24,7 +24,7 @@
 //
 // Until the client's deadline, and lateAnswerAllowance for a pause of the server, the limit is that time. After it, only a response of
 // more than shortResponse continues, as long as its server keeps sendingServerPace. If its length is unknown, it must have kept the
-// minimum rate since its first byte, and exceed shortResponse within shortResponseGrace.
+// minimum rate since its first byte, but for lateAnswerAllowance, and exceed shortResponse within shortResponseGrace.
 //
 // The time in which the node waits for the client does not count: meanwhile the server's bytes wait for the node.
 type responseLimit struct {
@@ -67,7 +67,7 @@
 	case l.length >= 0:
 		return l.due
 	}
-	return later(l.due, earlier(l.earnedUntil(), l.due.Add(shortResponseGrace)))
+	return later(l.due, earlier(l.earnedUntil().Add(lateAnswerAllowance), l.due.Add(shortResponseGrace)))
 }
 
 // record records that n bytes have arrived by the time now, which were awaited since beginWait or the last call of record.
