The guard asks for the lease of a list when a long body begins, not when it ends

Cause: CheckSend of a streamed request ran when all of its body had been sent. The lease that it then read is another than that under which the first byte was sent: a change of discovery's address, or a list that ages, moves it, also to a time before. MaySend had asked right before the first byte.

Change: CheckSend runs when the head has been written.

--- a/internal/node/streamedbody_test.go
+++ b/internal/node/streamedbody_test.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"hookwalk.example/hookwalk/internal/discoveryapi"
+	"hookwalk.example/hookwalk/internal/engine"
 	"hookwalk.example/hookwalk/invariants"
 )
 
@@ -265,6 +266,31 @@
 	}
 }
 
+// Guards against reporting a broken invariant of a request that was sent on a valid list: the list was asked about only when the whole
+// body had been sent, and counted as expired since a time before that.
+func TestListExpiresWhileABodyIsSent(t *testing.T) {
+	b := newBackend(t, respondOK)
+	n := startWithBackends(t, b)
+	body := pattern(maxBuffered + 100_000)
+	reader, writer := io.Pipe()
+	go func() {
+		io.WriteString(writer, body[:maxBuffered+50_000])
+		eventually(t, "the request has begun at the server", func() bool { return n.pool.openConns() > 0 })
+		time.Sleep(50 * time.Millisecond) // its head is written at once
+		n.engine.RenewLease(engine.Lease{Until: time.Now().Add(-time.Minute)})
+		io.WriteString(writer, body[maxBuffered+50_000:])
+		writer.Close()
+	}()
+	r := newRequest(t, n.url, "unsafe", "1", body)
+	r.Body, r.ContentLength = reader, -1
+	if status, _, _ := sendRequest(t, r); status != http.StatusOK {
+		t.Errorf("answered %d", status)
+	}
+	if got := n.engine.Violations.Total(); got != 0 {
+		t.Errorf("%d violations of %v", got, invariants.Rules)
+	}
+}
+
 // A body that arrives too slowly is aborted. Only the time spent waiting for the client counts, so that a slow server does
 // not make a client's body late.
 func TestMinBodyRate(t *testing.T) {
--- a/internal/node/streamedsend.go
+++ b/internal/node/streamedsend.go
@@ -58,8 +58,6 @@
 // writeStreamed writes a request whose body is streamed, then sets the deadline of its response. The client's time runs from when it
 // has written the last byte, however long the node and the server take to read the body.
 func (a *attemptRun) writeStreamed() error {
-	began := a.pool.clock.Now()
-	defer a.attempt.CheckSend(began, noAnnouncedTimeout)
 	a.arrival = newBodyArrival(a.pool.clock.ToTime(a.attempt.Started))
 	if presence := a.req.presence; presence != nil {
 		presence.conn.readAhead.timeWaits()
@@ -93,7 +91,10 @@
 func (a *attemptRun) copyStreamed(w io.Writer) error {
 	var head bytes.Buffer
 	writeRequestHead(&head, a.req, a.attempt.Timeout, a.req.contentLength)
-	if _, err := w.Write(head.Bytes()); err != nil {
+	began := a.pool.clock.Now()
+	_, err := w.Write(head.Bytes())
+	a.attempt.CheckSend(began, noAnnouncedTimeout) // now: the lease of the list may end differently while the body is sent
+	if err != nil {
 		return err
 	}
 	if a.req.contentLength < 0 {
