Log what the lease rests on when the availability of discovery changes

The line "discovery availability changed" did not tell an outage that a node has seen begin from one in which its process started. It now has whether discovery has confirmed the list to this process, its age, and the rest of the lease.

--- a/internal/discovery/lease.go
+++ b/internal/discovery/lease.go
@@ -27,7 +27,15 @@
 
 // logLease logs changes of the lease and of discovery's availability, so that an operator sees when a node began to
 // reject requests, and why.
+//
+// The line on the availability has what the lease rests on: whether discovery has confirmed the list to this process
+// (list_confirmed), how long ago that was, or the age that the list of a new process counts as (list_age), and how long the
+// list may still be used (lease_left).
 func (s *Source) logLease(state endpointlease.State, unavailable bool, found string) {
+	s.mu.Lock()
+	confirmedAt, confirmed := s.tracker.ListConfirmed()
+	age, left := s.now()-confirmedAt, s.tracker.Expires()-s.now()
+	s.mu.Unlock()
 	if expired := state == endpointlease.Expired; expired != (s.loggedState == endpointlease.Expired) {
 		if expired {
 			s.log.Warn("endpoint list expired: requests are rejected until discovery answers", "version", s.Version(),
@@ -37,7 +45,8 @@
 		}
 	}
 	if unavailable != s.loggedUnavailable {
-		s.log.Warn("discovery availability changed", "unavailable", unavailable, "found", found, "addr", s.Addr(), "version", s.Version())
+		s.log.Warn("discovery availability changed", "unavailable", unavailable, "found", found, "addr", s.Addr(), "version", s.Version(),
+			"list_confirmed", confirmed, "list_age", age, "lease_left", left)
 	}
 	s.loggedState, s.loggedUnavailable = state, unavailable
 }
--- a/internal/endpointlease/endpointlease.go
+++ b/internal/endpointlease/endpointlease.go
@@ -106,6 +106,7 @@
 
 	// The lease: see Expires.
 	confirmedAt         time.Duration // when the list held was last known to be current
+	confirmed           bool          // discovery has confirmed the list to this process
 	lastPollAt          time.Duration // start of the last poll
 	lastWatchEndedAt    time.Duration // when the last watch ended, if none is open
 	expiryFixedByOutage time.Duration // end of the lease that the present outage must not extend; 0: none
--- a/internal/endpointlease/events.go
+++ b/internal/endpointlease/events.go
@@ -109,7 +109,7 @@
 
 // confirmList records that the list held is current, which renews the lease.
 func (t *Tracker) confirmList(now time.Duration) {
-	t.confirmedAt, t.reachedSinceConfirmed = now, false
+	t.confirmedAt, t.confirmed, t.reachedSinceConfirmed = now, true, false
 	t.expiryFixedByOutage = 0
 }
 
@@ -120,6 +120,11 @@
 // would renew the lease of a list that discovery has not confirmed.
 func (t *Tracker) InheritAge(now, age time.Duration) { t.confirmedAt = now - age }
 
+// ListConfirmed reports whether discovery has confirmed the list to this process, by a list or a heartbeat, and when.
+func (t *Tracker) ListConfirmed() (at time.Duration, confirmed bool) {
+	return t.confirmedAt, t.confirmed
+}
+
 // maxPendingAddressChanges limits how many address changes are stored after many SIGHUPs in a row. Further changes share
 // the time of the last one stored, which can only end the lease sooner.
 const maxPendingAddressChanges = 16
