A refused connection renews the lease only of a list that is known to be current

Cause: the lease took missing evidence for proof. A refused poll shows that nobody is notified of changes made since the outage began; it says nothing of those before. The Tracker could not tell "confirmed up to the outage" from "never confirmed", and read the absence of a sign of a change as proof that there was none. Logged before the fix: list_confirmed=false, list_age=3.05s, lease_left=6.0s.

Change: an outage extends the lease only without a Doubt (currency.go): the list was confirmed, to this process or to one that handed it over with its evidence, and connections have failed from then on without a gap of 0.5 s. A list that nothing confirms has no lease. Until its first list a new process lets requests wait, as with pushed lists before, and rejects at once when a poll fails. The hand-over has the optional key ListEvidence.

Tests: TestRefusedConnectionsRenewTheLease, the "refused" cases of TestNothingGoesToADrainedServerWhileNoPollIsAnswered and rows of availability_test.go asked that a process without proof serves through an outage. TestUnansweredPollsDoNotRenewLease allowed 3 s and allows none.

--- a/cmd/hookwalk/drain_test.go
+++ b/cmd/hookwalk/drain_test.go
@@ -58,7 +58,8 @@
 
 // Guards against a node that treats a discovery which answers no poll as unable to notify anybody: 10 s after the lease had
 // expired, such a node served again from the expired list and sent to a draining server. A node must send nothing there,
-// however its polls end. Only while connections to discovery are refused can no node be notified: then the node keeps serving.
+// however its polls end. While connections are refused from the start, the node cannot know what discovery had before, and
+// must reject every request.
 func TestNothingGoesToADrainedServerWhileNoPollIsAnswered(t *testing.T) {
 	reject := func(w http.ResponseWriter) { w.WriteHeader(http.StatusServiceUnavailable) }
 	reset := func(http.ResponseWriter) { panic(http.ErrAbortHandler) }
@@ -236,10 +237,9 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if outcomes == nil {
-		if n := p.statuses[http.StatusServiceUnavailable]; n > 0 || len(p.failures) > 0 {
-			t.Errorf("%d requests were rejected while discovery refused connections; failures: %q", n, p.failures)
+		if n := p.statuses[http.StatusOK]; n > 0 {
+			t.Errorf("%d requests were sent to a list that discovery had not confirmed", n)
 		}
-		return
 	}
 	p.checkResponses(t)
 	t.Logf("responses by status %v", p.statuses)
--- a/internal/discovery/handover.go
+++ b/internal/discovery/handover.go
@@ -11,10 +11,10 @@
 // ResumeFrom makes Run begin from a version that another process of the node held. It must be called before Run.
 func (s *Source) ResumeFrom(version int64) { s.version.Store(version) }
 
-// InheritAge gives the held list the age that it had in the process that handed it over. It must be called before Run.
-// Without it, a restart would renew the lease of a list that discovery has not confirmed.
-func (s *Source) InheritAge(age time.Duration) {
-	s.track(func(t *endpointlease.Tracker) { t.InheritAge(s.now(), age) })
+// Inherit takes over the age of the held list and the evidence for it from another process of the node. It must be called
+// before Run.
+func (s *Source) Inherit(age time.Duration, evidence endpointlease.Evidence) {
+	s.track(func(t *endpointlease.Tracker) { t.Inherit(s.now(), age, evidence) })
 }
 
 // ResumeVersion returns the version from which another process of the node may poll the current address. It is 0 if the
@@ -28,11 +28,13 @@
 	return s.Version()
 }
 
-// Age returns the age of the held list, that is the time since it was last known to be current, as far as it shortens the
-// lease: endpointlease.NotificationDeadline minus the remaining time of the lease, and at least 0.
-func (s *Source) Age() time.Duration {
+// Lease returns the arguments of Inherit for a process that takes over the held list: its age, as far as it shortens the
+// lease (endpointlease.NotificationDeadline minus the remaining time of the lease, and at least 0), and the evidence that it
+// is current.
+func (s *Source) Lease() (age time.Duration, evidence endpointlease.Evidence) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	remaining := max(s.tracker.Expires()-s.now(), 0)
-	return max(endpointlease.NotificationDeadline-remaining, 0)
+	now := s.now()
+	remaining := max(s.tracker.Expires()-now, 0)
+	return max(endpointlease.NotificationDeadline-remaining, 0), s.tracker.Evidence(now)
 }
--- a/internal/discovery/lease.go
+++ b/internal/discovery/lease.go
@@ -1,6 +1,8 @@
 package discovery
 
 import (
+	"time"
+
 	"hookwalk.example/hookwalk/internal/endpointlease"
 	"hookwalk.example/hookwalk/internal/engine"
 )
@@ -25,28 +27,44 @@
 	s.RenewLease(engine.Lease{Until: s.epoch.Add(expires)})
 }
 
-// logLease logs changes of the lease and of discovery's availability, so that an operator sees when a node began to
-// reject requests, and why.
-//
-// The line on the availability has what the lease rests on: whether discovery has confirmed the list to this process
-// (list_confirmed), how long ago that was, or the age that the list of a new process counts as (list_age), and how long the
-// list may still be used (lease_left).
-func (s *Source) logLease(state endpointlease.State, unavailable bool, found string) {
-	s.mu.Lock()
+// leaseLogStatus is what logLease logs.
+type leaseLogStatus struct {
+	state         endpointlease.State
+	unavailable   bool
+	found         string // the availability that was found
+	doubt         endpointlease.Doubt
+	listConfirmed bool          // discovery has confirmed the list to this process
+	listAge       time.Duration // since the list was confirmed, or the age that the list of a new process counts as
+	leaseLeft     time.Duration // how long the list may still be used; negative after the end of the lease
+}
+
+// leaseLogStatus returns what logLease logs. The caller holds the lock.
+func (s *Source) leaseLogStatus(lease endpointlease.LeaseStatus, now time.Duration) leaseLogStatus {
 	confirmedAt, confirmed := s.tracker.ListConfirmed()
-	age, left := s.now()-confirmedAt, s.tracker.Expires()-s.now()
-	s.mu.Unlock()
-	if expired := state == endpointlease.Expired; expired != (s.loggedState == endpointlease.Expired) {
+	return leaseLogStatus{state: lease.State, unavailable: s.tracker.Unavailable(), found: s.tracker.AvailabilityName(),
+		doubt: s.tracker.Doubt(), listConfirmed: confirmed, listAge: now - confirmedAt, leaseLeft: lease.Expires - now}
+}
+
+// logLease logs changes of the lease and of discovery's availability, so that an operator sees when a node began to
+// reject requests, and why. Lines on the availability have what the lease rests on. A doubt is logged if it keeps the present
+// outage from extending the lease.
+func (s *Source) logLease(now leaseLogStatus) {
+	if expired := now.state == endpointlease.Expired; expired != (s.loggedState == endpointlease.Expired) {
 		if expired {
 			s.log.Warn("endpoint list expired: requests are rejected until discovery answers", "version", s.Version(),
-				"addr", s.Addr(), "open_streams", len(s.streams))
+				"addr", s.Addr(), "open_streams", len(s.streams), "doubt", now.doubt)
 		} else {
-			s.log.Info("endpoint list is usable again", "version", s.Version(), "list", state, "unavailable", unavailable, "found", found)
+			s.log.Info("endpoint list is usable again", "version", s.Version(), "list", now.state, "unavailable", now.unavailable, "found", now.found)
 		}
 	}
-	if unavailable != s.loggedUnavailable {
-		s.log.Warn("discovery availability changed", "unavailable", unavailable, "found", found, "addr", s.Addr(), "version", s.Version(),
-			"list_confirmed", confirmed, "list_age", age, "lease_left", left)
+	doubt := endpointlease.NoDoubt
+	if now.unavailable {
+		doubt = now.doubt
+	}
+	if now.unavailable != s.loggedUnavailable || doubt != s.loggedDoubt {
+		s.log.Warn("discovery availability changed", "unavailable", now.unavailable, "found", now.found, "addr", s.Addr(), "version", s.Version(),
+			"extends_lease", now.unavailable && doubt == endpointlease.NoDoubt, "doubt", doubt, "list_confirmed", now.listConfirmed,
+			"list_age", now.listAge, "lease_left", now.leaseLeft)
 	}
-	s.loggedState, s.loggedUnavailable = state, unavailable
+	s.loggedState, s.loggedUnavailable, s.loggedDoubt = now.state, now.unavailable, doubt
 }
--- a/internal/discovery/lease_test.go
+++ b/internal/discovery/lease_test.go
@@ -27,8 +27,9 @@
 		agent.Lines <- `{"seq":43,"whole":false,"hosts":[]}`
 		<-updates
 		<-time.After(4 * time.Second)
-		if source.Age() != 4*time.Second || source.ResumeVersion() != 43 {
-			t.Errorf("hands over a list of age %v, version %d", source.Age(), source.ResumeVersion())
+		age, evidence := source.Lease()
+		if age != 4*time.Second || evidence != endpointlease.NoEvidence || source.ResumeVersion() != 43 {
+			t.Errorf("hands over a list of age %v, evidence %q, version %d", age, evidence, source.ResumeVersion())
 		}
 		source.SetAddress("agent:2")
 		if source.ResumeVersion() != 0 {
@@ -39,7 +40,7 @@
 		config.MaxPollInterval = 10 * time.Second
 		next := New(config, source.log, nil)
 		next.RenewLease = func(l engine.Lease) { lease = l }
-		next.InheritAge(source.Age())
+		next.Inherit(source.Lease())
 		if left := time.Until(lease.Until); left != endpointlease.NotificationDeadline-4*time.Second {
 			t.Errorf("the next process may use the list for %v more", left)
 		}
@@ -102,10 +103,8 @@
 }
 
 // A discovery that answered no poll was once considered unable to notify any node 10 s after the lease had ended, and the
-// node served again on an expired list. However its polls end, a new process may use only the rest of the lease on the
-// list that it was given.
+// node served again on an expired list. However its polls end, a new process has no lease on the list that it was given.
 func TestUnansweredPollsDoNotRenewLease(t *testing.T) {
-	const remaining = endpointlease.NotificationDeadline - 3*time.Second // the list given to a new process counts as 3 s old
 	reject := func(w http.ResponseWriter) { w.WriteHeader(http.StatusServiceUnavailable) }
 	reset := func(http.ResponseWriter) { panic(http.ErrAbortHandler) }
 	responses := map[string][]func(http.ResponseWriter){"503": {reject}, "reset": {reset}, "503 and reset": {reject, reset}, "nothing": nil}
@@ -127,7 +126,7 @@
 							}
 							responses[int(polls.Add(1))%len(responses)](w)
 						})
-						if last := lastLeaseEnd(t, mode, withPipe(t, discovery)); last > remaining {
+						if last := lastLeaseEnd(t, mode, withPipe(t, discovery)); last > 0 {
 							t.Errorf("the lease was renewed until %v after the start", last)
 						}
 					})
@@ -137,14 +136,52 @@
 	}
 }
 
-// A discovery that refuses connections cannot notify any node: a new process keeps serving while this lasts.
-func TestRefusedConnectionsRenewTheLease(t *testing.T) {
+// refuseConnections is a DialContext that fails as if nothing listened at discovery's address.
+func refuseConnections(context.Context, string, string) (net.Conn, error) {
+	return nil, &net.OpError{Op: "dial", Err: syscall.ECONNREFUSED}
+}
+
+// A discovery that refuses connections cannot notify any node: a process that had confirmed its list until then, or took it
+// over from one that had, keeps serving while this lasts. A process that did not must not use its list: refused connections do
+// not say what discovery had before.
+func TestRefusedConnectionsRenewTheLeaseOfAConfirmedList(t *testing.T) {
+	for _, mode := range []string{"on_request", "pushed"} {
+		for evidence, renewed := range map[endpointlease.Evidence]bool{"": false, endpointlease.WatchEvidence: true, endpointlease.UnreachableEvidence: true} {
+			synctest.Test(t, func(t *testing.T) {
+				last := lastLeaseEnd(t, mode, func(source *Source) {
+					source.Client.Transport.(*http.Transport).DialContext = refuseConnections
+					if evidence != "" {
+						source.Inherit(0, evidence)
+					}
+				})
+				if renewed && last <= timeWithoutList || !renewed && last > time.Nanosecond {
+					t.Errorf("%s, evidence %q: the lease ended %v after the start", mode, evidence, last)
+				}
+			})
+		}
+	}
+}
+
+// A watch that ends as discovery goes down was current until then: the node keeps serving.
+func TestRefusedConnectionsRenewTheLeaseAfterAWatch(t *testing.T) {
 	for _, mode := range []string{"on_request", "pushed"} {
 		synctest.Test(t, func(t *testing.T) {
-			refuse := func(context.Context, string, string) (net.Conn, error) {
-				return nil, &net.OpError{Op: "dial", Err: syscall.ECONNREFUSED}
-			}
-			last := lastLeaseEnd(t, mode, func(source *Source) { source.Client.Transport.(*http.Transport).DialContext = refuse })
+			var down atomic.Bool
+			connect := discoverytest.ServePipe(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				fmt.Fprintln(w, discoverytest.CompleteList)
+				w.(http.Flusher).Flush()
+				<-time.After(time.Second)
+				down.Store(true)
+				panic(http.ErrAbortHandler)
+			}))
+			last := lastLeaseEnd(t, mode, func(source *Source) {
+				source.Client.Transport.(*http.Transport).DialContext = func(ctx context.Context, network, addr string) (net.Conn, error) {
+					if down.Load() {
+						return refuseConnections(ctx, network, addr)
+					}
+					return connect(ctx, network, addr)
+				}
+			})
 			if last <= timeWithoutList {
 				t.Errorf("%s: the lease ended %v after the start", mode, last)
 			}
--- a/internal/discovery/source.go
+++ b/internal/discovery/source.go
@@ -49,6 +49,7 @@
 
 	pollRequests   chan struct{} // signals that RequestPoll was called
 	addressChanges chan struct{} // signals that SetAddress has changed addr
+	probeEnds      chan struct{} // signals that a probe has ended
 	events         chan streamEvent
 	version        atomic.Int64 // version of the held list
 
@@ -59,6 +60,7 @@
 	consecutiveOlderLists int             // complete lists in a row that were older than the held one
 	loggedState           endpointlease.State
 	loggedUnavailable     bool // the last logged value of Unavailable
+	loggedDoubt           endpointlease.Doubt
 	lastEndLogged         time.Time
 	streamsEndedSinceLog  int // streams that have ended since lastEndLogged
 
@@ -82,6 +84,7 @@
 		epoch:          time.Now(),
 		pollRequests:   make(chan struct{}, 1),
 		addressChanges: make(chan struct{}, 1),
+		probeEnds:      make(chan struct{}, 1),
 		events:         make(chan streamEvent),
 		streams:        map[int]*stream{},
 		addr:           cfg.Addr,
@@ -139,6 +142,7 @@
 		case <-s.pollRequests:
 			s.track((*endpointlease.Tracker).RequestPoll)
 		case <-s.addressChanges: // SetAddress has already recorded the change in the tracker
+		case <-s.probeEnds: // probe has already recorded the result in the tracker
 		case event := <-s.events:
 			s.handle(ctx, event)
 		case <-ctx.Done():
@@ -154,19 +158,25 @@
 		now := s.now()
 		decision := s.tracker.Step(now)
 		var opened *stream
-		if decision.Action == endpointlease.OpenStream {
+		addr := s.addr
+		switch decision.Action {
+		case endpointlease.OpenStream:
 			opened = s.newStream(now)
+		case endpointlease.Probe:
+			s.tracker.ProbeBegan(now)
 		}
 		lease := s.tracker.AdvanceLease(now)
-		unavailable, found := s.tracker.Unavailable(), s.tracker.AvailabilityName()
+		status := s.leaseLogStatus(lease, now)
 		s.notifyLease()
 		s.mu.Unlock()
-		s.logLease(lease.State, unavailable, found)
+		s.logLease(status)
 		switch decision.Action {
 		case endpointlease.NoAction:
 			return max(min(decision.WakeAt, lease.CheckAt)-now, 1)
 		case endpointlease.OpenStream:
 			s.openStream(ctx, opened, readers)
+		case endpointlease.Probe:
+			readers.Go(func() { s.probe(ctx, addr) })
 		case endpointlease.DropStream:
 			s.endStream(decision.StreamID, errNotNeeded)
 		case endpointlease.AbortStalledStream:
--- a/internal/discovery/updates.go
+++ b/internal/discovery/updates.go
@@ -121,7 +121,7 @@
 	case errors.As(err, new(*StatusError)):
 		t.PollRejected(id, now)
 	case isUnreachable(err):
-		t.Unreachable(id)
+		t.Unreachable(id, now)
 	case errors.Is(err, io.EOF):
 		t.StreamClosed(id)
 	default:
--- a/internal/endpointlease/availability.go
+++ b/internal/endpointlease/availability.go
@@ -1,16 +1,13 @@
 package endpointlease
 
-import (
-	"slices"
-	"time"
-)
+import "time"
 
 // immediateRejection is the longest time that a discovery that is up takes to reject a poll. A later rejection may come
 // from a proxy in front of it whose own request timed out.
 const immediateRejection = time.Second
 
 // availability says whether discovery can notify nodes of changes. While it cannot, no node counts as notified of its
-// changes, and each poll that finds it unavailable renews the lease.
+// changes, and each poll or probe that finds it unavailable renews the lease, unless there is a Doubt.
 //
 // A discovery that is slow or silent counts as available: the lease expires, and requests are rejected until it sends
 // something. Silence, however long, is not evidence of an outage, because other nodes may be notified meanwhile.
@@ -18,9 +15,10 @@
 
 const (
 	// available: discovery has sent something, or a connection to it has succeeded. This is also the state before the
-	// first poll, and again after the lease has expired, until a poll finds discovery unavailable.
+	// first poll, and after the lease has expired in an outage behind a proxy.
 	available availability = iota
-	// unreachable: the last connection attempt was refused or timed out. Set by Unreachable, cleared by Connected.
+	// unreachable: the last connection attempt was refused or timed out. Set by Unreachable and ProbeEnded, cleared by
+	// Connected and ProbeEnded.
 	unreachable
 	// downBehindProxy: the watch has ended, and polls are rejected after a wait, as by a proxy that cannot reach
 	// discovery. Set by PollRejected; cleared by StreamFailed if a poll is reset instead, and by AddressChanged. This is
@@ -37,21 +35,23 @@
 // AvailabilityName returns the name of discovery's availability, as found by polls, for the log.
 func (t *Tracker) AvailabilityName() string { return t.availability.String() }
 
-// Unavailable reports whether discovery is unreachable or downBehindProxy, so that the node may use its list without it.
-// Any activity of discovery ends this state.
+// Unavailable reports whether discovery is unreachable or downBehindProxy. Any activity of discovery ends this state.
 func (t *Tracker) Unavailable() bool { return t.availability != available }
 
 // Connected records that a poll's connection has been established: discovery can be reached, whether or not it answers.
 func (t *Tracker) Connected(id int) {
 	s, _ := t.find(id)
 	s.connected = true
-	if t.availability == unreachable {
-		t.availability = available
-	}
+	t.noteConnected()
 }
 
-// Unreachable records that a poll's connection was refused or timed out. It is called before StreamEnded.
-func (t *Tracker) Unreachable(id int) { t.noteUnavailable(unreachable, id) }
+// Unreachable records that a poll's connection was refused or timed out. It is called before StreamEnded. A poll of an
+// earlier address says nothing about the present one.
+func (t *Tracker) Unreachable(id int, now time.Duration) {
+	if s, open := t.find(id); open && s.generation == t.generation {
+		t.noteUnreachable(id, s.openedAt, now)
+	}
+}
 
 // PollRejected records that a poll was answered with an error status. It is called before StreamEnded.
 //
@@ -70,59 +70,42 @@
 	case t.overloaded:
 		t.noteAvailable()
 	case t.lateRejectionMeansDown && now < t.Expires():
-		t.noteUnavailable(downBehindProxy, id)
+		t.noteUnavailable(downBehindProxy, id, s.openedAt, now)
 	default:
-		t.reachedSinceConfirmed = true
+		t.suspect(Reached)
 	}
 }
 
 // noteAvailable records that discovery has sent something.
-func (t *Tracker) noteAvailable() { t.availability, t.reachedSinceConfirmed = available, true }
-
-// noteUnavailable records that discovery was unavailable when a poll began. Each such poll renews the lease, unless
-// discovery may have had a change before the outage: then the end of the lease does not change.
-func (t *Tracker) noteUnavailable(found availability, id int) {
-	s, _ := t.find(id)
-	if t.availability == available || t.mayHaveRecovered(id) {
-		outageBegan := s.openedAt
-		if t.Pushed { // the watch ended when the agent went down
-			outageBegan = min(outageBegan, t.lastWatchEndedAt)
-		}
-		expires := t.Expires()
-		if t.changeMayPredateOutage(id, outageBegan, expires) {
-			t.expiryFixedByOutage = max(expires, 1) // 0 means none
-		}
-	}
-	t.availability, t.unavailablePollAt = found, s.openedAt
+func (t *Tracker) noteAvailable() {
+	t.availability = available
+	t.suspect(Reached)
 }
 
-// changeMayPredateOutage reports whether discovery may have had, and been able to send, a change before the outage that a
-// poll has found. Such a change counts as known to the node at its deadline, despite the outage. Without this rule a node
-// keeps sending to an endpoint that began to drain just before discovery went down. An example with polled lists, where
-// the last heartbeat arrives at 0 s:
-//
-//	1 s  an endpoint begins to drain, but discovery is too slow to send the change
-//	3 s  the watch counts as silent; a poll reaches discovery and receives nothing
-//	4 s  discovery goes down: that poll is reset, and the next one is refused
-//	6 s  the lease ends although polls are refused: the node counts as notified of the drain
-//
-// There are three cases: discovery was reached since the list was confirmed, and has sent no list since; another poll has
-// reached discovery and is still waiting; or the lease had ended before the outage began.
-//
-// Two outages in succession can look like one: see mayHaveRecovered and StreamFailed.
-func (t *Tracker) changeMayPredateOutage(id int, outageBegan, expires time.Duration) bool {
-	return t.reachedSinceConfirmed || t.otherPollConnected(id) || expires <= outageBegan
+// noteConnected records that a connection has been established. After failed connections it shows that discovery has
+// recovered, and may have a change.
+func (t *Tracker) noteConnected() {
+	t.connectedSinceConfirmed = true
+	if t.availability == unreachable {
+		t.noteAvailable()
+	}
 }
 
-// mayHaveRecovered reports whether discovery may have been available for a while since it was found downBehindProxy.
-// This is so if a poll that is older than the one just rejected is still waiting: the proxy would have rejected it by
-// now, so it may have reached discovery.
-func (t *Tracker) mayHaveRecovered(id int) bool {
-	return t.availability == downBehindProxy &&
-		slices.ContainsFunc(t.streams, func(s stream) bool { return s.id < id && !s.isWatch() && s.connected })
+// noteUnreachable records that a connection has failed, from the beginning to the end of the attempt. Probes follow until one
+// succeeds.
+func (t *Tracker) noteUnreachable(id int, began, ended time.Duration) {
+	t.noteUnavailable(unreachable, id, began, ended)
+	t.wantProbe(ended + probeInterval)
 }
 
-// otherPollConnected reports whether another poll has reached discovery and is waiting for a list.
-func (t *Tracker) otherPollConnected(id int) bool {
-	return slices.ContainsFunc(t.streams, func(s stream) bool { return s.id != id && !s.isWatch() && s.connected })
+// noteUnavailable records that a poll or a probe found discovery unavailable. It renews the lease, unless discovery may have
+// had a change before the outage: then the end of the lease does not change.
+func (t *Tracker) noteUnavailable(found availability, id int, began, ended time.Duration) {
+	t.suspect(t.doubtAbout(found, id, began))
+	if t.doubt == NoDoubt {
+		t.currentUntil = max(t.currentUntil, ended)
+	} else if t.expiryFixedByOutage == 0 {
+		t.expiryFixedByOutage = max(t.Expires(), 1) // 0 means none
+	}
+	t.availability, t.unavailablePollAt = found, max(t.unavailablePollAt, began)
 }
--- a/internal/endpointlease/availability_test.go
+++ b/internal/endpointlease/availability_test.go
@@ -1,6 +1,9 @@
 package endpointlease
 
-import "testing"
+import (
+	"testing"
+	"time"
+)
 
 // A discovery that is down cannot notify any node: each poll that finds it down renews the lease, whether discovery
 // refuses connections or a proxy in front of it rejects polls after a wait.
@@ -9,27 +12,34 @@
 		"unreachable discovery": {
 			options: polled,
 			events: func(tracker *Tracker) {
-				tracker.StreamOpened(s, 0)
-				tracker.Unreachable(1)
-				tracker.StreamEnded(1, s)
+				watchUntil(tracker, s)
+				tracker.StreamOpened(1100*ms, 0)
+				tracker.Unreachable(2, 1100*ms)
+				tracker.StreamEnded(2, 1100*ms)
 			},
-			at: 6 * s, wakeAt: 0, expires: 7 * s, state: Aging,
+			at: 6 * s, wakeAt: 0, expires: 7100 * ms, state: Aging,
 		},
 		"unreachable for a minute": {
 			options: polled,
-			events:  func(tracker *Tracker) { pollUnreachable(tracker, s, 60*s) },
-			at:      60 * s, wakeAt: 0, expires: 65 * s, state: Aging,
+			events: func(tracker *Tracker) {
+				watchUntil(tracker, s)
+				pollUnreachable(tracker, s, 60*s)
+			},
+			at: 60 * s, wakeAt: 0, expires: 65800 * ms, state: Aging,
 		},
 		"unreachable, and polling has stopped": {
 			options: polled,
-			events:  func(tracker *Tracker) { pollUnreachable(tracker, s, 60*s) },
-			at:      65 * s, wakeAt: 0, expires: 65 * s, state: Expired,
+			events: func(tracker *Tracker) {
+				watchUntil(tracker, s)
+				pollUnreachable(tracker, s, 60*s)
+			},
+			at: 65800 * ms, wakeAt: 0, expires: 65800 * ms, state: Expired,
 		},
 		"reachable again": {
 			options: polled,
 			events: func(tracker *Tracker) {
 				tracker.StreamOpened(s, 0)
-				tracker.Unreachable(1)
+				tracker.Unreachable(1, 40*s)
 				tracker.StreamEnded(1, 40*s)
 				openWatch(tracker, 50*s, 51*s)
 			},
@@ -117,7 +127,7 @@
 				tracker.StreamEnded(1, 2*s)
 				rejectImmediately(tracker, 3*s)
 				tracker.StreamOpened(7500*ms, 0)
-				tracker.Unreachable(3)
+				tracker.Unreachable(3, 7500*ms)
 				tracker.StreamEnded(3, 7500*ms)
 			},
 			at: 9 * s, wakeAt: 0, expires: 7 * s, state: Expired,
@@ -150,7 +160,7 @@
 				rejectPoll(tracker, 100*ms, 2100*ms)
 				pollUnreachable(tracker, 2200*ms, 9*s)
 			},
-			at: 9 * s, wakeAt: 0, expires: 3 * s, state: Expired,
+			at: 9 * s, wakeAt: 0, expires: neverHeld, state: Expired,
 		},
 		"while a silent watch is open": {
 			options: polled,
@@ -169,7 +179,7 @@
 				rejectPoll(tracker, 1500*ms, 3500*ms)
 				pollUnreachable(tracker, 4*s, 9*s)
 			},
-			at: 9 * s, wakeAt: 0, expires: 6100 * ms, state: Expired,
+			at: 9 * s, wakeAt: 0, expires: neverHeld, state: Expired,
 		},
 	})
 }
@@ -261,9 +271,11 @@
 	})
 }
 
-// In a new process no watch has ended yet, so a poll that is rejected after a wait does not show an outage: a discovery
-// with more pollers than it can serve does the same. The list of a new process has an unknown age, and counts as older
-// than one from discovery.
+// neverHeld is the end of the lease of a list that a process was given at 0 s and that an outage must not extend.
+const neverHeld = time.Duration(1)
+
+// The list of a new process has an unknown age, and no lease before discovery sends a list, whether polls are rejected or
+// connections are refused: a server may have begun to drain long before the process started.
 func TestNewProcessDoesNotTreatRejectionAsOutage(t *testing.T) {
 	checkHistories(t, map[string]history{
 		"late rejections": {
@@ -273,7 +285,7 @@
 				rejectPoll(tracker, 100*ms, 2100*ms)
 				rejectPoll(tracker, 2200*ms, 4200*ms)
 			},
-			at: 4200 * ms, wakeAt: 4200*ms + watchEndBackoff*4/10, expires: 3 * s, state: Expired,
+			at: 4200 * ms, wakeAt: 4200*ms + watchEndBackoff*4/10, expires: 0, state: Expired,
 		},
 		"discovery refuses connections": {
 			options: polled,
@@ -281,7 +293,7 @@
 				tracker.HoldBootstrapList(0)
 				pollUnreachable(tracker, 100*ms, 2*s)
 			},
-			at: 4 * s, wakeAt: 0, expires: 6100 * ms, state: Aging,
+			at: 4 * s, wakeAt: 0, expires: neverHeld, state: Expired,
 		},
 		"late rejections after the process had a watch": {
 			options: polled,
@@ -297,7 +309,7 @@
 			options: polled,
 			events: func(tracker *Tracker) {
 				tracker.HoldBootstrapList(0)
-				tracker.InheritAge(0, s)
+				tracker.Inherit(0, s, WatchEvidence)
 				rejectPoll(tracker, 100*ms, 2100*ms)
 			},
 			at: 2100 * ms, wakeAt: 2100*ms + watchEndBackoff*2/10, expires: 5 * s, state: Aging,
--- a/internal/endpointlease/endpointlease.go
+++ b/internal/endpointlease/endpointlease.go
@@ -27,17 +27,20 @@
 // are refused. In the right column it therefore ends as soon as the watch has ended, and in the left column as soon as a
 // connection succeeds.
 //
-// A new process holds a list of unknown age, so bootstrapListAge of its lease has already passed when it starts.
+// An outage extends the lease only of a list that is known to have been current when the outage began (see currency.go):
+// discovery confirmed it to this process or to the one that handed it over, and nothing has happened since that could hide a
+// change. Otherwise the node may already count as notified of a change that it does not have, and refused polls do not
+// extend the lease.
 //
-// There is one exception: if discovery may have had a change before it became unavailable, refused polls do not extend
-// the lease (see changeMayPredateOutage).
+// A new process holds a list of unknown age. It has no lease before discovery sends a list.
 //
 // The rules and where they are implemented:
 //
 //	lease expiry                           lease.go         Expires, AdvanceLease, State
-//	lease of a new process                 events.go        HoldBootstrapList, InheritAge
-//	outages that do not extend the lease   availability.go  changeMayPredateOutage, mayHaveRecovered
+//	lease of a new process                 inheritance.go   HoldBootstrapList, Inherit
+//	outages that do not extend the lease   currency.go      doubtAbout, mayHaveRecovered
 //	unavailable discovery or a slow one    availability.go  PollRejected, Unreachable
+//	probes during an outage                probe.go         probeDue
 //	when to poll                           schedule.go      Step
 //	hedged polls                           hedging.go       hedgedPollAt
 //	heartbeat timeout                      stream.go        heartbeatDeadline
@@ -101,9 +104,15 @@
 	// watch is open, after a watch that had fallen silent or that discovery closed, after an address change, or in a new
 	// process: there the rejection may come from a slow discovery, or from one with too many pollers.
 	lateRejectionMeansDown bool
-	reachedSinceConfirmed  bool // discovery was reachable since the list was last confirmed, but has not confirmed it again
 	pendingAddressChanges  []addressChange
 
+	// Whether the list held is current: see currency.go.
+	doubt                   Doubt         // why discovery may have a change that the node does not have
+	connectedSinceConfirmed bool          // a connection has succeeded since the list was last confirmed
+	currentUntil            time.Duration // until when the list is known to be current, if nothing casts doubt on it
+
+	probe probeState
+
 	// The lease: see Expires.
 	confirmedAt         time.Duration // when the list held was last known to be current
 	confirmed           bool          // discovery has confirmed the list to this process
--- a/internal/endpointlease/events.go
+++ b/internal/endpointlease/events.go
@@ -28,12 +28,13 @@
 	}
 }
 
-// ListBegan records the first byte of a list. The list must be complete within ListTransferTimeout.
+// ListBegan records the first byte of a list. The list must be complete within ListTransferTimeout. On a watch it shows that
+// the list held is no longer current.
 func (t *Tracker) ListBegan(id int, now time.Duration) {
-	t.Activity(id, now)
 	if s, _ := t.find(id); s.listBeganAt == 0 {
-		s.listBeganAt = max(now, 1) // 0 means that no list has begun
+		s.listBeganAt = max(now, 1) // 0 means that no list has begun; set first, so that this is not taken for a heartbeat
 	}
+	t.Activity(id, now)
 }
 
 // ListComplete records that a stream has received a complete list or complete changes: the node holds what discovery had.
@@ -60,14 +61,14 @@
 }
 
 // StreamFailed records that a stream was reset or has ended. It is called before StreamEnded. If a poll had connected but
-// received no list, discovery may have had a change that it could not send: see noteUnavailable. A proxy in front of a
+// received no list, discovery may have had a change that it could not send: see doubtAbout. A proxy in front of a
 // discovery that is down rejects polls, so a poll that is reset instead shows that discovery was back.
 func (t *Tracker) StreamFailed(id int) {
 	s, _ := t.find(id)
 	if !s.connected || s.isWatch() {
 		return
 	}
-	t.reachedSinceConfirmed = true
+	t.suspect(Reached)
 	if t.availability == downBehindProxy {
 		t.availability = available
 	}
@@ -89,6 +90,7 @@
 		t.malformedLists = 0
 	}
 	t.malformedLists++
+	t.suspect(Reached)
 }
 
 // StreamEnded records that a stream has ended, whether it was rejected, reset or closed. A stream to an earlier address
@@ -103,28 +105,13 @@
 		t.consecutiveFailures++ // before backoff: the delay after the first failed poll is 300 ms, not 150 ms
 	} else if !t.hasWatch() {
 		t.lateRejectionMeansDown = now < s.heartbeatDeadline() && !s.closedCleanly
+		if t.doubt == NoDoubt {
+			t.wantProbe(now)
+		}
 	}
 	t.nextPollAt = now + t.backoff(s.jitter)
 }
 
-// confirmList records that the list held is current, which renews the lease.
-func (t *Tracker) confirmList(now time.Duration) {
-	t.confirmedAt, t.confirmed, t.reachedSinceConfirmed = now, true, false
-	t.expiryFixedByOutage = 0
-}
-
-// HoldBootstrapList records that a new process holds the list that it was given, which may be old.
-func (t *Tracker) HoldBootstrapList(now time.Duration) { t.InheritAge(now, bootstrapListAge) }
-
-// InheritAge takes over the list of the previous process, which was confirmed the given time ago. Without this, a restart
-// would renew the lease of a list that discovery has not confirmed.
-func (t *Tracker) InheritAge(now, age time.Duration) { t.confirmedAt = now - age }
-
-// ListConfirmed reports whether discovery has confirmed the list to this process, by a list or a heartbeat, and when.
-func (t *Tracker) ListConfirmed() (at time.Duration, confirmed bool) {
-	return t.confirmedAt, t.confirmed
-}
-
 // maxPendingAddressChanges limits how many address changes are stored after many SIGHUPs in a row. Further changes share
 // the time of the last one stored, which can only end the lease sooner.
 const maxPendingAddressChanges = 16
@@ -144,6 +131,9 @@
 	t.nextPollAt, t.pollingStarted = now, true
 	t.hedgedPolls, t.consecutiveFailures, t.malformedLists, t.overloaded = 0, 0, 0, false
 	t.lateRejectionMeansDown = false // all nodes poll the new discovery at once, so it may be slow
+	if t.availability == unreachable {
+		t.wantProbe(now)
+	}
 	if len(t.pendingAddressChanges) == maxPendingAddressChanges {
 		t.pendingAddressChanges[maxPendingAddressChanges-1].generation = t.generation
 		return
--- a/internal/endpointlease/expiry_test.go
+++ b/internal/endpointlease/expiry_test.go
@@ -64,6 +64,8 @@
 			return
 		case OpenStream:
 			h.tracker.StreamOpened(h.now, h.rng.Float64())
+		case Probe:
+			h.tracker.ProbeBegan(h.now)
 		case AbortStalledStream:
 			h.tracker.MalformedList(decision.StreamID, h.now)
 			h.tracker.StreamEnded(decision.StreamID, h.now)
@@ -79,6 +81,9 @@
 		t.AddressChanged(now)
 		return "address change", false
 	}
+	if t.probe.open && h.rng.IntN(2) == 0 {
+		return h.endProbe()
+	}
 	if len(t.streams) == 0 {
 		return "nothing", false
 	}
@@ -100,7 +105,7 @@
 		t.StreamEnded(s.id, now)
 	case "unreachable":
 		renewalAllowed = t.Pushed || s.openedAt < t.Expires() // an agent counts as down from the end of its watch
-		t.Unreachable(s.id)
+		t.Unreachable(s.id, now)
 		t.StreamEnded(s.id, now)
 	case "reset":
 		t.StreamFailed(s.id)
@@ -109,6 +114,15 @@
 	return event, renewalAllowed
 }
 
+// endProbe reports a random result of the open probe.
+func (h *randomHistory) endProbe() (event string, renewalAllowed bool) {
+	t := h.tracker
+	renewalAllowed = t.Pushed || t.probe.began < t.Expires()
+	result := ProbeResult(h.rng.IntN(3))
+	t.ProbeEnded(h.now, result, h.rng.Float64())
+	return []string{"inconclusive probe", "probe connected", "probe unreachable"}[result], renewalAllowed && result == ProbeUnreachable
+}
+
 // drawEvent draws an event that is possible in the state of a stream.
 func (h *randomHistory) drawEvent(s stream) string {
 	events := []string{"connection", "unreachable"}
--- a/internal/endpointlease/lease.go
+++ b/internal/endpointlease/lease.go
@@ -8,11 +8,6 @@
 	// notified. The other 150 ms are for a node that is delayed between its check and its write.
 	pushedGracePeriod = 100 * time.Millisecond
 
-	// bootstrapListAge is the assumed age of the list that a new process is given; its real age is unknown. A change made
-	// before the process started counts as known to it NotificationDeadline later, like any other. The rest of the lease
-	// is the time that a new process needs to receive its list from a discovery with many pollers.
-	bootstrapListAge = 3 * time.Second
-
 	// freshTimeout is how long after its last line a watch counts as up to date: one heartbeat interval, plus a quarter
 	// for network delay.
 	freshTimeout = HeartbeatInterval + HeartbeatInterval/4
@@ -44,8 +39,8 @@
 //   - the list is polled and no stream is open: MaxPollInterval after the last poll,
 //   - the configuration has named another discovery: NotificationDeadlineAfterChange after the first such SIGHUP.
 //
-// An unavailable discovery cannot notify any node, so each poll that finds it unavailable extends the lease to
-// NotificationDeadline after the start of that poll, unless a change may have preceded the outage (expiryFixedByOutage).
+// An unavailable discovery cannot notify any node, so each poll or probe that finds it unavailable extends the lease to
+// NotificationDeadline after its start, unless a change may have preceded the outage (expiryFixedByOutage).
 // Time alone never extends the lease: a discovery that answers no poll may have notified other nodes.
 //
 // Without this rule a node keeps sending to a drained endpoint while discovery is slow, as in the incident of 2 December
@@ -81,12 +76,11 @@
 	CheckAt time.Duration // when to check again if no event happens before
 }
 
-// AdvanceLease returns the status of the lease. If the lease has expired, it first resets the availability. A lease
-// expires during an outage if no later poll has confirmed the outage, or if a change may have preceded it. In both cases
-// the outage no longer justifies serving, and discovery counts as available but silent.
+// AdvanceLease returns the status of the lease. A lease expires during an outage if no later poll or probe has confirmed the
+// outage, or if a change may have preceded it. In both cases the outage no longer justifies serving.
 func (t *Tracker) AdvanceLease(now time.Duration) LeaseStatus {
 	if now >= t.Expires() {
-		t.availability = available
+		t.endOutageExtension()
 	}
 	lease := LeaseStatus{State: t.State(now), Expires: t.Expires(), CheckAt: t.Expires()}
 	if now >= lease.Expires {
@@ -95,6 +89,17 @@
 	return lease
 }
 
+// endOutageExtension keeps the present outage from extending the lease. An outage behind a proxy is only inferred, and
+// discovery counts as available but silent from then on.
+func (t *Tracker) endOutageExtension() {
+	switch t.availability {
+	case unreachable:
+		t.expiryFixedByOutage = max(t.Expires(), 1) // 0 means none
+	case downBehindProxy:
+		t.availability = available
+	}
+}
+
 // State returns the state of the list at a given time.
 func (t *Tracker) State(now time.Duration) State {
 	watch := t.healthyWatch(now)
--- a/internal/endpointlease/lease_test.go
+++ b/internal/endpointlease/lease_test.go
@@ -169,9 +169,10 @@
 		"unreachable agent": {
 			options: pushed,
 			events: func(tracker *Tracker) {
+				watchUntil(tracker, s)
 				tracker.StreamOpened(s, 0)
-				tracker.Unreachable(1)
-				tracker.StreamEnded(1, s)
+				tracker.Unreachable(2, s)
+				tracker.StreamEnded(2, s)
 			},
 			at: s, wakeAt: s + maxBackoffPushedUnavailable/2, expires: 7 * s, state: Aging,
 		},
@@ -190,7 +191,7 @@
 				openWatch(tracker, 0, s)
 				tracker.StreamEnded(1, 2*s)
 				tracker.StreamOpened(2150*ms, 0)
-				tracker.Unreachable(2)
+				tracker.Unreachable(2, 2150*ms)
 				tracker.StreamEnded(2, 2150*ms)
 			},
 			at: 3 * s, wakeAt: 0, expires: 8150 * ms, state: Aging,
@@ -204,7 +205,7 @@
 		"list inherited at the age of 5 s": {
 			options: polled,
 			events: func(tracker *Tracker) {
-				tracker.InheritAge(0, 5*s)
+				tracker.Inherit(0, 5*s, WatchEvidence)
 				tracker.StreamOpened(0, 0)
 			},
 			at: s, wakeAt: hedgeDelayAfterEnd, expires: s, state: Expired,
@@ -212,7 +213,7 @@
 		"pushed list, inherited": {
 			options: pushed,
 			events: func(tracker *Tracker) {
-				tracker.InheritAge(0, 0)
+				tracker.Inherit(0, 0, WatchEvidence)
 				tracker.StreamOpened(0, 0)
 			},
 			at: 50 * ms, wakeAt: hedgeDelayAfterEnd, expires: pushedGracePeriod, state: Aging,
--- a/internal/endpointlease/schedule.go
+++ b/internal/endpointlease/schedule.go
@@ -15,6 +15,8 @@
 	DropStream
 	// AbortStalledStream: end a stream as failed, because a list on it was not complete in time.
 	AbortStalledStream
+	// Probe: connect to discovery without sending anything, and report it with ProbeBegan and ProbeEnded.
+	Probe
 )
 
 // Decision is the result of Step.
@@ -32,7 +34,11 @@
 //  3. At most maxOpenPolls streams to earlier addresses are kept.
 //  4. While polls are open, a hedged poll is opened at hedgedPollAt, up to maxOpenPolls polls.
 //  5. Otherwise discovery is polled at nextPollAt. Where lists are polled, the first poll also waits for RequestPoll.
-func (t *Tracker) Step(now time.Duration) Decision {
+//  6. If nothing else is due, the connection is probed when wantProbe says so.
+func (t *Tracker) Step(now time.Duration) Decision { return t.stepProbe(t.stepStreams(now), now) }
+
+// stepStreams applies the rules on streams.
+func (t *Tracker) stepStreams(now time.Duration) Decision {
 	open := t.summarizeStreams(now)
 	watch := t.healthyWatch(now)
 	switch {
--- a/internal/endpointlease/stream.go
+++ b/internal/endpointlease/stream.go
@@ -71,7 +71,7 @@
 	removed := *found
 	t.streams = slices.DeleteFunc(t.streams, func(s stream) bool { return s.id == id })
 	if removed.isWatch() && !t.hasWatch() {
-		t.lastWatchEndedAt = now
+		t.watchEnded(removed, now)
 	}
 	return removed
 }
--- a/internal/endpointlease/tracker_test.go
+++ b/internal/endpointlease/tracker_test.go
@@ -22,7 +22,7 @@
 	options Options
 	events  func(tracker *Tracker) // streams have the IDs 1, 2, ... in the order in which they are opened
 	at      time.Duration          // when the state is checked
-	wakeAt  time.Duration          // when Step is due next; 0: something is due now
+	wakeAt  time.Duration          // when Step is due next, apart from probes; 0: something is due now
 	expires time.Duration
 	state   State
 }
@@ -34,6 +34,7 @@
 		t.Run(name, func(t *testing.T) {
 			tracker := &Tracker{Options: row.options}
 			row.events(tracker)
+			tracker.probe.wanted = false // wakeAt is about streams
 			decision := tracker.Step(row.at)
 			if due := row.wakeAt == 0; due != (decision.Action != NoAction) || decision.WakeAt != row.wakeAt {
 				t.Errorf("decision %+v, want WakeAt %v", decision, row.wakeAt)
@@ -59,11 +60,27 @@
 	}
 }
 
-// pollUnreachable polls a discovery that refuses connections, every 2 s.
+// watchUntil is a watch that ends at a given time, just after it has received a list.
+func watchUntil(tracker *Tracker, at time.Duration) {
+	openWatch(tracker, at, at)
+	tracker.StreamEnded(tracker.lastStreamID, at)
+}
+
+// probeAt makes a probe that ends at once.
+func probeAt(tracker *Tracker, at time.Duration, result ProbeResult) {
+	tracker.ProbeBegan(at)
+	tracker.ProbeEnded(at, result, 0)
+}
+
+// pollUnreachable polls a discovery that refuses connections every 2 s, and probes it in between.
 func pollUnreachable(tracker *Tracker, from, until time.Duration) {
-	for at := from; at < until; at += 2 * s {
+	for at := from; at < until; at += 400 * ms {
+		if (at-from)%(2*s) != 0 {
+			probeAt(tracker, at, ProbeUnreachable)
+			continue
+		}
 		id := tracker.StreamOpened(at, 0)
-		tracker.Unreachable(id)
+		tracker.Unreachable(id, at)
 		tracker.StreamEnded(id, at)
 	}
 }
--- a/internal/hotrestart/golden_test.go
+++ b/internal/hotrestart/golden_test.go
@@ -12,6 +12,7 @@
 	"testing"
 
 	"hookwalk.example/hookwalk/balancer"
+	"hookwalk.example/hookwalk/internal/endpointlease"
 	"hookwalk.example/hookwalk/internal/engine"
 	"hookwalk.example/hookwalk/internal/goldentest"
 	"hookwalk.example/hookwalk/internal/state"
@@ -43,7 +44,7 @@
 // goldenState returns a HandoverState in which every field is set.
 func goldenState() HandoverState {
 	return HandoverState{Version: Version, Node: "n0", Listen: "127.0.0.1:5000", Settings: json.RawMessage(`{"Classes":[]}`),
-		BalancerState: json.RawMessage(`{"Now":5}`), ListVersion: 41, ListAge: 3e9,
+		BalancerState: json.RawMessage(`{"Now":5}`), ListVersion: 41, ListAge: 3e9, ListEvidence: endpointlease.WatchEvidence,
 		Endpoints: []engine.Endpoint{
 			{Server: balancer.Server{ID: "s-1", Zone: "z", Kind: "k", Cell: 2, State: balancer.Draining, StartTime: 7}, Addr: "10.0.0.1:1"},
 			{Server: balancer.Server{ID: "s-2"}, Addr: "10.0.0.2:1"}},
--- a/internal/hotrestart/hotrestart.go
+++ b/internal/hotrestart/hotrestart.go
@@ -26,6 +26,7 @@
 	"path/filepath"
 	"time"
 
+	"hookwalk.example/hookwalk/internal/endpointlease"
 	"hookwalk.example/hookwalk/internal/engine"
 )
 
@@ -50,6 +51,8 @@
 	Endpoints     []engine.Endpoint `json:"Boxes"`    // the current endpoint list
 	ListVersion   int64             `json:"Seq"`      // discovery's version of the list; 0: no version to resume from
 	ListAge       time.Duration     `json:"ListAge"`  // since the list was last confirmed; 0 if the other build omits it
+	// ListEvidence says why the list is known to be current. Empty if nothing shows it, or if the other build omits it.
+	ListEvidence endpointlease.Evidence `json:"ListEvidence,omitempty"`
 	// EarlierProcesses are the IDs of processes that the old one has replaced and that still run. Another build may omit them.
 	EarlierProcesses []int `json:"Earlier,omitempty"`
 	OperatorState
--- a/internal/node/handover.go
+++ b/internal/node/handover.go
@@ -113,7 +113,7 @@
 	n.engine.Balancer.RestoreDisabled(handover.DisabledServers)
 	n.inheritedEndpoints = handover.Endpoints
 	n.discovery.ResumeFrom(handover.ListVersion)
-	n.discovery.InheritAge(handover.ListAge)
+	n.discovery.Inherit(handover.ListAge, handover.ListEvidence)
 	n.initialListSettled.Store(true)
 	if handover.OutOfService {
 		n.transition(lifecycle.OutOfService)
@@ -151,8 +151,9 @@
 	if n.otherProcess.closed {
 		return hotrestart.ErrOtherProcessGone
 	}
-	handover := hotrestart.HandoverState{Node: n.cfg.Name, Listen: n.cfg.Listen, Settings: settings,
-		ListVersion: n.discovery.ResumeVersion(), ListAge: n.discovery.Age(), EarlierProcesses: n.sharedLimits.processIDs()}
+	listAge, listEvidence := n.discovery.Lease()
+	handover := hotrestart.HandoverState{Node: n.cfg.Name, Listen: n.cfg.Listen, Settings: settings, ListVersion: n.discovery.ResumeVersion(),
+		ListAge: listAge, ListEvidence: listEvidence, EarlierProcesses: n.sharedLimits.processIDs()}
 	handover.BalancerState, handover.Endpoints, handover.DisabledServers, err = n.engine.SuccessorState(context.Background(), func() {
 		handover.OutOfService = n.lifecycle.Load().IsOutOfService()
 	})
--- a/internal/node/initiallist.go
+++ b/internal/node/initiallist.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -12,21 +13,26 @@
 )
 
 const (
-	// polledListWait is how long a node waits for a first list before it uses the bootstrap list, if it polls discovery
-	// or if discovery is unavailable. A list is unlikely to arrive soon then, and the node has to become ready.
+	// polledListWait is how long requests wait for a first list if the node polls discovery or if discovery is unavailable.
+	// A list is unlikely to arrive soon then, and the node has to become ready.
 	polledListWait = time.Second
 
-	// pushedListWait is how long a node waits if discovery pushes and is available. The bootstrap list may be out of
-	// date then, so discovery gets more time.
+	// pushedListWait is how long requests wait for a first list if discovery pushes and is available.
 	pushedListWait = 2500 * time.Millisecond
+
+	// maxFirstPollDelay spreads the first polls of nodes that start together.
+	maxFirstPollDelay = 150 * time.Millisecond
 )
 
 // initialList gives the engine its first endpoint list.
 //
-// If discovery is polled, the first list is the bootstrap list. If discovery pushes, the node must follow discovery's
-// list from the start. The bootstrap list may contain servers that are draining or were replaced, and
-// requests sent to them would break an invariant. So requests wait for the first update, which is merged into the
-// bootstrap list, or until the wait for it ends (polledListWait if discovery is unavailable, otherwise pushedListWait).
+// The bootstrap list may be of any age. It may contain servers that are draining or were replaced, and requests sent to them
+// would break an invariant. So requests wait for the first update, which is merged into the bootstrap list. If no
+// update comes, the wait ends when a poll fails, or after polledListWait, if discovery is polled; otherwise after polledListWait
+// if discovery is unavailable, and after pushedListWait if it is not. From then on requests are rejected at once, because the
+// bootstrap list has no lease (endpointlease.Tracker), until discovery sends a list.
+//
+// The list that another process hands over is used at once. Its lease is handed over with it.
 type initialList struct {
 	mu      sync.Mutex
 	applied bool
@@ -38,7 +44,7 @@
 	defer l.mu.Unlock()
 	if !l.applied {
 		initial := n.bootstrapUpdate()
-		if update != nil {
+		if update != nil && !update.WatchFailed {
 			initial, update = mergeUpdate(initial, *update), nil
 		}
 		if err := n.engine.ApplyUpdate(ctx, initial); err != nil {
@@ -55,23 +61,32 @@
 // startDiscovery watches discovery until ctx ends, and makes the engine use the bootstrap list if discovery sends no
 // list in time. The returned function ends the wait for the first list.
 func (n *Node) startDiscovery(ctx context.Context, goroutines *sync.WaitGroup) (stopWaiting func()) {
-	if n.cfg.Settings.PollDiscovery || n.inheritedEndpoints != nil {
-		n.initialList.apply(ctx, n, nil) // can't fail: neither ctx nor the engine has ended
-	}
-	goroutines.Go(func() { n.discovery.Run(ctx) })
 	useBootstrapList := func() {
 		n.initialList.apply(ctx, n, nil)
 		n.initialListSettled.Store(true)
 	}
-	unavailableTimer := time.AfterFunc(polledListWait, func() {
-		if n.cfg.Settings.PollDiscovery || n.discovery.Unavailable() {
-			useBootstrapList()
-		}
-	})
-	pushedListTimer := time.AfterFunc(pushedListWait, useBootstrapList)
+	if n.inheritedEndpoints != nil {
+		useBootstrapList()
+	}
+	goroutines.Go(func() { n.discovery.Run(ctx) })
+	if !n.cfg.Settings.PollDiscovery {
+		unavailable := time.AfterFunc(polledListWait, func() {
+			if n.discovery.Unavailable() {
+				useBootstrapList()
+			}
+		})
+		return stopTimers(unavailable, time.AfterFunc(pushedListWait, useBootstrapList))
+	}
+	firstPoll := time.AfterFunc(time.Duration(rand.Int64N(int64(maxFirstPollDelay))), n.discovery.RequestPoll)
+	return stopTimers(firstPoll, time.AfterFunc(polledListWait, useBootstrapList))
+}
+
+// stopTimers returns a function that stops timers.
+func stopTimers(timers ...*time.Timer) func() {
 	return func() {
-		pushedListTimer.Stop()
-		unavailableTimer.Stop()
+		for _, timer := range timers {
+			timer.Stop()
+		}
 	}
 }
 
@@ -101,10 +116,10 @@
 	return l
 }
 
-// mergeUpdate returns a complete list with changes merged into it. Changes that are a complete list themselves, or
-// report a failed watch, are returned as they are.
+// mergeUpdate returns a complete list with changes merged into it. Changes that are a complete list themselves are returned
+// as they are.
 func mergeUpdate(list, changes engine.Update) engine.Update {
-	if changes.Complete || changes.WatchFailed {
+	if changes.Complete {
 		return changes
 	}
 	changes.Complete = true
