The soak starts nodes in outages after drains, pushes lists, and gives no process 3 s

Every plan now has an outage in which connections are refused, a drain up to 6 s before it, and one to three kills in it; a third of the plans pushes lists. The judge is stricter: a restart moves no deadline ("started after the deadline" in TestViolations takes the place of the two rows on the 3 s). Where lists are pushed a change counts at once for a node without a watch, when its watch ends, or 6 s after the watch fell silent (TestPushedAt).

The random draws of a plan's other faults are unchanged.

--- a/internal/lab/soak/discovery.go
+++ b/internal/lab/soak/discovery.go
@@ -210,24 +210,33 @@
 func (d *discovery) watch(w http.ResponseWriter, r *http.Request, node int, from int64) {
 	heartbeat := time.NewTicker(endpointlease.HeartbeatInterval)
 	defer heartbeat.Stop()
+	silent := func() {}
 	d.mu.Lock()
 	stalled, watchesReset := d.stalled, d.watchesReset
 	d.mu.Unlock()
+	isWatch := r.URL.Query().Get("watch") != ""
 	for first := true; ; first = false {
 		text, version, updated := d.changesSince(from)
 		if first || version > from {
 			d.deliver(w, node, text, version)
 			from = version
 		}
-		if r.URL.Query().Get("watch") == "" {
+		if !isWatch {
 			return
 		}
+		if first {
+			watch := &Watch{Node: node, From: d.recorder.now()}
+			d.recorder.record(func(o *Observations) { o.Watches = append(o.Watches, watch) })
+			defer d.recorder.record(func(*Observations) { watch.To = d.recorder.now() })
+			silent = func() { d.recorder.record(func(*Observations) { watch.SilentAt = d.recorder.now() }) }
+		}
 		select {
 		case <-updated:
 		case <-heartbeat.C:
 			w.Write([]byte("\n"))
 			w.(http.Flusher).Flush()
 		case <-stalled:
+			silent()
 			<-r.Context().Done()
 			return
 		case <-watchesReset:
@@ -245,14 +254,17 @@
 		w.(http.Flusher).Flush()
 		panic(http.ErrAbortHandler)
 	}
+	at := d.recorder.now()
+	w.Write(text)
+	if http.NewResponseController(w).Flush() != nil {
+		panic(http.ErrAbortHandler) // nothing was written: the connection is closed, as when an outage begins
+	}
 	d.mu.Lock()
 	d.delivered[node] = version
 	d.mu.Unlock()
 	d.recorder.record(func(o *Observations) {
-		o.Deliveries = append(o.Deliveries, Delivery{At: d.recorder.now(), Node: node, Version: version})
+		o.Deliveries = append(o.Deliveries, Delivery{At: at, Node: node, Version: version})
 	})
-	w.Write(text)
-	w.(http.Flusher).Flush()
 }
 
 // changesSince returns the changes since a version as a line, the version that they lead to, and a channel that is closed
--- a/internal/lab/soak/nodes.go
+++ b/internal/lab/soak/nodes.go
@@ -33,10 +33,11 @@
 const maxLogLineBytes = 8 << 20
 
 // nodeConfigFormat is the format of a node's configuration file. Its arguments are the node's index, its address, the
-// address of discovery, the index, the descriptor limit, the bootstrap list, the number of nodes and the index.
+// address of discovery, the index, the descriptor limit, the bootstrap list, the mode of the lists, the number of nodes and the
+// index.
 const nodeConfigFormat = `{"name":"n%d","listen":%q,"discovery":%q,"seed":"8c1f30d27a5be9%02x",
  "limits":{"cores":1,"memory_mb":128,"sockets":%d},"known":%s,
- "settings":{"registry-mode":"on_request","balancers":%d,"me":%d,"rules":{"ask-within-ms":10000,"warm-after-ms":1000,"cold-from":0.2},
+ "settings":{"registry-mode":%q,"balancers":%d,"me":%d,"rules":{"ask-within-ms":10000,"warm-after-ms":1000,"cold-from":0.2},
   "limits":{"conn-idle-ms":1000,"connect-timeout-ms":500,"max-attempts":3,"retry-after":true,"max-retry-after-ms":2000},
   "lanes":[{"name":"read","effect":"read_like","target-ms":500,"deadline-ms":2000,"worth":1},
    {"name":"write","effect":"non_idempotent","target-ms":500,"deadline-ms":2000,"worth":2}]}}`
@@ -48,6 +49,7 @@
 type node struct {
 	index     int
 	nodeCount int
+	mode      string // how the node gets its lists
 	recorder  *recorder
 	program   Program
 	discovery *discovery
@@ -59,17 +61,20 @@
 	discoveryAddress string
 	process          *process // nil if no process runs
 	ending           bool     // the process was sent SIGTERM or SIGKILL
+	reloadDue        bool     // the configuration has changed since a process started that does not take SIGHUP yet
 }
 
 // process is the operating system process of one incarnation.
 type process struct {
 	command *exec.Cmd
+	started time.Time
+	ready   bool          // guarded by the lock of the node
 	ended   chan struct{} // closed when the process has exited and its log was read
 }
 
 // newNode returns a node that does not run yet, and opens the address at which it calls discovery.
-func newNode(index, nodeCount int, recorder *recorder, d *discovery, program Program, folder string) (*node, error) {
-	n := &node{index: index, nodeCount: nodeCount, recorder: recorder, discovery: d, program: program}
+func newNode(index int, p Plan, recorder *recorder, d *discovery, program Program, folder string) (*node, error) {
+	n := &node{index: index, nodeCount: p.Nodes, mode: listMode(p.Pushed), recorder: recorder, discovery: d, program: program}
 	n.config = filepath.Join(folder, fmt.Sprintf("n%d.json", index))
 	n.listen = fmt.Sprintf("%s:%d", nodeAddress(), firstNodePort+index)
 	var err error
@@ -77,6 +82,14 @@
 	return n, err
 }
 
+// listMode returns the setting that says how nodes get their lists.
+func listMode(pushed bool) string {
+	if pushed {
+		return "pushed"
+	}
+	return "on_request"
+}
+
 // firstNodePort is the port of the first node. Nodes use separate loopback addresses, so that neither another socket nor a
 // parallel soak takes the port of a node that does not run.
 const firstNodePort = 20000
@@ -102,7 +115,7 @@
 	if err != nil {
 		return err
 	}
-	text := fmt.Sprintf(nodeConfigFormat, n.index, n.listen, n.discoveryAddress, n.index, nodeDescriptors, bootstrap, n.nodeCount, n.index)
+	text := fmt.Sprintf(nodeConfigFormat, n.index, n.listen, n.discoveryAddress, n.index, nodeDescriptors, bootstrap, n.mode, n.nodeCount, n.index)
 	return os.WriteFile(n.config, []byte(text), 0o600)
 }
 
@@ -117,6 +130,7 @@
 			resp.Body.Close()
 			if resp.StatusCode == http.StatusOK {
 				n.recordLast(func(i *Incarnation) { i.Ready = n.recorder.now() })
+				n.becameReady()
 				return nil
 			}
 		}
@@ -143,7 +157,7 @@
 	if err := command.Start(); err != nil {
 		return err
 	}
-	n.process, n.ending = &process{command, make(chan struct{})}, false
+	n.process, n.ending, n.reloadDue = &process{command: command, started: time.Now(), ended: make(chan struct{})}, false, false
 	go n.readLog(n.process, stderr)
 	return nil
 }
@@ -198,6 +212,41 @@
 	if err := n.writeConfig(); err != nil {
 		return err
 	}
+	if !n.process.takesReload() {
+		n.reloadDue = true
+		return nil
+	}
+	return n.reload()
+}
+
+// reloadDelay is how long after its start a process may be sent SIGHUP. The platform sends none before, nor before the process
+// is ready.
+const reloadDelay = time.Second
+
+// takesReload reports whether the platform may send SIGHUP to a process. The caller holds the lock of the node.
+func (p *process) takesReload() bool { return p.ready && time.Since(p.started) >= reloadDelay }
+
+// becameReady records that the running process is ready, and sends a SIGHUP that is due as soon as the process takes it.
+func (n *node) becameReady() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	running := n.process
+	if running == nil {
+		return
+	}
+	running.ready = true
+	time.AfterFunc(time.Until(running.started.Add(reloadDelay)), func() {
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		if n.process == running && n.reloadDue && !n.ending {
+			n.reloadDue = false
+			n.reload() // fails only if the process has exited, which readLog records
+		}
+	})
+}
+
+// reload sends SIGHUP, which announces a change of discovery's address. The caller holds the lock.
+func (n *node) reload() error {
 	n.recorder.record(func(o *Observations) {
 		o.AddressChanges = append(o.AddressChanges, AddressChange{At: n.recorder.now(), Node: n.index})
 	})
@@ -264,7 +313,7 @@
 	if running == nil {
 		n.mu.Lock()
 		defer n.mu.Unlock()
-		if running = n.process; running == nil || n.ending {
+		if running = n.process; running == nil || n.ending || signal == syscall.SIGHUP && !running.takesReload() {
 			return
 		}
 	}
--- a/internal/lab/soak/observations.go
+++ b/internal/lab/soak/observations.go
@@ -9,6 +9,7 @@
 type Observations struct {
 	Drains         []DrainStart
 	Deliveries     []Delivery
+	Watches        []*Watch
 	Incarnations   []Incarnation
 	AddressChanges []AddressChange
 	Outages        []Span // of discovery
@@ -48,6 +49,22 @@
 	Version int64
 }
 
+// Watch is a watch of a node, from its first list on.
+type Watch struct {
+	Node     int
+	From     time.Duration
+	To       time.Duration // 0: it is open
+	SilentAt time.Duration // when it stopped delivering; 0: never
+}
+
+// fixWatches replaces the watches by copies, which do not change when the watches end with the run.
+func fixWatches(o *Observations) {
+	for i, watch := range o.Watches {
+		fixed := *watch
+		o.Watches[i] = &fixed
+	}
+}
+
 // Incarnation is one process of a node.
 type Incarnation struct {
 	Node       int
--- a/internal/lab/soak/plan.go
+++ b/internal/lab/soak/plan.go
@@ -77,6 +77,8 @@
 	Series     []SignalSeries
 	Floods     []ConnectionFlood
 	SlowPeers  []Fault
+	Starts     []Fault // an outage of discovery in which nodes start, and a drain before it
+	Pushed     bool    // an agent pushes the lists; otherwise nodes poll discovery
 }
 
 // Title returns the name of a plan in the output of a run.
@@ -89,10 +91,11 @@
 
 // Lines returns everything that the plan injects, one line each.
 func (p Plan) Lines() (lines []string) {
+	lines = append(lines, fmt.Sprintf("pushed=%v", p.Pushed))
 	for _, f := range p.Faults {
 		lines = append(lines, f.String())
 	}
-	for _, f := range slices.Concat(p.Answers, p.Late, p.SlowPeers) {
+	for _, f := range slices.Concat(p.Answers, p.Late, p.SlowPeers, p.Starts) {
 		lines = append(lines, f.String())
 	}
 	for _, b := range slices.Concat(p.Bursts, p.LateBursts) {
@@ -156,8 +159,9 @@
 
 // shifted returns the plan with begin added to all its times and its Length.
 func (p Plan) shifted(begin time.Duration) Plan {
-	p.Faults, p.Answers, p.Late, p.SlowPeers = slices.Clone(p.Faults), slices.Clone(p.Answers), slices.Clone(p.Late), slices.Clone(p.SlowPeers)
-	for _, faults := range [][]Fault{p.Faults, p.Answers, p.Late, p.SlowPeers} {
+	for _, list := range []*[]Fault{&p.Faults, &p.Answers, &p.Late, &p.SlowPeers, &p.Starts} {
+		faults := slices.Clone(*list)
+		*list = faults
 		for i := range faults {
 			faults[i].From += begin
 			faults[i].To += begin
@@ -198,6 +202,7 @@
 	p.Late, p.LateBursts = drawLateAnswers(seed, p)
 	p.Series, p.Floods = drawSignals(seed, p)
 	p.SlowPeers = drawSlowPeers(seed, p)
+	p.Pushed, p.Starts = drawOutageStarts(seed, p)
 	return p
 }
 
--- a/internal/lab/soak/run.go
+++ b/internal/lab/soak/run.go
@@ -34,6 +34,7 @@
 	if err := r.playFaults(ctx); err != nil {
 		return nil, fmt.Errorf("soak: play %s to its end: %w", p.Title(), err)
 	}
+	r.recorder.record(fixWatches)
 	return &Result{Plan: r.plan, Observations: &r.recorder.observations}, nil
 }
 
@@ -62,7 +63,7 @@
 	}
 	r.discovery = newDiscovery(r.recorder, r.servers)
 	for i := range r.plan.Nodes {
-		n, err := newNode(i, r.plan.Nodes, r.recorder, r.discovery, program, folder)
+		n, err := newNode(i, r.plan, r.recorder, r.discovery, program, folder)
 		if err != nil {
 			return err
 		}
@@ -117,7 +118,7 @@
 	defer cancel()
 	go r.recorder.watchStalls(ctx)
 	var injecting sync.WaitGroup
-	for _, f := range slices.Concat(r.plan.Faults, r.plan.Answers, r.plan.Late, r.plan.SlowPeers) {
+	for _, f := range slices.Concat(r.plan.Faults, r.plan.Answers, r.plan.Late, r.plan.SlowPeers, r.plan.Starts) {
 		injecting.Go(func() {
 			if r.waitUntil(ctx, f.From) {
 				r.inject(ctx, f)
--- a/internal/lab/soak/violations.go
+++ b/internal/lab/soak/violations.go
@@ -14,9 +14,6 @@
 // the cores of one machine.
 const clockTolerance = 100 * time.Millisecond
 
-// bootstrapTime is how long a new process may use its bootstrap list, which may be outdated.
-const bootstrapTime = 3 * time.Second
-
 // minServedRatio is the share of requests that must be served after all faults. Nodes that reject every request would keep
 // all other rules.
 const minServedRatio = 0.8
@@ -29,7 +26,7 @@
 func (r *Result) Violations() (broken []string) {
 	o := r.Observations
 	broken = append(broken, o.NodeErrors...)
-	broken = append(broken, checkDrains(o)...)
+	broken = append(broken, checkDrains(r.Plan, o)...)
 	broken = append(broken, checkDuplicates(o)...)
 	broken = append(broken, checkAnswers(o)...)
 	broken = append(broken, checkRestarts(o)...)
@@ -38,7 +35,7 @@
 
 // checkDrains finds attempts that reached a draining server after their node was notified of the drain, or counts as
 // notified.
-func checkDrains(o *Observations) (broken []string) {
+func checkDrains(p Plan, o *Observations) (broken []string) {
 	for _, drain := range o.Drains {
 		notified := map[int]time.Duration{} // by index of the incarnation
 		for _, a := range o.Attempts {
@@ -47,7 +44,7 @@
 			}
 			incarnation := incarnationAt(o, a.Node, a.At)
 			if _, known := notified[incarnation]; !known {
-				notified[incarnation] = notifiedAt(o, drain, a.Node, incarnation)
+				notified[incarnation] = notifiedAt(p, o, drain, a.Node, incarnation)
 			}
 			if by := a.At - notified[incarnation] - invariants.DrainGrace - clockTolerance; by > 0 {
 				broken = append(broken, fmt.Sprintf("drain: request %s reached server %d at %v, %v too late: node n%d counts as notified at %v (draining since %v)",
@@ -89,10 +86,11 @@
 //
 //   - the delivery of a list with the drain;
 //   - NotificationDeadline after the drain or, during an outage, after discovery is reachable again;
-//   - NotificationDeadlineAfterChange after a change of discovery's address.
+//   - NotificationDeadlineAfterChange after a change of discovery's address;
+//   - if lists are pushed, the time from which on the agent has the change and no watch can deliver it (pushedAt).
 //
-// A restart does not extend these deadlines, except that a new process has bootstrapTime to learn of the drain.
-func notifiedAt(o *Observations, drain DrainStart, node, incarnation int) time.Duration {
+// A restart does not extend these deadlines: the list of a new process may be old.
+func notifiedAt(p Plan, o *Observations, drain DrainStart, node, incarnation int) time.Duration {
 	notified := time.Duration(math.MaxInt64)
 	begin, end := lifetime(o, node, incarnation)
 	for _, d := range o.Deliveries {
@@ -101,7 +99,10 @@
 		}
 	}
 	reached := reachableFrom(o, drain.At)
-	notified = min(notified, max(reached+endpointlease.NotificationDeadline, begin+bootstrapTime))
+	notified = min(notified, reached+endpointlease.NotificationDeadline)
+	if p.Pushed {
+		notified = min(notified, pushedAt(o, drain.At, node))
+	}
 	for _, c := range o.AddressChanges {
 		if c.Node == node && c.At >= drain.At && c.At >= begin && c.At < end && reachableFrom(o, c.At) == c.At {
 			notified = min(notified, c.At+endpointlease.NotificationDeadlineAfterChange)
@@ -110,6 +111,32 @@
 	return notified
 }
 
+// pushedAt returns when an agent that pushes lists counts as having notified a node of a change that no watch delivers. That is
+// at once if the node has no watch, when its watch ends if it has one, and NotificationDeadline after its watch fell silent.
+// After a change of the agent's address the node has NotificationDeadlineAfterChange.
+func pushedAt(o *Observations, at time.Duration, node int) time.Duration {
+	notified := reachableFrom(o, at)
+	for _, watch := range o.Watches {
+		if watch.Node != node || watch.From > at || watch.To != 0 && watch.To <= at {
+			continue
+		}
+		ends := noOutageEnd
+		if watch.To != 0 {
+			ends = reachableFrom(o, watch.To)
+		}
+		if watch.SilentAt > 0 {
+			ends = min(ends, max(watch.SilentAt+endpointlease.NotificationDeadline, at))
+		}
+		notified = max(notified, ends)
+	}
+	for _, change := range o.AddressChanges {
+		if change.Node == node && change.At <= notified && notified < change.At+endpointlease.NotificationDeadlineAfterChange {
+			notified = change.At + endpointlease.NotificationDeadlineAfterChange
+		}
+	}
+	return notified
+}
+
 // reachableFrom returns the earliest time from at on at which discovery could be reached.
 func reachableFrom(o *Observations, at time.Duration) time.Duration {
 	for _, outage := range o.Outages {
--- a/internal/lab/soak/violations_test.go
+++ b/internal/lab/soak/violations_test.go
@@ -40,8 +40,8 @@
 		"4 s after a change of address":  {Observations{Drains: drained, AddressChanges: []AddressChange{{At: 5 * second}}, Attempts: []*Attempt{attempt(9400*time.Millisecond, unchanged)}}, "drain"},
 		"while discovery is unreachable": {Observations{Drains: drained, Outages: []Span{{From: 3 * second, To: 8 * second}}, Attempts: []*Attempt{attempt(14300*time.Millisecond, unchanged)}}, ""},
 		"6 s after an outage":            {Observations{Drains: drained, Outages: []Span{{From: 3 * second, To: 8 * second}}, Attempts: []*Attempt{attempt(14400*time.Millisecond, unchanged)}}, "drain"},
-		"within the bootstrap time":      {Observations{Drains: drained, Incarnations: []Incarnation{{Started: 8 * second}}, Attempts: []*Attempt{attempt(11300*time.Millisecond, unchanged)}}, ""},
-		"after the bootstrap time":       {Observations{Drains: drained, Incarnations: []Incarnation{{Started: 8 * second}}, Attempts: []*Attempt{attempt(11400*time.Millisecond, unchanged)}}, "drain"},
+		"started after the deadline":     {Observations{Drains: drained, Incarnations: []Incarnation{{Started: 10*second + 300*time.Millisecond}}, Attempts: []*Attempt{attempt(10400*time.Millisecond, unchanged)}}, "drain"},
+		"started in time":                {Observations{Drains: drained, Incarnations: []Incarnation{{Started: 8 * second}}, Attempts: []*Attempt{attempt(10300*time.Millisecond, unchanged)}}, ""},
 		"a restart extends no deadline":  {Observations{Drains: drained, Incarnations: []Incarnation{{Started: 5 * second}}, Attempts: []*Attempt{attempt(10400*time.Millisecond, unchanged)}}, "drain"},
 		"executed twice":                 {Observations{Requests: answered, Attempts: []*Attempt{attempt(10*second, unchanged), attempt(11*second, unchanged)}}, "duplicate"},
 		"rejected, then executed":        {Observations{Requests: answered, Attempts: []*Attempt{attempt(10*second, func(a *Attempt) { a.Executed = false }), attempt(11*second, unchanged)}}, ""},
@@ -119,3 +119,30 @@
 		}
 	}
 }
+
+// Where lists are pushed, a node without a watch counts as notified at once, also if it has just started. A watch that has
+// fallen silent has until the notification deadline, and a node whose discovery has moved the deadline after a change.
+func TestPushedAt(t *testing.T) {
+	const drain = 10 * time.Second
+	for name, c := range map[string]struct {
+		observed Observations
+		want     time.Duration
+	}{
+		"no watch":               {Observations{}, drain},
+		"watch of another node":  {Observations{Watches: []*Watch{{Node: 1, From: 0}}}, drain},
+		"watch ended before":     {Observations{Watches: []*Watch{{From: 0, To: 9 * time.Second}}}, drain},
+		"watch ends":             {Observations{Watches: []*Watch{{From: 0, To: 11 * time.Second}}}, 11 * time.Second},
+		"watch silent":           {Observations{Watches: []*Watch{{From: 0, SilentAt: 8 * time.Second}}}, 14 * time.Second},
+		"watch silent, and ends": {Observations{Watches: []*Watch{{From: 0, To: 11 * time.Second, SilentAt: 8 * time.Second}}}, 11 * time.Second},
+		"outage":                 {Observations{Outages: []Span{{From: 9 * time.Second, To: 12 * time.Second}}}, 12 * time.Second},
+		"watch ends with an outage": {Observations{Watches: []*Watch{{From: 0, To: 11 * time.Second}},
+			Outages: []Span{{From: 11 * time.Second, To: 13 * time.Second}}}, 13 * time.Second},
+		"address changed before": {Observations{AddressChanges: []AddressChange{{At: 9 * time.Second}}}, 13 * time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			if got := pushedAt(&c.observed, drain, 0); got != c.want {
+				t.Errorf("notified at %v, want %v", got, c.want)
+			}
+		})
+	}
+}
