--- a/internal/lab/soak/plan_outagestarts.go
+++ b/internal/lab/soak/plan_outagestarts.go
@@ -25,9 +25,12 @@
 	between := func(from, to time.Duration) time.Duration {
 		return (from + time.Duration(rng.Int64N(int64(to-from)))).Round(time.Millisecond)
 	}
+	latestDrain := p.Length - recoveryTime - maxDrainBeforeOutage - maxStartOutage
+	if latestDrain <= firstFault {
+		return false, nil // the plan is too short
+	}
 	pushed = rng.Float64() < pushedRatio
-	last := p.Length - recoveryTime
-	drain := between(firstFault, last-maxDrainBeforeOutage-maxStartOutage)
+	drain := between(firstFault, latestDrain)
 	from := between(drain, drain+maxDrainBeforeOutage)
 	to := from + between(minStartOutage, maxStartOutage)
 	faults = append(faults,
