After an outage nodes that reject requests poll first, and the others later

Cause: probes tell all nodes at the same moment that discovery is back, and all polled within 5 ms a poller, 24 in 0.1 s, though most of them had a lease for some seconds more. The nodes that rejected requests waited behind them.

Change: a node whose lease runs polls 0.75 to 1.5 s after the return, one whose lease has ended within 5 ms a poller, 1.5 s at most.

--- a/internal/endpointlease/probe.go
+++ b/internal/endpointlease/probe.go
@@ -12,7 +12,7 @@
 	// probeInterval is the time from the end of a probe that finds discovery unreachable to the next one.
 	probeInterval = 40 * time.Millisecond
 	// recoveryDelayPerPoller is the range, for each node that polls the same discovery, of the delay before the first poll
-	// after an outage. The nodes find out at the same moment that discovery is back.
+	// after an outage of a node whose lease has ended. The nodes find out at the same moment that discovery is back.
 	recoveryDelayPerPoller = 5 * time.Millisecond
 )
 
@@ -57,8 +57,8 @@
 	t.probe = probeState{open: true, began: now, generation: t.generation}
 }
 
-// ProbeEnded records the result of the open probe. The caller draws the jitter, from 0 to 1: the first poll after an outage
-// is made at a random time within recoveryDelayPerPoller for each poller, and at most maxBackoffUnavailable.
+// ProbeEnded records the result of the open probe. The caller draws the jitter, from 0 to 1, of the first poll after an
+// outage.
 func (t *Tracker) ProbeEnded(now time.Duration, result ProbeResult, jitter float64) {
 	ended := t.probe
 	t.probe.open = false
@@ -67,11 +67,11 @@
 	}
 	switch result {
 	case ProbeConnected:
-		if t.availability == unreachable {
-			spread := min(time.Duration(max(t.Pollers, 1))*recoveryDelayPerPoller, maxBackoffUnavailable)
-			t.nextPollAt = min(t.nextPollAt, now+time.Duration(jitter*float64(spread)))
-		}
+		recovered := t.availability == unreachable
 		t.noteConnected()
+		if recovered {
+			t.nextPollAt = now + t.recoveryDelay(now, jitter)
+		}
 	case ProbeUnreachable:
 		t.noteUnreachable(0, ended.began, now)
 	case ProbeInconclusive:
@@ -80,3 +80,13 @@
 		}
 	}
 }
+
+// recoveryDelay returns the delay before the first poll after an outage. Nodes that reject requests poll first. The others
+// leave discovery to them: they may use their lists for some seconds more.
+func (t *Tracker) recoveryDelay(now time.Duration, jitter float64) time.Duration {
+	spread := min(time.Duration(max(t.Pollers, 1))*recoveryDelayPerPoller, maxBackoffUnavailable)
+	if t.Pollers > 1 && now < t.Expires() {
+		return equalJitter(maxBackoffUnavailable, jitter)
+	}
+	return time.Duration(jitter * float64(spread))
+}
